--- /dev/null
+++ b/include/bramleygrade/json_codec.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include <tl/expected.hpp>
+
+#include "bramleygrade/values.h"
+
+/// \file
+/// JSON text to and from every value of the schema, checked against the schema.
+
+namespace bramleygrade {
+
+/// The text does not match the schema. The message names line, field and remedy.
+struct codec_error
+{
+    std::string message;
+};
+
+namespace internal {
+
+/// Parses `text` as table `typeName`; the result is a finished buffer of that table.
+tl::expected<std::string, codec_error> encodeText(const char *typeName, const std::string &text);
+/// Prints a finished buffer of table `typeName` as one line of strict JSON.
+std::string decodeText(const char *typeName, const std::uint8_t *buffer);
+
+} // namespace internal
+
+/// Parses JSON (comments allowed) into a value of the schema.
+///
+///     auto document = parseJson<service_document>(text);
+///     if (!document)
+///         report(document.error().message);
+///
+/// Unknown fields, wrong types and malformed text are errors; absent fields get their defaults.
+template <typename Value>
+tl::expected<Value, codec_error> parseJson(const std::string &text)
+{
+    using table = typename Value::TableType;
+    auto buffer = internal::encodeText(table::GetFullyQualifiedName(), text);
+    if (!buffer) {
+        return tl::make_unexpected(buffer.error());
+    }
+    Value value;
+    flatbuffers::GetRoot<table>(buffer->data())->UnPackTo(&value);
+    return value;
+}
+
+/// Prints a value of the schema as one line of strict JSON; fields at their default are left out.
+template <typename Value>
+std::string toJson(const Value &value)
+{
+    using table = typename Value::TableType;
+    flatbuffers::FlatBufferBuilder builder;
+    builder.Finish(table::Pack(builder, &value));
+    return internal::decodeText(table::GetFullyQualifiedName(), builder.GetBufferPointer());
+}
+
+} // namespace bramleygrade
--- /dev/null
+++ b/scripts/install.sh
@@ -0,0 +1,17 @@
+#!/usr/bin/env bash
+# Installs what the build, the checks and the tests need, from Debian's packages.
+set -eu
+packages="g++ cmake ninja-build pkg-config curl clang-format clang-tidy
+    libabsl-dev libflatbuffers-dev flatbuffers-compiler libboost-dev libboost-test-dev
+    libcpp-httplib-dev libssl-dev zlib1g-dev libbrotli-dev libjsonrpccpp-dev libjsoncpp-dev
+    liblog4cxx-dev libexpected-dev librapidcheck-dev libbenchmark-dev"
+missing=""
+for package in $packages; do
+    dpkg-query -W -f='${Status}' "$package" 2> /dev/null | grep -q "install ok installed" \
+        || missing="$missing $package"
+done
+if [ -n "$missing" ]; then
+    apt-get update -qq
+    # shellcheck disable=SC2086
+    DEBIAN_FRONTEND=noninteractive apt-get install -y -qq $missing
+fi
--- /dev/null
+++ b/src/codec/json_codec.cpp
@@ -0,0 +1,68 @@
+#include "bramleygrade/json_codec.h"
+
+#include <flatbuffers/idl.h>
+#include <flatbuffers/reflection.h>
+
+#include "decision_bfbs_generated.h"
+#include "settings_bfbs_generated.h"
+
+namespace bramleygrade::internal {
+
+namespace {
+
+constexpr std::string_view settingsType = "bramleygrade.wire.entry_settings";
+
+flatbuffers::IDLOptions textOptions()
+{
+    flatbuffers::IDLOptions options;
+    options.strict_json = true;
+    options.indent_step = -1;
+    options.natural_utf8 = true;
+    return options;
+}
+
+template <typename Schema>
+bool loadSchema(flatbuffers::Parser &parser)
+{
+    return parser.Deserialize(Schema::data(), Schema::size());
+}
+
+/// A parser holds the schema and is costly to build, so that each thread keeps one.
+flatbuffers::Parser &parserFor(const char *typeName)
+{
+    thread_local flatbuffers::Parser messages(textOptions());
+    thread_local const bool messagesLoaded = loadSchema<wire::recorded_eventBinarySchema>(messages);
+    thread_local flatbuffers::Parser settings(textOptions());
+    thread_local const bool settingsLoaded = loadSchema<wire::entry_settingsBinarySchema>(settings);
+    (void)messagesLoaded;
+    (void)settingsLoaded;
+    flatbuffers::Parser &parser = typeName == settingsType ? settings : messages;
+    parser.SetRootType(typeName);
+    // Input may have comments and trailing commas; output stays strict.
+    parser.opts.strict_json = false;
+    return parser;
+}
+
+} // namespace
+
+tl::expected<std::string, codec_error> encodeText(const char *typeName, const std::string &text)
+{
+    flatbuffers::Parser &parser = parserFor(typeName);
+    if (!parser.ParseJson(text.c_str())) {
+        return tl::make_unexpected(codec_error {
+            parser.error_ + "; correct this line so that it matches the schema of " + typeName});
+    }
+    return std::string(reinterpret_cast<const char *>(parser.builder_.GetBufferPointer()),
+                       parser.builder_.GetSize());
+}
+
+std::string decodeText(const char *typeName, const std::uint8_t *buffer)
+{
+    flatbuffers::Parser &parser = parserFor(typeName);
+    parser.opts.strict_json = true;
+    std::string text;
+    flatbuffers::GenerateText(parser, buffer, &text);
+    return text;
+}
+
+} // namespace bramleygrade::internal
--- /dev/null
+++ b/src/core/authority.cpp
@@ -0,0 +1,176 @@
+#include "core/authority.h"
+
+#include <algorithm>
+#include <set>
+
+#include "core/invariant.h"
+
+namespace bramleygrade {
+
+namespace {
+
+timestamp promisesUntil(const shard_view &view)
+{
+    if (view.row.successors.empty()) {
+        return distantPast;
+    }
+    timestamp earliest = distantFuture;
+    for (const auto *successors : {&view.row.successors, &view.proposedSuccessors}) {
+        for (const std::string &successor : *successors) {
+            const auto promise = view.promisedUntil.find(successor);
+            earliest = std::min(
+                earliest, promise == view.promisedUntil.end() ? distantPast : promise->second);
+        }
+    }
+    return earliest;
+}
+
+void beginOwnership(shard_view &view, timestamp now)
+{
+    const bool mustWait = !view.row.handed_over && view.row.epoch > 1;
+    view.ownedSince = now;
+    view.actsFrom = mustWait ? now + lengthenedByClockError(authoritySpan) : now;
+    view.readUntil = distantPast;
+    view.promisedUntil.clear();
+    view.givenUp = false;
+}
+
+/// A write that depends on an older version than the one in the table can no longer take effect.
+void settleWrites(shard_view &view, std::uint64_t version)
+{
+    if (view.unsettledVersion != 0 && version > view.unsettledVersion) {
+        view.unsettledVersion = 0;
+        view.proposedSuccessors.clear();
+    }
+}
+
+} // namespace
+
+timestamp authorityUntil(const authority_state &state, const std::string &self,
+                         const std::string &shard, timestamp now)
+{
+    const auto found = state.shards.find(shard);
+    if (found == state.shards.end()) {
+        return distantPast;
+    }
+    const shard_view &view = found->second;
+    if (view.row.owner != self || view.givenUp || now < view.actsFrom) {
+        return distantPast;
+    }
+    return std::max(view.readUntil, promisesUntil(view));
+}
+
+bool holdsAuthority(const authority_state &state, const std::string &self, const std::string &shard,
+                    timestamp now)
+{
+    return now < authorityUntil(state, self, shard, now);
+}
+
+void noteShardRow(authority_state &state, const std::string &self, const std::string &shard,
+                  const shard_row &row, std::uint64_t version, timestamp askedAt, timestamp now)
+{
+    shard_view &view = state.shards[shard];
+    if (version < view.rowVersion) {
+        return; // A late answer that was read before a newer one.
+    }
+    BRAMLEYGRADE_INVARIANT(
+        row.epoch >= view.row.epoch,
+        "the epoch of a shard row fell; restore the table from its newest state");
+    const bool isNewEpoch = row.epoch > view.row.epoch;
+    const bool isNewOwner = row.owner != view.row.owner;
+    view.row = row;
+    view.rowVersion = version;
+    settleWrites(view, version);
+    if (isNewEpoch || isNewOwner) {
+        view.knownSince = now;
+        view.ownedSince = distantFuture;
+        view.actsFrom = distantFuture;
+        if (row.owner == self) {
+            beginOwnership(view, now);
+        }
+    }
+    if (row.owner == self) {
+        view.readUntil = std::max(view.readUntil, askedAt + shortenedByClockError(authoritySpan));
+    }
+}
+
+void noteRowsUnchanged(authority_state &state, const std::string &self, timestamp askedAt)
+{
+    for (auto &[shard, view] : state.shards) {
+        if (view.row.owner == self) {
+            view.readUntil =
+                std::max(view.readUntil, askedAt + shortenedByClockError(authoritySpan));
+        }
+    }
+}
+
+void askForPromises(authority_state &state, const std::string &self, step_context &context)
+{
+    if (context.now < state.nextAskAt) {
+        return;
+    }
+    state.nextAskAt = context.now + promiseInterval;
+    std::map<std::string, promise_ask> asks;
+    for (const auto &[shard, view] : state.shards) {
+        if (view.row.owner != self || view.givenUp) {
+            continue;
+        }
+        std::set<std::string> successors(view.row.successors.begin(), view.row.successors.end());
+        successors.insert(view.proposedSuccessors.begin(), view.proposedSuccessors.end());
+        for (const std::string &successor : successors) {
+            auto asked = std::make_unique<shard_epoch>();
+            asked->shard = shard;
+            asked->epoch = view.row.epoch;
+            asks[successor].shards.push_back(std::move(asked));
+        }
+    }
+    for (auto &[successor, ask] : asks) {
+        ask.asked_at = context.now;
+        sendToPeer(context, self, successor, std::move(ask));
+    }
+}
+
+void answerPromiseAsk(authority_state &state, const std::string &self, const std::string &from,
+                      const promise_ask &ask, step_context &context)
+{
+    promise_grant grant;
+    grant.asked_at = ask.asked_at;
+    for (const auto &asked : ask.shards) {
+        const auto found = state.shards.find(asked->shard);
+        if (found == state.shards.end()) {
+            continue;
+        }
+        // A claim of ours that is still under way need not hold the promise back: we shall wait for
+        // authoritySpan after we learn that it won, and the promise has lapsed by then.
+        if (found->second.row.epoch > asked->epoch) {
+            grant.claimed.push_back(std::make_unique<shard_epoch>(*asked));
+        }
+    }
+    state.lastAskFrom[from] = context.now;
+    state.promisedTo[from] = context.now + authoritySpan;
+    sendToPeer(context, self, from, std::move(grant));
+}
+
+void notePromise(authority_state &state, const std::string &self, const std::string &from,
+                 const promise_grant &grant)
+{
+    for (auto &[shard, view] : state.shards) {
+        const bool isClaimed =
+            std::any_of(grant.claimed.begin(), grant.claimed.end(),
+                        [&name = shard](const auto &claimed) { return claimed->shard == name; });
+        if (view.row.owner != self || isClaimed || view.ownedSince > grant.asked_at) {
+            continue;
+        }
+        timestamp &until = view.promisedUntil.try_emplace(from, distantPast).first->second;
+        until = std::max(until, grant.asked_at + shortenedByClockError(authoritySpan));
+    }
+}
+
+void giveUpEverything(authority_state &state)
+{
+    for (auto &[shard, view] : state.shards) {
+        view.givenUp = true;
+    }
+}
+
+} // namespace bramleygrade
--- /dev/null
+++ b/src/core/entry_state.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "bramleygrade/decision_core.h"
+#include "core/requests.h"
+
+namespace bramleygrade {
+
+/// Everything that one entry remembers; none of it outlives the process.
+struct entry_state
+{
+    cell_state cell;
+    operation_table operations;
+    authority_state authority;
+    document_state documents;
+    worker_pool pool;
+    request_flow requests;
+    std::uint64_t nextCall = 1;
+    timestamp nextLoadReportAt = 0;
+    int loadReportsSent = 0;
+    timestamp newestNow = distantPast;
+    bool isDrainReported = false;
+    std::uint64_t clockAlarms = 0;
+};
+
+inline request_environment environmentOf(entry_state &state)
+{
+    return {state.cell, state.authority, state.documents, state.pool};
+}
+
+} // namespace bramleygrade
--- /dev/null
+++ b/src/core/inspection.cpp
@@ -0,0 +1,241 @@
+#include "bramleygrade/inspection.h"
+
+#include <sstream>
+
+#include <json/json.h>
+
+#include "core/entry_state.h"
+#include "core/shard_claims.h"
+
+namespace bramleygrade {
+
+namespace {
+
+Json::Int64 restOf(timestamp until, timestamp now)
+{
+    const bool isSet = until > distantPast / 2 && until < distantFuture / 2;
+    return isSet ? static_cast<Json::Int64>((until - now) / millisecond) : 0;
+}
+
+Json::Value dumpShards(const entry_state &state, timestamp now)
+{
+    Json::Value shards(Json::objectValue);
+    for (const auto &[name, view] : state.authority.shards) {
+        Json::Value &shard = shards[name];
+        shard["owner"] = view.row.owner;
+        shard["epoch"] = static_cast<Json::UInt64>(view.row.epoch);
+        shard["row_version"] = static_cast<Json::UInt64>(view.rowVersion);
+        for (const std::string &successor : view.row.successors) {
+            shard["successors"].append(successor);
+        }
+        shard["handed_over"] = view.row.handed_over;
+        shard["acting"] = holdsAuthority(state.authority, state.cell.identity, name, now);
+        shard["authority_ms"] =
+            restOf(authorityUntil(state.authority, state.cell.identity, name, now), now);
+        shard["given_up"] = view.givenUp;
+        shard["unsettled_version"] = static_cast<Json::UInt64>(view.unsettledVersion);
+    }
+    return shards;
+}
+
+Json::Value dumpWorkers(const entry_state &state, timestamp now)
+{
+    Json::Value workers(Json::objectValue);
+    for (const auto &[name, view] : state.pool.workers) {
+        Json::Value &worker = workers[name];
+        worker["shard"] = view.shard;
+        worker["failure_domain"] = view.info.failure_domain;
+        worker["service"] = view.info.service;
+        worker["slots"] = view.info.slots;
+        worker["busy"] = view.busySlots;
+        worker["foreign"] = view.foreignSlots;
+        worker["usable"] = usableSlots(view, state.authority, state.cell.identity, now);
+        worker["leaving"] = isLeavingWorker(view);
+        worker["ejected_ms"] = restOf(view.health.ejectedUntil, now);
+        worker["mean_answer_us"] = static_cast<Json::Int64>(view.health.meanAnswer);
+        worker["seen_ms_ago"] = -restOf(view.seenAt, now);
+        worker["tasks"] = static_cast<Json::UInt64>(view.tasks.size());
+        worker["committed_cpu_millis"] = static_cast<Json::Int64>(view.committed.cpuMillis);
+        worker["committed_memory_mb"] = static_cast<Json::Int64>(view.committed.memoryMb);
+        worker["committed_accelerators"] = static_cast<Json::Int64>(view.committed.accelerators);
+    }
+    return workers;
+}
+
+Json::Value dumpDocuments(const entry_state &state, timestamp now)
+{
+    Json::Value documents(Json::objectValue);
+    documents["head_sequence"] = static_cast<Json::UInt64>(state.documents.head.sequence);
+    documents["fresh_ms"] = restOf(state.documents.freshUntil, now);
+    documents["waiting_changes"] = static_cast<Json::UInt64>(state.documents.queue.size());
+    documents["unsettled_writes"] = state.documents.unsettledWrites;
+    for (const auto &[service, view] : state.documents.documents) {
+        documents["sequence"][service] = static_cast<Json::UInt64>(view.row.sequence);
+    }
+    return documents;
+}
+
+Json::Value dumpMembers(const entry_state &state, timestamp now)
+{
+    Json::Value members(Json::objectValue);
+    for (const auto &[name, member] : state.cell.members) {
+        Json::Value &row = members[member.row.identity];
+        row["failure_domain"] = member.row.failure_domain;
+        row["address"] = member.row.host + ":" + std::to_string(member.row.peer_port);
+        const auto heard = state.cell.heardAt.find(member.row.identity);
+        row["heard_ms_ago"] =
+            heard == state.cell.heardAt.end() ? Json::Int64 {-1} : -restOf(heard->second, now);
+        row["shards"] = countOwnedShards(state.authority, member.row.identity);
+    }
+    return members;
+}
+
+Json::Value dumpRequests(const entry_state &state)
+{
+    Json::Value requests(Json::objectValue);
+    for (const auto &[service, queue] : state.requests.queues) {
+        Json::Value &row = requests["queues"][service];
+        row["waiting"] = static_cast<Json::UInt64>(queue.waiting);
+        row["mean_answer_us"] = static_cast<Json::Int64>(queue.meanAnswer);
+        for (const auto &[team, own] : queue.teams) {
+            row["in_flight"][team] = own.inFlight;
+        }
+    }
+    requests["in_progress"] = static_cast<Json::UInt64>(state.requests.requests.size());
+    requests["attempts"] = static_cast<Json::UInt64>(state.requests.attempts.size());
+    requests["remembered_ids"] = static_cast<Json::UInt64>(state.requests.home.remembered.size());
+    requests["remembered_bytes"] = static_cast<Json::UInt64>(state.requests.home.bodyBytes);
+    return requests;
+}
+
+void addMetric(std::ostream &text, const char *name, const char *kind, const char *help,
+               double value)
+{
+    text << "# HELP bramleygrade_" << name << ' ' << help << "\n# TYPE bramleygrade_" << name << ' '
+         << kind << "\nbramleygrade_" << name << ' ' << value << '\n';
+}
+
+/// Lines for an operator about what is not as it should be.
+std::vector<std::string> listProblems(const entry_state &state, timestamp now)
+{
+    std::vector<std::string> problems;
+    if (now - state.cell.tableReachedAt > 3 * second) {
+        problems.emplace_back("the table service does not answer; no document, job or shard "
+                              "can change until it does");
+    }
+    if (!areDocumentsFresh(state.documents, now)) {
+        problems.emplace_back("documents may be outdated: this entry starts no new work");
+    }
+    if (state.clockAlarms > 0) {
+        problems.emplace_back("a clock is off by more than 250 ms; check time synchronisation");
+    }
+    for (const auto &[name, view] : state.authority.shards) {
+        const bool isOwn = view.row.owner == state.cell.identity;
+        if (isOwn && !holdsAuthority(state.authority, state.cell.identity, name, now)) {
+            problems.push_back("shard " + name + " is owned here but may not be used now");
+        }
+    }
+    for (const auto &[name, worker] : state.pool.workers) {
+        if (now < worker.health.ejectedUntil) {
+            problems.push_back("worker " + name + " fails requests and gets none for a while");
+        }
+    }
+    return problems;
+}
+
+} // namespace
+
+std::string dumpState(const decision_core &core, timestamp now)
+{
+    const entry_state &state = core.state();
+    Json::Value dump(Json::objectValue);
+    dump["identity"] = state.cell.identity;
+    dump["failure_domain"] = state.cell.failureDomain;
+    dump["joined"] = state.cell.isJoined;
+    dump["draining"] = state.cell.isDraining;
+    dump["table_reached_ms_ago"] = -restOf(state.cell.tableReachedAt, now);
+    dump["list_received_ms_ago"] = -restOf(state.cell.listReceivedAt, now);
+    dump["transactions_underway"] = static_cast<Json::UInt64>(state.operations.underway.size());
+    dump["shards"] = dumpShards(state, now);
+    dump["workers"] = dumpWorkers(state, now);
+    dump["documents"] = dumpDocuments(state, now);
+    dump["members"] = dumpMembers(state, now);
+    dump["requests"] = dumpRequests(state);
+    Json::StreamWriterBuilder writer;
+    writer["indentation"] = "";
+    return Json::writeString(writer, dump);
+}
+
+std::string describeStatus(const decision_core &core, timestamp now)
+{
+    const entry_state &state = core.state();
+    std::ostringstream text;
+    text << "entry " << state.cell.identity << " in " << state.cell.failureDomain
+         << (state.cell.isDraining ? ", draining" : "") << '\n';
+    const std::vector<std::string> problems = listProblems(state, now);
+    text << (problems.empty() ? "no problem is known here" : "problems:") << '\n';
+    for (const std::string &problem : problems) {
+        text << "  " << problem << '\n';
+    }
+    text << "members " << state.cell.members.size() << ", active "
+         << activeMembers(state.cell, now).size() << "; shards " << state.authority.shards.size()
+         << ", own " << countOwnedShards(state.authority, state.cell.identity) << "; workers "
+         << state.pool.workers.size() << "\ndocuments up to change "
+         << state.documents.head.sequence << "; requests in progress "
+         << state.requests.requests.size() << ", transactions under way "
+         << state.operations.underway.size() << '\n';
+    return text.str();
+}
+
+std::string listMetrics(const decision_core &core, timestamp now)
+{
+    const entry_state &state = core.state();
+    const request_counters &counters = state.requests.counters;
+    std::ostringstream text;
+    text.precision(15);
+    const auto count = [](std::uint64_t value) { return static_cast<double>(value); };
+    addMetric(text, "requests_accepted_total", "counter", "requests taken in",
+              count(counters.accepted));
+    addMetric(text, "requests_done_total", "counter", "answered in full", count(counters.done));
+    addMetric(text, "requests_not_run_total", "counter", "surely not run", count(counters.notRun));
+    addMetric(text, "requests_may_have_run_total", "counter", "fate not known",
+              count(counters.mayHaveRun));
+    addMetric(text, "requests_forwarded_total", "counter", "passed to a peer",
+              count(counters.forwarded));
+    addMetric(text, "requests_retried_total", "counter", "attempted again",
+              count(counters.retried));
+    addMetric(text, "answers_late_total", "counter", "answers after their request had ended",
+              count(counters.lateAnswers));
+    addMetric(text, "requests_in_progress", "gauge", "requests without an answer yet",
+              count(state.requests.requests.size()));
+    addMetric(text, "shards_owned", "gauge", "shards whose row names this entry",
+              countOwnedShards(state.authority, state.cell.identity));
+    addMetric(text, "document_sequence", "gauge", "newest change in force here",
+              count(state.documents.head.sequence));
+    addMetric(text, "documents_fresh", "gauge", "1 while the documents are known to be the newest",
+              areDocumentsFresh(state.documents, now) ? 1 : 0);
+    addMetric(text, "clock_alarms_total", "counter", "messages that showed a wrong clock",
+              count(state.clockAlarms));
+    return text.str();
+}
+
+std::map<std::string, member_address> memberAddresses(const decision_core &core)
+{
+    std::map<std::string, member_address> addresses;
+    for (const auto &[name, member] : core.state().cell.members) {
+        addresses[member.row.identity] = {member.row.host, member.row.peer_port};
+    }
+    return addresses;
+}
+
+bool isDraining(const decision_core &core)
+{
+    return core.state().cell.isDraining;
+}
+
+std::uint64_t membershipVersion(const decision_core &core)
+{
+    return core.state().cell.headVersion;
+}
+
+} // namespace bramleygrade
--- /dev/null
+++ b/src/core/operations.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "core/context.h"
+
+/// \file
+/// Transactions under way at the table service, and what each is for.
+
+namespace bramleygrade {
+
+enum class operation_purpose {
+    poll,
+    loadCell,
+    loadDocuments,
+    join,
+    leave,
+    claim,
+    changeRow,
+    applyDocument,
+    submitJob,
+    loadJobs,
+    updateJob,
+    readJob
+};
+
+/// A transaction whose answer is still awaited.
+struct table_operation
+{
+    operation_purpose purpose = operation_purpose::poll;
+    timestamp askedAt = 0;
+    /// The answer counts as lost after this time.
+    timestamp giveUpAt = 0;
+    /// Shard, service or job that the transaction is about.
+    std::string subject;
+    /// Operator who waits for the answer, or 0.
+    std::uint64_t handle = 0;
+    table_request request;
+};
+
+struct operation_table
+{
+    std::uint64_t nextNumber = 1;
+    std::map<std::uint64_t, table_operation> underway;
+};
+
+constexpr microseconds tableAnswerLimit = 3 * second;
+
+/// Emits the transaction and remembers it; the result carries the returned number.
+inline std::uint64_t startOperation(operation_table &operations, table_operation operation,
+                                    step_context &context)
+{
+    const std::uint64_t number = operations.nextNumber++;
+    table_command order;
+    order.operation = number;
+    order.request = std::make_unique<table_request>(operation.request);
+    operation.askedAt = context.now;
+    operation.giveUpAt = context.now + tableAnswerLimit;
+    operations.underway.emplace(number, std::move(operation));
+    emit(context, std::move(order));
+    return number;
+}
+
+inline bool isUnderway(const operation_table &operations, operation_purpose purpose,
+                       const std::string &subject = {})
+{
+    for (const auto &[number, operation] : operations.underway) {
+        if (operation.purpose == purpose && operation.subject == subject) {
+            return true;
+        }
+    }
+    return false;
+}
+
+inline bool isAnyUnderway(const operation_table &operations, operation_purpose purpose)
+{
+    for (const auto &[number, operation] : operations.underway) {
+        if (operation.purpose == purpose) {
+            return true;
+        }
+    }
+    return false;
+}
+
+} // namespace bramleygrade
--- /dev/null
+++ b/src/core/request_home.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+
+#include "core/context.h"
+
+/// \file
+/// Memory of unrepeatable requests, kept by the owner of the home shard of each id.
+///
+/// An id is `<issued>-<unique>`: the caller's time in milliseconds when it first sent the request,
+/// and anything that makes it unique. A home vouches only for ids issued after it began to act, and
+/// every home refuses ids from the future; so no id is ever run by two homes.
+
+namespace bramleygrade {
+
+/// An id may be repeated until this long after it was issued.
+constexpr microseconds requestIdLifetime = 90 * second;
+/// An id may lie this far in the future, to allow for the caller's clock.
+constexpr microseconds futureTolerance = 500 * millisecond;
+/// Requests that one home remembers; beyond it new ones are refused.
+constexpr std::size_t rememberedRequestLimit = 50'000;
+constexpr std::size_t rememberedBodyLimit = 8ul * 1024 * 1024;
+constexpr std::size_t requestIdLengthLimit = 128;
+
+enum class memory_phase { running, answered };
+
+struct remembered_request
+{
+    memory_phase phase = memory_phase::running;
+    /// Number of the request in this entry while it runs.
+    std::uint64_t number = 0;
+    answer outcome;
+    timestamp forgetAt = 0;
+};
+
+struct request_home_state
+{
+    std::map<std::string, remembered_request> remembered;
+    std::set<std::pair<timestamp, std::string>> forgetOrder;
+    std::size_t bodyBytes = 0;
+};
+
+/// Time of issue in microseconds, or a negative number where the id is malformed.
+timestamp issueTimeOf(const std::string &requestId);
+
+enum class home_verdict {
+    unknownId,
+    runs,
+    wasAnswered,
+    cannotVouch,
+    isExpired,
+    isFromFuture,
+    isFull
+};
+
+/// What the home knows of the id. `vouchFrom` is when it began to act for the home shard.
+home_verdict judgeRequestId(const request_home_state &state, const std::string &requestId,
+                            timestamp vouchFrom, timestamp now);
+
+void rememberRunning(request_home_state &state, const std::string &requestId, std::uint64_t number,
+                     timestamp now);
+
+/// Keeps the answer for repeats; a request that was surely not run is forgotten, so that its
+/// caller may send it again.
+void rememberAnswer(request_home_state &state, const std::string &requestId, const answer &outcome);
+
+/// Puts the whole answer, which came late, in place of "may have run".
+void replaceAnswer(request_home_state &state, const std::string &requestId, const answer &outcome);
+
+void forgetExpired(request_home_state &state, timestamp now);
+
+} // namespace bramleygrade
--- /dev/null
+++ b/src/core/request_routing.cpp
@@ -0,0 +1,261 @@
+#include "core/request_routing.h"
+
+#include <algorithm>
+
+#include "core/invariant.h"
+#include "core/request_answers.h"
+
+namespace bramleygrade {
+
+namespace {
+
+/// A request is passed on between owners at most this often.
+constexpr int hopLimit = 2;
+
+/// Latest time at which an attempt may leave this entry for the worker.
+timestamp startLimit(const request_state &request, const request_environment &environment,
+                     const worker_view &worker, timestamp now)
+{
+    const std::string &self = environment.cell.identity;
+    timestamp limit = std::min({request.startBy, environment.documents.freshUntil,
+                                authorityUntil(environment.authority, self, worker.shard, now)});
+    if (request.isHome) {
+        limit = std::min(
+            limit,
+            authorityUntil(environment.authority, self, homeShardOf(request.requestId), now));
+    }
+    return limit;
+}
+
+void setExpiry(request_flow &flow, std::uint64_t number, timestamp expiresAt)
+{
+    request_state &request = flow.requests.at(number);
+    flow.expiries.erase({request.expiresAt, number});
+    request.expiresAt = expiresAt;
+    flow.expiries.emplace(expiresAt, number);
+}
+
+bool dispatch(request_flow &flow, request_environment &environment, std::uint64_t number,
+              step_context &context)
+{
+    request_state &request = flow.requests.at(number);
+    const service_document *document = findDocument(environment.documents, request.service);
+    if (document == nullptr || !areDocumentsFresh(environment.documents, context.now)) {
+        return false;
+    }
+    worker_view *worker =
+        chooseEndpoint(environment.pool, environment.authority, environment.cell.identity,
+                       *document, request.avoidedWorker, context.now);
+    if (worker == nullptr) {
+        return false;
+    }
+    const timestamp limit = startLimit(request, environment, *worker, context.now);
+    if (limit <= context.now) {
+        return false;
+    }
+    BRAMLEYGRADE_INVARIANT(isAllowedDomain(*document, worker->info.failure_domain),
+                           "a request would leave its failure domains; check the choice of worker");
+    BRAMLEYGRADE_INVARIANT(worker->busySlots < worker->info.slots,
+                           "an endpoint would get more requests than slots; check its slot count");
+    ++worker->busySlots;
+    worker->health.isProbing = worker->health.ejections > 0;
+    ++flow.queues[request.service].teams[request.team].inFlight;
+    request.phase = request_phase::dispatched;
+    request.target = worker->info.name;
+    ++request.attempts;
+    dispatch_request order;
+    order.attempt = flow.nextNumber++;
+    order.worker = worker->info.name;
+    order.host = worker->info.host;
+    order.port = worker->info.port;
+    order.start_by = limit;
+    order.deadline = request.deadline;
+    order.request_id = request.requestId;
+    order.path = request.path;
+    order.body = request.body;
+    endpoint_attempt attempt;
+    attempt.request = number;
+    attempt.worker = worker->info.name;
+    attempt.service = request.service;
+    attempt.team = request.team;
+    attempt.sentAt = context.now;
+    if (request.isHome) {
+        attempt.homeRequestId = request.requestId;
+    }
+    setExpiry(flow, number, request.deadline);
+    flow.attempts.emplace(order.attempt, std::move(attempt));
+    emit(context, std::move(order));
+    return true;
+}
+
+/// Free slots of a peer in domains that the document allows, less what it got since it reported.
+int freeSlotsAt(const peer_load &load, const service_document &document)
+{
+    int slots = 0;
+    for (const auto &service : load.report.services) {
+        if (service->service == document.service
+            && isAllowedDomain(document, service->failure_domain)) {
+            slots += service->free_slots;
+        }
+    }
+    const auto given = load.givenSince.find(document.service);
+    return slots - (given == load.givenSince.end() ? 0 : given->second);
+}
+
+/// A peer with free slots, drawn with a chance in proportion to them; empty where none has any.
+std::string choosePeer(const request_flow &flow, request_environment &environment,
+                       const service_document &document, timestamp now)
+{
+    int total = 0;
+    std::string chosen;
+    for (const auto &[identity, load] : flow.peers) {
+        const bool isUsable = identity != environment.cell.identity
+            && findMember(environment.cell, identity) != nullptr
+            && isHeardLately(environment, identity, now);
+        const int slots = isUsable ? freeSlotsAt(load, document) : 0;
+        if (slots <= 0) {
+            continue;
+        }
+        total += slots;
+        if (nextRandom(environment.pool.random) % static_cast<std::uint64_t>(total)
+            < static_cast<std::uint64_t>(slots)) {
+            chosen = identity;
+        }
+    }
+    return chosen;
+}
+
+bool passOn(request_flow &flow, request_environment &environment, std::uint64_t number,
+            step_context &context)
+{
+    const request_state &request = flow.requests.at(number);
+    const service_document *document = findDocument(environment.documents, request.service);
+    if (document == nullptr || request.hops >= hopLimit) {
+        return false;
+    }
+    const std::string peer = choosePeer(flow, environment, *document, context.now);
+    if (peer.empty()) {
+        return false;
+    }
+    return forwardTo(flow, environment, number, peer, false, context);
+}
+
+} // namespace
+
+bool isHeardLately(const request_environment &environment, const std::string &identity,
+                   timestamp now)
+{
+    const auto heard = environment.cell.heardAt.find(identity);
+    return heard != environment.cell.heardAt.end() && now - heard->second < peerSilenceLimit;
+}
+
+void routeRequest(request_flow &flow, request_environment &environment, std::uint64_t number,
+                  step_context &context)
+{
+    const request_state &request = flow.requests.at(number);
+    service_queue &queue = flow.queues[request.service];
+    if (queue.waiting == 0
+        && (dispatch(flow, environment, number, context)
+            || passOn(flow, environment, number, context))) {
+        return;
+    }
+    const service_document *document = findDocument(environment.documents, request.service);
+    const slot_count slots = document == nullptr
+        ? slot_count {}
+        : countSlots(environment.pool, environment.authority, environment.cell.identity, *document,
+                     context.now);
+    const microseconds wait = expectedWait(queue, request.team, slots.total);
+    const bool isHopeless = slots.total == 0 || queue.waiting >= serviceQueueLimit
+        || context.now + wait + queue.meanAnswer > request.deadline;
+    if (!isHopeless) {
+        enqueue(queue, request.team, number);
+        startWaiting(flow, environment, request.service, context);
+        return;
+    }
+    const auto retryAfterMs =
+        static_cast<int>(std::max<microseconds>(wait, 100 * millisecond) / millisecond);
+    finishRequest(
+        flow, environment, number,
+        request.mayHaveRun
+            ? makeMayHaveRun("an earlier attempt was lost and no slot is free")
+            : makeNotRun("no slot can be free before the deadline; come back later", retryAfterMs),
+        context);
+}
+
+bool forwardTo(request_flow &flow, request_environment &environment, std::uint64_t number,
+               const std::string &peer, bool asHome, step_context &context)
+{
+    request_state &request = flow.requests.at(number);
+    timestamp startBy = std::min(request.startBy, environment.documents.freshUntil);
+    if (request.isHome) {
+        startBy = std::min(startBy,
+                           authorityUntil(environment.authority, environment.cell.identity,
+                                          homeShardOf(request.requestId), context.now));
+    }
+    // The receiver's clock may be behind.
+    startBy -= clockOffsetBound;
+    if (startBy <= context.now) {
+        return false;
+    }
+    request.phase = request_phase::forwarded;
+    request.target = peer;
+    ++request.attempts;
+    ++flow.counters.forwarded;
+    if (!asHome) {
+        ++flow.peers[peer].givenSince[request.service];
+    }
+    forward_request forward;
+    forward.number = number;
+    forward.service = request.service;
+    forward.team = request.team;
+    forward.request_id = request.requestId;
+    forward.unrepeatable = request.isUnrepeatable;
+    forward.as_home = asHome;
+    forward.deadline = request.deadline;
+    forward.start_by = startBy;
+    forward.hops = request.hops + 1;
+    forward.path = request.path;
+    forward.body = request.body;
+    sendToPeer(context, environment.cell.identity, peer, std::move(forward));
+    setExpiry(flow, number, request.deadline);
+    return true;
+}
+
+void startWaiting(request_flow &flow, request_environment &environment, const std::string &service,
+                  step_context &context)
+{
+    service_queue &queue = flow.queues[service];
+    while (queue.waiting > 0) {
+        const std::uint64_t number = dequeueFairly(queue);
+        if (dispatch(flow, environment, number, context)
+            || passOn(flow, environment, number, context)) {
+            continue;
+        }
+        requeue(queue, flow.requests.at(number).team, number);
+        return;
+    }
+}
+
+void releaseSlot(request_flow &flow, worker_pool &pool, const endpoint_attempt &attempt)
+{
+    const auto worker = pool.workers.find(attempt.worker);
+    if (worker != pool.workers.end() && worker->second.busySlots > 0) {
+        --worker->second.busySlots;
+    }
+    --flow.queues[attempt.service].teams[attempt.team].inFlight;
+}
+
+void noteFreeSlots(peer_load &load, const std::string &service, int freeSlots)
+{
+    bool isFirst = true;
+    for (const auto &entry : load.report.services) {
+        if (entry->service == service) {
+            // The answer gives one figure for all domains.
+            entry->free_slots = isFirst ? freeSlots : 0;
+            isFirst = false;
+        }
+    }
+    load.givenSince[service] = 0;
+}
+
+} // namespace bramleygrade
--- /dev/null
+++ b/src/core/shard_claims.cpp
@@ -0,0 +1,277 @@
+#include "core/shard_claims.h"
+
+#include <algorithm>
+
+#include "core/table_rows.h"
+
+namespace bramleygrade {
+
+namespace {
+
+/// Members other than the natural holder create a missing shard only after this delay.
+constexpr microseconds creationDelay = 2 * second;
+/// The second successor leaves the first one this much time to claim.
+constexpr microseconds secondSuccessorDelay = second;
+/// Members that are no successors spread their claims over this time.
+constexpr microseconds outsiderSpread = 2 * second;
+constexpr microseconds writeRetryInterval = second;
+constexpr std::size_t concurrentWriteLimit = 8;
+
+bool isSuccessor(const shard_view &view, const std::string &identity)
+{
+    return std::find(view.row.successors.begin(), view.row.successors.end(), identity)
+        != view.row.successors.end();
+}
+
+void writeRow(authority_state &authority, const std::string &shard, shard_row row, bool isClaim,
+              operation_table &operations, step_context &context)
+{
+    shard_view &view = authority.shards[shard];
+    table_operation write;
+    write.purpose = isClaim ? operation_purpose::claim : operation_purpose::changeRow;
+    write.subject = shard;
+    addCondition(write.request, shardKey(shard), view.rowVersion);
+    addWrite(write.request, shardKey(shard), row);
+    addWrite(write.request, cellHeadKey, row);
+    view.nextWriteAt = context.now + writeRetryInterval;
+    if (view.rowVersion != 0) {
+        view.unsettledVersion = view.rowVersion;
+    }
+    startOperation(operations, std::move(write), context);
+}
+
+void claim(authority_state &authority, const cell_state &cell, const std::string &shard,
+           operation_table &operations, step_context &context)
+{
+    const shard_view &view = authority.shards[shard];
+    shard_row row;
+    row.epoch = view.row.epoch + 1;
+    row.owner = cell.identity;
+    row.successors = chooseSuccessors(cell, context.now);
+    writeRow(authority, shard, std::move(row), true, operations, context);
+}
+
+/// A share of the time that `outsiderSpread` allows, fixed for each member and shard.
+microseconds outsiderDelay(const cell_state &cell, const std::string &shard)
+{
+    return static_cast<microseconds>(rendezvousWeight(cell.identity, shard)
+                                     % static_cast<std::uint64_t>(outsiderSpread));
+}
+
+bool mayClaimAsSuccessor(const authority_state &authority, const cell_state &cell,
+                         const shard_view &view, timestamp now)
+{
+    if (!isSuccessor(view, cell.identity)) {
+        return false;
+    }
+    const auto promised = authority.promisedTo.find(view.row.owner);
+    const timestamp promisedUntil =
+        promised == authority.promisedTo.end() ? distantPast : promised->second;
+    const auto asked = authority.lastAskFrom.find(view.row.owner);
+    const timestamp lastWord = std::max(
+        view.knownSince, asked == authority.lastAskFrom.end() ? distantPast : asked->second);
+    const bool isFirst = view.row.successors.front() == cell.identity;
+    const microseconds patience = ownerSilenceLimit + (isFirst ? 0 : secondSuccessorDelay);
+    return now >= promisedUntil && now - lastWord >= patience;
+}
+
+bool mayClaimAsOutsider(const cell_state &cell, const std::string &shard, const shard_view &view,
+                        timestamp now)
+{
+    const microseconds delay = outsiderDelay(cell, shard);
+    return now - view.knownSince >= delay && isGone(cell, view.row.owner, view.knownSince, now)
+        && isGone(cell, view.row.owner, view.knownSince, now - delay);
+}
+
+/// The natural holder creates a missing shard at once, the others after a while.
+void createMissingShards(authority_state &authority, const cell_state &cell,
+                         operation_table &operations, step_context &context)
+{
+    const std::vector<std::string> active = activeMembers(cell, context.now);
+    for (const std::string &shard : expectedShards(cell)) {
+        shard_view &view = authority.shards[shard];
+        if (view.rowVersion != 0 || context.now < view.nextWriteAt) {
+            continue;
+        }
+        if (view.knownSince == 0) {
+            view.knownSince = context.now;
+        }
+        const auto natural = std::max_element(
+            active.begin(), active.end(), [&shard](const auto &left, const auto &right) {
+                return rendezvousWeight(left, shard) < rendezvousWeight(right, shard);
+            });
+        const bool isNatural = natural != active.end() && *natural == cell.identity;
+        if (isNatural || context.now - view.knownSince > creationDelay) {
+            claim(authority, cell, shard, operations, context);
+        }
+    }
+}
+
+/// Owners replace successors that cannot give promises any more.
+bool needsNewSuccessors(const cell_state &cell, const shard_view &view, timestamp now)
+{
+    const std::vector<std::string> active = activeMembers(cell, now);
+    for (const std::string &successor : view.row.successors) {
+        const bool isActive = std::find(active.begin(), active.end(), successor) != active.end();
+        if (!isActive) {
+            return active.size() > 1;
+        }
+    }
+    return view.row.successors.size() < std::min(successorCount, active.size() - 1);
+}
+
+void proposeSuccessors(authority_state &authority, const cell_state &cell, const std::string &shard,
+                       operation_table &operations, step_context &context)
+{
+    shard_view &view = authority.shards[shard];
+    shard_row row = view.row;
+    row.successors = chooseSuccessors(cell, context.now);
+    row.handed_over = false;
+    std::vector<std::string> &proposed = view.proposedSuccessors;
+    for (const std::string &successor : row.successors) {
+        if (std::find(proposed.begin(), proposed.end(), successor) == proposed.end()) {
+            proposed.push_back(successor);
+        }
+    }
+    writeRow(authority, shard, std::move(row), false, operations, context);
+}
+
+/// Gives the shard to the active member that holds the fewest, and stops acting for it at once.
+void handOver(authority_state &authority, const cell_state &cell, const std::string &shard,
+              const std::string &receiver, operation_table &operations, step_context &context)
+{
+    shard_view &view = authority.shards[shard];
+    view.givenUp = true;
+    shard_row row;
+    row.epoch = view.row.epoch + 1;
+    row.owner = receiver;
+    row.successors = chooseSuccessors(cell, context.now);
+    row.successors.erase(std::remove(row.successors.begin(), row.successors.end(), receiver),
+                         row.successors.end());
+    row.successors.push_back(cell.identity);
+    row.handed_over = true;
+    writeRow(authority, shard, std::move(row), false, operations, context);
+}
+
+std::string leastLoadedMember(const authority_state &authority, const cell_state &cell,
+                              timestamp now)
+{
+    std::string best;
+    int fewest = 0;
+    for (const std::string &member : activeMembers(cell, now)) {
+        const int count = countOwnedShards(authority, member);
+        if (member != cell.identity && (best.empty() || count < fewest)) {
+            best = member;
+            fewest = count;
+        }
+    }
+    return best;
+}
+
+/// One shard at a time moves from an entry that holds two more than the least loaded one.
+void handOverSurplus(authority_state &authority, const cell_state &cell,
+                     operation_table &operations, step_context &context)
+{
+    const std::string receiver = leastLoadedMember(authority, cell, context.now);
+    if (receiver.empty() || isAnyUnderway(operations, operation_purpose::changeRow)) {
+        return;
+    }
+    const int own = countOwnedShards(authority, cell.identity);
+    const int surplus = own - countOwnedShards(authority, receiver);
+    if (!cell.isDraining && surplus < 2) {
+        return;
+    }
+    for (auto &[shard, view] : authority.shards) {
+        const bool isSettled = view.unsettledVersion == 0 && context.now >= view.nextWriteAt;
+        const bool isOwned = holdsAuthority(authority, cell.identity, shard, context.now);
+        if (isOwned && isSettled) {
+            handOver(authority, cell, shard, receiver, operations, context);
+            if (!cell.isDraining) {
+                return;
+            }
+        }
+    }
+}
+
+void tendShard(authority_state &authority, const cell_state &cell, const std::string &shard,
+               operation_table &operations, step_context &context)
+{
+    const shard_view &view = authority.shards[shard];
+    if (view.rowVersion == 0 || context.now < view.nextWriteAt) {
+        return;
+    }
+    if (view.row.owner == cell.identity) {
+        if (view.givenUp) {
+            // The hand-over did not take effect, or the clock failed; a new epoch starts afresh.
+            claim(authority, cell, shard, operations, context);
+        } else if (view.unsettledVersion != 0 || needsNewSuccessors(cell, view, context.now)) {
+            // A new version of the row also keeps a write whose answer was lost from landing late.
+            proposeSuccessors(authority, cell, shard, operations, context);
+        }
+        return;
+    }
+    if (cell.isDraining) {
+        return;
+    }
+    if (mayClaimAsSuccessor(authority, cell, view, context.now)
+        || mayClaimAsOutsider(cell, shard, view, context.now)) {
+        claim(authority, cell, shard, operations, context);
+    }
+}
+
+} // namespace
+
+int countOwnedShards(const authority_state &authority, const std::string &owner)
+{
+    return static_cast<int>(
+        std::count_if(authority.shards.begin(), authority.shards.end(), [&owner](const auto &item) {
+            return item.second.rowVersion != 0 && item.second.row.owner == owner;
+        }));
+}
+
+void tendShards(authority_state &authority, cell_state &cell, operation_table &operations,
+                step_context &context)
+{
+    const bool isTableReached = context.now - cell.tableReachedAt < 3 * pollInterval;
+    if (!cell.isJoined || !isTableReached
+        || operations.underway.size() > concurrentWriteLimit + 2) {
+        return;
+    }
+    if (!cell.isDraining) {
+        createMissingShards(authority, cell, operations, context);
+    }
+    std::vector<std::string> shards;
+    for (const auto &[shard, view] : authority.shards) {
+        shards.push_back(shard);
+    }
+    for (const std::string &shard : shards) {
+        if (operations.underway.size() > concurrentWriteLimit) {
+            break;
+        }
+        tendShard(authority, cell, shard, operations, context);
+    }
+    handOverSurplus(authority, cell, operations, context);
+}
+
+void noteShardWrite(authority_state &authority, const cell_state &cell,
+                    const table_operation &operation, const table_result &result,
+                    step_context &context)
+{
+    shard_view &view = authority.shards[operation.subject];
+    if (result.outcome == table_outcome::not_applied) {
+        // Surely without effect, but only this write: an earlier one may still be under way.
+        view.nextWriteAt = context.now + writeRetryInterval;
+        return;
+    }
+    const table_row *row = findRow(result.rows, shardKey(operation.subject));
+    if (row == nullptr) {
+        return;
+    }
+    const auto value = parseJson<shard_row>(row->value);
+    if (value) {
+        noteShardRow(authority, cell.identity, operation.subject, *value, row->version,
+                     operation.askedAt, context.now);
+    }
+}
+
+} // namespace bramleygrade
--- /dev/null
+++ b/src/daemon/caller_server.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <atomic>
+#include <string>
+#include <thread>
+
+#include "daemon/decision_loop.h"
+#include "daemon/http.h"
+#include "daemon/waiting_room.h"
+
+namespace bramleygrade {
+
+/// The duty that serves callers over HTTP.
+///
+/// `POST /v1/services/<service>/<path>` with the headers `Bramley-Team`, `Bramley-Deadline-Ms` and,
+/// for unrepeatable requests, `Bramley-Request-Id`. Every response has `Bramley-Outcome`: `done`,
+/// `not-run` or `may-have-run`. `GET /v1/request-id` gives an id, `GET /health` serves the
+/// balancer.
+class caller_server
+{
+public:
+    caller_server(std::string host, int port, decision_ring &decisions);
+    ~caller_server();
+    bool start();
+    void answer(std::uint64_t handle, answer outcome);
+    /// Fails the health check, so that the balancer sends nothing new.
+    void refuseHealth() { m_isLeaving = true; }
+    std::size_t waiting() const { return m_room.size(); }
+
+private:
+    void serve(const httplib::Request &request, httplib::Response &response);
+    void respond(const bramleygrade::answer &outcome, httplib::Response &response);
+
+    const std::string m_host;
+    const int m_port;
+    decision_ring &m_decisions;
+    waiting_room<bramleygrade::answer> m_room;
+    std::atomic<bool> m_isLeaving {false};
+    httplib::Server m_server;
+    std::thread m_thread;
+};
+
+} // namespace bramleygrade
--- /dev/null
+++ b/src/daemon/entry_daemon.cpp
@@ -0,0 +1,197 @@
+#include "daemon/entry_daemon.h"
+
+#include <csignal>
+
+#include <atomic>
+
+#include "absl/strings/str_cat.h"
+#include "bramleygrade/inspection.h"
+#include "daemon/caller_server.h"
+#include "daemon/clock.h"
+#include "daemon/log.h"
+#include "daemon/operator_server.h"
+#include "daemon/peer_link.h"
+#include "daemon/platform_link.h"
+#include "daemon/worker_link.h"
+
+namespace bramleygrade {
+
+namespace {
+
+constexpr std::size_t decisionCapacity = 8192;
+constexpr microseconds waitStep = 50 * millisecond;
+/// A drain that takes longer than this ends without having handed everything over.
+constexpr microseconds drainLimit = 120 * second;
+/// After the drain the balancer and peers get this long to notice.
+constexpr microseconds farewell = 2 * second;
+
+std::atomic<bool> isEndWanted {false};
+
+void wantEnd(int)
+{
+    isEndWanted = true;
+}
+
+entry_identity identityFrom(const entry_settings &settings)
+{
+    entry_identity identity;
+    identity.name = settings.name;
+    identity.incarnation = std::to_string(currentTime());
+    identity.failureDomain = settings.failure_domain;
+    identity.host = settings.host;
+    identity.peerPort = settings.peer_port;
+    identity.seed = static_cast<std::uint64_t>(currentTime());
+    return identity;
+}
+
+/// All duties of one entry, and the way of commands to them.
+class entry_daemon
+{
+public:
+    explicit entry_daemon(const entry_settings &settings)
+        : m_decisions(decisionCapacity)
+        , m_platform(settings.table_host, settings.table_port, m_decisions)
+        , m_workers(m_decisions)
+        , m_peers(settings.cell_key, m_decisions)
+        , m_peerServer(settings.host, settings.peer_port, settings.cell_key, m_decisions)
+        , m_callers(settings.host, settings.caller_port, m_decisions)
+        , m_operators(settings.host, settings.operator_port, settings.cell_key, m_decisions,
+                      [this] { return report(); })
+        , m_loop(identityFrom(settings), m_decisions,
+                 [this](const decision_core &core, command &&wanted) {
+                     carryOut(core, std::move(wanted));
+                 })
+    {
+    }
+
+    bool start()
+    {
+        if (!m_peerServer.start() || !m_operators.start() || !m_callers.start()) {
+            return false;
+        }
+        m_platform.start();
+        m_workers.start();
+        m_loop.start();
+        return true;
+    }
+
+    void drain()
+    {
+        operator_request wanted;
+        wanted.action = operator_action::drain;
+        m_decisions.tryPush(decision_input {event {std::move(wanted)}});
+    }
+
+    bool isDrained() const { return m_isDrained; }
+
+    /// Ends the deciding thread first, so that nothing is decided that nobody carries out.
+    void stop()
+    {
+        m_decisions.close();
+        m_loop.join();
+    }
+
+private:
+    void carryOut(const decision_core &core, command &&wanted);
+    void sendToPeer(const decision_core &core, peer_message message);
+    std::string report() const;
+
+    decision_ring m_decisions;
+    platform_link m_platform;
+    worker_link m_workers;
+    peer_links m_peers;
+    std::map<std::string, member_address> m_addresses;
+    std::uint64_t m_addressesVersion = 0;
+    std::atomic<bool> m_isDrained {false};
+    peer_server m_peerServer;
+    caller_server m_callers;
+    operator_server m_operators;
+    decision_loop m_loop;
+};
+
+void entry_daemon::carryOut(const decision_core &core, command &&wanted)
+{
+    if (auto *transaction = std::get_if<table_command>(&wanted)) {
+        m_platform.submit(std::move(*transaction));
+    } else if (auto *message = std::get_if<peer_message>(&wanted)) {
+        sendToPeer(core, std::move(*message));
+    } else if (auto *answered = std::get_if<answer_caller>(&wanted)) {
+        m_callers.answer(answered->handle, std::move(*answered->outcome));
+    } else if (auto *dispatched = std::get_if<dispatch_request>(&wanted)) {
+        m_workers.submit(std::move(*dispatched));
+    } else if (auto *call = std::get_if<worker_call>(&wanted)) {
+        m_workers.submit(std::move(*call));
+    } else if (auto *outcome = std::get_if<answer_operator>(&wanted)) {
+        m_operators.answer(std::move(*outcome));
+    } else if (std::holds_alternative<drained>(wanted)) {
+        m_isDrained = true;
+    }
+    if (isDraining(core)) {
+        m_callers.refuseHealth();
+    }
+}
+
+void entry_daemon::sendToPeer(const decision_core &core, peer_message message)
+{
+    if (membershipVersion(core) != m_addressesVersion || m_addresses.empty()) {
+        m_addressesVersion = membershipVersion(core);
+        m_addresses = memberAddresses(core);
+        std::map<std::string, peer_address> known;
+        for (const auto &[identity, address] : m_addresses) {
+            known[identity] = {address.host, address.port};
+        }
+        m_peers.keepOnly(known);
+    }
+    const auto address = m_addresses.find(message.to);
+    if (address != m_addresses.end()) {
+        m_peers.send({address->second.host, address->second.port}, std::move(message));
+        return;
+    }
+    undelivered notice;
+    notice.message = std::make_unique<peer_message>(std::move(message));
+    m_decisions.tryPush(decision_input {event {std::move(notice)}});
+}
+
+std::string entry_daemon::report() const
+{
+    return absl::StrCat("{\"decision_ring\": ", m_decisions.size(),
+                        ", \"decision_ring_refused\": ", m_decisions.refused(),
+                        ", \"transaction_ring\": ", m_platform.waiting(),
+                        ", \"request_ring\": ", m_workers.waitingRequests(),
+                        ", \"worker_call_ring\": ", m_workers.waitingCalls(),
+                        ", \"idle_connections\": ", m_workers.idleConnections(),
+                        ", \"waiting_callers\": ", m_callers.waiting(), "}");
+}
+
+} // namespace
+
+int runEntry(const entry_settings &settings)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    std::signal(SIGTERM, wantEnd);
+    std::signal(SIGINT, wantEnd);
+    startLog(settings);
+    entry_daemon daemon(settings);
+    if (!daemon.start()) {
+        logError("event=start-failed reason=\"a port cannot be opened; check host, caller_port, "
+                 "operator_port and peer_port, and whether another process uses them\"");
+        return 1;
+    }
+    logInfo(absl::StrCat("event=started caller_port=", settings.caller_port, " operator_port=",
+                         settings.operator_port, " peer_port=", settings.peer_port));
+    timestamp drainBy = distantFuture;
+    while (!daemon.isDrained() && currentTime() < drainBy) {
+        if (isEndWanted && drainBy == distantFuture) {
+            logInfo("event=draining reason=signal");
+            drainBy = currentTime() + drainLimit;
+            daemon.drain();
+        }
+        absl::SleepFor(absl::Microseconds(waitStep));
+    }
+    logInfo(daemon.isDrained() ? "event=drained" : "event=drain-incomplete");
+    absl::SleepFor(absl::Microseconds(farewell));
+    daemon.stop();
+    return 0;
+}
+
+} // namespace bramleygrade
--- /dev/null
+++ b/src/daemon/http.cpp
@@ -0,0 +1,130 @@
+#include "daemon/http.h"
+
+#include <algorithm>
+
+#include "daemon/clock.h"
+
+namespace bramleygrade {
+
+namespace {
+
+constexpr microseconds connectLimit = second;
+/// A connection that was idle for longer is not trusted to be open at both ends.
+constexpr microseconds idleLimit = 10 * second;
+constexpr std::size_t idlePerAddress = 16;
+constexpr std::size_t payloadLimit = 2 * 1024 * 1024;
+constexpr time_t serverReadLimitSeconds = 5;
+/// Idle callers' connections are closed after this long, so that they do not hold threads.
+constexpr time_t keepAliveSeconds = 2;
+
+std::string addressOf(const std::string &host, int port)
+{
+    return host + ":" + std::to_string(port);
+}
+
+void setLimits(httplib::Client &client, timestamp now, timestamp deadline)
+{
+    const microseconds rest = std::max<microseconds>(deadline - now, millisecond);
+    const microseconds connect = std::min(rest, connectLimit);
+    client.set_connection_timeout(connect / second, connect % second);
+    client.set_read_timeout(rest / second, rest % second);
+    client.set_write_timeout(connect / second, connect % second);
+}
+
+http_end endOf(httplib::Error error)
+{
+    return error == httplib::Error::Connection || error == httplib::Error::BindIPAddress
+        ? http_end::notSent
+        : http_end::lost;
+}
+
+} // namespace
+
+std::unique_ptr<httplib::Client> connection_pool::take(const std::string &address)
+{
+    absl::MutexLock lock(&m_mutex);
+    std::vector<idle_connection> &idle = m_idle[address];
+    while (!idle.empty()) {
+        idle_connection connection = std::move(idle.back());
+        idle.pop_back();
+        if (connection.reusableUntil > currentTime()) {
+            return std::move(connection.client);
+        }
+    }
+    return nullptr;
+}
+
+void connection_pool::giveBack(const std::string &address, std::unique_ptr<httplib::Client> client)
+{
+    absl::MutexLock lock(&m_mutex);
+    std::vector<idle_connection> &idle = m_idle[address];
+    if (idle.size() < idlePerAddress) {
+        idle.push_back({std::move(client), currentTime() + idleLimit});
+    }
+}
+
+std::size_t connection_pool::idleConnections() const
+{
+    absl::MutexLock lock(&m_mutex);
+    std::size_t count = 0;
+    for (const auto &[address, idle] : m_idle) {
+        count += idle.size();
+    }
+    return count;
+}
+
+http_result connection_pool::post(const std::string &host, int port, const std::string &path,
+                                  const httplib::Headers &headers, const std::string &body,
+                                  timestamp startBy, timestamp deadline)
+{
+    const std::string address = addressOf(host, port);
+    std::unique_ptr<httplib::Client> client = take(address);
+    if (client == nullptr) {
+        client = std::make_unique<httplib::Client>(host, port);
+        client->set_keep_alive(true);
+        client->set_tcp_nodelay(true);
+    }
+    http_result result;
+    const timestamp now = currentTime();
+    if (now >= std::min(startBy, deadline)) {
+        giveBack(address, std::move(client));
+        return result;
+    }
+    setLimits(*client, now, deadline);
+    const httplib::Result response = client->Post(path.c_str(), headers, body, "application/json");
+    if (!response) {
+        result.end = endOf(response.error());
+        absl::MutexLock lock(&m_mutex);
+        m_idle.erase(address);
+        return result;
+    }
+    result.end = http_end::answered;
+    result.status = response->status;
+    result.body = response->body;
+    result.isLeaving = response->has_header("Bramley-Leaving");
+    giveBack(address, std::move(client));
+    return result;
+}
+
+bool isSameKey(const std::string &left, const std::string &right)
+{
+    unsigned difference = left.size() == right.size() ? 0 : 1;
+    for (std::size_t index = 0; index < std::min(left.size(), right.size()); ++index) {
+        difference |=
+            static_cast<unsigned char>(left[index]) ^ static_cast<unsigned char>(right[index]);
+    }
+    return difference == 0;
+}
+
+void limitServer(httplib::Server &server, std::size_t threads)
+{
+    server.new_task_queue = [threads] { return new httplib::ThreadPool(threads); };
+    server.set_payload_max_length(payloadLimit);
+    server.set_read_timeout(serverReadLimitSeconds, 0);
+    server.set_write_timeout(serverReadLimitSeconds, 0);
+    server.set_keep_alive_timeout(keepAliveSeconds);
+    server.set_keep_alive_max_count(100'000);
+    server.set_tcp_nodelay(true);
+}
+
+} // namespace bramleygrade
--- /dev/null
+++ b/src/daemon/peer_link.cpp
@@ -0,0 +1,205 @@
+#include "daemon/peer_link.h"
+
+#include <algorithm>
+
+#include "absl/strings/escaping.h"
+#include "bramleygrade/json_codec.h"
+#include "daemon/clock.h"
+#include "daemon/log.h"
+#include "rpc/peer_rpc.h"
+
+namespace bramleygrade {
+
+namespace {
+
+constexpr std::size_t messageCapacity = 1024;
+constexpr std::size_t batchLimit = 64;
+constexpr microseconds deliveryLimit = 1'500 * millisecond;
+constexpr std::size_t serverThreads = 16;
+constexpr int statusOk = 200;
+constexpr int statusForbidden = 403;
+constexpr char rpcPath[] = "/peer";
+
+/// Bodies may hold any bytes, JSON strings may not.
+template <typename Convert>
+void convertBodies(peer_message &message, Convert convert)
+{
+    if (auto *forward = message.body.Asforward_request()) {
+        forward->body = convert(forward->body);
+    } else if (auto *answered = message.body.Asforward_answer()) {
+        if (answered->outcome != nullptr) {
+            answered->outcome->body = convert(answered->outcome->body);
+        }
+    }
+}
+
+std::string escapeBytes(const std::string &bytes)
+{
+    return absl::Base64Escape(bytes);
+}
+
+std::string unescapeBytes(const std::string &text)
+{
+    std::string bytes;
+    absl::Base64Unescape(text, &bytes);
+    return bytes;
+}
+
+int takeBatch(const std::string &text, decision_ring &decisions)
+{
+    auto batch = parseJson<peer_batch>(text);
+    if (!batch) {
+        logWarning("event=peer-batch-refused reason=\"" + batch.error().message + "\"");
+        return 0;
+    }
+    int taken = 0;
+    for (auto &message : batch->messages) {
+        convertBodies(*message, unescapeBytes);
+        if (!decisions.tryPush(decision_input {event {std::move(*message)}})) {
+            break;
+        }
+        ++taken;
+    }
+    return taken;
+}
+
+} // namespace
+
+peer_sender::peer_sender(peer_address address, std::string cellKey, decision_ring &decisions)
+    : m_address(std::move(address))
+    , m_cellKey(std::move(cellKey))
+    , m_decisions(decisions)
+    , m_messages(messageCapacity)
+    , m_thread([this] { run(); })
+{
+}
+
+peer_sender::~peer_sender()
+{
+    m_messages.close();
+    m_thread.join();
+}
+
+void peer_sender::submit(peer_message message)
+{
+    if (!m_messages.tryPush(std::move(message))) {
+        reportUndelivered(message);
+    }
+}
+
+void peer_sender::reportUndelivered(const peer_message &message)
+{
+    undelivered notice;
+    notice.message = std::make_unique<peer_message>(message);
+    m_decisions.tryPush(decision_input {event {std::move(notice)}});
+}
+
+void peer_sender::run()
+{
+    while (!m_messages.isClosed()) {
+        auto first = m_messages.popUntil(absl::InfiniteFuture());
+        if (!first) {
+            continue;
+        }
+        std::vector<peer_message> messages = m_messages.popAvailable(batchLimit - 1);
+        messages.insert(messages.begin(), std::move(*first));
+        deliver(messages);
+    }
+}
+
+void peer_sender::deliver(const std::vector<peer_message> &messages)
+{
+    peer_batch batch;
+    for (const peer_message &message : messages) {
+        auto copy = std::make_unique<peer_message>(message);
+        convertBodies(*copy, escapeBytes);
+        batch.messages.push_back(std::move(copy));
+    }
+    http_end end = http_end::notSent;
+    peer_rpc_client client([this, &end](const std::string &request, std::string &response) {
+        const timestamp limit = currentTime() + deliveryLimit;
+        const http_result http =
+            m_connections.post(m_address.host, m_address.port, rpcPath,
+                               {{cellKeyHeader, m_cellKey}}, request, limit, limit);
+        end = http.end;
+        response = http.body;
+        return http.end == http_end::answered && http.status == statusOk;
+    });
+    const int taken = client.deliver(toJson(batch));
+    if (taken < 0 && end != http_end::notSent) {
+        return; // Some messages may have arrived; whoever waits for answers has a deadline.
+    }
+    for (std::size_t index = static_cast<std::size_t>(std::max(taken, 0)); index < messages.size();
+         ++index) {
+        reportUndelivered(messages[index]);
+    }
+}
+
+peer_links::peer_links(std::string cellKey, decision_ring &decisions)
+    : m_cellKey(std::move(cellKey))
+    , m_decisions(decisions)
+{
+}
+
+void peer_links::send(const peer_address &address, peer_message message)
+{
+    auto &sender = m_senders[message.to];
+    if (sender == nullptr) {
+        sender = std::make_unique<peer_sender>(address, m_cellKey, m_decisions);
+    }
+    sender->submit(std::move(message));
+}
+
+void peer_links::keepOnly(const std::map<std::string, peer_address> &known)
+{
+    const timestamp now = currentTime();
+    for (auto item = m_senders.begin(); item != m_senders.end();) {
+        if (known.count(item->first) > 0) {
+            ++item;
+            continue;
+        }
+        item->second->close();
+        m_retired.push_back({std::move(item->second), now + 2 * deliveryLimit});
+        item = m_senders.erase(item);
+    }
+    const auto isEnded = [now](const retired_sender &retired) { return retired.destroyAt <= now; };
+    m_retired.erase(std::remove_if(m_retired.begin(), m_retired.end(), isEnded), m_retired.end());
+}
+
+peer_server::peer_server(std::string host, int port, std::string cellKey, decision_ring &decisions)
+    : m_host(std::move(host))
+    , m_port(port)
+    , m_cellKey(std::move(cellKey))
+    , m_decisions(decisions)
+{
+}
+
+peer_server::~peer_server()
+{
+    m_server.stop();
+    if (m_thread.joinable()) {
+        m_thread.join();
+    }
+}
+
+bool peer_server::start()
+{
+    limitServer(m_server, serverThreads);
+    auto rpc = std::make_shared<peer_rpc_server>(
+        [this](const std::string &batch) { return takeBatch(batch, m_decisions); });
+    m_server.Post(rpcPath,
+                  [this, rpc](const httplib::Request &request, httplib::Response &response) {
+                      if (!isSameKey(request.get_header_value(cellKeyHeader), m_cellKey)) {
+                          response.status = statusForbidden;
+                          return;
+                      }
+                      response.set_content(rpc->handle(request.body), "application/json");
+                  });
+    if (!m_server.bind_to_port(m_host.c_str(), m_port)) {
+        return false;
+    }
+    m_thread = std::thread([this] { m_server.listen_after_bind(); });
+    return true;
+}
+
+} // namespace bramleygrade
--- /dev/null
+++ b/src/daemon/platform_link.cpp
@@ -0,0 +1,111 @@
+#include "daemon/platform_link.h"
+
+#include "bramleygrade/json_codec.h"
+#include "daemon/clock.h"
+
+namespace bramleygrade {
+
+namespace {
+
+constexpr std::size_t commandCapacity = 256;
+constexpr int transactionThreads = 3;
+constexpr microseconds transactionLimit = 2'500 * millisecond;
+constexpr microseconds listInterval = second;
+constexpr int statusOk = 200;
+constexpr int statusTooMany = 429;
+constexpr int statusUnavailable = 503;
+
+table_result interpret(std::uint64_t operation, const http_result &http)
+{
+    table_result result;
+    result.operation = operation;
+    result.outcome = table_outcome::unknown;
+    const bool isRefused = http.end == http_end::answered
+        && (http.status == statusTooMany || http.status == statusUnavailable);
+    if (http.end == http_end::notSent || isRefused) {
+        result.outcome = table_outcome::not_applied;
+    } else if (http.end == http_end::answered && http.status == statusOk) {
+        auto response = parseJson<table_response>(http.body);
+        if (response) {
+            result.outcome =
+                response->committed ? table_outcome::committed : table_outcome::conflict;
+            result.rows = std::move(response->rows);
+        }
+    }
+    return result;
+}
+
+} // namespace
+
+platform_link::platform_link(std::string host, int port, decision_ring &decisions)
+    : m_host(std::move(host))
+    , m_port(port)
+    , m_decisions(decisions)
+    , m_commands(commandCapacity)
+{
+}
+
+platform_link::~platform_link()
+{
+    m_commands.close();
+    for (std::thread &thread : m_threads) {
+        thread.join();
+    }
+}
+
+void platform_link::start()
+{
+    for (int number = 0; number < transactionThreads; ++number) {
+        m_threads.emplace_back([this] { runTransactions(); });
+    }
+    m_threads.emplace_back([this] { runList(); });
+}
+
+void platform_link::submit(table_command wanted)
+{
+    table_result refused;
+    refused.operation = wanted.operation;
+    refused.outcome = table_outcome::not_applied;
+    if (!m_commands.tryPush(std::move(wanted))) {
+        finish(std::move(refused));
+    }
+}
+
+void platform_link::finish(table_result result)
+{
+    // A result that finds the ring full counts as lost; the core gives up on it in time.
+    m_decisions.tryPush(decision_input {event {std::move(result)}});
+}
+
+void platform_link::runTransactions()
+{
+    while (!m_commands.isClosed()) {
+        const auto wanted = m_commands.popUntil(absl::InfiniteFuture());
+        if (!wanted) {
+            continue;
+        }
+        const timestamp now = currentTime();
+        const http_result http =
+            m_connections.post(m_host, m_port, "/table", {}, toJson(*wanted->request),
+                               now + transactionLimit, now + transactionLimit);
+        finish(interpret(wanted->operation, http));
+    }
+}
+
+void platform_link::runList()
+{
+    while (!m_commands.isClosed()) {
+        const timestamp now = currentTime();
+        const http_result http = m_connections.post(m_host, m_port, "/list", {}, "",
+                                                    now + transactionLimit, now + transactionLimit);
+        if (http.end == http_end::answered && http.status == statusOk) {
+            auto list = parseJson<list_update>(http.body);
+            if (list) {
+                m_decisions.tryPush(decision_input {event {std::move(*list)}});
+            }
+        }
+        absl::SleepFor(absl::Microseconds(listInterval));
+    }
+}
+
+} // namespace bramleygrade
--- /dev/null
+++ b/src/daemon/platform_link.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "daemon/decision_loop.h"
+#include "daemon/http.h"
+
+namespace bramleygrade {
+
+/// The duties that talk to the platform: transactions of the table, and the list of instances.
+class platform_link
+{
+public:
+    platform_link(std::string host, int port, decision_ring &decisions);
+    ~platform_link();
+    void start();
+    /// Takes a transaction; a full ring is answered as `not_applied`.
+    void submit(table_command wanted);
+    std::size_t waiting() const { return m_commands.size(); }
+
+private:
+    void runTransactions();
+    void runList();
+    void finish(table_result result);
+
+    const std::string m_host;
+    const int m_port;
+    decision_ring &m_decisions;
+    bounded_ring<table_command> m_commands;
+    connection_pool m_connections;
+    std::vector<std::thread> m_threads;
+};
+
+} // namespace bramleygrade
--- /dev/null
+++ b/testing/worker_standin.cpp
@@ -0,0 +1,278 @@
+/// Stand-in for the workers of one rack, one port each, that answer a service and run tasks.
+///
+/// Any POST that is not under /worker/ is a request of the service: it takes a slot for
+/// `--answer_ms`, then answers with the worker's name and the body. The control port, one above the
+/// last worker, has GET /ledger (what ran when) and GET /faults?worker=NAME&fail=0|1&silent=0|1&
+/// slow=FACTOR&leave=0|1&failtasks=0|1.
+
+#include <atomic>
+#include <chrono>
+#include <iostream>
+#include <memory>
+#include <mutex>
+#include <thread>
+
+#include <httplib.h>
+
+#include "absl/flags/flag.h"
+#include "absl/flags/parse.h"
+#include "absl/strings/str_cat.h"
+#include "bramleygrade/json_codec.h"
+#include "testing/worker_fake.h"
+
+ABSL_FLAG(std::string, prefix, "worker", "names are PREFIX-1, PREFIX-2, ...");
+ABSL_FLAG(int, count, 8, "workers of the rack");
+ABSL_FLAG(int, base_port, 9100, "port of the first worker on 127.0.0.1");
+ABSL_FLAG(int, platform_port, 9000, "port of the platform stand-in");
+ABSL_FLAG(std::string, failure_domain, "domain-a", "failure domain of the rack");
+ABSL_FLAG(std::string, rack, "rack-1", "name of the rack");
+ABSL_FLAG(std::string, service, "booking", "service that the workers answer");
+ABSL_FLAG(int, slots, 8, "requests at a time for each worker");
+ABSL_FLAG(int, answer_ms, 20, "time that a request takes");
+ABSL_FLAG(int64_t, cpu_millis, 32000, "processors of each worker");
+ABSL_FLAG(int64_t, memory_mb, 128000, "memory of each worker");
+ABSL_FLAG(int64_t, accelerators, 0, "accelerators of each worker");
+
+namespace bramleygrade {
+
+namespace {
+
+timestamp wallTime()
+{
+    return std::chrono::duration_cast<std::chrono::microseconds>(
+               std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
+struct request_run
+{
+    std::string id;
+    std::string worker;
+    timestamp startedAt;
+};
+
+/// What all workers of the process have run, for the verdict.
+struct run_ledger
+{
+    std::mutex mutex;
+    std::vector<request_run> requests;
+    std::atomic<int> fullRefusals {0};
+    std::atomic<int> served {0};
+};
+
+class worker_standin
+{
+public:
+    worker_standin(int number, run_ledger &ledger)
+        : m_ledger(ledger)
+    {
+        m_fake.info.name = absl::StrCat(absl::GetFlag(FLAGS_prefix), "-", number);
+        m_fake.info.host = "127.0.0.1";
+        m_fake.info.port = absl::GetFlag(FLAGS_base_port) + number - 1;
+        m_fake.info.failure_domain = absl::GetFlag(FLAGS_failure_domain);
+        m_fake.info.rack = absl::GetFlag(FLAGS_rack);
+        m_fake.info.service = absl::GetFlag(FLAGS_service);
+        m_fake.info.slots = absl::GetFlag(FLAGS_slots);
+        m_fake.info.cpu_millis = absl::GetFlag(FLAGS_cpu_millis);
+        m_fake.info.memory_mb = absl::GetFlag(FLAGS_memory_mb);
+        m_fake.info.accelerators = absl::GetFlag(FLAGS_accelerators);
+    }
+
+    const std::string &name() const { return m_fake.info.name; }
+
+    void start()
+    {
+        // About 60 connections, of which the slots are a part.
+        m_server.new_task_queue = [] { return new httplib::ThreadPool(60); };
+        m_server.set_tcp_nodelay(true);
+        m_server.set_keep_alive_max_count(1'000'000);
+        m_server.set_keep_alive_timeout(20);
+        bind("report", [this](const task_order &, timestamp) { return true; });
+        bind("start", [this](const task_order &order, timestamp now) {
+            return startTaskAt(m_fake, order, now);
+        });
+        bind("stop", [this](const task_order &order, timestamp now) {
+            stopTaskAt(m_fake, order, now);
+            return true;
+        });
+        bind("checkpoint", [this](const task_order &order, timestamp now) {
+            checkpointTaskAt(m_fake, order, now);
+            return true;
+        });
+        bind("renew", [this](const task_order &order, timestamp now) {
+            renewAllAt(m_fake, order.lease_until, now);
+            return true;
+        });
+        bind("forget", [this](const task_order &order, timestamp now) {
+            forgetTaskAt(m_fake, order, now);
+            return true;
+        });
+        m_server.Post(".*", [this](const auto &in, auto &out) { serve(in, out); });
+        m_thread = std::thread([this] { m_server.listen("127.0.0.1", m_fake.info.port); });
+        enlist(instance_state::live);
+    }
+
+    void setFaults(const httplib::Request &in)
+    {
+        const auto value = [&in](const char *key, int otherwise) {
+            return in.has_param(key) ? std::stoi(in.get_param_value(key)) : otherwise;
+        };
+        m_fails = value("fail", m_fails);
+        m_isSilent = value("silent", m_isSilent);
+        m_slowFactor = value("slow", m_slowFactor);
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        m_fake.failsTasks = value("failtasks", m_fake.failsTasks) != 0;
+        const bool wasLeaving = m_fake.isLeaving;
+        m_fake.isLeaving = value("leave", m_fake.isLeaving) != 0;
+        if (m_fake.isLeaving && !wasLeaving) {
+            m_leftAt = wallTime();
+            enlist(instance_state::leaving);
+        }
+    }
+
+    std::string ledgerLines()
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        passTimeAt(m_fake, wallTime());
+        std::string text = absl::StrCat("worker ", name(), " overcommits ", m_fake.overcommits,
+                                        " late_after_leaving ", m_servedAfterLeaving.load(), "\n");
+        const auto add = [&text, this](const fake_task &task) {
+            absl::StrAppend(&text, "task ", task.order.job, " ", task.order.task, " ",
+                            task.order.incarnation, " ", name(), " ", task.startedAt, " ",
+                            task.phase == task_phase::running ? 0 : task.endedAt, " ",
+                            wire::EnumNametask_phase(task.phase), "\n");
+        };
+        for (const fake_task &task : m_fake.ledger) {
+            add(task);
+        }
+        for (const auto &[key, task] : m_fake.tasks) {
+            add(task);
+        }
+        return text;
+    }
+
+private:
+    template <typename Act>
+    void bind(const char *action, Act act)
+    {
+        m_server.Post(absl::StrCat("/worker/", action), [this, act](const auto &in, auto &out) {
+            if (m_isSilent != 0) {
+                std::this_thread::sleep_for(std::chrono::seconds(30));
+                return;
+            }
+            const auto order = parseJson<task_order>(in.body.empty() ? "{}" : in.body);
+            const std::lock_guard<std::mutex> lock(m_mutex);
+            const timestamp now = wallTime();
+            passTimeAt(m_fake, now);
+            out.status = order && act(*order, now) ? 200 : 409;
+            out.set_content(toJson(reportOf(m_fake, m_active)), "application/json");
+        });
+    }
+
+    /// Announces the worker to the platform's list.
+    void enlist(instance_state state)
+    {
+        instance listed = m_fake.info;
+        listed.state = state;
+        httplib::Client platform("127.0.0.1", absl::GetFlag(FLAGS_platform_port));
+        platform.Post("/register", toJson(listed), "application/json");
+    }
+
+    void serve(const httplib::Request &in, httplib::Response &out)
+    {
+        constexpr timestamp leavingGrace = 5 * second;
+        if (m_isSilent != 0) {
+            std::this_thread::sleep_for(std::chrono::seconds(30));
+            return;
+        }
+        if (m_fails != 0) {
+            out.status = 500;
+            return;
+        }
+        const std::string startBy = in.get_header_value("Bramley-Start-By");
+        const bool isLate = !startBy.empty() && std::stoll(startBy) < wallTime();
+        if (isLate || ++m_active > absl::GetFlag(FLAGS_slots)) {
+            m_active -= isLate ? 0 : 1;
+            ++m_ledger.fullRefusals;
+            out.status = 503;
+            return;
+        }
+        if (m_leftAt != 0) {
+            out.set_header("Bramley-Leaving", "true");
+            m_servedAfterLeaving += wallTime() > m_leftAt + leavingGrace ? 1 : 0;
+        }
+        const std::string id = in.get_header_value("Bramley-Request-Id");
+        if (!id.empty()) {
+            const std::lock_guard<std::mutex> lock(m_ledger.mutex);
+            m_ledger.requests.push_back({id, name(), wallTime()});
+        }
+        ++m_ledger.served;
+        std::this_thread::sleep_for(
+            std::chrono::milliseconds(absl::GetFlag(FLAGS_answer_ms) * m_slowFactor));
+        --m_active;
+        out.set_content("served by " + name() + ": " + in.body, "text/plain");
+    }
+
+    run_ledger &m_ledger;
+    std::mutex m_mutex;
+    worker_fake m_fake;
+    std::atomic<int> m_active {0};
+    std::atomic<int> m_fails {0};
+    std::atomic<int> m_isSilent {0};
+    std::atomic<int> m_slowFactor {1};
+    std::atomic<timestamp> m_leftAt {0};
+    std::atomic<int> m_servedAfterLeaving {0};
+    httplib::Server m_server;
+    std::thread m_thread;
+};
+
+std::string ledgerText(run_ledger &ledger, std::vector<std::unique_ptr<worker_standin>> &workers)
+{
+    std::string text = absl::StrCat("served ", ledger.served.load(), " full_refusals ",
+                                    ledger.fullRefusals.load(), "\n");
+    {
+        const std::lock_guard<std::mutex> lock(ledger.mutex);
+        for (const request_run &run : ledger.requests) {
+            absl::StrAppend(&text, "request ", run.id, " ", run.worker, " ", run.startedAt, "\n");
+        }
+    }
+    for (auto &worker : workers) {
+        text += worker->ledgerLines();
+    }
+    return text;
+}
+
+int run()
+{
+    run_ledger ledger;
+    std::vector<std::unique_ptr<worker_standin>> workers;
+    for (int number = 1; number <= absl::GetFlag(FLAGS_count); ++number) {
+        workers.push_back(std::make_unique<worker_standin>(number, ledger));
+        workers.back()->start();
+    }
+    httplib::Server control;
+    control.Get("/ledger", [&](const auto &, auto &out) {
+        out.set_content(ledgerText(ledger, workers), "text/plain");
+    });
+    control.Get("/faults", [&workers](const auto &in, auto &out) {
+        for (auto &worker : workers) {
+            const std::string wanted = in.get_param_value("worker");
+            if (wanted == worker->name() || wanted == "all") {
+                worker->setFaults(in);
+            }
+        }
+        out.set_content("ok\n", "text/plain");
+    });
+    const int port = absl::GetFlag(FLAGS_base_port) + absl::GetFlag(FLAGS_count);
+    return control.listen("127.0.0.1", port) ? 0 : 1;
+}
+
+} // namespace
+
+} // namespace bramleygrade
+
+int main(int argc, char **argv)
+{
+    absl::ParseCommandLine(argc, argv);
+    return bramleygrade::run();
+}
