--- a/src/core/authority.cpp
+++ b/src/core/authority.cpp
@@ -33,6 +33,7 @@
     view.readUntil = distantPast;
     view.promisedUntil.clear();
     view.givenUp = false;
+    view.isClosing = false;
 }
 
 /// A write that depends on an older version than the one in the table can no longer take effect.
--- a/src/core/authority.h
+++ b/src/core/authority.h
@@ -38,6 +38,8 @@
     timestamp readUntil = distantPast;
     std::map<std::string, timestamp> promisedUntil;
     bool givenUp = false;
+    /// The shard is about to be handed over: nothing new is committed on it.
+    bool isClosing = false;
     /// Successors of an unsettled write of ours; their promises are needed too until it settles.
     std::vector<std::string> proposedSuccessors;
     /// Row version on which an unsettled write of ours depends; 0 where none is unsettled.
--- a/src/core/decision_core.cpp
+++ b/src/core/decision_core.cpp
@@ -4,9 +4,12 @@
 
 #include "core/entry_state.h"
 #include "core/invariant.h"
+#include "core/job_home.h"
+#include "core/operator_desk.h"
 #include "core/shard_claims.h"
 #include "core/table_rows.h"
 #include "core/table_sync.h"
+#include "core/task_owner.h"
 #include "core/worker_watch.h"
 
 namespace bramleygrade {
@@ -17,6 +20,16 @@
 /// Every so many load reports also lists the spare capacity of the shards.
 constexpr int reportsPerShardList = 4;
 
+void listShardLoads(const entry_state &state, load_report &report, timestamp now)
+{
+    for (const auto &[shard, view] : state.authority.shards) {
+        const bool isRack = shard.compare(0, 5, "rack-") == 0;
+        if (isRack && holdsAuthority(state.authority, state.cell.identity, shard, now)) {
+            report.shards.push_back(std::make_unique<shard_load>(describeShard(state, shard)));
+        }
+    }
+}
+
 void sendLoadReports(entry_state &state, step_context &context)
 {
     if (context.now < state.nextLoadReportAt) {
@@ -26,7 +39,11 @@
     load_report report;
     request_environment environment = environmentOf(state);
     reportSlots(state.requests, environment, report, context.now);
-    ++state.loadReportsSent;
+    if (state.loadReportsSent++ % reportsPerShardList == 0) {
+        listShardLoads(state, report, context.now);
+    }
+    // The entry itself is one of the places that its jobs may go to.
+    noteLoad(state.requests, state.cell.identity, report, context.now);
     for (const auto &[name, member] : state.cell.members) {
         if (member.row.identity != state.cell.identity) {
             sendToPeer(context, state.cell.identity, member.row.identity, report);
@@ -43,6 +60,33 @@
     }
 }
 
+void takeList(entry_state &state, const list_update &list, step_context &context)
+{
+    noteList(state.cell, list, context.now);
+    for (auto &[name, worker] : state.pool.workers) {
+        if (state.cell.instances.count(name) == 0) {
+            endTasksOf(state, worker, context); // What is not listed cannot run anything.
+        }
+    }
+    noteInstances(state.pool, state.cell);
+}
+
+/// Messages between homes of jobs and owners of workers.
+void takeTaskMessage(entry_state &state, const peer_message &message, step_context &context)
+{
+    if (const auto *wanted = message.body.Asplace_task()) {
+        takePlaceTask(state, message.from, *wanted, context);
+    } else if (const auto *report = message.body.Astask_report()) {
+        noteTaskNews(state, message.from, *report, context);
+    } else if (const auto *stop = message.body.Asstop_task()) {
+        takeStopTask(state, *stop, context);
+    } else if (const auto *find = message.body.Asfind_tasks()) {
+        takeFindTasks(state, message.from, *find, context);
+    } else if (const auto *found = message.body.Asfound_tasks()) {
+        noteFoundTasks(state, *found, context);
+    }
+}
+
 void takePeerMessage(entry_state &state, const peer_message &message, step_context &context)
 {
     if (message.to != state.cell.identity) {
@@ -61,21 +105,18 @@
                            *freshnessAsk, context);
     } else if (const auto *freshness = message.body.Asfreshness_grant()) {
         noteFreshness(state.documents, *freshness);
-    } else if (const auto *apply = message.body.Asforward_apply()) {
-        pending_apply pending;
-        pending.handle = apply->number;
-        pending.peer = message.from;
-        pending.document = apply->document ? *apply->document : service_document {};
-        pending.expected = apply->expected;
-        startApply(state.documents, state.authority, state.cell, std::move(pending), context);
-    } else if (const auto *applied = message.body.Asapply_answer()) {
-        noteApplyAnswer(state.documents, *applied, context);
+    } else if (const auto *operation = message.body.Asforward_operation()) {
+        takeForwardedOperation(state, message.from, *operation, context);
+    } else if (const auto *decided = message.body.Asoperation_answer()) {
+        noteOperationAnswer(state, *decided, context);
     } else if (const auto *load = message.body.Asload_report()) {
         noteLoad(state.requests, message.from, *load, context.now);
     } else if (const auto *forward = message.body.Asforward_request()) {
         takeForwardedRequest(state.requests, environment, message.from, *forward, context);
     } else if (const auto *answered = message.body.Asforward_answer()) {
         noteForwardAnswer(state.requests, environment, message.from, *answered, context);
+    } else {
+        takeTaskMessage(state, message, context);
     }
 }
 
@@ -87,55 +128,8 @@
     if (const auto *forward = notice.message->body.Asforward_request()) {
         request_environment environment = environmentOf(state);
         noteForwardUndelivered(state.requests, environment, *forward, context);
-    }
-}
-
-void answerText(std::uint64_t handle, operator_outcome outcome, std::string text,
-                std::uint64_t sequence, step_context &context)
-{
-    answer_operator result;
-    result.handle = handle;
-    result.outcome = outcome;
-    result.text = std::move(text);
-    result.sequence = sequence;
-    emit(context, std::move(result));
-}
-
-void takeOperatorRequest(entry_state &state, const operator_request &request, step_context &context)
-{
-    switch (request.action) {
-    case operator_action::apply: {
-        pending_apply pending;
-        pending.handle = request.handle;
-        pending.document = request.document ? *request.document : service_document {};
-        pending.expected = request.expected;
-        startApply(state.documents, state.authority, state.cell, std::move(pending), context);
-        return;
-    }
-    case operator_action::get: {
-        const std::string service = request.names.empty() ? std::string() : request.names.front();
-        const auto found = state.documents.documents.find(service);
-        if (found == state.documents.documents.end()) {
-            answerText(request.handle, operator_outcome::refused,
-                       "no document of this service is in force here; check the name", 0, context);
-            return;
-        }
-        answerText(request.handle, operator_outcome::accepted, toJson(*found->second.row.document),
-                   found->second.row.sequence, context);
-        return;
-    }
-    case operator_action::drain:
-        state.cell.isDraining = true;
-        answerText(request.handle, operator_outcome::accepted,
-                   std::to_string(countOwnedShards(state.authority, state.cell.identity))
-                       + " shards to hand over, " + std::to_string(state.requests.requests.size())
-                       + " requests in progress",
-                   0, context);
-        return;
-    default:
-        answerText(request.handle, operator_outcome::refused, "not known to this version", 0,
-                   context);
-        return;
+    } else if (const auto *operation = notice.message->body.Asforward_operation()) {
+        noteOperationUndelivered(state, *operation, context);
     }
 }
 
@@ -167,10 +161,13 @@
     tendTable(state, context);
     joinCell(state.cell, state.operations, context);
     askForPromises(state.authority, state.cell.identity, context);
-    tendShards(state.authority, state.cell, state.operations, context);
+    tendShards(state.authority, state.cell, state.pool, state.operations, context);
     askForFreshness(state.documents, state.authority, state.cell, context);
     tendApplies(state.documents, state.authority, state.cell, state.operations, context);
+    tendOperations(state, context);
     pollWorkers(state, context);
+    tendTasks(state, context);
+    tendJobs(state, context);
     request_environment environment = environmentOf(state);
     tendRequests(state.requests, environment, context);
     sendLoadReports(state, context);
@@ -209,8 +206,7 @@
     } else if (const auto *result = std::get_if<table_result>(&input)) {
         noteTableResult(state, *result, context);
     } else if (const auto *list = std::get_if<list_update>(&input)) {
-        noteList(state.cell, *list, now);
-        noteInstances(state.pool, state.cell);
+        takeList(state, *list, context);
     } else if (const auto *message = std::get_if<peer_message>(&input)) {
         takePeerMessage(state, *message, context);
     } else if (const auto *notice = std::get_if<undelivered>(&input)) {
@@ -224,6 +220,12 @@
     } else if (const auto *wish = std::get_if<operator_request>(&input)) {
         takeOperatorRequest(state, *wish, context);
     }
+    // Messages of the entry to itself, as home of jobs to itself as owner of workers.
+    while (!state.ownMessages.empty()) {
+        const peer_message message = std::move(state.ownMessages.front());
+        state.ownMessages.pop_front();
+        takeTaskMessage(state, message, context);
+    }
     return commands;
 }
 
--- a/src/core/documents.cpp
+++ b/src/core/documents.cpp
@@ -26,21 +26,7 @@
 void answerApply(const pending_apply &apply, operator_outcome outcome, std::string text,
                  std::uint64_t sequence, const cell_state &cell, step_context &context)
 {
-    if (!apply.peer.empty()) {
-        apply_answer result;
-        result.number = apply.handle;
-        result.outcome = outcome;
-        result.text = std::move(text);
-        result.sequence = sequence;
-        sendToPeer(context, cell.identity, apply.peer, std::move(result));
-        return;
-    }
-    answer_operator result;
-    result.handle = apply.handle;
-    result.outcome = outcome;
-    result.text = std::move(text);
-    result.sequence = sequence;
-    emit(context, std::move(result));
+    answerOperation(apply.origin, outcome, std::move(text), sequence, cell, context);
 }
 
 std::string settleAdvice(const std::string &service)
@@ -141,6 +127,24 @@
 
 } // namespace
 
+void answerOperation(const operation_origin &origin, operator_outcome outcome, std::string text,
+                     std::uint64_t sequence, const cell_state &cell, step_context &context)
+{
+    answer_operator result;
+    result.handle = origin.handle;
+    result.outcome = outcome;
+    result.text = std::move(text);
+    result.sequence = sequence;
+    if (origin.peer.empty()) {
+        emit(context, std::move(result));
+        return;
+    }
+    operation_answer passed;
+    passed.number = origin.handle;
+    passed.outcome = std::make_unique<answer_operator>(std::move(result));
+    sendToPeer(context, cell.identity, origin.peer, std::move(passed));
+}
+
 bool areDocumentsFresh(const document_state &state, timestamp now)
 {
     return state.isLoaded && now < state.freshUntil;
@@ -311,56 +315,19 @@
         return;
     }
     apply.answerBy = context.now + applyAnswerLimit;
-    const auto shard = authority.shards.find(documentShard);
     const bool isOwner = isOwnerOfDocuments(authority, cell, context.now);
-    if (isOwner && state.queue.size() < applyQueueLimit) {
-        state.queue.push_back(std::move(apply));
-        return;
-    }
-    const bool isPassable = shard != authority.shards.end() && apply.peer.empty() && !isOwner
-        && shard->second.rowVersion != 0 && shard->second.row.owner != cell.identity;
-    if (!isPassable) {
+    if (!isOwner || state.queue.size() >= applyQueueLimit) {
         answerApply(apply, operator_outcome::refused,
                     "no entry may write documents at the moment; apply again in 5 s", 0, cell,
                     context);
         return;
     }
-    const std::uint64_t number = state.nextForward++;
-    forward_apply forward;
-    forward.number = number;
-    forward.document = std::make_unique<service_document>(apply.document);
-    forward.expected = apply.expected;
-    state.forwarded.emplace(number, std::move(apply));
-    sendToPeer(context, cell.identity, shard->second.row.owner, std::move(forward));
-}
-
-void noteApplyAnswer(document_state &state, const apply_answer &result, step_context &context)
-{
-    const auto found = state.forwarded.find(result.number);
-    if (found == state.forwarded.end()) {
-        return;
-    }
-    answer_operator passed;
-    passed.handle = found->second.handle;
-    passed.outcome = result.outcome;
-    passed.text = result.text;
-    passed.sequence = result.sequence;
-    emit(context, std::move(passed));
-    state.forwarded.erase(found);
+    state.queue.push_back(std::move(apply));
 }
 
 void tendApplies(document_state &state, const authority_state &authority, const cell_state &cell,
                  operation_table &operations, step_context &context)
 {
-    for (auto item = state.forwarded.begin(); item != state.forwarded.end();) {
-        if (context.now < item->second.answerBy) {
-            ++item;
-            continue;
-        }
-        answerApply(item->second, operator_outcome::unknown,
-                    settleAdvice(item->second.document.service), 0, cell, context);
-        item = state.forwarded.erase(item);
-    }
     if (isAnyUnderway(operations, operation_purpose::applyDocument)) {
         return;
     }
--- a/src/core/documents.h
+++ b/src/core/documents.h
@@ -32,12 +32,22 @@
     std::uint64_t rowVersion = 0;
 };
 
-/// A change that an operator asked for, at the entry that was asked or at the owner.
-struct pending_apply
+/// Who waits for the answer to an operator's request: an operator here, or a peer that passed the
+/// request on under its number `handle`.
+struct operation_origin
 {
-    /// Operator's handle here, or the sender's number where `peer` is set.
     std::uint64_t handle = 0;
     std::string peer;
+};
+
+/// Brings the answer to whoever waits.
+void answerOperation(const operation_origin &origin, operator_outcome outcome, std::string text,
+                     std::uint64_t sequence, const cell_state &cell, step_context &context);
+
+/// A change that an operator asked for, at the owner of the documents.
+struct pending_apply
+{
+    operation_origin origin;
     service_document document;
     std::uint64_t expected = 0;
     timestamp answerBy = 0;
@@ -58,9 +68,6 @@
     /// Writes that may still take effect; all depend on head version `writtenOnHead`.
     int unsettledWrites = 0;
     std::uint64_t writtenOnHead = 0;
-    /// At an entry that passed an apply on: number to what it waits for.
-    std::map<std::uint64_t, pending_apply> forwarded;
-    std::uint64_t nextForward = 1;
 };
 
 bool areDocumentsFresh(const document_state &state, timestamp now);
@@ -89,10 +96,9 @@
                         step_context &context);
 void noteFreshness(document_state &state, const freshness_grant &grant);
 
-/// Takes an operator's change at any entry.
+/// Takes an operator's change at the owner of the documents.
 void startApply(document_state &state, const authority_state &authority, const cell_state &cell,
                 pending_apply apply, step_context &context);
-void noteApplyAnswer(document_state &state, const apply_answer &result, step_context &context);
 
 /// Writes the first change of the queue, and ends those that have waited too long.
 void tendApplies(document_state &state, const authority_state &authority, const cell_state &cell,
--- a/src/core/entry_state.h
+++ b/src/core/entry_state.h
@@ -1,6 +1,9 @@
 #pragma once
 
+#include <deque>
+
 #include "bramleygrade/decision_core.h"
+#include "core/job_book.h"
 #include "core/requests.h"
 
 namespace bramleygrade {
@@ -14,6 +17,14 @@
     document_state documents;
     worker_pool pool;
     request_flow requests;
+    job_book jobs;
+    operation_desk desk;
+    /// Messages of this entry to itself, between its role as home and its role as owner.
+    std::deque<peer_message> ownMessages;
+    /// When each find_tasks was first heard, by asker and number.
+    std::map<std::string, timestamp> findAskedAt;
+    /// Home shard to the oldest epoch whose placements are still taken.
+    std::map<std::string, std::uint64_t> homeFence;
     std::uint64_t nextCall = 1;
     timestamp nextLoadReportAt = 0;
     int loadReportsSent = 0;
--- /dev/null
+++ b/src/core/job_home.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "core/entry_state.h"
+
+/// \file
+/// The home of jobs: takes them in, recovers them after a change of owner, and records their end.
+
+namespace bramleygrade {
+
+void startSubmit(entry_state &state, const operation_origin &origin, const job_specification &job,
+                 step_context &context);
+void startCancel(entry_state &state, const operation_origin &origin,
+                 const std::vector<std::string> &names, step_context &context);
+void describeJobs(entry_state &state, const operation_origin &origin,
+                  const std::vector<std::string> &names, step_context &context);
+
+void noteJobWrite(entry_state &state, const table_operation &operation, const table_result &result,
+                  step_context &context);
+void noteJobsLoaded(entry_state &state, const table_operation &operation,
+                    const table_result &result, step_context &context);
+void noteFoundTasks(entry_state &state, const found_tasks &found, step_context &context);
+void noteTaskNews(entry_state &state, const std::string &from, const task_report &report,
+                  step_context &context);
+
+/// Recovers homes, writes rows that are outdated, and forgets jobs that ended long ago.
+void tendJobs(entry_state &state, step_context &context);
+
+/// True where this entry may decide on the jobs of the service.
+bool isJobHome(const entry_state &state, const std::string &service, timestamp now);
+
+} // namespace bramleygrade
--- /dev/null
+++ b/src/core/job_placement.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "core/entry_state.h"
+
+/// \file
+/// Where the home of a job sends its tasks, and how several start together.
+
+namespace bramleygrade {
+
+/// Sends tasks that wait to shards with room, urgent jobs first, within the quota of each service;
+/// asks after tasks whose owner keeps silent.
+void placeTasks(entry_state &state, step_context &context);
+
+/// A task of a gang has its place; once all have, all are started.
+void noteHeld(entry_state &state, job_view &job, job_task &task, const task_report &report,
+              step_context &context);
+
+/// A task of a gang found no place, or was lost: all others give up theirs, and the gang waits.
+void noteGangMiss(entry_state &state, job_view &job, const job_task &missed,
+                  const task_report &report, step_context &context);
+
+void stopAllTasks(entry_state &state, job_view &job, step_context &context);
+
+/// Takes in the spare capacity that a report carries.
+void noteShardLoad(entry_state &state, const std::string &from, const task_report &report);
+
+/// Moves the estimate of what tasks of a service take towards what one was seen to take.
+void learnUsage(usage_estimate &usage, const job_specification &job, const task_report &report);
+
+/// What a task of the job is given: what such tasks were seen to take, with a margin.
+resources estimateSize(const job_book &book, const job_specification &job, int failures);
+
+} // namespace bramleygrade
--- a/src/core/operations.h
+++ b/src/core/operations.h
@@ -22,8 +22,7 @@
     applyDocument,
     submitJob,
     loadJobs,
-    updateJob,
-    readJob
+    updateJob
 };
 
 /// A transaction whose answer is still awaited.
--- /dev/null
+++ b/src/core/operator_desk.cpp
@@ -0,0 +1,200 @@
+#include "core/operator_desk.h"
+
+#include "bramleygrade/json_codec.h"
+#include "core/job_home.h"
+#include "core/shard_claims.h"
+
+namespace bramleygrade {
+
+namespace {
+
+/// Shard whose owner decides on the request; empty where any entry does.
+std::string decidingShard(const operator_request &request)
+{
+    switch (request.action) {
+    case operator_action::apply:
+        return documentShard;
+    case operator_action::submit:
+        return request.job == nullptr ? std::string() : homeShardOf(request.job->service);
+    case operator_action::cancel:
+    case operator_action::job_status:
+        return request.names.empty() ? std::string()
+                                     : homeShardOf(serviceOfJob(request.names.front()));
+    case operator_action::get:
+    case operator_action::drain:
+        return {};
+    }
+    return {};
+}
+
+std::string explainMalformed(const operator_request &request)
+{
+    switch (request.action) {
+    case operator_action::apply:
+        return request.document == nullptr ? "document: give the document to apply" : "";
+    case operator_action::submit:
+        return request.job == nullptr ? "job: give the job to submit" : "";
+    case operator_action::cancel:
+    case operator_action::job_status:
+        for (const std::string &name : request.names) {
+            if (name.find('/') == std::string::npos
+                || serviceOfJob(name) != serviceOfJob(request.names.front())) {
+                return "names: give jobs as service/id, all of one service";
+            }
+        }
+        return request.names.empty() ? "names: give at least one job as service/id" : "";
+    case operator_action::get:
+    case operator_action::drain:
+        return {};
+    }
+    return {};
+}
+
+void getDocument(const entry_state &state, const operation_origin &origin,
+                 const operator_request &request, step_context &context)
+{
+    const std::string service = request.names.empty() ? std::string() : request.names.front();
+    const auto found = state.documents.documents.find(service);
+    const bool isKnown = found != state.documents.documents.end();
+    answerOperation(origin, isKnown ? operator_outcome::accepted : operator_outcome::refused,
+                    isKnown ? toJson(*found->second.row.document)
+                            : "no document of this service is in force here; check the name",
+                    isKnown ? found->second.row.sequence : 0, state.cell, context);
+}
+
+void startDrain(entry_state &state, const operation_origin &origin, step_context &context)
+{
+    state.cell.isDraining = true;
+    const int shards = countOwnedShards(state.authority, state.cell.identity);
+    answerOperation(origin, operator_outcome::accepted,
+                    std::to_string(shards) + " shards to hand over, "
+                        + std::to_string(state.requests.requests.size())
+                        + " requests in progress; `bramleygrade status` shows the progress",
+                    0, state.cell, context);
+}
+
+void decide(entry_state &state, const operation_origin &origin, const operator_request &request,
+            step_context &context)
+{
+    switch (request.action) {
+    case operator_action::apply: {
+        pending_apply pending;
+        pending.origin = origin;
+        pending.document = *request.document;
+        pending.expected = request.expected;
+        startApply(state.documents, state.authority, state.cell, std::move(pending), context);
+        return;
+    }
+    case operator_action::get:
+        return getDocument(state, origin, request, context);
+    case operator_action::submit:
+        return startSubmit(state, origin, *request.job, context);
+    case operator_action::cancel:
+        return startCancel(state, origin, request.names, context);
+    case operator_action::job_status:
+        return describeJobs(state, origin, request.names, context);
+    case operator_action::drain:
+        return startDrain(state, origin, context);
+    }
+}
+
+/// What an operator can do where the fate of a request is not known.
+std::string adviceFor(const pending_operation &pending)
+{
+    switch (pending.action) {
+    case operator_action::apply:
+        return "the change may be in force or not; `bramleygrade get " + pending.subject
+            + "` shows which";
+    case operator_action::submit:
+        return "the job may be accepted or not; `bramleygrade job " + pending.subject
+            + "` shows which";
+    default:
+        return "no answer from the deciding entry; send the same command again, it is idempotent";
+    }
+}
+
+std::string subjectOf(const operator_request &request)
+{
+    if (request.document != nullptr) {
+        return request.document->service;
+    }
+    if (request.job != nullptr) {
+        return jobName(*request.job);
+    }
+    return request.names.empty() ? std::string() : request.names.front();
+}
+
+} // namespace
+
+void takeOperatorRequest(entry_state &state, const operator_request &request, step_context &context)
+{
+    const operation_origin origin {request.handle, ""};
+    const std::string malformed = explainMalformed(request);
+    if (!malformed.empty()) {
+        answerOperation(origin, operator_outcome::refused, malformed, 0, state.cell, context);
+        return;
+    }
+    const std::string shard = decidingShard(request);
+    const auto view = state.authority.shards.find(shard);
+    const bool isElsewhere = view != state.authority.shards.end() && view->second.rowVersion != 0
+        && view->second.row.owner != state.cell.identity;
+    if (!isElsewhere) {
+        decide(state, origin, request, context);
+        return;
+    }
+    const std::uint64_t number = state.desk.nextNumber++;
+    state.desk.forwarded[number] = {request.handle, request.action, subjectOf(request),
+                                    context.now + applyAnswerLimit + second};
+    forward_operation forward;
+    forward.number = number;
+    forward.request = std::make_unique<operator_request>(request);
+    sendToPeer(context, state.cell.identity, view->second.row.owner, std::move(forward));
+}
+
+void takeForwardedOperation(entry_state &state, const std::string &from,
+                            const forward_operation &forward, step_context &context)
+{
+    if (forward.request == nullptr || !explainMalformed(*forward.request).empty()
+        || forward.request->action == operator_action::drain) {
+        return;
+    }
+    decide(state, {forward.number, from}, *forward.request, context);
+}
+
+void noteOperationAnswer(entry_state &state, const operation_answer &result, step_context &context)
+{
+    const auto found = state.desk.forwarded.find(result.number);
+    if (found == state.desk.forwarded.end() || result.outcome == nullptr) {
+        return;
+    }
+    answer_operator passed = *result.outcome;
+    passed.handle = found->second.handle;
+    state.desk.forwarded.erase(found);
+    emit(context, std::move(passed));
+}
+
+void noteOperationUndelivered(entry_state &state, const forward_operation &forward,
+                              step_context &context)
+{
+    operation_answer refused;
+    refused.number = forward.number;
+    refused.outcome = std::make_unique<answer_operator>();
+    refused.outcome->outcome = operator_outcome::refused;
+    refused.outcome->text = "the deciding entry cannot be reached; try again in 5 s";
+    noteOperationAnswer(state, refused, context);
+}
+
+void tendOperations(entry_state &state, step_context &context)
+{
+    for (auto item = state.desk.forwarded.begin(); item != state.desk.forwarded.end();) {
+        if (context.now < item->second.answerBy) {
+            ++item;
+            continue;
+        }
+        answerOperation({item->second.handle, ""}, operator_outcome::unknown,
+                        adviceFor(item->second), 0, state.cell, context);
+        item = state.desk.forwarded.erase(item);
+    }
+}
+
+} // namespace bramleygrade
--- a/src/core/request_answers.cpp
+++ b/src/core/request_answers.cpp
@@ -19,6 +19,16 @@
     return outcome;
 }
 
+answer makeNotRunFor(const request_state &request, std::string reason, int retryAfterMs)
+{
+    if (!request.isRepeat || request.isHome) {
+        return makeNotRun(std::move(reason), retryAfterMs);
+    }
+    answer outcome = makeMayHaveRun("an earlier attempt may have run; ask again: " + reason);
+    outcome.retry_after_ms = retryAfterMs;
+    return outcome;
+}
+
 answer makeDone(const endpoint_attempt &attempt, const endpoint_result &result)
 {
     answer outcome;
@@ -71,7 +81,7 @@
 }
 
 void finishRequest(request_flow &flow, const request_environment &environment, std::uint64_t number,
-                   answer outcome, step_context &context)
+                   const answer &outcome, step_context &context)
 {
     const auto found = flow.requests.find(number);
     const request_state request = std::move(found->second);
--- a/src/core/request_answers.h
+++ b/src/core/request_answers.h
@@ -11,6 +11,9 @@
 
 answer makeNotRun(std::string reason, int retryAfterMs);
 answer makeMayHaveRun(std::string reason);
+/// "Not run" for this attempt; "may have run" where the caller has sent the id before and this
+/// entry does not remember it.
+answer makeNotRunFor(const request_state &request, std::string reason, int retryAfterMs);
 
 /// The whole answer of an endpoint.
 answer makeDone(const endpoint_attempt &attempt, const endpoint_result &result);
@@ -23,6 +26,6 @@
 
 /// Answers all origins of a request and forgets it; a home keeps the answer for repeats.
 void finishRequest(request_flow &flow, const request_environment &environment, std::uint64_t number,
-                   answer outcome, step_context &context);
+                   const answer &outcome, step_context &context);
 
 } // namespace bramleygrade
--- a/src/core/request_home.cpp
+++ b/src/core/request_home.cpp
@@ -65,11 +65,6 @@
     if (known == state.remembered.end() || known->second.phase == memory_phase::answered) {
         return;
     }
-    if (outcome.outcome == outcome::not_run) {
-        state.forgetOrder.erase({known->second.forgetAt, requestId});
-        state.remembered.erase(known);
-        return;
-    }
     known->second.phase = memory_phase::answered;
     known->second.outcome = outcome;
     state.bodyBytes += outcome.body.size();
--- a/src/core/request_home.h
+++ b/src/core/request_home.h
@@ -64,8 +64,8 @@
 void rememberRunning(request_home_state &state, const std::string &requestId, std::uint64_t number,
                      timestamp now);
 
-/// Keeps the answer for repeats; a request that was surely not run is forgotten, so that its
-/// caller may send it again.
+/// Keeps the answer for repeats. "Not run" is kept too: it is final for the id, so that an attempt
+/// which comes late cannot run after its caller was told.
 void rememberAnswer(request_home_state &state, const std::string &requestId, const answer &outcome);
 
 /// Puts the whole answer, which came late, in place of "may have run".
--- a/src/core/request_routing.cpp
+++ b/src/core/request_routing.cpp
@@ -211,6 +211,7 @@
     forward.request_id = request.requestId;
     forward.unrepeatable = request.isUnrepeatable;
     forward.as_home = asHome;
+    forward.is_repeat = asHome && request.isRepeat;
     forward.deadline = request.deadline;
     forward.start_by = startBy;
     forward.hops = request.hops + 1;
--- a/src/core/requests.cpp
+++ b/src/core/requests.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr std::size_t bodyLengthLimit = 1024 * 1024;
+constexpr std::size_t bodyLengthLimit = 1024ul * 1024;
 constexpr microseconds longestDeadline = 60 * second;
 /// Part of a retry that each accepted request earns; ten make one.
 constexpr int retryBudgetCap = 100;
@@ -58,7 +58,7 @@
 
 /// Answers a request that was never taken in.
 void refuseOrigin(request_flow &flow, const request_environment &environment,
-                  const request_origin &origin, const std::string &service, answer outcome,
+                  const request_origin &origin, const std::string &service, const answer &outcome,
                   step_context &context)
 {
     countAnswer(flow.counters, outcome);
@@ -72,8 +72,8 @@
     const std::string homeShard = homeShardOf(request.requestId);
     const timestamp vouchFrom = environment.authority.shards.at(homeShard).actsFrom;
     const request_origin origin = request.origins.front();
-    const auto refuse = [&](answer outcome) {
-        refuseOrigin(flow, environment, origin, request.service, std::move(outcome), context);
+    const auto refuse = [&](const answer &outcome) {
+        refuseOrigin(flow, environment, origin, request.service, outcome, context);
     };
     switch (judgeRequestId(flow.home, request.requestId, vouchFrom, context.now)) {
     case home_verdict::unknownId: {
@@ -98,12 +98,13 @@
         return refuse(makeMayHaveRun("the id is older than 90 s and is not remembered any more; "
                                      "look up its effect before you send it under a new id"));
     case home_verdict::isFromFuture:
-        return refuse(makeNotRun("the id lies in the future; set your clock, or take an id from "
-                                 "GET /v1/request-id",
-                                 0));
+        return refuse(makeNotRunFor(request,
+                                    "the id lies in the future; set your clock, or take an id "
+                                    "from GET /v1/request-id",
+                                    0));
     case home_verdict::isFull:
-        return refuse(
-            makeNotRun("too many unrepeatable requests are remembered; come back later", 5'000));
+        return refuse(makeNotRunFor(
+            request, "too many unrepeatable requests are remembered; come back later", 5'000));
     }
 }
 
@@ -118,17 +119,19 @@
         && view->second.row.owner != environment.cell.identity;
     if (!isKnown || request.hops > 0
         || !isHeardLately(environment, view->second.row.owner, context.now)) {
-        refuseOrigin(
-            flow, environment, origin, request.service,
-            makeNotRun("no entry can remember this id at the moment; come back later", 1'000),
-            context);
+        refuseOrigin(flow, environment, origin, request.service,
+                     makeNotRunFor(request,
+                                   "no entry can remember this id at the moment; come back later",
+                                   1'000),
+                     context);
         return;
     }
     const std::string owner = view->second.row.owner;
     const std::uint64_t number = addRequest(flow, std::move(request));
     if (!forwardTo(flow, environment, number, owner, true, context)) {
         finishRequest(flow, environment, number,
-                      makeNotRun("the deadline is too near to reach the home of this id", 0),
+                      makeNotRunFor(flow.requests.at(number),
+                                    "the deadline is too near to reach the home of this id", 0),
                       context);
     }
 }
@@ -139,7 +142,7 @@
     const std::string refusal = explainRefusal(request, environment, context.now);
     if (!refusal.empty()) {
         refuseOrigin(flow, environment, request.origins.front(), request.service,
-                     makeNotRun(refusal, 1'000), context);
+                     makeNotRunFor(request, refusal, 1'000), context);
         return;
     }
     const bool needsHome = request.isUnrepeatable && (asHome || request.hops == 0);
@@ -285,6 +288,7 @@
     state.team = request.team;
     state.requestId = request.request_id;
     state.isUnrepeatable = request.unrepeatable;
+    state.isRepeat = request.is_repeat;
     state.deadline = std::min(request.deadline, context.now + longestDeadline);
     const service_document *document = findDocument(environment.documents, request.service);
     if (document != nullptr) {
@@ -311,9 +315,11 @@
     request_origin origin;
     origin.peer = from;
     origin.peerNumber = request.number;
+    state.isRepeat = request.is_repeat;
     if (context.now >= request.start_by) {
         refuseOrigin(flow, environment, origin, request.service,
-                     makeNotRun("the request arrived too late to be started", 0), context);
+                     makeNotRunFor(state, "the request arrived too late to be started", 0),
+                     context);
         return;
     }
     state.origins.push_back(origin);
@@ -363,7 +369,8 @@
     }
     finishRequest(
         flow, environment, request.number,
-        makeNotRun("the entry that remembers this id cannot be reached; come back later", 1'000),
+        makeNotRunFor(found->second,
+                      "the entry that remembers this id cannot be reached; come back later", 1'000),
         context);
 }
 
--- a/src/core/requests.h
+++ b/src/core/requests.h
@@ -37,6 +37,8 @@
     std::string team;
     std::string requestId;
     bool isUnrepeatable = false;
+    /// An earlier attempt of the caller may have run.
+    bool isRepeat = false;
     /// This entry remembers the id and answers repeats.
     bool isHome = false;
     timestamp deadline = 0;
--- a/src/core/shard_claims.cpp
+++ b/src/core/shard_claims.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "core/table_rows.h"
+#include "core/task_owner.h"
 
 namespace bramleygrade {
 
@@ -23,8 +24,8 @@
         != view.row.successors.end();
 }
 
-void writeRow(authority_state &authority, const std::string &shard, shard_row row, bool isClaim,
-              operation_table &operations, step_context &context)
+void writeRow(authority_state &authority, const std::string &shard, const shard_row &row,
+              bool isClaim, operation_table &operations, step_context &context)
 {
     shard_view &view = authority.shards[shard];
     table_operation write;
@@ -48,7 +49,7 @@
     row.epoch = view.row.epoch + 1;
     row.owner = cell.identity;
     row.successors = chooseSuccessors(cell, context.now);
-    writeRow(authority, shard, std::move(row), true, operations, context);
+    writeRow(authority, shard, row, true, operations, context);
 }
 
 /// A share of the time that `outsiderSpread` allows, fixed for each member and shard.
@@ -133,7 +134,7 @@
             proposed.push_back(successor);
         }
     }
-    writeRow(authority, shard, std::move(row), false, operations, context);
+    writeRow(authority, shard, row, false, operations, context);
 }
 
 /// Gives the shard to the active member that holds the fewest, and stops acting for it at once.
@@ -148,9 +149,10 @@
     row.successors = chooseSuccessors(cell, context.now);
     row.successors.erase(std::remove(row.successors.begin(), row.successors.end(), receiver),
                          row.successors.end());
+    row.successors.resize(std::min(row.successors.size(), successorCount - 1));
     row.successors.push_back(cell.identity);
     row.handed_over = true;
-    writeRow(authority, shard, std::move(row), false, operations, context);
+    writeRow(authority, shard, row, false, operations, context);
 }
 
 std::string leastLoadedMember(const authority_state &authority, const cell_state &cell,
@@ -169,7 +171,7 @@
 }
 
 /// One shard at a time moves from an entry that holds two more than the least loaded one.
-void handOverSurplus(authority_state &authority, const cell_state &cell,
+void handOverSurplus(authority_state &authority, const cell_state &cell, const worker_pool &pool,
                      operation_table &operations, step_context &context)
 {
     const std::string receiver = leastLoadedMember(authority, cell, context.now);
@@ -179,16 +181,23 @@
     const int own = countOwnedShards(authority, cell.identity);
     const int surplus = own - countOwnedShards(authority, receiver);
     if (!cell.isDraining && surplus < 2) {
+        for (auto &[shard, view] : authority.shards) {
+            view.isClosing = false;
+        }
         return;
     }
     for (auto &[shard, view] : authority.shards) {
         const bool isSettled = view.unsettledVersion == 0 && context.now >= view.nextWriteAt;
-        const bool isOwned = holdsAuthority(authority, cell.identity, shard, context.now);
-        if (isOwned && isSettled) {
+        if (!isSettled || !holdsAuthority(authority, cell.identity, shard, context.now)) {
+            continue;
+        }
+        // Orders to start that are still under way could take effect after the new owner acts.
+        view.isClosing = true;
+        if (!hasUnsettledStarts(pool, shard)) {
             handOver(authority, cell, shard, receiver, operations, context);
-            if (!cell.isDraining) {
-                return;
-            }
+        }
+        if (!cell.isDraining) {
+            return;
         }
     }
 }
@@ -229,8 +238,8 @@
         }));
 }
 
-void tendShards(authority_state &authority, cell_state &cell, operation_table &operations,
-                step_context &context)
+void tendShards(authority_state &authority, cell_state &cell, const worker_pool &pool,
+                operation_table &operations, step_context &context)
 {
     const bool isTableReached = context.now - cell.tableReachedAt < 3 * pollInterval;
     if (!cell.isJoined || !isTableReached
@@ -250,7 +259,7 @@
         }
         tendShard(authority, cell, shard, operations, context);
     }
-    handOverSurplus(authority, cell, operations, context);
+    handOverSurplus(authority, cell, pool, operations, context);
 }
 
 void noteShardWrite(authority_state &authority, const cell_state &cell,
--- a/src/core/shard_claims.h
+++ b/src/core/shard_claims.h
@@ -2,6 +2,7 @@
 
 #include "core/authority.h"
 #include "core/cell_view.h"
+#include "core/worker_pool.h"
 
 /// \file
 /// When an entry writes the row of a shard: to create it, to claim it from an owner that fell
@@ -9,12 +10,9 @@
 
 namespace bramleygrade {
 
-/// Loads heard from peers, for the choice of a receiver: identity to number of owned shards.
-using shard_counts = std::map<std::string, int>;
-
 /// Writes at most a few rows; called on every tick while the table can be reached.
-void tendShards(authority_state &authority, cell_state &cell, operation_table &operations,
-                step_context &context);
+void tendShards(authority_state &authority, cell_state &cell, const worker_pool &pool,
+                operation_table &operations, step_context &context);
 
 /// Takes in the answer to a `claim` or `changeRow` transaction.
 void noteShardWrite(authority_state &authority, const cell_state &cell,
--- a/src/core/table_sync.cpp
+++ b/src/core/table_sync.cpp
@@ -2,6 +2,7 @@
 
 #include <string_view>
 
+#include "core/job_home.h"
 #include "core/shard_claims.h"
 #include "core/table_rows.h"
 
@@ -123,9 +124,11 @@
         noteApplyWrite(state.documents, state.cell, operation, result, context);
         return;
     case operation_purpose::submitJob:
-    case operation_purpose::loadJobs:
     case operation_purpose::updateJob:
-    case operation_purpose::readJob:
+        noteJobWrite(state, operation, result, context);
+        return;
+    case operation_purpose::loadJobs:
+        noteJobsLoaded(state, operation, result, context);
         return;
     }
 }
--- a/src/core/worker_pool.h
+++ b/src/core/worker_pool.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -53,21 +54,20 @@
     int task = 0;
     std::uint64_t incarnation = 0;
     std::string service;
-    std::string homeShard;
-    std::string homeIdentity;
     bool isCheckpointable = false;
     bool isHeld = false;
     /// The worker has said that it runs the task.
     bool isConfirmed = false;
     /// A start that the worker has not answered may take effect until this time.
     timestamp startBy = 0;
+    timestamp confirmedAt = 0;
     timestamp holdUntil = distantFuture;
-    /// The worker ends the task then, unless the lease is renewed.
-    timestamp leaseUntil = distantPast;
-    timestamp stopAskedAt = 0;
     bool isCheckpointAsked = false;
-    bool isEvictedForUrgent = false;
     timestamp reportedAt = 0;
+    std::int64_t reportedUsage = 0;
+    /// What the task really takes, as the worker reported last.
+    std::int64_t usedCpuMillis = 0;
+    std::int64_t usedMemoryMb = 0;
 };
 
 /// How an endpoint has answered lately.
@@ -93,6 +93,7 @@
     /// Time at which the newest answered poll was sent.
     timestamp seenAt = distantPast;
     timestamp nextPollAt = 0;
+    timestamp pollSentAt = 0;
     bool isPollUnderway = false;
     resources committed;
     /// Key is `job/task/incarnation`.
@@ -100,6 +101,16 @@
     /// Failed task starts in a row, and the time before which no task is started.
     int startFailuresInRow = 0;
     timestamp avoidTasksUntil = 0;
+    /// Epoch of the shard for which the commitments below were made.
+    std::uint64_t ownedEpoch = 0;
+    std::uint64_t reportVersion = 0;
+    /// Latest end of any lease that this entry has given on the worker.
+    timestamp leasedUntil = distantPast;
+    /// Only this job may start tasks here meanwhile.
+    std::string reservedFor;
+    timestamp reservedUntil = 0;
+    /// Ended tasks that the worker still lists.
+    std::set<std::string> endedKeys;
 };
 
 struct worker_pool
@@ -110,7 +121,9 @@
     std::uint64_t random = 1;
 };
 
+/// Workers are asked this often while something on them is unsettled, and otherwise.
 constexpr microseconds workerPollInterval = 2 * second;
+constexpr microseconds quietPollInterval = 10 * second;
 
 /// Brings the pool in line with the platform's list; commitments of known workers stay.
 void noteInstances(worker_pool &pool, const cell_state &cell);
--- a/src/core/worker_watch.cpp
+++ b/src/core/worker_watch.cpp
@@ -2,11 +2,41 @@
 
 #include <algorithm>
 
+#include "core/task_owner.h"
+
 namespace bramleygrade {
 
 namespace {
 
-void sendPoll(entry_state &state, worker_view &worker, step_context &context)
+/// A worker that the owner has not yet seen is asked again soon.
+constexpr microseconds firstSightInterval = 100 * millisecond;
+/// A poll whose answer was lost does not hold back the next one for longer.
+constexpr microseconds pollAnswerLimit = 3 * second;
+
+/// Commitments of an earlier time of ownership say nothing about the present one.
+void forgetFormerOwnership(worker_view &worker, const shard_view &shard)
+{
+    worker.ownedEpoch = shard.row.epoch;
+    worker.tasks.clear();
+    worker.committed = {};
+    worker.endedKeys.clear();
+    worker.reportVersion = 0;
+    worker.foreignSlots = 0;
+    worker.leasedUntil = distantPast;
+    worker.reservedUntil = 0;
+    worker.nextPollAt = 0;
+}
+
+bool isUnsettled(const worker_view &worker, const shard_view &shard)
+{
+    return worker.foreignSlots > 0 || !isKnownToOwner(worker, shard) || !worker.endedKeys.empty()
+        || std::any_of(worker.tasks.begin(), worker.tasks.end(), [](const auto &item) {
+               return !item.second.isConfirmed || item.second.isCheckpointAsked;
+           });
+}
+
+void sendPoll(entry_state &state, worker_view &worker, const shard_view &shard,
+              step_context &context)
 {
     worker_call call;
     call.call = state.nextCall++;
@@ -14,57 +44,71 @@
     call.host = worker.info.host;
     call.port = worker.info.port;
     call.kind = worker_call_kind::poll;
+    call.order = std::make_unique<task_order>();
+    // While something is unsettled, the whole report is needed again.
+    call.order->known_version = isUnsettled(worker, shard) ? 0 : worker.reportVersion;
+    if (!worker.tasks.empty() || !isKnownToOwner(worker, shard)) {
+        call.order->lease_until = leaseEnd(context.now);
+        worker.leasedUntil = std::max(worker.leasedUntil, call.order->lease_until);
+    }
+    worker.pollSentAt = context.now;
     worker.isPollUnderway = true;
-    worker.nextPollAt = context.now + workerPollInterval;
+    const bool isKnown = isKnownToOwner(worker, shard);
+    worker.nextPollAt = context.now
+        + (!isKnown                         ? firstSightInterval
+               : isUnsettled(worker, shard) ? workerPollInterval
+                                            : quietPollInterval);
     emit(context, std::move(call));
 }
 
-/// A worker that the owner has not yet seen is asked again soon.
-constexpr microseconds firstSightInterval = 100 * millisecond;
-
-bool isPollDue(const entry_state &state, const worker_view &worker, timestamp now)
-{
-    const auto shard = state.authority.shards.find(worker.shard);
-    if (shard == state.authority.shards.end()
-        || !holdsAuthority(state.authority, state.cell.identity, worker.shard, now)) {
-        return false;
-    }
-    const bool isUnknown = !isKnownToOwner(worker, shard->second);
-    const timestamp dueAt = isUnknown
-        ? std::min(worker.nextPollAt, worker.nextPollAt - workerPollInterval + firstSightInterval)
-        : worker.nextPollAt;
-    return now >= dueAt && !worker.isPollUnderway;
-}
-
 } // namespace
 
 void pollWorkers(entry_state &state, step_context &context)
 {
     for (auto &[name, worker] : state.pool.workers) {
-        if (isPollDue(state, worker, context.now)) {
-            sendPoll(state, worker, context);
+        const auto shard = state.authority.shards.find(worker.shard);
+        if (shard == state.authority.shards.end()
+            || !holdsAuthority(state.authority, state.cell.identity, worker.shard, context.now)) {
+            continue;
+        }
+        if (worker.ownedEpoch != shard->second.row.epoch) {
+            forgetFormerOwnership(worker, shard->second);
+        }
+        const bool isLost =
+            worker.isPollUnderway && context.now - worker.pollSentAt > pollAnswerLimit;
+        if (context.now >= worker.nextPollAt && (!worker.isPollUnderway || isLost)) {
+            sendPoll(state, worker, shard->second, context);
         }
     }
 }
 
 void noteWorkerResult(entry_state &state, const worker_result &result, step_context &context)
 {
-    (void)context;
     const auto found = state.pool.workers.find(result.worker);
     if (found == state.pool.workers.end()) {
         return;
     }
     worker_view &worker = found->second;
+    if (!holdsAuthority(state.authority, state.cell.identity, worker.shard, context.now)
+        || worker.ownedEpoch != state.authority.shards.at(worker.shard).row.epoch) {
+        worker.isPollUnderway = false;
+        return; // The next owner asks for itself.
+    }
     if (result.kind != worker_call_kind::poll) {
+        noteTaskCall(state, worker, result, context);
         return;
     }
     worker.isPollUnderway = false;
-    if (!result.reached || result.seen == nullptr) {
+    const bool isNews = result.accepted && result.seen != nullptr
+        && result.asked_at >= worker.seenAt
+        && result.asked_at >= state.authority.shards.at(worker.shard).actsFrom;
+    if (!isNews) {
         return;
     }
-    worker.seenAt = std::max(worker.seenAt, result.asked_at);
+    worker.seenAt = result.asked_at;
     worker.saysLeaving = result.seen->is_leaving;
     worker.foreignSlots = std::max(0, result.seen->active_requests - worker.busySlots);
+    noteTaskReport(state, worker, result, context);
 }
 
 } // namespace bramleygrade
--- a/src/daemon/bounded_ring.h
+++ b/src/daemon/bounded_ring.h
@@ -29,7 +29,10 @@
     }
 
     /// Returns false, leaving `item` as it was, where the ring is full or closed.
-    bool tryPush(Item &&item)
+    bool tryPush(Item &&item) { return tryPush(item); }
+
+    /// Moves from `item` only where it returns true.
+    bool tryPush(Item &item)
     {
         absl::MutexLock lock(&m_mutex);
         if (m_isClosed || m_items.size() >= m_capacity) {
--- a/src/daemon/caller_server.cpp
+++ b/src/daemon/caller_server.cpp
@@ -161,6 +161,7 @@
     wanted.team = request.get_header_value("Bramley-Team");
     wanted.request_id = request.get_header_value("Bramley-Request-Id");
     wanted.unrepeatable = !wanted.request_id.empty();
+    wanted.is_repeat = request.has_header("Bramley-Repeat");
     wanted.deadline = now + deadlineMs * millisecond;
     wanted.body = request.body;
     const std::uint64_t handle = wanted.handle;
@@ -179,7 +180,8 @@
         outcome->reason = "this entry did not decide in time; look up the effect of the request";
     }
     logInfo(absl::StrCat("event=request ", line, " outcome=", nameOf(outcome->outcome),
-                         " worker=", outcome->worker, " ms=", (currentTime() - now) / millisecond));
+                         " worker=", outcome->worker, " ms=", (currentTime() - now) / millisecond,
+                         " reason=\"", outcome->reason, "\""));
     respond(*outcome, response);
 }
 
--- a/src/daemon/caller_server.h
+++ b/src/daemon/caller_server.h
@@ -13,7 +13,8 @@
 /// The duty that serves callers over HTTP.
 ///
 /// `POST /v1/services/<service>/<path>` with the headers `Bramley-Team`, `Bramley-Deadline-Ms` and,
-/// for unrepeatable requests, `Bramley-Request-Id`. Every response has `Bramley-Outcome`: `done`,
+/// for unrepeatable requests, `Bramley-Request-Id`; `Bramley-Repeat` where that id was sent
+/// before. Every response has `Bramley-Outcome`: `done`,
 /// `not-run` or `may-have-run`. `GET /v1/request-id` gives an id, `GET /health` serves the
 /// balancer.
 class caller_server
--- a/src/daemon/http.cpp
+++ b/src/daemon/http.cpp
@@ -12,7 +12,7 @@
 /// A connection that was idle for longer is not trusted to be open at both ends.
 constexpr microseconds idleLimit = 10 * second;
 constexpr std::size_t idlePerAddress = 16;
-constexpr std::size_t payloadLimit = 2 * 1024 * 1024;
+constexpr std::size_t payloadLimit = 2ul * 1024 * 1024;
 constexpr time_t serverReadLimitSeconds = 5;
 /// Idle callers' connections are closed after this long, so that they do not hold threads.
 constexpr time_t keepAliveSeconds = 2;
--- a/src/daemon/peer_link.cpp
+++ b/src/daemon/peer_link.cpp
@@ -82,7 +82,7 @@
 
 void peer_sender::submit(peer_message message)
 {
-    if (!m_messages.tryPush(std::move(message))) {
+    if (!m_messages.tryPush(message)) {
         reportUndelivered(message);
     }
 }
--- a/src/daemon/worker_link.cpp
+++ b/src/daemon/worker_link.cpp
@@ -31,8 +31,6 @@
         return "/worker/stop";
     case worker_call_kind::checkpoint:
         return "/worker/checkpoint";
-    case worker_call_kind::renew:
-        return "/worker/renew";
     case worker_call_kind::forget:
         return "/worker/forget";
     }
@@ -100,6 +98,10 @@
     refused.call = wanted.call;
     refused.worker = wanted.worker;
     refused.kind = wanted.kind;
+    refused.asked_at = currentTime();
+    if (wanted.order != nullptr) {
+        refused.order = std::make_unique<task_order>(*wanted.order);
+    }
     if (!m_calls.tryPush(std::move(wanted))) {
         finish(std::move(refused));
     }
@@ -109,7 +111,7 @@
 void worker_link::finish(event result)
 {
     decision_input input {std::move(result)};
-    while (!m_decisions.tryPush(std::move(input)) && !m_decisions.isClosed()) {
+    while (!m_decisions.tryPush(input) && !m_decisions.isClosed()) {
         absl::SleepFor(absl::Milliseconds(1));
     }
 }
@@ -174,7 +176,10 @@
         m_connections.post(wanted.host, wanted.port, pathOf(wanted.kind), {}, body, startBy, limit);
     result.reached = http.end != http_end::notSent;
     result.accepted = http.end == http_end::answered && http.status == statusOk;
-    if (result.accepted) {
+    if (wanted.order != nullptr) {
+        result.order = std::make_unique<task_order>(*wanted.order);
+    }
+    if (http.end == http_end::answered) {
         auto report = parseJson<worker_report>(http.body);
         if (report) {
             result.seen = std::make_unique<worker_report>(std::move(*report));
--- a/testing/worker_fake.cpp
+++ b/testing/worker_fake.cpp
@@ -6,9 +6,10 @@
 
 namespace {
 
-void endTask(fake_task &task, task_phase phase, timestamp at)
+void endTask(worker_fake &worker, fake_task &task, task_phase phase, timestamp at)
 {
     if (task.phase == task_phase::running) {
+        ++worker.version;
         task.phase = phase;
         task.endedAt = at;
     }
@@ -44,9 +45,9 @@
             ? task.startedAt + task.order.run_time_ms * millisecond
             : distantFuture;
         if (finish <= std::min(now, task.leaseUntil)) {
-            endTask(task, task_phase::finished, finish);
+            endTask(worker, task, task_phase::finished, finish);
         } else if (task.leaseUntil <= now) {
-            endTask(task, task_phase::stopped, task.leaseUntil);
+            endTask(worker, task, task_phase::stopped, task.leaseUntil);
         }
     }
 }
@@ -66,6 +67,7 @@
     task.startedAt = now;
     task.leaseUntil = order.lease_until;
     worker.tasks.emplace(key, std::move(task));
+    ++worker.version;
     worker.overcommits += isBeyondResources(worker) ? 1 : 0;
     return true;
 }
@@ -75,7 +77,7 @@
     passTimeAt(worker, now);
     const auto found = worker.tasks.find(taskKey(order));
     if (found != worker.tasks.end()) {
-        endTask(found->second, task_phase::stopped, now);
+        endTask(worker, found->second, task_phase::stopped, now);
     }
 }
 
@@ -84,7 +86,7 @@
     passTimeAt(worker, now);
     const auto found = worker.tasks.find(taskKey(order));
     if (found != worker.tasks.end()) {
-        endTask(found->second, task_phase::checkpointed, now);
+        endTask(worker, found->second, task_phase::checkpointed, now);
     }
 }
 
@@ -105,14 +107,20 @@
     if (found != worker.tasks.end() && found->second.phase != task_phase::running) {
         worker.ledger.push_back(found->second);
         worker.tasks.erase(found);
+        ++worker.version;
     }
 }
 
-worker_report reportOf(const worker_fake &worker, int activeRequests)
+worker_report reportOf(const worker_fake &worker, int activeRequests, std::uint64_t knownVersion)
 {
     worker_report report;
     report.active_requests = activeRequests;
     report.is_leaving = worker.isLeaving;
+    report.version = worker.version;
+    report.is_unchanged = knownVersion == worker.version;
+    if (report.is_unchanged) {
+        return report;
+    }
     for (const auto &[key, task] : worker.tasks) {
         auto reported = std::make_unique<worker_task>();
         reported->job = task.order.job;
--- a/testing/worker_fake.h
+++ b/testing/worker_fake.h
@@ -30,6 +30,8 @@
     std::vector<fake_task> ledger;
     bool failsTasks = false;
     bool isLeaving = false;
+    /// Rises with every change of the tasks.
+    std::uint64_t version = 1;
     /// Starts that took the worker beyond its resources.
     int overcommits = 0;
     /// Share of the declared size that a task really uses, in percent.
@@ -48,6 +50,7 @@
 void renewAllAt(worker_fake &worker, timestamp leaseUntil, timestamp now);
 void forgetTaskAt(worker_fake &worker, const task_order &order, timestamp now);
 
-worker_report reportOf(const worker_fake &worker, int activeRequests);
+/// Leaves the tasks out where the caller knows this version.
+worker_report reportOf(const worker_fake &worker, int activeRequests, std::uint64_t knownVersion);
 
 } // namespace bramleygrade
--- a/testing/worker_standin.cpp
+++ b/testing/worker_standin.cpp
@@ -87,7 +87,10 @@
         m_server.set_tcp_nodelay(true);
         m_server.set_keep_alive_max_count(1'000'000);
         m_server.set_keep_alive_timeout(20);
-        bind("report", [this](const task_order &, timestamp) { return true; });
+        bind("report", [this](const task_order &order, timestamp now) {
+            renewAllAt(m_fake, order.lease_until, now);
+            return true;
+        });
         bind("start", [this](const task_order &order, timestamp now) {
             return startTaskAt(m_fake, order, now);
         });
@@ -99,10 +102,6 @@
             checkpointTaskAt(m_fake, order, now);
             return true;
         });
-        bind("renew", [this](const task_order &order, timestamp now) {
-            renewAllAt(m_fake, order.lease_until, now);
-            return true;
-        });
         bind("forget", [this](const task_order &order, timestamp now) {
             forgetTaskAt(m_fake, order, now);
             return true;
@@ -165,7 +164,8 @@
             const timestamp now = wallTime();
             passTimeAt(m_fake, now);
             out.status = order && act(*order, now) ? 200 : 409;
-            out.set_content(toJson(reportOf(m_fake, m_active)), "application/json");
+            out.set_content(toJson(reportOf(m_fake, m_active, order ? order->known_version : 0)),
+                            "application/json");
         });
     }
 
