Randomised histories of the real core, and four faults that they found

Cause: nothing yet showed that the promises hold when many things fail at once. Built: virtual-time fakes (table, list, workers, network) around real cores; the verdict is taken from the fakes' ledgers. An entry took an owner for superseded because its own reading of the members was older than the shard row. A partial reading of documents adopted a head whose changes it did not hold. A home on an entry that had just started, with an empty list, asked no rack what runs there. A repeated placement message started what had been refused. Owners remember ended placements for as long as a repeat could start them.

--- a/include/bramleygrade/decision_core.h
+++ b/include/bramleygrade/decision_core.h
@@ -14,7 +14,7 @@
 {
     /// Unique name of the instance, as in the platform's list.
     std::string name;
-    /// Differs each time the process starts; the newest one wins.
+    /// A decimal number without leading zeros that rises each time the process starts.
     std::string incarnation;
     std::string failureDomain;
     std::string host;
--- a/src/core/authority.h
+++ b/src/core/authority.h
@@ -24,7 +24,6 @@
 constexpr microseconds ownerSilenceLimit = 3 * second;
 /// Promises are renewed this often.
 constexpr microseconds promiseInterval = 700 * millisecond;
-constexpr std::size_t successorCount = 2;
 
 /// One shard as this entry knows it.
 struct shard_view
--- a/src/core/cell_view.cpp
+++ b/src/core/cell_view.cpp
@@ -43,6 +43,14 @@
     return identity.substr(0, identity.find('#'));
 }
 
+bool isNewerIncarnation(const std::string &left, const std::string &right)
+{
+    const std::string leftNumber = left.substr(nameOfIdentity(left).size());
+    const std::string rightNumber = right.substr(nameOfIdentity(right).size());
+    return leftNumber.size() != rightNumber.size() ? leftNumber.size() > rightNumber.size()
+                                                   : leftNumber > rightNumber;
+}
+
 std::string homeShardOf(const std::string &id)
 {
     const std::uint64_t hash = mixBits(addToHash(fnvOffset, id));
@@ -60,11 +68,7 @@
     for (int number = 0; number < homeShardCount; ++number) {
         shards.insert("home-" + std::to_string(number));
     }
-    for (const auto &[name, listed] : state.instances) {
-        if (!listed.rack.empty()) {
-            shards.insert(rackShardOf(listed));
-        }
-    }
+    shards.insert(state.listedRacks.begin(), state.listedRacks.end());
     return {shards.begin(), shards.end()};
 }
 
@@ -80,7 +84,8 @@
 bool isGone(const cell_state &state, const std::string &identity, timestamp since, timestamp now)
 {
     const auto member = state.members.find(nameOfIdentity(identity));
-    if (member != state.members.end() && member->second.row.identity != identity) {
+    if (member != state.members.end()
+        && isNewerIncarnation(member->second.row.identity, identity)) {
         return true;
     }
     const bool isListTrusted = now - state.listReceivedAt < listTrustLimit;
@@ -88,6 +93,13 @@
     return isListTrusted && isOldEnough && state.instances.count(nameOfIdentity(identity)) == 0;
 }
 
+bool isRackGone(const cell_state &state, const std::string &rackShard, timestamp since,
+                timestamp now)
+{
+    const bool isListTrusted = now - state.listReceivedAt < listTrustLimit;
+    return isListTrusted && now - since > listLagBound && state.listedRacks.count(rackShard) == 0;
+}
+
 std::vector<std::string> activeMembers(const cell_state &state, timestamp now)
 {
     std::vector<std::string> active;
@@ -119,15 +131,19 @@
               [&preference](const std::string &left, const std::string &right) {
                   return preference(left) < preference(right);
               });
-    candidates.resize(std::min<std::size_t>(candidates.size(), 2));
+    candidates.resize(std::min(candidates.size(), successorCount));
     return candidates;
 }
 
 void noteList(cell_state &state, const list_update &list, timestamp now)
 {
     state.instances.clear();
+    state.listedRacks.clear();
     for (const auto &listed : list.instances) {
         state.instances.emplace(listed->name, *listed);
+        if (!listed->rack.empty()) {
+            state.listedRacks.insert(rackShardOf(*listed));
+        }
     }
     state.listReceivedAt = now;
     for (auto &[name, member] : state.members) {
--- a/src/core/cell_view.h
+++ b/src/core/cell_view.h
@@ -26,6 +26,8 @@
 constexpr char documentShard[] = "documents";
 constexpr int homeShardCount = 14;
 
+constexpr std::size_t successorCount = 2;
+
 struct member_view
 {
     member_row row;
@@ -53,6 +55,7 @@
     std::map<std::string, member_view> members;
     std::map<std::string, instance> instances;
     timestamp listReceivedAt = distantPast;
+    std::set<std::string> listedRacks;
 
     /// Identity to the time of its newest message.
     std::map<std::string, timestamp> heardAt;
@@ -61,6 +64,10 @@
 /// Part of an identity before `#`.
 std::string nameOfIdentity(const std::string &identity);
 
+/// True where `left` is a later incarnation of the same entry. A member row that was read before a
+/// shard row may name an earlier one, which says nothing about the owner of the shard.
+bool isNewerIncarnation(const std::string &left, const std::string &right);
+
 /// Name of the shard that remembers this request id or keeps this job.
 std::string homeShardOf(const std::string &id);
 std::string rackShardOf(const instance &worker);
@@ -75,6 +82,11 @@
 /// with this identity cannot act any more. `since` is when this entry first learned of it.
 bool isGone(const cell_state &state, const std::string &identity, timestamp since, timestamp now);
 
+/// True where the platform has taken all workers of the rack from its list, so that nothing runs
+/// there. `since` is when something may last have been placed there: the list may lag behind that.
+bool isRackGone(const cell_state &state, const std::string &rackShard, timestamp since,
+                timestamp now);
+
 /// Members that were heard lately and are not leaving, this entry included, in order of name.
 std::vector<std::string> activeMembers(const cell_state &state, timestamp now);
 
--- a/src/core/documents.cpp
+++ b/src/core/documents.cpp
@@ -35,6 +35,22 @@
         + "` shows which, then apply again if need be";
 }
 
+/// True where `rows` hold every document that has changed between the head in force and `head`.
+bool coversChanges(const document_state &state, const document_head &head,
+                   const std::vector<std::unique_ptr<table_row>> &rows)
+{
+    const std::uint64_t missed = head.sequence - state.head.sequence;
+    if (missed > head.recent_services.size()) {
+        return false;
+    }
+    for (std::uint64_t index = 0; index < missed; ++index) {
+        if (findRow(rows, documentKey(head.recent_services[index])) == nullptr) {
+            return false;
+        }
+    }
+    return true;
+}
+
 std::uint64_t sequenceOf(const document_state &state, const std::string &service)
 {
     const auto found = state.documents.find(service);
@@ -205,6 +221,9 @@
     if (head.sequence < state.head.sequence || (!isComplete && !state.isLoaded)) {
         return; // A late answer; what is in force is newer.
     }
+    if (!isComplete && !coversChanges(state, head, rows)) {
+        return; // More has changed since the reading was asked for; the next poll asks for it.
+    }
     const std::string_view prefix = documentPrefix;
     for (const auto &row : rows) {
         const bool isDocument = row->key.compare(0, prefix.size(), prefix) == 0;
--- a/src/core/entry_state.h
+++ b/src/core/entry_state.h
@@ -23,6 +23,9 @@
     std::deque<peer_message> ownMessages;
     /// When each find_tasks was first heard, by asker and number.
     std::map<std::string, timestamp> findAskedAt;
+    /// Placements that were refused or have ended, with the time until which a repeated message
+    /// could still start them.
+    std::map<std::string, timestamp> endedPlacements;
     /// Home shard to the oldest epoch whose placements are still taken.
     std::map<std::string, std::uint64_t> homeFence;
     std::uint64_t nextCall = 1;
--- a/src/core/job_book.h
+++ b/src/core/job_book.h
@@ -59,6 +59,7 @@
     std::uint64_t epoch = 0;
     timestamp nextStepAt = 0;
     std::uint64_t findNumber = 0;
+    timestamp findingSince = 0;
     /// Rack shards that have not told yet what runs there.
     std::set<std::string> missing;
 };
--- a/src/core/job_home.cpp
+++ b/src/core/job_home.cpp
@@ -209,11 +209,10 @@
 
 void askRacks(entry_state &state, const std::string &shard, job_home &home, step_context &context)
 {
-    const std::vector<std::string> expected = expectedShards(state.cell);
     for (auto rack = home.missing.begin(); rack != home.missing.end();) {
         // The workers of a rack that the platform no longer lists cannot run anything.
-        const bool isListed = std::find(expected.begin(), expected.end(), *rack) != expected.end();
-        rack = isListed ? std::next(rack) : home.missing.erase(rack);
+        const bool isGone = isRackGone(state.cell, *rack, home.findingSince, context.now);
+        rack = isGone ? home.missing.erase(rack) : std::next(rack);
     }
     if (home.missing.empty()) {
         home.phase = home_phase::ready;
@@ -506,9 +505,12 @@
     home.phase = home_phase::finding;
     home.findNumber = state.jobs.nextFind++;
     home.nextStepAt = context.now;
-    for (const std::string &expected : expectedShards(state.cell)) {
-        if (expected.compare(0, 5, "rack-") == 0) {
-            home.missing.insert(expected);
+    home.findingSince = context.now;
+    // Racks that the table knows as well: the list of an entry that has just started may be empty.
+    home.missing = state.cell.listedRacks;
+    for (const auto &[known, view] : state.authority.shards) {
+        if (known.compare(0, 5, "rack-") == 0) {
+            home.missing.insert(known);
         }
     }
 }
--- a/src/core/job_placement.cpp
+++ b/src/core/job_placement.cpp
@@ -243,8 +243,7 @@
 }
 
 /// Asks after tasks whose owner has not answered in time, until it says what became of them.
-void queryTasks(entry_state &state, job_view &job, const std::vector<std::string> &expected,
-                step_context &context)
+void queryTasks(entry_state &state, job_view &job, step_context &context)
 {
     for (std::size_t index = 0; index < job.tasks.size(); ++index) {
         job_task &task = job.tasks[index];
@@ -254,9 +253,7 @@
         if (!isUnderWay(task) || !isSilent || context.now < task.nextQueryAt) {
             continue;
         }
-        const bool isListed =
-            std::find(expected.begin(), expected.end(), task.shard) != expected.end();
-        if (isListed) {
+        if (!isRackGone(state.cell, task.shard, task.startBy, context.now)) {
             sendPlacement(state, job, index, placement_step::query, context);
         } else {
             task.phase = job_task_phase::waiting; // All workers of the rack are gone.
@@ -347,7 +344,8 @@
     const bool isGang = specification.all_or_nothing && specification.task_count > 1;
     const bool isEndOfRun =
         report.result == placement_result::failed || missed.phase == job_task_phase::running;
-    if (!isGang || (isEndOfRun && report.result == placement_result::failed)) {
+    const bool hasMissedAlready = context.now < job.notBefore;
+    if (!isGang || hasMissedAlready || (isEndOfRun && report.result == placement_result::failed)) {
         return;
     }
     for (std::size_t index = 0; index < job.tasks.size(); ++index) {
@@ -391,13 +389,12 @@
     }
     state.jobs.nextPlacementAt = context.now + placementInterval;
     countUsed(state.jobs);
-    const std::vector<std::string> expected = expectedShards(state.cell);
     std::vector<job_view *> order;
     for (auto &[name, job] : state.jobs.jobs) {
         if (!isJobHome(state, serviceOfJob(name), context.now)) {
             continue;
         }
-        queryTasks(state, job, expected, context);
+        queryTasks(state, job, context);
         if (job.row.phase == job_phase::accepted && job.rowVersion != 0) {
             order.push_back(&job);
         }
--- a/src/core/task_owner.cpp
+++ b/src/core/task_owner.cpp
@@ -12,6 +12,8 @@
 /// A worker whose task starts fail is left alone for this long, doubling with each failure.
 constexpr microseconds firstAvoidance = second;
 constexpr int avoidanceDoublingLimit = 6;
+/// Placements ask to be started within this time at most.
+constexpr microseconds longestStartLimit = 5 * second;
 /// A worker that makes room for an urgent task is kept for that job this long.
 constexpr microseconds reservationSpan = 3 * second;
 
@@ -133,6 +135,15 @@
     callWorker(state, worker, worker_call_kind::start, std::move(order), context);
 }
 
+/// A placement whose end was reported must not begin again when its message is repeated: its home
+/// may have placed the next incarnation elsewhere.
+void rememberEnd(entry_state &state, const std::string &key, timestamp startBy, timestamp now)
+{
+    if (startBy > now) {
+        state.endedPlacements[key] = startBy;
+    }
+}
+
 /// Orders checkpoints on the worker that can make room at the least cost; the home tries again.
 void makeRoom(entry_state &state, const place_task &wanted, const service_document &document,
               step_context &context)
@@ -178,6 +189,8 @@
 void refuseTask(entry_state &state, const std::string &from, const place_task &wanted,
                 placement_result result, step_context &context)
 {
+    rememberEnd(state, taskKeyOf(wanted.job->id, wanted.task, wanted.incarnation), wanted.start_by,
+                context.now);
     task_report report;
     report.job = wanted.job->id;
     report.service = wanted.job->service;
@@ -237,11 +250,27 @@
     }
 }
 
+/// Resources that a task frees go back, and its home hears of it.
+void endTask(entry_state &state, worker_view &worker, const std::string &key,
+             placement_result result, step_context &context)
+{
+    const auto found = worker.tasks.find(key);
+    if (found == worker.tasks.end()) {
+        return;
+    }
+    const task_commitment ended = found->second;
+    release(worker, key);
+    rememberEnd(state, key, context.now + longestStartLimit, context.now);
+    reportTask(state, worker, ended, result, context);
+}
+
 void placeNew(entry_state &state, const std::string &from, const place_task &wanted,
               const std::string &key, step_context &context)
 {
     const service_document *document = findDocument(state.documents, wanted.job->service);
     const bool isInTime = context.now + clockOffsetBound < wanted.start_by
+        && wanted.start_by < context.now + longestStartLimit
+        && state.endedPlacements.count(key) == 0
         && !state.authority.shards.at(wanted.shard).isClosing;
     if (document == nullptr || !areDocumentsFresh(state.documents, context.now) || !isInTime) {
         refuseTask(state, from, wanted, placement_result::refused, context);
@@ -279,7 +308,7 @@
 {
     task_commitment &known = worker.tasks.at(key);
     if (known.isHeld && wanted.step == placement_step::release) {
-        release(worker, key);
+        endTask(state, worker, key, placement_result::absent, context);
         return;
     }
     const bool isInTime = context.now + clockOffsetBound < wanted.start_by
@@ -293,19 +322,6 @@
     }
 }
 
-/// Resources that a task frees go back, and its home hears of it.
-void endTask(entry_state &state, worker_view &worker, const std::string &key,
-             placement_result result, step_context &context)
-{
-    const auto found = worker.tasks.find(key);
-    if (found == worker.tasks.end()) {
-        return;
-    }
-    const task_commitment ended = found->second;
-    release(worker, key);
-    reportTask(state, worker, ended, result, context);
-}
-
 void noteStartFailure(worker_view &worker, timestamp now)
 {
     const int doublings = std::min(worker.startFailuresInRow, avoidanceDoublingLimit);
@@ -577,6 +593,9 @@
 
 void tendTasks(entry_state &state, step_context &context)
 {
+    for (auto item = state.endedPlacements.begin(); item != state.endedPlacements.end();) {
+        item = context.now >= item->second ? state.endedPlacements.erase(item) : std::next(item);
+    }
     for (auto &[name, worker] : state.pool.workers) {
         const bool isSilent =
             isLapsed(state, worker, context.now) && context.now - worker.seenAt > taskLeaseSpan;
--- /dev/null
+++ b/testing/cell_fake.cpp
@@ -0,0 +1,492 @@
+#include "testing/cell_fake.h"
+
+#include <algorithm>
+
+#include "bramleygrade/json_codec.h"
+
+namespace bramleygrade {
+
+namespace {
+
+constexpr microseconds lateLimit = 2 * second;
+constexpr microseconds tableLateLimit = 6 * second;
+constexpr microseconds listInterval = second;
+constexpr microseconds callLimit = 2 * second;
+constexpr microseconds answerGrace = 200 * millisecond;
+constexpr int statusOk = 200;
+constexpr int statusFailed = 500;
+
+const char *domainOf(int index)
+{
+    static const char *const domains[] = {"domain-a", "domain-b", "domain-c"};
+    return domains[index % 3];
+}
+
+} // namespace
+
+bool isWithin(const std::vector<fault_window> &windows, timestamp now)
+{
+    return std::any_of(windows.begin(), windows.end(), [now](const fault_window &window) {
+        return window.from <= now && now < window.until;
+    });
+}
+
+cell_fake::cell_fake(const cell_options &options)
+    : m_options(options)
+    , m_random(options.seed)
+{
+    for (int index = 0; index < options.entries; ++index) {
+        fake_entry entry;
+        entry.name = "entry-" + std::to_string(index + 1);
+        entry.domain = domainOf(index);
+        if (options.hasClockErrors) {
+            entry.clockOffset = static_cast<microseconds>(draw(60'001)) - 30 * millisecond;
+            entry.clockRate = static_cast<std::int64_t>(draw(2001)) - 1000;
+        }
+        m_entries.push_back(std::move(entry));
+    }
+    for (int index = 0; index < options.racks * options.workersPerRack; ++index) {
+        const int rack = index / options.workersPerRack;
+        fake_worker worker;
+        instance &info = worker.tasks.info;
+        info.name = "worker-" + std::to_string(index + 1);
+        info.failure_domain = domainOf(rack);
+        info.rack = std::to_string(rack + 1);
+        info.service = "booking";
+        info.slots = options.slots;
+        info.cpu_millis = 8000;
+        info.memory_mb = 16000;
+        m_workers.push_back(std::move(worker));
+    }
+    changeList();
+    m_lists.front().at = distantPast;
+}
+
+void cell_fake::at(timestamp when, action what)
+{
+    m_queue.push({std::max(when, m_now), m_nextOrder++, std::make_shared<action>(std::move(what))});
+}
+
+void cell_fake::run(timestamp until)
+{
+    while (!m_queue.empty() && m_queue.top().at <= until) {
+        const scheduled next = m_queue.top();
+        m_queue.pop();
+        m_now = next.at;
+        (*next.what)();
+    }
+    m_now = std::max(m_now, until);
+}
+
+timestamp cell_fake::localTime(int index) const
+{
+    const fake_entry &entry = m_entries[static_cast<std::size_t>(index)];
+    const microseconds passed = m_now - historyStart;
+    return m_now + entry.clockOffset + passed * entry.clockRate / 1'000'000;
+}
+
+microseconds cell_fake::networkDelay()
+{
+    const microseconds usual = 200 + static_cast<microseconds>(draw(1500));
+    return happens(m_options.latePerMille) ? usual + static_cast<microseconds>(draw(lateLimit))
+                                           : usual;
+}
+
+void cell_fake::changeList()
+{
+    std::vector<instance> instances;
+    for (const fake_entry &entry : m_entries) {
+        if (entry.isAlive) {
+            instance listed;
+            listed.name = entry.name;
+            listed.failure_domain = entry.domain;
+            instances.push_back(listed);
+        }
+    }
+    for (const fake_worker &worker : m_workers) {
+        if (worker.isAlive) {
+            instances.push_back(worker.tasks.info);
+            instances.back().state =
+                m_now >= worker.leftAt ? instance_state::leaving : instance_state::live;
+        }
+    }
+    m_lists.push_back({m_now, std::move(instances)});
+}
+
+void cell_fake::startEntry(int index)
+{
+    fake_entry &entry = m_entries[static_cast<std::size_t>(index)];
+    entry.isAlive = true;
+    entry.pausedUntil = 0;
+    ++entry.generation;
+    entry_identity identity;
+    identity.name = entry.name;
+    identity.incarnation = std::to_string(entry.generation);
+    identity.failureDomain = entry.domain;
+    identity.seed = draw(UINT64_MAX);
+    entry.core = std::make_unique<decision_core>(identity);
+    changeList();
+    const std::uint64_t generation = entry.generation;
+    after(static_cast<microseconds>(draw(m_options.tickInterval)),
+          [this, index, generation] { tickEntry(index, generation); });
+    after(static_cast<microseconds>(draw(listInterval)),
+          [this, index, generation] { pollList(index, generation); });
+}
+
+void cell_fake::killEntry(int index)
+{
+    m_entries[static_cast<std::size_t>(index)].isAlive = false;
+    changeList();
+}
+
+void cell_fake::pauseEntry(int index, microseconds span)
+{
+    fake_entry &entry = m_entries[static_cast<std::size_t>(index)];
+    entry.pausedUntil = std::max(entry.pausedUntil, m_now + span);
+}
+
+void cell_fake::killWorker(int index)
+{
+    fake_worker &worker = m_workers[static_cast<std::size_t>(index)];
+    passTimeAt(worker.tasks, m_now);
+    worker.isAlive = false;
+    worker.diedAt = m_now;
+    for (auto &[key, task] : worker.tasks.tasks) {
+        if (task.phase == task_phase::running) {
+            task.phase = task_phase::failed;
+            task.endedAt = m_now;
+        }
+    }
+    changeList();
+}
+
+void cell_fake::leaveWorker(int index)
+{
+    m_workers[static_cast<std::size_t>(index)].leftAt = m_now;
+    changeList();
+}
+
+void cell_fake::tickEntry(int index, std::uint64_t generation)
+{
+    fake_entry &entry = m_entries[static_cast<std::size_t>(index)];
+    if (!entry.isAlive || entry.generation != generation) {
+        return;
+    }
+    if (m_now >= entry.pausedUntil) {
+        step(index, tick {});
+    }
+    after(std::max(m_options.tickInterval, entry.pausedUntil - m_now),
+          [this, index, generation] { tickEntry(index, generation); });
+}
+
+void cell_fake::pollList(int index, std::uint64_t generation)
+{
+    const fake_entry &entry = m_entries[static_cast<std::size_t>(index)];
+    if (!entry.isAlive || entry.generation != generation) {
+        return;
+    }
+    if (m_now >= entry.pausedUntil) {
+        const auto newest =
+            std::find_if(m_lists.rbegin(), m_lists.rend(), [this](const listed_state &state) {
+                return state.at <= m_now - m_options.listLag;
+            });
+        list_update update;
+        for (const instance &listed : newest->instances) {
+            update.instances.push_back(std::make_unique<instance>(listed));
+        }
+        after(networkDelay(), [this, index, update] { deliver(index, update); });
+    }
+    after(listInterval, [this, index, generation] { pollList(index, generation); });
+}
+
+void cell_fake::deliver(int index, event input)
+{
+    const fake_entry &entry = m_entries[static_cast<std::size_t>(index)];
+    if (!entry.isAlive) {
+        return;
+    }
+    if (m_now < entry.pausedUntil) {
+        const std::uint64_t generation = entry.generation;
+        at(entry.pausedUntil + static_cast<microseconds>(draw(10 * millisecond)),
+           [this, index, generation, input = std::move(input)] {
+               if (m_entries[static_cast<std::size_t>(index)].generation == generation) {
+                   deliver(index, input);
+               }
+           });
+        return;
+    }
+    step(index, input);
+}
+
+void cell_fake::step(int index, const event &input)
+{
+    fake_entry &entry = m_entries[static_cast<std::size_t>(index)];
+    for (command &wanted : bramleygrade::step(*entry.core, input, localTime(index))) {
+        carryOut(index, std::move(wanted));
+    }
+}
+
+void cell_fake::carryOut(int index, command wanted)
+{
+    if (auto *transaction = std::get_if<table_command>(&wanted)) {
+        transact(index, *transaction);
+    } else if (auto *message = std::get_if<peer_message>(&wanted)) {
+        sendMessage(index, std::move(*message));
+    } else if (auto *request = std::get_if<dispatch_request>(&wanted)) {
+        // The adapter's own thread may run a moment later, or only after a pause.
+        after(static_cast<microseconds>(draw(2 * millisecond)),
+              [this, index, request = *request] { sendRequest(index, request); });
+    } else if (auto *call = std::get_if<worker_call>(&wanted)) {
+        after(static_cast<microseconds>(draw(2 * millisecond)),
+              [this, index, call = *call] { callWorker(index, call); });
+    } else if (auto *answered = std::get_if<answer_caller>(&wanted)) {
+        if (onAnswer) {
+            onAnswer(index, *answered);
+        }
+    } else if (auto *outcome = std::get_if<answer_operator>(&wanted)) {
+        if (onOperatorAnswer) {
+            onOperatorAnswer(index, *outcome);
+        }
+    } else if (std::holds_alternative<drained>(wanted) && onDrained) {
+        onDrained(index);
+    }
+}
+
+void cell_fake::transact(int index, const table_command &wanted)
+{
+    const fake_entry &entry = m_entries[static_cast<std::size_t>(index)];
+    if (isWithin(tableOutages, m_now) || isWithin(entry.tableCuts, m_now)) {
+        table_result refused;
+        refused.operation = wanted.operation;
+        refused.outcome =
+            wanted.request->writes.empty() ? table_outcome::unknown : table_outcome::not_applied;
+        after(networkDelay(), [this, index, refused] { deliver(index, refused); });
+        return;
+    }
+    if (happens(m_options.tableLossPerMille)) {
+        return;
+    }
+    const microseconds delay = happens(m_options.tableLatePerMille)
+        ? static_cast<microseconds>(draw(tableLateLimit))
+        : 1000 + static_cast<microseconds>(draw(4000));
+    const std::uint64_t generation = entry.generation;
+    after(delay,
+          [this, index, generation, wanted] { applyTransaction(index, generation, wanted); });
+}
+
+void cell_fake::applyTransaction(int index, std::uint64_t generation, const table_command &wanted)
+{
+    if (isWithin(tableOutages, m_now)) {
+        return;
+    }
+    const bool isWrite = !wanted.request->writes.empty();
+    ++(isWrite ? counters.tableWrites : counters.tableReads);
+    table_response response = transactOnFake(m_table, *wanted.request);
+    if (onTransaction) {
+        onTransaction(index, *wanted.request, response);
+    }
+    if (isWrite && response.committed) {
+        for (const auto &write : wanted.request->writes) {
+            const auto row = write->key.rfind("document/", 0) == 0
+                ? parseJson<document_row>(write->value)
+                : tl::make_unexpected(codec_error {});
+            if (row) {
+                documentChanges.push_back(
+                    {m_now, row->document->service, row->document->allowed_domains});
+            }
+        }
+    }
+    if (happens(m_options.tableAnswerLossPerMille)
+        || isWithin(m_entries[static_cast<std::size_t>(index)].tableCuts, m_now)) {
+        return;
+    }
+    table_result result;
+    result.operation = wanted.operation;
+    result.outcome = response.committed ? table_outcome::committed : table_outcome::conflict;
+    result.rows = std::move(response.rows);
+    after(networkDelay(), [this, index, generation, result] {
+        if (m_entries[static_cast<std::size_t>(index)].generation == generation) {
+            deliver(index, result);
+        }
+    });
+}
+
+int cell_fake::indexOfIdentity(const std::string &identity) const
+{
+    for (std::size_t index = 0; index < m_entries.size(); ++index) {
+        if (m_entries[index].isAlive && identityOf(*m_entries[index].core) == identity) {
+            return static_cast<int>(index);
+        }
+    }
+    return -1;
+}
+
+void cell_fake::sendMessage(int index, peer_message message)
+{
+    ++counters.peerMessages;
+    const int target = indexOfIdentity(message.to);
+    if (target < 0) {
+        undelivered notice;
+        notice.message = std::make_unique<peer_message>(message);
+        after(networkDelay(), [this, index, notice] { deliver(index, notice); });
+        return;
+    }
+    const bool isCut = isWithin(m_entries[static_cast<std::size_t>(index)].peerCuts, m_now)
+        || isWithin(m_entries[static_cast<std::size_t>(target)].peerCuts, m_now);
+    if (isCut || happens(m_options.lossPerMille)) {
+        return;
+    }
+    const int copies = happens(m_options.repeatPerMille) ? 2 : 1;
+    for (int copy = 0; copy < copies; ++copy) {
+        after(networkDelay(), [this, target, message] { deliver(target, message); });
+    }
+}
+
+int cell_fake::indexOfWorker(const std::string &name) const
+{
+    for (std::size_t index = 0; index < m_workers.size(); ++index) {
+        if (m_workers[index].tasks.info.name == name) {
+            return static_cast<int>(index);
+        }
+    }
+    return -1;
+}
+
+void cell_fake::finishAttempt(int index, const dispatch_request &wanted, endpoint_outcome outcome,
+                              int status, const std::string &body)
+{
+    endpoint_result result;
+    result.attempt = wanted.attempt;
+    result.outcome = outcome;
+    result.status = status;
+    result.body = body;
+    deliver(index, result);
+}
+
+void cell_fake::sendRequest(int index, const dispatch_request &wanted)
+{
+    const fake_entry &entry = m_entries[static_cast<std::size_t>(index)];
+    if (!entry.isAlive) {
+        return;
+    }
+    if (m_now < entry.pausedUntil) {
+        at(entry.pausedUntil, [this, index, wanted] { sendRequest(index, wanted); });
+        return;
+    }
+    if (localTime(index) >= wanted.start_by) {
+        finishAttempt(index, wanted, endpoint_outcome::too_late, 0, "");
+        return;
+    }
+    ++counters.dispatches;
+    after(networkDelay(), [this, index, wanted] { arriveAtEndpoint(index, wanted); });
+}
+
+void cell_fake::arriveAtEndpoint(int index, const dispatch_request &wanted)
+{
+    const int target = indexOfWorker(wanted.worker);
+    fake_worker &worker = m_workers[static_cast<std::size_t>(target)];
+    if (!worker.isAlive) {
+        finishAttempt(index, wanted, endpoint_outcome::not_sent, 0, "");
+        return;
+    }
+    const timestamp lostAt = m_now
+        + std::max<microseconds>(wanted.deadline + answerGrace - localTime(index), millisecond);
+    const auto lose = [this, index, wanted] {
+        finishAttempt(index, wanted, endpoint_outcome::lost, 0, "");
+    };
+    if (isWithin(worker.silent, m_now)) {
+        at(lostAt, lose);
+        return;
+    }
+    if (worker.failsRequests) {
+        finishAttempt(index, wanted, endpoint_outcome::answered, statusFailed, "failed");
+        return;
+    }
+    if (worker.activeRequests >= worker.tasks.info.slots) {
+        finishAttempt(index, wanted, endpoint_outcome::refused, 0, "");
+        return;
+    }
+    ++worker.activeRequests;
+    worker.mostActive = std::max(worker.mostActive, worker.activeRequests);
+    runs.push_back(
+        {wanted.request_id, wanted.body, wanted.worker, worker.tasks.info.failure_domain, m_now});
+    const microseconds mean = m_options.answerTime * worker.slowFactor;
+    const microseconds takes = mean / 2 + static_cast<microseconds>(draw(mean));
+    const bool isLost = happens(m_options.answerLossPerMille);
+    if (isLost) {
+        at(lostAt, lose);
+    }
+    after(takes, [this, index, target, wanted, isLost] {
+        --m_workers[static_cast<std::size_t>(target)].activeRequests;
+        if (!isLost) {
+            after(networkDelay(), [this, index, wanted] {
+                finishAttempt(index, wanted, endpoint_outcome::answered, statusOk, wanted.body);
+            });
+        }
+    });
+}
+
+void cell_fake::callWorker(int index, const worker_call &wanted)
+{
+    const fake_entry &entry = m_entries[static_cast<std::size_t>(index)];
+    if (!entry.isAlive) {
+        return;
+    }
+    if (m_now < entry.pausedUntil) {
+        at(entry.pausedUntil, [this, index, wanted] { callWorker(index, wanted); });
+        return;
+    }
+    ++counters.workerCalls;
+    const timestamp askedAt = localTime(index);
+    after(networkDelay(),
+          [this, index, wanted, askedAt] { arriveAtWorker(index, wanted, askedAt); });
+}
+
+void cell_fake::arriveAtWorker(int index, const worker_call &wanted, timestamp askedAt)
+{
+    fake_worker &worker = m_workers[static_cast<std::size_t>(indexOfWorker(wanted.worker))];
+    worker_result result;
+    result.call = wanted.call;
+    result.worker = wanted.worker;
+    result.kind = wanted.kind;
+    result.asked_at = askedAt;
+    result.order = std::make_unique<task_order>(*wanted.order);
+    result.reached = worker.isAlive;
+    if (onWorkerCall) {
+        onWorkerCall(index, wanted);
+    }
+    const bool isSilent = isWithin(worker.silent, m_now);
+    if (worker.isAlive && !isSilent) {
+        const task_order &order = *wanted.order;
+        passTimeAt(worker.tasks, m_now);
+        result.accepted = true;
+        switch (wanted.kind) {
+        case worker_call_kind::poll:
+            renewAllAt(worker.tasks, order.lease_until, m_now);
+            break;
+        case worker_call_kind::start:
+            result.accepted = startTaskAt(worker.tasks, order, m_now);
+            break;
+        case worker_call_kind::stop:
+            stopTaskAt(worker.tasks, order, m_now);
+            break;
+        case worker_call_kind::checkpoint:
+            checkpointTaskAt(worker.tasks, order, m_now);
+            break;
+        case worker_call_kind::forget:
+            forgetTaskAt(worker.tasks, order, m_now);
+            break;
+        }
+        worker_report report = reportOf(worker.tasks, worker.activeRequests, order.known_version);
+        report.is_leaving = m_now >= worker.leftAt;
+        result.seen = std::make_unique<worker_report>(std::move(report));
+    }
+    const bool isLost = worker.isAlive && (isSilent || happens(m_options.answerLossPerMille));
+    if (isLost) {
+        result.seen = nullptr;
+        result.accepted = false;
+    }
+    after(isLost ? callLimit : networkDelay(), [this, index, result] { deliver(index, result); });
+}
+
+} // namespace bramleygrade
--- /dev/null
+++ b/testing/history.cpp
@@ -0,0 +1,606 @@
+#include "testing/history.h"
+
+#include <algorithm>
+#include <iostream>
+#include <set>
+
+#include "bramleygrade/json_codec.h"
+
+namespace bramleygrade {
+
+namespace {
+
+constexpr microseconds settleTime = 15 * second;
+constexpr microseconds sampleInterval = 40 * millisecond;
+/// An accepted change is in force everywhere after this long (the users' letter).
+constexpr microseconds changeLimit = 14 * second;
+/// A leaving endpoint receives no new work after this long (the brief: a few seconds).
+constexpr microseconds leavingLimit = 6 * second;
+
+/// What callers know of one request.
+struct request_record
+{
+    std::string body;
+    bool isUnrepeatable = false;
+    int attempts = 0;
+    int open = 0;
+    bool isOver = false;
+    bool toldDone = false;
+    bool toldNotRun = false;
+    bool gotWrongBody = false;
+};
+
+struct open_attempt
+{
+    std::string request;
+    int entry = 0;
+    std::uint64_t generation = 0;
+    bool isRepeat = false;
+    /// An entry that lives has answered by then.
+    timestamp answerBy = 0;
+};
+
+class history
+{
+public:
+    explicit history(const history_options &options)
+        : m_options(options)
+        , m_cell(cellOptions(options))
+    {
+    }
+
+    history_result run();
+
+private:
+    static cell_options cellOptions(const history_options &options);
+    void scheduleFaults();
+    void scheduleEntryFaults(timestamp from, timestamp until);
+    void scheduleWorkerFaults(timestamp from, timestamp until);
+    void scheduleCallers();
+    void sendAttempt(const std::string &id);
+    void repeatLater(const std::string &id);
+    void noteAnswer(int entry, const answer_caller &answered);
+    void scheduleOperators();
+    void applyChange(int number);
+    void scheduleJobs();
+    void noteOperatorAnswer(const answer_operator &answered);
+    void sampleAuthority();
+    void judgeRequests();
+    void judgePlaces();
+    void judgeTasks();
+    void violate(std::string text) { m_result.violations.push_back(std::move(text)); }
+    void trace(const std::string &text) const;
+    timestamp randomTime(timestamp from, timestamp until)
+    {
+        return from + static_cast<timestamp>(m_cell.draw(static_cast<std::uint64_t>(until - from)));
+    }
+    timestamp end() const { return historyStart + m_options.length; }
+    int randomEntry() { return static_cast<int>(m_cell.draw(m_cell.entries().size())); }
+
+    history_options m_options;
+    cell_fake m_cell;
+    history_result m_result;
+    std::map<std::string, request_record> m_requests;
+    std::map<std::uint64_t, open_attempt> m_open;
+    std::map<std::uint64_t, std::string> m_operations;
+    std::uint64_t m_nextHandle = 1;
+};
+
+cell_options history::cellOptions(const history_options &options)
+{
+    cell_options cell;
+    cell.seed = options.seed * 0x9e3779b97f4a7c15ull + 1;
+    if (options.hasFaults) {
+        cell.lossPerMille = 20;
+        cell.repeatPerMille = 20;
+        cell.latePerMille = 20;
+        cell.tableLossPerMille = 20;
+        cell.tableAnswerLossPerMille = 50;
+        cell.tableLatePerMille = 30;
+        cell.answerLossPerMille = 20;
+        cell.hasClockErrors = true;
+    }
+    return cell;
+}
+
+void history::trace(const std::string &text) const
+{
+    if (m_options.isTraced) {
+        std::cout << (m_cell.now() - historyStart) / millisecond << " ms " << text << '\n';
+    }
+}
+
+void history::scheduleEntryFaults(timestamp from, timestamp until)
+{
+    for (std::uint64_t count = m_cell.draw(4); count > 0; --count) {
+        const int entry = randomEntry();
+        m_cell.at(randomTime(from, until), [this, entry] {
+            const microseconds span = second + static_cast<microseconds>(m_cell.draw(14 * second));
+            trace("pause entry " + std::to_string(entry + 1) + " for "
+                  + std::to_string(span / millisecond));
+            m_cell.pauseEntry(entry, span);
+        });
+    }
+    for (std::uint64_t count = m_cell.draw(3); count > 0; --count) {
+        const int entry = randomEntry();
+        m_cell.at(randomTime(from, until), [this, entry] {
+            trace("kill entry " + std::to_string(entry + 1));
+            m_cell.killEntry(entry);
+            if (m_cell.draw(3) == 0) {
+                return;
+            }
+            m_cell.after(second + static_cast<microseconds>(m_cell.draw(15 * second)),
+                         [this, entry] {
+                             trace("start entry " + std::to_string(entry + 1));
+                             m_cell.startEntry(entry);
+                         });
+        });
+    }
+    if (m_cell.draw(4) == 0) {
+        const int entry = randomEntry();
+        m_cell.at(randomTime(from, until), [this, entry] {
+            trace("drain entry " + std::to_string(entry + 1));
+            operator_request drain;
+            drain.action = operator_action::drain;
+            m_cell.deliver(entry, drain);
+        });
+    }
+    for (fake_entry &entry : m_cell.entries()) {
+        for (std::vector<fault_window> *cuts : {&entry.tableCuts, &entry.peerCuts}) {
+            for (std::uint64_t count = m_cell.draw(3); count > 0; --count) {
+                const timestamp start = randomTime(from, until);
+                cuts->push_back(
+                    {start, start + second + static_cast<timestamp>(m_cell.draw(20 * second))});
+            }
+        }
+    }
+}
+
+void history::scheduleWorkerFaults(timestamp from, timestamp until)
+{
+    for (std::size_t index = 0; index < m_cell.workers().size(); ++index) {
+        const int worker = static_cast<int>(index);
+        fake_worker &fake = m_cell.workers()[index];
+        if (m_cell.draw(4) == 0) {
+            const timestamp start = randomTime(from, until);
+            fake.silent.push_back(
+                {start, start + second + static_cast<timestamp>(m_cell.draw(15 * second))});
+        }
+        if (m_cell.draw(10) == 0) {
+            m_cell.at(randomTime(from, until), [this, worker] { m_cell.leaveWorker(worker); });
+        }
+        if (m_cell.draw(12) == 0) {
+            m_cell.at(randomTime(from, until), [this, worker] { m_cell.killWorker(worker); });
+        }
+        fake.tasks.failsTasks = m_cell.draw(12) == 0;
+        fake.failsRequests = m_cell.draw(12) == 0;
+    }
+}
+
+void history::scheduleFaults()
+{
+    const timestamp from = historyStart + settleTime;
+    const timestamp until = end();
+    for (std::uint64_t count = m_cell.draw(3); count > 0; --count) {
+        const timestamp start = randomTime(from, until);
+        m_cell.tableOutages.push_back(
+            {start, start + 5 * second + static_cast<timestamp>(m_cell.draw(35 * second))});
+    }
+    scheduleEntryFaults(from, until);
+    scheduleWorkerFaults(from, until);
+}
+
+void history::scheduleCallers()
+{
+    const int count = 150 + static_cast<int>(m_cell.draw(150));
+    for (int number = 0; number < count; ++number) {
+        const timestamp when = randomTime(historyStart + settleTime / 2, end() - 8 * second);
+        m_cell.at(when, [this, number, when] {
+            const microseconds clockError =
+                static_cast<microseconds>(m_cell.draw(200 * millisecond)) - 100 * millisecond;
+            const std::string id =
+                std::to_string((when + clockError) / millisecond) + "-" + std::to_string(number);
+            request_record &record = m_requests[id];
+            record.body = "body of " + id;
+            record.isUnrepeatable = m_cell.draw(4) != 0;
+            ++m_result.requests;
+            sendAttempt(id);
+        });
+    }
+}
+
+void history::sendAttempt(const std::string &id)
+{
+    request_record &record = m_requests.at(id);
+    const int entry = randomEntry();
+    const fake_entry &target = m_cell.entries()[static_cast<std::size_t>(entry)];
+    if (!target.isAlive) {
+        repeatLater(id);
+        return;
+    }
+    const microseconds patience =
+        500 * millisecond + static_cast<microseconds>(m_cell.draw(3 * second));
+    const std::uint64_t handle = m_nextHandle++;
+    m_open[handle] = {id, entry, target.generation, record.attempts > 0,
+                      m_cell.now() + patience + second};
+    caller_request request;
+    request.handle = handle;
+    request.service = "booking";
+    request.team = "salon-a";
+    request.request_id = record.isUnrepeatable ? id : std::string();
+    request.unrepeatable = record.isUnrepeatable;
+    request.is_repeat = record.isUnrepeatable && record.attempts > 0;
+    request.deadline = m_cell.localTime(entry) + patience;
+    request.path = "/reserve";
+    request.body = record.body;
+    ++record.attempts;
+    ++record.open;
+    m_cell.after(1000 + static_cast<microseconds>(m_cell.draw(2000)),
+                 [this, entry, request] { m_cell.deliver(entry, request); });
+    // A caller gives up waiting when the connection ends without an answer; some ask twice early.
+    const bool isHasty = m_cell.draw(8) == 0;
+    m_cell.after(isHasty ? patience / 4 : patience + second, [this, id, handle] {
+        if (m_open.count(handle) > 0) {
+            repeatLater(id);
+        }
+    });
+}
+
+void history::repeatLater(const std::string &id)
+{
+    const request_record &record = m_requests.at(id);
+    constexpr int attemptLimit = 5;
+    if (!record.isOver && record.isUnrepeatable && record.attempts < attemptLimit) {
+        m_cell.after(static_cast<microseconds>(m_cell.draw(2 * second)), [this, id] {
+            if (!m_requests.at(id).isOver) {
+                sendAttempt(id);
+            }
+        });
+    }
+}
+
+void history::noteAnswer(int entry, const answer_caller &answered)
+{
+    const auto found = m_open.find(answered.handle);
+    if (found == m_open.end()) {
+        violate("a second answer for handle " + std::to_string(answered.handle));
+        return;
+    }
+    const open_attempt attempt = found->second;
+    m_open.erase(found);
+    if (attempt.entry != entry) {
+        violate("an answer of entry " + std::to_string(entry) + " for another entry's caller");
+    }
+    request_record &record = m_requests.at(attempt.request);
+    --record.open;
+    trace("answer " + attempt.request + " " + wire::EnumNameoutcome(answered.outcome->outcome) + " "
+          + answered.outcome->reason);
+    switch (answered.outcome->outcome) {
+    case outcome::done:
+        record.toldDone = true;
+        record.isOver = true;
+        record.gotWrongBody = record.gotWrongBody
+            || (answered.outcome->status == 200 && answered.outcome->body != record.body);
+        ++m_result.done;
+        return;
+    case outcome::not_run: {
+        // Final for a repeat, since then the home has said so, and for a request sent only once.
+        const bool isClaim = attempt.isRepeat || record.attempts == 1;
+        record.toldNotRun = record.toldNotRun || isClaim;
+        record.isOver = record.isOver || isClaim;
+        ++m_result.notRun;
+        return;
+    }
+    case outcome::may_have_run:
+        ++m_result.mayHaveRun;
+        repeatLater(attempt.request);
+        return;
+    }
+}
+
+void history::applyChange(int number)
+{
+    static const std::vector<std::vector<std::string>> choices {
+        {"domain-a", "domain-b", "domain-c"},
+        {"domain-a", "domain-b"},
+        {"domain-b", "domain-c"},
+        {"domain-a", "domain-c"}};
+    operator_request request;
+    request.handle = m_nextHandle++;
+    request.action = operator_action::apply;
+    request.document = std::make_unique<service_document>();
+    request.document->service = "booking";
+    request.document->team = "carpathian";
+    request.document->callers = {"salon-a"};
+    request.document->allowed_domains = choices[m_cell.draw(choices.size())];
+    request.document->quota_cpu_millis = 1'000'000 + number;
+    request.document->quota_memory_mb = 1'000'000;
+    // An operator who reads the newest version, or one who is a change behind.
+    std::uint64_t expected = 0;
+    const auto row = m_cell.table().rows.find("document/booking");
+    if (row != m_cell.table().rows.end()) {
+        const auto value = parseJson<document_row>(row->second.value);
+        expected = value ? value->sequence : 0;
+    }
+    request.expected = m_cell.draw(5) == 0 && expected > 0 ? expected - 1 : expected;
+    m_operations[request.handle] = "apply";
+    const int entry = randomEntry();
+    m_cell.deliver(entry, request);
+}
+
+void history::scheduleOperators()
+{
+    for (int number = 0; number < 6; ++number) {
+        m_cell.at(historyStart + (4 + number) * second, [this, number] {
+            if (m_cell.documentChanges.empty()) {
+                applyChange(number);
+            }
+        });
+    }
+    if (!m_options.hasOperators) {
+        return;
+    }
+    for (std::uint64_t count = 2 + m_cell.draw(8); count > 0; --count) {
+        const timestamp when = randomTime(historyStart + settleTime, end());
+        const int number = static_cast<int>(count) + 100;
+        m_cell.at(when, [this, number] { applyChange(number); });
+        if (m_cell.draw(3) == 0) {
+            m_cell.at(when + millisecond, [this, number] { applyChange(number + 100); });
+        }
+    }
+}
+
+void history::scheduleJobs()
+{
+    for (int number = 0; number < 12; ++number) {
+        m_cell.at(randomTime(historyStart + settleTime, end() - 15 * second), [this, number] {
+            operator_request request;
+            request.handle = m_nextHandle++;
+            request.action = operator_action::submit;
+            request.job = std::make_unique<job_specification>();
+            request.job->id = "job-" + std::to_string(number);
+            request.job->service = "booking";
+            request.job->task_count = 1 + static_cast<int>(m_cell.draw(4));
+            request.job->cpu_millis = 500 + static_cast<std::int64_t>(m_cell.draw(3500));
+            request.job->memory_mb = 500 + static_cast<std::int64_t>(m_cell.draw(7000));
+            request.job->all_or_nothing = m_cell.draw(3) == 0;
+            request.job->checkpointable = m_cell.draw(2) == 0;
+            request.job->urgent = m_cell.draw(4) == 0;
+            request.job->run_time_ms = static_cast<std::int64_t>(m_cell.draw(20'000));
+            m_operations[request.handle] = "submit";
+            m_cell.deliver(randomEntry(), request);
+        });
+    }
+    for (int number = 0; number < 12; number += 3) {
+        m_cell.at(randomTime(historyStart + settleTime, end()), [this, number] {
+            operator_request request;
+            request.handle = m_nextHandle++;
+            request.action = operator_action::cancel;
+            request.names = {"booking/job-" + std::to_string(number)};
+            m_operations[request.handle] = "cancel";
+            m_cell.deliver(randomEntry(), request);
+        });
+    }
+}
+
+void history::noteOperatorAnswer(const answer_operator &answered)
+{
+    const auto found = m_operations.find(answered.handle);
+    if (found == m_operations.end()) {
+        return;
+    }
+    trace("operator " + found->second + " " + wire::EnumNameoperator_outcome(answered.outcome) + " "
+          + answered.text);
+    if (answered.outcome == operator_outcome::accepted) {
+        m_result.changesAccepted += found->second == "apply" ? 1 : 0;
+        m_result.jobsAccepted += found->second == "submit" ? 1 : 0;
+    }
+    m_operations.erase(found);
+}
+
+void history::sampleAuthority()
+{
+    static const std::vector<std::string> shards {"documents", "home-0", "home-7",
+                                                  "rack-1",    "rack-2", "rack-3"};
+    const bool isOutage = isWithin(m_cell.tableOutages, m_cell.now());
+    const bool isSettled = m_cell.now() > historyStart + settleTime;
+    for (const std::string &shard : shards) {
+        int holders = 0;
+        for (std::size_t index = 0; index < m_cell.entries().size(); ++index) {
+            const fake_entry &entry = m_cell.entries()[index];
+            holders += entry.isAlive
+                    && isActingFor(*entry.core, shard, m_cell.localTime(static_cast<int>(index)))
+                ? 1
+                : 0;
+        }
+        if (holders > 1) {
+            for (std::size_t index = 0; index < m_cell.entries().size(); ++index) {
+                const fake_entry &entry = m_cell.entries()[index];
+                const timestamp local = m_cell.localTime(static_cast<int>(index));
+                if (entry.isAlive && isActingFor(*entry.core, shard, local)) {
+                    trace(dumpState(*entry.core, local));
+                }
+            }
+            violate(std::to_string(holders) + " entries act for " + shard + " at "
+                    + std::to_string((m_cell.now() - historyStart) / millisecond) + " ms");
+        }
+        if (isSettled) {
+            ++m_result.samples;
+            m_result.samplesHeld += holders > 0 ? 1 : 0;
+            m_result.outageSamples += isOutage ? 1 : 0;
+            m_result.outageSamplesHeld += isOutage && holders > 0 ? 1 : 0;
+        }
+    }
+    m_cell.after(sampleInterval, [this] { sampleAuthority(); });
+}
+
+void history::judgeRequests()
+{
+    std::map<std::string, int> ranById;
+    std::map<std::string, int> ranByBody;
+    for (const endpoint_run &run : m_cell.runs) {
+        if (!run.requestId.empty()) {
+            ++ranById[run.requestId];
+        }
+        ++ranByBody[run.body];
+    }
+    for (const auto &[id, record] : m_requests) {
+        const int ran = record.isUnrepeatable ? ranById[id] : ranByBody[record.body];
+        if (record.isUnrepeatable && ran > 1) {
+            violate(id + " ran " + std::to_string(ran) + " times");
+        }
+        if (record.toldNotRun && ran > 0) {
+            violate(id + " was said not to have run, but ran");
+        }
+        if (record.toldDone && record.toldNotRun) {
+            violate(id + " was said to be done and not to have run");
+        }
+        if (record.gotWrongBody) {
+            violate(id + " got an answer that is not its own");
+        }
+    }
+    for (const auto &[handle, attempt] : m_open) {
+        const fake_entry &entry = m_cell.entries()[static_cast<std::size_t>(attempt.entry)];
+        const bool isServed = entry.isAlive && entry.generation == attempt.generation;
+        m_result.unanswered += 1;
+        const bool isDue = m_cell.now() > std::max(attempt.answerBy, entry.pausedUntil + second);
+        if (isServed && isDue) {
+            violate(attempt.request + " got no answer from an entry that lives");
+        }
+    }
+}
+
+/// Requests ran only where a document that was in force lately allows, and not on leaving workers.
+void history::judgePlaces()
+{
+    const auto &changes = m_cell.documentChanges;
+    for (const endpoint_run &run : m_cell.runs) {
+        bool isAllowed = false;
+        for (std::size_t index = 0; index < changes.size(); ++index) {
+            const timestamp until =
+                index + 1 < changes.size() ? changes[index + 1].at : distantFuture;
+            const bool wasInForce = changes[index].at <= run.at && until + changeLimit > run.at;
+            const auto &domains = changes[index].allowedDomains;
+            isAllowed = isAllowed
+                || (wasInForce
+                    && std::find(domains.begin(), domains.end(), run.domain) != domains.end());
+        }
+        if (!isAllowed) {
+            violate("a request ran in " + run.domain + " against its document at "
+                    + std::to_string((run.at - historyStart) / millisecond) + " ms");
+        }
+    }
+    for (const fake_worker &worker : m_cell.workers()) {
+        for (const endpoint_run &run : m_cell.runs) {
+            if (run.worker == worker.tasks.info.name && worker.leftAt < distantFuture
+                && run.at > worker.leftAt + leavingLimit) {
+                violate("leaving " + run.worker + " got new work");
+            }
+        }
+    }
+}
+
+void history::judgeTasks()
+{
+    struct task_run
+    {
+        timestamp from;
+        timestamp until;
+        std::string worker;
+    };
+    std::map<std::string, std::vector<task_run>> runs;
+    for (fake_worker &worker : m_cell.workers()) {
+        if (worker.isAlive) {
+            passTimeAt(worker.tasks, m_cell.now());
+        }
+        if (worker.tasks.overcommits > 0) {
+            violate(worker.tasks.info.name + " was committed beyond its resources");
+        }
+        std::vector<fake_task> tasks = worker.tasks.ledger;
+        for (const auto &[key, task] : worker.tasks.tasks) {
+            tasks.push_back(task);
+        }
+        for (const fake_task &task : tasks) {
+            const bool isRunning = task.phase == task_phase::running;
+            runs[task.order.job + "/" + std::to_string(task.order.task)].push_back(
+                {task.startedAt, isRunning ? distantFuture : task.endedAt, worker.tasks.info.name});
+            ++m_result.tasksStarted;
+            m_result.tasksFinished += task.phase == task_phase::finished ? 1 : 0;
+        }
+    }
+    for (const auto &[task, places] : runs) {
+        for (std::size_t left = 0; left < places.size(); ++left) {
+            for (std::size_t right = left + 1; right < places.size(); ++right) {
+                if (places[left].from < places[right].until
+                    && places[right].from < places[left].until) {
+                    violate("task " + task + " ran on " + places[left].worker + " and "
+                            + places[right].worker + " at one time");
+                }
+            }
+        }
+    }
+}
+
+history_result history::run()
+{
+    m_cell.onAnswer = [this](int entry, const answer_caller &answered) {
+        noteAnswer(entry, answered);
+    };
+    m_cell.onOperatorAnswer = [this](int, const answer_operator &answered) {
+        noteOperatorAnswer(answered);
+    };
+    if (m_options.isTraced) {
+        m_cell.onWorkerCall = [this](int entry, const worker_call &call) {
+            trace("entry " + std::to_string(entry + 1) + " calls " + call.worker + " "
+                  + wire::EnumNameworker_call_kind(call.kind) + " " + toJson(*call.order));
+        };
+        m_cell.onTransaction = [this](int entry, const table_request &request,
+                                      const table_response &response) {
+            for (const auto &row : response.rows) {
+                trace("entry " + std::to_string(entry + 1) + " reads " + row->key + " version "
+                      + std::to_string(row->version));
+            }
+            for (const auto &write : request.writes) {
+                trace("entry " + std::to_string(entry + 1)
+                      + (response.committed ? " wrote " : " failed to write ") + write->key + " "
+                      + write->value);
+            }
+        };
+    }
+    m_cell.onDrained = [this](int entry) {
+        trace("entry " + std::to_string(entry + 1) + " has drained");
+        for (const auto &[handle, attempt] : m_open) {
+            const fake_entry &target = m_cell.entries()[static_cast<std::size_t>(entry)];
+            (void)target;
+        }
+        m_cell.killEntry(entry);
+    };
+    for (std::size_t index = 0; index < m_cell.entries().size(); ++index) {
+        m_cell.startEntry(static_cast<int>(index));
+    }
+    scheduleOperators();
+    if (m_options.hasFaults) {
+        scheduleFaults();
+    }
+    if (m_options.hasCallers) {
+        scheduleCallers();
+    }
+    if (m_options.hasJobs) {
+        scheduleJobs();
+    }
+    sampleAuthority();
+    m_cell.run(end());
+    judgeRequests();
+    judgePlaces();
+    judgeTasks();
+    return m_result;
+}
+
+} // namespace
+
+history_result runHistory(const history_options &options)
+{
+    return history(options).run();
+}
+
+} // namespace bramleygrade
--- /dev/null
+++ b/testing/history.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "testing/cell_fake.h"
+
+/// \file
+/// One randomised history of a cell: callers, operators and jobs while many things fail, and the
+/// verdict of the fakes' ledgers.
+
+namespace bramleygrade {
+
+struct history_options
+{
+    std::uint64_t seed = 1;
+    microseconds length = 75 * second;
+    bool hasFaults = true;
+    bool hasCallers = true;
+    bool hasOperators = true;
+    bool hasJobs = true;
+    /// Prints what happens, for reading a violation.
+    bool isTraced = false;
+};
+
+struct history_result
+{
+    /// What broke a promise; empty where all were kept.
+    std::vector<std::string> violations;
+    int requests = 0;
+    int done = 0;
+    int notRun = 0;
+    int mayHaveRun = 0;
+    int unanswered = 0;
+    int changesAccepted = 0;
+    int jobsAccepted = 0;
+    int tasksStarted = 0;
+    int tasksFinished = 0;
+    /// Samples of (shard, moment) in a table outage, and those with an entry that may act.
+    long outageSamples = 0;
+    long outageSamplesHeld = 0;
+    long samples = 0;
+    long samplesHeld = 0;
+};
+
+history_result runHistory(const history_options &options);
+
+} // namespace bramleygrade
