One named successor; promises held back while an own claim is unsettled

Cause of low availability in outages: an owner needs the promise of every successor, and each may be cut off. One is chosen. Ruled out: that the wait of a claimant alone covers a chain of two claims. Also: any member may claim where owner and successors are gone or the owner is silent and they are gone.

--- a/src/core/authority.cpp
+++ b/src/core/authority.cpp
@@ -41,6 +41,7 @@
 {
     if (view.unsettledVersion != 0 && version > view.unsettledVersion) {
         view.unsettledVersion = 0;
+        view.unsettledClaims = 0;
         view.proposedSuccessors.clear();
     }
 }
@@ -79,6 +80,7 @@
         "the epoch of a shard row fell; restore the table from its newest state");
     const bool isNewEpoch = row.epoch > view.row.epoch;
     const bool isNewOwner = row.owner != view.row.owner;
+    view.successorsSince = row.successors == view.row.successors ? view.successorsSince : now;
     view.row = row;
     view.rowVersion = version;
     settleWrites(view, version);
@@ -141,9 +143,7 @@
         if (found == state.shards.end()) {
             continue;
         }
-        // A claim of ours that is still under way need not hold the promise back: we shall wait for
-        // authoritySpan after we learn that it won, and the promise has lapsed by then.
-        if (found->second.row.epoch > asked->epoch) {
+        if (found->second.unsettledClaims > 0 || found->second.row.epoch > asked->epoch) {
             grant.claimed.push_back(std::make_unique<shard_epoch>(*asked));
         }
     }
--- a/src/core/authority.h
+++ b/src/core/authority.h
@@ -31,6 +31,8 @@
     shard_row row;
     std::uint64_t rowVersion = 0;
     timestamp knownSince = 0;
+    /// When this entry first read the present successors.
+    timestamp successorsSince = 0;
     /// Own authority; meaningful only while `row.owner` is this entry.
     timestamp ownedSince = distantFuture;
     timestamp actsFrom = distantFuture;
@@ -43,6 +45,10 @@
     std::vector<std::string> proposedSuccessors;
     /// Row version on which an unsettled write of ours depends; 0 where none is unsettled.
     std::uint64_t unsettledVersion = 0;
+    /// Claims of ours that may be in the table without our knowledge. While there are any, no
+    /// promise is given: the next claimant after us counts its wait from its own claim, not from
+    /// ours.
+    int unsettledClaims = 0;
     timestamp nextWriteAt = 0;
 };
 
--- a/src/core/cell_view.h
+++ b/src/core/cell_view.h
@@ -17,6 +17,9 @@
 constexpr microseconds listTrustLimit = 10 * second;
 /// The list may lack an instance this long after it began to act.
 constexpr microseconds listLagBound = 10 * second;
+/// Without successors that could act, any member claims a shard whose owner was not heard this
+/// long.
+constexpr microseconds ownerAbsenceLimit = 5 * second;
 /// A peer that was not heard for this long gets no new work.
 constexpr microseconds peerSilenceLimit = 3 * second;
 /// Row of a member that the list has not held for this long is erased.
@@ -26,7 +29,8 @@
 constexpr char documentShard[] = "documents";
 constexpr int homeShardCount = 14;
 
-constexpr std::size_t successorCount = 2;
+/// Each more successor is one more entry whose promise an owner needs in a table outage.
+constexpr std::size_t successorCount = 1;
 
 struct member_view
 {
@@ -90,7 +94,7 @@
 /// Members that were heard lately and are not leaving, this entry included, in order of name.
 std::vector<std::string> activeMembers(const cell_state &state, timestamp now);
 
-/// Two members to succeed this entry, first those in other failure domains.
+/// Members to succeed this entry, first those in other failure domains.
 std::vector<std::string> chooseSuccessors(const cell_state &state, timestamp now);
 
 void noteList(cell_state &state, const list_update &list, timestamp now);
--- a/src/core/shard_claims.cpp
+++ b/src/core/shard_claims.cpp
@@ -37,6 +37,7 @@
     view.nextWriteAt = context.now + writeRetryInterval;
     if (view.rowVersion != 0) {
         view.unsettledVersion = view.rowVersion;
+        view.unsettledClaims += isClaim ? 1 : 0;
     }
     startOperation(operations, std::move(write), context);
 }
@@ -76,12 +77,29 @@
     return now >= promisedUntil && now - lastWord >= patience;
 }
 
+/// An entry that is no successor claims a shard whose owner cannot act any more.
 bool mayClaimAsOutsider(const cell_state &cell, const std::string &shard, const shard_view &view,
                         timestamp now)
 {
     const microseconds delay = outsiderDelay(cell, shard);
-    return now - view.knownSince >= delay && isGone(cell, view.row.owner, view.knownSince, now)
-        && isGone(cell, view.row.owner, view.knownSince, now - delay);
+    if (now - view.knownSince < delay) {
+        return false;
+    }
+    const timestamp since = view.knownSince + delay;
+    if (isGone(cell, view.row.owner, since, now)) {
+        return true;
+    }
+    // Successors that are gone promise nothing more, so that the owner lives by its readings alone,
+    // and the wait of the claimant outlasts those.
+    const auto &successors = view.row.successors;
+    const bool areSuccessorsGone =
+        std::all_of(successors.begin(), successors.end(), [&](const std::string &successor) {
+            return isGone(cell, successor, view.successorsSince + delay, now);
+        });
+    const auto heard = cell.heardAt.find(view.row.owner);
+    const timestamp lastWord =
+        std::max(since, heard == cell.heardAt.end() ? distantPast : heard->second);
+    return areSuccessorsGone && now - lastWord >= ownerAbsenceLimit;
 }
 
 /// The natural holder creates a missing shard at once, the others after a while.
@@ -149,8 +167,8 @@
     row.successors = chooseSuccessors(cell, context.now);
     row.successors.erase(std::remove(row.successors.begin(), row.successors.end(), receiver),
                          row.successors.end());
-    row.successors.resize(std::min(row.successors.size(), successorCount - 1));
-    row.successors.push_back(cell.identity);
+    row.successors.insert(row.successors.begin(), cell.identity);
+    row.successors.resize(std::min(row.successors.size(), successorCount));
     row.handed_over = true;
     writeRow(authority, shard, row, false, operations, context);
 }
@@ -222,9 +240,13 @@
     if (cell.isDraining) {
         return;
     }
-    if (mayClaimAsSuccessor(authority, cell, view, context.now)
-        || mayClaimAsOutsider(cell, shard, view, context.now)) {
+    const bool mayClaimNow = mayClaimAsSuccessor(authority, cell, view, context.now)
+        || mayClaimAsOutsider(cell, shard, view, context.now);
+    if (mayClaimNow) {
         claim(authority, cell, shard, operations, context);
+    } else if (view.unsettledClaims > 0) {
+        // The owner is back: a new version of its row keeps the claim from landing late.
+        writeRow(authority, shard, view.row, false, operations, context);
     }
 }
 
@@ -269,6 +291,8 @@
     shard_view &view = authority.shards[operation.subject];
     if (result.outcome == table_outcome::not_applied) {
         // Surely without effect, but only this write: an earlier one may still be under way.
+        const bool wasClaim = operation.purpose == operation_purpose::claim;
+        view.unsettledClaims = std::max(0, view.unsettledClaims - (wasClaim ? 1 : 0));
         view.nextWriteAt = context.now + writeRetryInterval;
         return;
     }
--- a/testing/history.cpp
+++ b/testing/history.cpp
@@ -38,6 +38,7 @@
     bool isRepeat = false;
     /// An entry that lives has answered by then.
     timestamp answerBy = 0;
+    bool hasArrived = false;
 };
 
 class history
@@ -235,8 +236,14 @@
     request.body = record.body;
     ++record.attempts;
     ++record.open;
-    m_cell.after(1000 + static_cast<microseconds>(m_cell.draw(2000)),
-                 [this, entry, request] { m_cell.deliver(entry, request); });
+    m_cell.after(1000 + static_cast<microseconds>(m_cell.draw(2000)), [this, entry, request] {
+        const fake_entry &reached = m_cell.entries()[static_cast<std::size_t>(entry)];
+        const auto open = m_open.find(request.handle);
+        if (open != m_open.end()) {
+            open->second.hasArrived = reached.isAlive && m_cell.now() >= reached.pausedUntil;
+        }
+        m_cell.deliver(entry, request);
+    });
     // A caller gives up waiting when the connection ends without an answer; some ask twice early.
     const bool isHasty = m_cell.draw(8) == 0;
     m_cell.after(isHasty ? patience / 4 : patience + second, [this, id, handle] {
@@ -571,7 +578,10 @@
         trace("entry " + std::to_string(entry + 1) + " has drained");
         for (const auto &[handle, attempt] : m_open) {
             const fake_entry &target = m_cell.entries()[static_cast<std::size_t>(entry)];
-            (void)target;
+            if (attempt.entry == entry && attempt.hasArrived
+                && attempt.generation == target.generation) {
+                violate("a drain cut off " + attempt.request);
+            }
         }
         m_cell.killEntry(entry);
     };
