--- a/bench/load.cpp
+++ b/bench/load.cpp
@@ -146,6 +146,7 @@
     load_totals totals;
     std::atomic<int> next {0};
     std::vector<std::thread> threads;
+    threads.reserve(static_cast<std::size_t>(absl::GetFlag(FLAGS_threads)));
     const auto startedAt = steady::now();
     for (int thread = 0; thread < absl::GetFlag(FLAGS_threads); ++thread) {
         threads.emplace_back([&] {
--- a/test.sh
+++ b/test.sh
@@ -7,4 +7,4 @@
 BUILD=${BUILD:-build}
 cmake -S . -B "$BUILD" -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo > /dev/null
 cmake --build "$BUILD"
-ctest --test-dir "$BUILD" --output-on-failure -j "${JOBS:-4}"
+ctest --test-dir "$BUILD" --output-on-failure -j "${JOBS:-$(nproc)}"
--- /dev/null
+++ b/test/cell_view_test.cpp
@@ -0,0 +1,76 @@
+#define BOOST_TEST_MODULE cell_view
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/included/unit_test.hpp>
+
+#include "core/cell_view.h"
+
+using namespace bramleygrade;
+namespace data = boost::unit_test::data;
+
+namespace {
+
+constexpr timestamp now = 1000 * second;
+
+void list(cell_state &state, const std::vector<std::string> &racks, timestamp at)
+{
+    list_update update;
+    for (const std::string &rack : racks) {
+        auto worker = std::make_unique<instance>();
+        worker->name = "worker-" + rack;
+        worker->rack = rack;
+        update.instances.push_back(std::move(worker));
+    }
+    noteList(state, update, at);
+}
+
+} // namespace
+
+struct incarnation_pair
+{
+    const char *left;
+    const char *right;
+    bool isNewer;
+};
+
+std::ostream &operator<<(std::ostream &out, const incarnation_pair &pair)
+{
+    return out << pair.left << " and " << pair.right;
+}
+
+static const incarnation_pair pairs[] = {
+    {"entry-1#2", "entry-1#1", true},  {"entry-1#1", "entry-1#2", false},
+    {"entry-1#10", "entry-1#9", true}, {"entry-1#9", "entry-1#10", false},
+    {"entry-1#7", "entry-1#7", false},
+};
+
+BOOST_DATA_TEST_CASE(only_a_later_incarnation_supersedes, data::make(pairs), pair)
+{
+    BOOST_TEST(isNewerIncarnation(pair.left, pair.right) == pair.isNewer);
+}
+
+BOOST_AUTO_TEST_CASE(a_member_row_read_earlier_does_not_make_an_owner_gone)
+{
+    cell_state state;
+    state.members["entry-1"].row.identity = "entry-1#1";
+    BOOST_TEST(!isGone(state, "entry-1#2", now, now));
+    BOOST_TEST(isGone(state, "entry-1#0", now, now));
+}
+
+BOOST_AUTO_TEST_CASE(absence_from_the_list_counts_only_after_its_lag)
+{
+    cell_state state;
+    list(state, {"1"}, now);
+    BOOST_TEST(!isGone(state, "entry-1#1", now - listLagBound, now));
+    BOOST_TEST(isGone(state, "entry-1#1", now - listLagBound - 1, now));
+    BOOST_TEST(!isGone(state, "entry-1#1", distantPast, now + listTrustLimit));
+}
+
+BOOST_AUTO_TEST_CASE(a_rack_is_gone_only_by_a_trusted_list_and_after_its_lag)
+{
+    cell_state state;
+    BOOST_TEST(!isRackGone(state, "rack-2", distantPast, now)); // No list has come yet.
+    list(state, {"1"}, now);
+    BOOST_TEST(!isRackGone(state, "rack-1", distantPast, now));
+    BOOST_TEST(!isRackGone(state, "rack-2", now - second, now));
+    BOOST_TEST(isRackGone(state, "rack-2", now - listLagBound - 1, now));
+}
--- /dev/null
+++ b/test/json_codec_test.cpp
@@ -0,0 +1,86 @@
+#define BOOST_TEST_MODULE json_codec
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/included/unit_test.hpp>
+
+#include <random>
+
+#include "bramleygrade/json_codec.h"
+
+using namespace bramleygrade;
+namespace data = boost::unit_test::data;
+
+struct bad_text
+{
+    const char *text;
+    const char *expected;
+};
+
+std::ostream &operator<<(std::ostream &out, const bad_text &bad)
+{
+    return out << bad.text;
+}
+
+static const bad_text badDocuments[] = {
+    {"{\n \"servce\": \"x\"}", "2: 14: error: unknown field: servce"},
+    {"{ \"team\": 7 }", "expecting"},
+    {"{ \"policy\": \"fastest\" }", "unknown enum value"},
+    {"{ \"service\": \"x\"", "expecting"},
+    {"", "input file is empty"},
+    {"[1, 2]", "expecting"},
+};
+
+BOOST_DATA_TEST_CASE(bad_text_is_refused_with_its_reason, data::make(badDocuments), bad)
+{
+    const auto parsed = parseJson<service_document>(bad.text);
+    BOOST_REQUIRE(!parsed);
+    BOOST_TEST(parsed.error().message.find(bad.expected) != std::string::npos,
+               "expected \"" << bad.expected << "\" in \"" << parsed.error().message << "\"");
+    BOOST_TEST(parsed.error().message.find("correct this line") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(comments_are_allowed)
+{
+    const auto parsed = parseJson<service_document>("{ // why\n \"service\": \"booking\" }");
+    BOOST_REQUIRE(parsed);
+    BOOST_TEST(parsed->service == "booking");
+}
+
+BOOST_AUTO_TEST_CASE(a_message_survives_the_way_through_text)
+{
+    peer_message message;
+    message.from = "entry-1#7";
+    message.to = "entry-2#9";
+    message.sent_at = 12;
+    promise_grant grant;
+    grant.asked_at = 99;
+    grant.claimed.push_back(std::make_unique<shard_epoch>());
+    grant.claimed.back()->shard = "rack-\"1\"";
+    grant.claimed.back()->epoch = 3;
+    message.body.Set(grant);
+    const auto parsed = parseJson<peer_message>(toJson(message));
+    BOOST_REQUIRE(parsed);
+    BOOST_TEST((*parsed == message));
+}
+
+BOOST_AUTO_TEST_CASE(damaged_text_never_does_harm)
+{
+    std::mt19937 random(7);
+    const std::string good = R"({"from":"a","to":"b","body_type":"load_report","body":)"
+                             R"({"services":[{"service":"x","free_slots":3}]}})";
+    int accepted = 0;
+    for (int round = 0; round < 20'000; ++round) {
+        std::string text = good;
+        for (unsigned count = 1 + random() % 4; count > 0; --count) {
+            const std::size_t place = random() % text.size();
+            if (random() % 2 == 0) {
+                text[place] = static_cast<char>(random() % 256);
+            } else {
+                text.erase(place, 1 + random() % 5);
+            }
+        }
+        const auto parsed = parseJson<peer_message>(text);
+        accepted += parsed ? 1 : 0;
+        BOOST_REQUIRE(parsed || !parsed.error().message.empty());
+    }
+    BOOST_TEST(accepted < 20'000);
+}
--- /dev/null
+++ b/test/request_queue_test.cpp
@@ -0,0 +1,47 @@
+#define BOOST_TEST_MODULE request_queue
+#include <boost/test/included/unit_test.hpp>
+
+#include "core/request_queue.h"
+
+using namespace bramleygrade;
+
+BOOST_AUTO_TEST_CASE(the_team_with_the_fewest_slots_goes_first)
+{
+    service_queue queue;
+    for (std::uint64_t number = 1; number <= 10; ++number) {
+        enqueue(queue, "busy", number);
+    }
+    enqueue(queue, "quiet", 11);
+    queue.teams["busy"].inFlight = 1;
+    BOOST_TEST(dequeueFairly(queue) == 11u);
+    BOOST_TEST(dequeueFairly(queue) == 1u);
+    BOOST_TEST(queue.waiting == 9u);
+}
+
+BOOST_AUTO_TEST_CASE(an_empty_queue_gives_nothing)
+{
+    service_queue queue;
+    BOOST_TEST(dequeueFairly(queue) == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(a_request_put_back_keeps_its_place)
+{
+    service_queue queue;
+    enqueue(queue, "a", 1);
+    enqueue(queue, "a", 2);
+    requeue(queue, "a", dequeueFairly(queue));
+    BOOST_TEST(dequeueFairly(queue) == 1u);
+    removeWaiting(queue, "a", 2);
+    BOOST_TEST(queue.waiting == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(a_burst_of_one_team_does_not_lengthen_the_expected_wait_of_another)
+{
+    service_queue queue;
+    queue.meanAnswer = 100 * millisecond;
+    for (std::uint64_t number = 1; number <= 100; ++number) {
+        enqueue(queue, "burst", number);
+    }
+    BOOST_TEST(expectedWait(queue, "burst", 10) == 1000 * millisecond);
+    BOOST_TEST(expectedWait(queue, "quiet", 10) == 10 * millisecond);
+}
--- /dev/null
+++ b/test/task_owner_test.cpp
@@ -0,0 +1,210 @@
+#define BOOST_TEST_MODULE task_owner
+#include <boost/test/included/unit_test.hpp>
+
+#include "core/task_owner.h"
+
+using namespace bramleygrade;
+
+namespace {
+
+constexpr timestamp start = 1000 * second;
+const std::string self = "entry-1#1";
+
+/// One entry that owns rack 1 with two workers, and is not the home of any job.
+struct owner_fixture
+{
+    owner_fixture()
+    {
+        state.cell.identity = self;
+        list_update list;
+        for (int number = 1; number <= 2; ++number) {
+            auto worker = std::make_unique<instance>();
+            worker->name = "worker-" + std::to_string(number);
+            worker->failure_domain = "domain-a";
+            worker->rack = "1";
+            worker->cpu_millis = 4000;
+            worker->memory_mb = 8000;
+            worker->accelerators = number == 2 ? 2 : 0;
+            list.instances.push_back(std::move(worker));
+        }
+        noteList(state.cell, list, start);
+        noteInstances(state.pool, state.cell);
+        shard_row row;
+        row.epoch = 1;
+        row.owner = self;
+        noteShardRow(state.authority, self, "rack-1", row, 1, start, start);
+        row.owner = "entry-2#1";
+        noteShardRow(state.authority, self, homeShardOf("seats"), row, 2, start, start);
+        for (auto &[name, worker] : state.pool.workers) {
+            worker.seenAt = start + clockOffsetBound;
+            worker.ownedEpoch = 1;
+        }
+        document_row document;
+        document.sequence = 1;
+        document.document = std::make_unique<service_document>();
+        document.document->service = "seats";
+        document.document->allowed_domains = {"domain-a"};
+        document.document->policy = placement_policy::best_packing;
+        state.documents.documents["seats"].row = document;
+        state.documents.isLoaded = true;
+        state.documents.freshUntil = start + 5 * second;
+    }
+
+    place_task wish(int task, std::int64_t cpu, placement_step step = placement_step::start)
+    {
+        place_task wanted;
+        wanted.job = std::make_unique<job_specification>();
+        wanted.job->id = "job";
+        wanted.job->service = "seats";
+        wanted.task = task;
+        wanted.incarnation = 7;
+        wanted.shard = "rack-1";
+        wanted.step = step;
+        wanted.start_by = start + 2 * second;
+        wanted.cpu_millis = cpu;
+        wanted.memory_mb = 1000;
+        return wanted;
+    }
+
+    void place(const place_task &wanted)
+    {
+        commands.clear();
+        step_context context {start + second, commands};
+        takePlaceTask(state, "entry-2#1", wanted, context);
+    }
+
+    int starts() const
+    {
+        int count = 0;
+        for (const command &wanted : commands) {
+            const auto *call = std::get_if<worker_call>(&wanted);
+            count += call != nullptr && call->kind == worker_call_kind::start ? 1 : 0;
+        }
+        return count;
+    }
+
+    placement_result told() const
+    {
+        for (const command &wanted : commands) {
+            const auto *message = std::get_if<peer_message>(&wanted);
+            const auto *report = message == nullptr ? nullptr : message->body.Astask_report();
+            if (report != nullptr) {
+                return report->result;
+            }
+        }
+        return placement_result::absent;
+    }
+
+    void answerStart(const std::string &worker, bool accepted)
+    {
+        commands.clear();
+        step_context context {start + second, commands};
+        worker_result result;
+        result.worker = worker;
+        result.kind = worker_call_kind::start;
+        result.asked_at = start + second;
+        result.reached = true;
+        result.accepted = accepted;
+        result.seen = std::make_unique<worker_report>();
+        result.order = std::make_unique<task_order>();
+        result.order->job = "job";
+        result.order->incarnation = 7;
+        noteTaskCall(state, state.pool.workers.at(worker), result, context);
+    }
+
+    entry_state state;
+    std::vector<command> commands;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(no_worker_is_committed_beyond_its_resources, owner_fixture)
+{
+    for (int task = 0; task < 4; ++task) {
+        place(wish(task, 2000));
+        BOOST_TEST(starts() == 1);
+    }
+    place(wish(4, 2000));
+    BOOST_TEST(starts() == 0);
+    for (const auto &[name, worker] : state.pool.workers) {
+        BOOST_TEST(worker.committed.cpuMillis == 4000);
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(a_repeated_message_starts_nothing_twice, owner_fixture)
+{
+    place(wish(0, 2000));
+    BOOST_TEST(starts() == 1);
+    place(wish(0, 2000));
+    BOOST_TEST(starts() == 0);
+}
+
+BOOST_FIXTURE_TEST_CASE(what_was_refused_stays_refused_when_its_message_is_repeated, owner_fixture)
+{
+    place(wish(0, 2000));
+    answerStart("worker-1", false);
+    BOOST_TEST(state.pool.workers.at("worker-1").tasks.empty());
+    place(wish(0, 2000));
+    BOOST_TEST(starts() == 0);
+    BOOST_TEST((told() == placement_result::refused || told() == placement_result::absent));
+}
+
+BOOST_FIXTURE_TEST_CASE(an_order_that_comes_too_late_is_not_carried_out, owner_fixture)
+{
+    place_task late = wish(0, 2000);
+    late.start_by = start + second;
+    place(late);
+    BOOST_TEST(starts() == 0);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_placement_of_an_earlier_home_is_refused, owner_fixture)
+{
+    state.homeFence[homeShardOf("seats")] = 5;
+    place(wish(0, 2000));
+    BOOST_TEST(starts() == 0);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_shard_about_to_be_handed_over_takes_nothing_new, owner_fixture)
+{
+    state.authority.shards.at("rack-1").isClosing = true;
+    place(wish(0, 2000));
+    BOOST_TEST(starts() == 0);
+}
+
+BOOST_FIXTURE_TEST_CASE(accelerators_are_kept_for_those_who_need_them, owner_fixture)
+{
+    place(wish(0, 2000));
+    BOOST_TEST(state.pool.workers.at("worker-1").tasks.size() == 1u);
+    place_task wanted = wish(1, 1000);
+    wanted.accelerators = 1;
+    place(wanted);
+    BOOST_TEST(state.pool.workers.at("worker-2").tasks.size() == 1u);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_hold_takes_resources_and_a_release_gives_them_back, owner_fixture)
+{
+    place(wish(0, 4000, placement_step::hold));
+    BOOST_TEST((told() == placement_result::held));
+    BOOST_TEST(state.pool.workers.at("worker-1").committed.cpuMillis == 4000);
+    place(wish(0, 4000, placement_step::release));
+    BOOST_TEST(state.pool.workers.at("worker-1").committed.cpuMillis == 0);
+}
+
+BOOST_FIXTURE_TEST_CASE(urgent_work_makes_room_by_checkpoints, owner_fixture)
+{
+    state.pool.workers.at("worker-2").saysLeaving = true;
+    place_task first = wish(0, 4000);
+    first.job->checkpointable = true;
+    place(first);
+    answerStart("worker-1", true);
+    place_task urgent = wish(1, 4000);
+    urgent.job->urgent = true;
+    place(urgent);
+    int checkpoints = 0;
+    for (const command &wanted : commands) {
+        const auto *call = std::get_if<worker_call>(&wanted);
+        checkpoints += call != nullptr && call->kind == worker_call_kind::checkpoint ? 1 : 0;
+    }
+    BOOST_TEST(checkpoints == 1);
+    BOOST_TEST(starts() == 0);
+}
--- /dev/null
+++ b/test/worker_pool_test.cpp
@@ -0,0 +1,142 @@
+#define BOOST_TEST_MODULE worker_pool
+#include <boost/test/included/unit_test.hpp>
+
+#include "core/worker_pool.h"
+
+using namespace bramleygrade;
+
+namespace {
+
+const std::string self = "entry-1#1";
+constexpr timestamp now = 1000 * second;
+
+/// Six workers with four slots in two domains, all known to their owner.
+struct pool_fixture
+{
+    pool_fixture()
+    {
+        list_update list;
+        for (int number = 1; number <= 6; ++number) {
+            auto worker = std::make_unique<instance>();
+            worker->name = "worker-" + std::to_string(number);
+            worker->failure_domain = number <= 3 ? "domain-a" : "domain-b";
+            worker->rack = "1";
+            worker->service = "booking";
+            worker->slots = 4;
+            list.instances.push_back(std::move(worker));
+        }
+        noteList(cell, list, now);
+        noteInstances(pool, cell);
+        shard_row row;
+        row.epoch = 1;
+        row.owner = self;
+        noteShardRow(authority, self, "rack-1", row, 1, now, now);
+        for (auto &[name, worker] : pool.workers) {
+            worker.seenAt = now + clockOffsetBound;
+        }
+        document.service = "booking";
+        document.allowed_domains = {"domain-a"};
+    }
+
+    std::string choose(const std::string &avoided = {})
+    {
+        const worker_view *chosen =
+            chooseEndpoint(pool, authority, self, document, avoided, now + second);
+        return chosen == nullptr ? std::string() : chosen->info.name;
+    }
+
+    void fail(const std::string &name, int times)
+    {
+        for (int count = 0; count < times; ++count) {
+            noteEndpointFailure(pool, pool.workers.at(name), now + second);
+        }
+    }
+
+    cell_state cell;
+    authority_state authority;
+    worker_pool pool;
+    service_document document;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(waiting_spreads_and_packing_fills, pool_fixture)
+{
+    pool.workers.at("worker-1").busySlots = 2;
+    pool.workers.at("worker-2").busySlots = 1;
+    BOOST_TEST(choose() == "worker-3");
+    document.policy = placement_policy::best_packing;
+    BOOST_TEST(choose() == "worker-1");
+}
+
+BOOST_FIXTURE_TEST_CASE(data_never_leaves_its_domains_even_when_they_are_full, pool_fixture)
+{
+    for (const char *name : {"worker-1", "worker-2", "worker-3"}) {
+        pool.workers.at(name).busySlots = 4;
+    }
+    BOOST_TEST(choose() == "");
+}
+
+BOOST_FIXTURE_TEST_CASE(leaving_and_unseen_workers_get_nothing, pool_fixture)
+{
+    pool.workers.at("worker-1").saysLeaving = true;
+    pool.workers.at("worker-2").info.state = instance_state::leaving;
+    pool.workers.at("worker-3").seenAt = now;
+    BOOST_TEST(choose() == "");
+}
+
+BOOST_FIXTURE_TEST_CASE(slots_of_others_count_as_taken, pool_fixture)
+{
+    pool.workers.at("worker-1").foreignSlots = 4;
+    pool.workers.at("worker-2").foreignSlots = 4;
+    pool.workers.at("worker-3").busySlots = 3;
+    BOOST_TEST(choose() == "worker-3");
+    pool.workers.at("worker-3").foreignSlots = 1;
+    BOOST_TEST(choose() == "");
+}
+
+BOOST_FIXTURE_TEST_CASE(an_endpoint_that_fails_fast_is_left_out_but_never_too_many, pool_fixture)
+{
+    document.allowed_domains = {"domain-a", "domain-b"};
+    for (const char *name : {"worker-1", "worker-2", "worker-3", "worker-4"}) {
+        fail(name, 5);
+    }
+    const int ejected = static_cast<int>(
+        std::count_if(pool.workers.begin(), pool.workers.end(), [](const auto &item) {
+            return item.second.health.ejectedUntil > now + second;
+        }));
+    BOOST_TEST(ejected == 2);
+}
+
+BOOST_FIXTURE_TEST_CASE(after_its_ejection_an_endpoint_is_tried_with_one_request, pool_fixture)
+{
+    document.allowed_domains = {"domain-a", "domain-b"};
+    fail("worker-1", 3);
+    worker_view &worker = pool.workers.at("worker-1");
+    const timestamp after = worker.health.ejectedUntil;
+    BOOST_TEST(usableSlots(worker, authority, self, after - 1) == 0);
+    BOOST_TEST(usableSlots(worker, authority, self, after) == 1);
+    worker.health.isProbing = true;
+    BOOST_TEST(usableSlots(worker, authority, self, after) == 0);
+    noteEndpointSuccess(worker, millisecond);
+    BOOST_TEST(usableSlots(worker, authority, self, after) == 4);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_slow_endpoint_gets_less, pool_fixture)
+{
+    for (const char *name : {"worker-1", "worker-2", "worker-3"}) {
+        pool.workers.at(name).health.meanAnswer = 10 * millisecond;
+    }
+    pool.workers.at("worker-1").health.meanAnswer = 100 * millisecond;
+    pool.workers.at("worker-2").busySlots = 3;
+    pool.workers.at("worker-3").busySlots = 2;
+    BOOST_TEST(choose() == "worker-3");
+}
+
+BOOST_FIXTURE_TEST_CASE(a_repeated_attempt_goes_elsewhere, pool_fixture)
+{
+    pool.workers.at("worker-2").busySlots = 3;
+    pool.workers.at("worker-3").busySlots = 3;
+    BOOST_TEST(choose() == "worker-1");
+    BOOST_TEST(choose("worker-1") != "worker-1");
+}
--- a/testing/cell_fake.cpp
+++ b/testing/cell_fake.cpp
@@ -231,7 +231,7 @@
     if (auto *transaction = std::get_if<table_command>(&wanted)) {
         transact(index, *transaction);
     } else if (auto *message = std::get_if<peer_message>(&wanted)) {
-        sendMessage(index, std::move(*message));
+        sendMessage(index, *message);
     } else if (auto *request = std::get_if<dispatch_request>(&wanted)) {
         // The adapter's own thread may run a moment later, or only after a pause.
         after(static_cast<microseconds>(draw(2 * millisecond)),
@@ -321,7 +321,7 @@
     return -1;
 }
 
-void cell_fake::sendMessage(int index, peer_message message)
+void cell_fake::sendMessage(int index, const peer_message &message)
 {
     ++counters.peerMessages;
     const int target = indexOfIdentity(message.to);
--- a/testing/cell_fake.h
+++ b/testing/cell_fake.h
@@ -183,7 +183,7 @@
     void carryOut(int index, command wanted);
     void transact(int index, const table_command &wanted);
     void applyTransaction(int index, std::uint64_t generation, const table_command &wanted);
-    void sendMessage(int index, peer_message message);
+    void sendMessage(int index, const peer_message &message);
     void sendRequest(int index, const dispatch_request &wanted);
     void arriveAtEndpoint(int index, const dispatch_request &wanted);
     void finishAttempt(int index, const dispatch_request &wanted, endpoint_outcome outcome,
