Ids that lead to a living home; final answers at once when a peer is lost; a drain that waits

Cause: with an entry killed under 4000 unrepeatable requests, callers were sent to homes known to be dead, and forwards to a dead peer were answered only at their deadline. A drained entry stopped deciding while callers that came late still waited (seen in the process run: "did not decide in time"). Change: GET /v1/request-id draws ids of reachable homes; a refused connection marks a peer silent at once; an unclear delivery ends its requests at once; the daemon refuses new callers after the drain and waits for the others; the load client takes a new id after not-run, as callers should. The process test now fails when a drain cuts off a caller.

--- a/bench/load.cpp
+++ b/bench/load.cpp
@@ -10,6 +10,7 @@
 #include <chrono>
 #include <fstream>
 #include <iostream>
+#include <map>
 #include <mutex>
 #include <thread>
 #include <vector>
@@ -30,6 +31,7 @@
 ABSL_FLAG(int, attempts, 6, "attempts for each request");
 ABSL_FLAG(int, pause_ms, 0, "pause of each thread between two requests");
 ABSL_FLAG(bool, unrepeatable, false, "give each request an id");
+ABSL_FLAG(bool, own_ids, false, "make up ids instead of asking the entry for one");
 ABSL_FLAG(std::string, verdict, "", "file for `id outcome` lines");
 
 namespace bramleygrade {
@@ -42,7 +44,8 @@
 {
     std::mutex mutex;
     std::vector<double> waits;
-    std::vector<std::string> verdicts;
+    /// What was said last about each id.
+    std::map<std::string, std::string> verdicts;
     int done = 0;
     int notRun = 0;
     int mayHaveRun = 0;
@@ -58,7 +61,20 @@
     return absl::StrCat(now.count(), "-load-", number);
 }
 
-/// One attempt through one entry; the outcome header, or empty where the entry gave no answer.
+/// An id from the entry, or one of our own where it does not answer.
+std::string askForId(const std::string &entry, int number)
+{
+    const std::vector<std::string> parts = absl::StrSplit(entry, ':');
+    httplib::Client client(parts.at(0), std::stoi(parts.at(1)));
+    client.set_connection_timeout(1, 0);
+    client.set_read_timeout(1, 0);
+    const httplib::Result result = client.Get("/v1/request-id");
+    return result && result->status == 200 ? result->body.substr(0, result->body.find('\n'))
+                                           : newId(number);
+}
+
+/// One attempt through one entry: the outcome header, "not-sent" where no connection opened, or
+/// empty where the answer was lost.
 std::string attempt(const std::string &entry, const std::string &id, bool isRepeat,
                     const std::string &token, std::string &body)
 {
@@ -78,7 +94,7 @@
     const std::string path = "/v1/services/" + absl::GetFlag(FLAGS_service) + "/call";
     const httplib::Result result = client.Post(path.c_str(), headers, token, "text/plain");
     if (!result) {
-        return {};
+        return result.error() == httplib::Error::Connection ? "not-sent" : "";
     }
     body = result->body;
     return result->get_header_value("Bramley-Outcome");
@@ -87,17 +103,28 @@
 void sendOne(int number, const std::vector<std::string> &entries, load_totals &totals)
 {
     const std::string token = absl::StrCat("token-", number, "-end");
-    const std::string id = absl::GetFlag(FLAGS_unrepeatable) ? newId(number) : std::string();
+    const bool isUnrepeatable = absl::GetFlag(FLAGS_unrepeatable);
     const auto startedAt = steady::now();
+    std::string id;
     std::string outcome;
     std::string body;
+    bool isRepeat = false;
     int tries = 0;
     for (; tries < absl::GetFlag(FLAGS_attempts); ++tries) {
         const std::string &entry =
             entries[static_cast<std::size_t>(number + tries) % entries.size()];
-        outcome = attempt(entry, id, !id.empty() && tries > 0, token, body);
-        const bool isFinal = outcome == "done" || (outcome == "not-run" && !id.empty());
-        if (isFinal) {
+        // "Not run" is final for an id: the request is sent again under a new one.
+        if (isUnrepeatable && !isRepeat) {
+            id = absl::GetFlag(FLAGS_own_ids) ? absl::StrCat(newId(number), "-", tries)
+                                              : askForId(entry, number);
+        }
+        outcome = attempt(entry, id, isRepeat, token, body);
+        isRepeat = isUnrepeatable && outcome != "not-run" && outcome != "not-sent";
+        if (isUnrepeatable) {
+            const std::lock_guard<std::mutex> lock(totals.mutex);
+            totals.verdicts[id] = outcome.empty() ? "unreachable" : outcome;
+        }
+        if (outcome == "done") {
             break;
         }
         std::this_thread::sleep_for(std::chrono::milliseconds(200));
@@ -116,9 +143,6 @@
     } else {
         ++totals.unreachable;
     }
-    if (!id.empty()) {
-        totals.verdicts.push_back(id + " " + (outcome.empty() ? "unreachable" : outcome));
-    }
 }
 
 double percentile(const std::vector<double> &sorted, double share)
@@ -171,8 +195,8 @@
               << std::endl;
     if (!absl::GetFlag(FLAGS_verdict).empty()) {
         std::ofstream file(absl::GetFlag(FLAGS_verdict));
-        for (const std::string &line : totals.verdicts) {
-            file << line << '\n';
+        for (const auto &[id, outcome] : totals.verdicts) {
+            file << id << ' ' << outcome << '\n';
         }
     }
     return totals.wrong == 0 ? 0 : 1;
--- a/include/bramleygrade/inspection.h
+++ b/include/bramleygrade/inspection.h
@@ -26,6 +26,13 @@
 /// Addresses of all members, by identity.
 std::map<std::string, member_address> memberAddresses(const decision_core &core);
 
+/// Homes of request ids whose owner can be reached from here and vouches for new ids; bit `n`
+/// stands for home `n`.
+std::uint32_t reachableHomes(const decision_core &core, timestamp now);
+
+/// Number of the home of a request id.
+int homeNumberOf(const std::string &requestId);
+
 /// True once the entry has been asked to leave the cell.
 bool isDraining(const decision_core &core);
 
--- a/src/core/decision_core.cpp
+++ b/src/core/decision_core.cpp
@@ -125,11 +125,18 @@
     if (notice.message == nullptr) {
         return;
     }
+    if (!notice.may_have_arrived) {
+        // Nobody listens there: no new work goes to the peer until it is heard again.
+        state.cell.heardAt.erase(notice.message->to);
+    }
     if (const auto *forward = notice.message->body.Asforward_request()) {
         request_environment environment = environmentOf(state);
-        noteForwardUndelivered(state.requests, environment, *forward, context);
+        noteForwardUndelivered(state.requests, environment, *forward, notice.may_have_arrived,
+                               context);
     } else if (const auto *operation = notice.message->body.Asforward_operation()) {
-        noteOperationUndelivered(state, *operation, context);
+        if (!notice.may_have_arrived) {
+            noteOperationUndelivered(state, *operation, context);
+        }
     }
 }
 
--- a/src/core/inspection.cpp
+++ b/src/core/inspection.cpp
@@ -228,6 +228,39 @@
     return addresses;
 }
 
+std::uint32_t reachableHomes(const decision_core &core, timestamp now)
+{
+    // A claimant waits before it acts, and vouches only for ids issued after that.
+    constexpr microseconds claimedHomeDelay =
+        lengthenedByClockError(authoritySpan) + futureTolerance + 2 * clockOffsetBound;
+    constexpr microseconds handedHomeDelay = futureTolerance + 2 * clockOffsetBound;
+    const entry_state &state = core.state();
+    std::uint32_t homes = 0;
+    for (int number = 0; number < homeShardCount; ++number) {
+        const auto found = state.authority.shards.find("home-" + std::to_string(number));
+        if (found == state.authority.shards.end() || found->second.rowVersion == 0) {
+            continue;
+        }
+        const shard_view &view = found->second;
+        const bool isHanded = view.row.handed_over || view.row.epoch == 1;
+        const microseconds delay = isHanded ? handedHomeDelay : claimedHomeDelay;
+        const auto heard = state.cell.heardAt.find(view.row.owner);
+        const bool isHere = view.row.owner == state.cell.identity;
+        const bool isActing = isHere
+            ? holdsAuthority(state.authority, state.cell.identity, found->first, now)
+            : heard != state.cell.heardAt.end() && now - heard->second < 2 * second;
+        if (isActing && now - view.knownSince > delay) {
+            homes |= std::uint32_t {1} << number;
+        }
+    }
+    return homes;
+}
+
+int homeNumberOf(const std::string &requestId)
+{
+    return std::stoi(homeShardOf(requestId).substr(std::string("home-").size()));
+}
+
 bool isDraining(const decision_core &core)
 {
     return core.state().cell.isDraining;
--- a/src/core/requests.cpp
+++ b/src/core/requests.cpp
@@ -356,7 +356,8 @@
 }
 
 void noteForwardUndelivered(request_flow &flow, request_environment &environment,
-                            const forward_request &request, step_context &context)
+                            const forward_request &request, bool mayHaveArrived,
+                            step_context &context)
 {
     const auto found = flow.requests.find(request.number);
     if (found == flow.requests.end() || found->second.phase != request_phase::forwarded) {
@@ -364,14 +365,21 @@
     }
     flow.peers.erase(found->second.target);
     const bool canRouteElsewhere = !request.as_home;
-    if (canRouteElsewhere && retryElsewhere(flow, environment, request.number, true, context)) {
+    if (canRouteElsewhere
+        && retryElsewhere(flow, environment, request.number, !mayHaveArrived, context)) {
         return;
     }
-    finishRequest(
-        flow, environment, request.number,
-        makeNotRunFor(found->second,
-                      "the entry that remembers this id cannot be reached; come back later", 1'000),
-        context);
+    if (mayHaveArrived) {
+        finishRequest(flow, environment, request.number,
+                      makeMayHaveRun("the entry that got the request does not answer"), context);
+        return;
+    }
+    finishRequest(flow, environment, request.number,
+                  makeNotRunFor(found->second,
+                                "the entry that remembers this id cannot be reached; come back "
+                                "later",
+                                1'000),
+                  context);
 }
 
 void noteEndpointResult(request_flow &flow, request_environment &environment,
--- a/src/core/requests.h
+++ b/src/core/requests.h
@@ -126,9 +126,11 @@
 void noteForwardAnswer(request_flow &flow, request_environment &environment,
                        const std::string &from, const forward_answer &result,
                        step_context &context);
-/// No byte of the forward can have reached the peer.
+/// The forward did not get through; unless `mayHaveArrived`, no byte of it can have reached the
+/// peer.
 void noteForwardUndelivered(request_flow &flow, request_environment &environment,
-                            const forward_request &request, step_context &context);
+                            const forward_request &request, bool mayHaveArrived,
+                            step_context &context);
 void noteEndpointResult(request_flow &flow, request_environment &environment,
                         const endpoint_result &result, step_context &context);
 void noteLoad(request_flow &flow, const std::string &from, const load_report &report,
--- a/src/daemon/caller_server.cpp
+++ b/src/daemon/caller_server.cpp
@@ -5,6 +5,7 @@
 
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
+#include "bramleygrade/inspection.h"
 #include "bramleygrade/json_codec.h"
 #include "daemon/clock.h"
 #include "daemon/log.h"
@@ -55,12 +56,6 @@
     return outcome;
 }
 
-std::string newRequestId()
-{
-    thread_local std::mt19937_64 random(std::random_device {}());
-    return absl::StrCat(currentTime() / millisecond, "-", absl::Hex(random(), absl::kZeroPad16));
-}
-
 /// What is wrong with the headers, or nothing.
 std::string explainHeaders(const httplib::Request &request, std::int64_t &deadlineMs)
 {
@@ -106,7 +101,7 @@
                   [this](const httplib::Request &request, httplib::Response &response) {
                       serve(request, response);
                   });
-    m_server.Get("/v1/request-id", [](const httplib::Request &, httplib::Response &response) {
+    m_server.Get("/v1/request-id", [this](const httplib::Request &, httplib::Response &response) {
         response.set_content(newRequestId() + "\n", "text/plain");
     });
     m_server.Get("/health", [this](const httplib::Request &, httplib::Response &response) {
@@ -120,6 +115,22 @@
     return true;
 }
 
+/// An id whose home can be reached now, so that a caller is not sent to one that is being replaced.
+std::string caller_server::newRequestId() const
+{
+    constexpr int drawLimit = 256;
+    thread_local std::mt19937_64 random(std::random_device {}());
+    std::string id;
+    for (int draw = 0; draw < drawLimit; ++draw) {
+        id = absl::StrCat(currentTime() / millisecond, "-", absl::Hex(random(), absl::kZeroPad16));
+        const std::uint32_t bit = std::uint32_t {1} << homeNumberOf(id);
+        if ((m_homes & bit) != 0) {
+            break;
+        }
+    }
+    return id;
+}
+
 void caller_server::answer(std::uint64_t handle, bramleygrade::answer outcome)
 {
     m_room.answer(handle, std::move(outcome));
@@ -153,6 +164,14 @@
         respond(makeRefusal(problem, statusBadRequest, 0), response);
         return;
     }
+    if (m_isClosed) {
+        bramleygrade::answer refusal = makeRefusal("this entry is leaving; ask another one", 0, 1);
+        if (request.has_header("Bramley-Repeat")) {
+            refusal.outcome = outcome::may_have_run;
+        }
+        respond(refusal, response);
+        return;
+    }
     const timestamp now = currentTime();
     caller_request wanted;
     wanted.handle = m_room.enter();
--- a/src/daemon/caller_server.h
+++ b/src/daemon/caller_server.h
@@ -26,6 +26,10 @@
     void answer(std::uint64_t handle, answer outcome);
     /// Fails the health check, so that the balancer sends nothing new.
     void refuseHealth() { m_isLeaving = true; }
+    /// Refuses new requests at once; those in progress get their answers.
+    void close() { m_isClosed = true; }
+    /// Homes to which new request ids may lead.
+    void noteHomes(std::uint32_t homes) { m_homes = homes; }
     std::size_t waiting() const { return m_room.size(); }
 
 private:
@@ -36,7 +40,11 @@
     const int m_port;
     decision_ring &m_decisions;
     waiting_room<bramleygrade::answer> m_room;
+    std::string newRequestId() const;
+
+    std::atomic<std::uint32_t> m_homes {0};
     std::atomic<bool> m_isLeaving {false};
+    std::atomic<bool> m_isClosed {false};
     httplib::Server m_server;
     std::thread m_thread;
 };
--- a/src/daemon/decision_loop.cpp
+++ b/src/daemon/decision_loop.cpp
@@ -12,10 +12,12 @@
 
 } // namespace
 
-decision_loop::decision_loop(const entry_identity &identity, decision_ring &ring, command_sink sink)
+decision_loop::decision_loop(const entry_identity &identity, decision_ring &ring, command_sink sink,
+                             tick_observer observer)
     : m_core(identity)
     , m_ring(ring)
     , m_sink(std::move(sink))
+    , m_observer(std::move(observer))
 {
 }
 
@@ -51,6 +53,7 @@
         const timestamp now = currentTime();
         if (now >= nextTick) {
             decide(tick {});
+            m_observer(m_core, now);
             nextTick = now + tickInterval;
         }
         auto input = m_ring.popUntil(
--- a/src/daemon/decision_loop.h
+++ b/src/daemon/decision_loop.h
@@ -16,6 +16,9 @@
 /// Carries out one command; must not block.
 using command_sink = std::function<void(const decision_core &, command &&)>;
 
+/// Looks at the core after each tick; must not block.
+using tick_observer = std::function<void(const decision_core &, timestamp now)>;
+
 /// The duty that decides: it alone touches the core, and hands each command to the sink.
 ///
 ///     decision_loop loop(identity, ring, sink);
@@ -26,7 +29,8 @@
 class decision_loop
 {
 public:
-    decision_loop(const entry_identity &identity, decision_ring &ring, command_sink sink);
+    decision_loop(const entry_identity &identity, decision_ring &ring, command_sink sink,
+                  tick_observer observer);
     ~decision_loop();
     void start();
     /// Ends the thread once the ring is closed.
@@ -39,6 +43,7 @@
     decision_core m_core;
     decision_ring &m_ring;
     command_sink m_sink;
+    tick_observer m_observer;
     std::thread m_thread;
 };
 
--- a/src/daemon/entry_daemon.cpp
+++ b/src/daemon/entry_daemon.cpp
@@ -22,6 +22,8 @@
 constexpr microseconds waitStep = 50 * millisecond;
 /// A drain that takes longer than this ends without having handed everything over.
 constexpr microseconds drainLimit = 120 * second;
+/// No caller waits for longer than this.
+constexpr microseconds longestCallerWait = 62 * second;
 /// After the drain the balancer and peers get this long to notice.
 constexpr microseconds farewell = 2 * second;
 
@@ -57,10 +59,17 @@
         , m_callers(settings.host, settings.caller_port, m_decisions)
         , m_operators(settings.host, settings.operator_port, settings.cell_key, m_decisions,
                       [this] { return report(); })
-        , m_loop(identityFrom(settings), m_decisions,
-                 [this](const decision_core &core, command &&wanted) {
-                     carryOut(core, std::move(wanted));
-                 })
+        , m_loop(
+              identityFrom(settings), m_decisions,
+              [this](const decision_core &core, command &&wanted) {
+                  carryOut(core, std::move(wanted));
+              },
+              [this](const decision_core &core, timestamp now) {
+                  m_callers.noteHomes(reachableHomes(core, now));
+                  if (isDraining(core)) {
+                      m_callers.refuseHealth();
+                  }
+              })
     {
     }
 
@@ -84,6 +93,15 @@
 
     bool isDrained() const { return m_isDrained; }
 
+    /// Refuses new callers, and waits for the answers of those that came before.
+    void finishCallers(timestamp until)
+    {
+        m_callers.close();
+        while (m_callers.waiting() > 0 && currentTime() < until) {
+            absl::SleepFor(absl::Microseconds(waitStep));
+        }
+    }
+
     /// Ends the deciding thread first, so that nothing is decided that nobody carries out.
     void stop()
     {
@@ -126,9 +144,6 @@
     } else if (std::holds_alternative<drained>(wanted)) {
         m_isDrained = true;
     }
-    if (isDraining(core)) {
-        m_callers.refuseHealth();
-    }
 }
 
 void entry_daemon::sendToPeer(const decision_core &core, peer_message message)
@@ -189,6 +204,7 @@
         absl::SleepFor(absl::Microseconds(waitStep));
     }
     logInfo(daemon.isDrained() ? "event=drained" : "event=drain-incomplete");
+    daemon.finishCallers(currentTime() + longestCallerWait);
     absl::SleepFor(absl::Microseconds(farewell));
     daemon.stop();
     return 0;
--- a/src/daemon/peer_link.cpp
+++ b/src/daemon/peer_link.cpp
@@ -83,14 +83,15 @@
 void peer_sender::submit(peer_message message)
 {
     if (!m_messages.tryPush(message)) {
-        reportUndelivered(message);
+        reportUndelivered(message, false);
     }
 }
 
-void peer_sender::reportUndelivered(const peer_message &message)
+void peer_sender::reportUndelivered(const peer_message &message, bool mayHaveArrived)
 {
     undelivered notice;
     notice.message = std::make_unique<peer_message>(message);
+    notice.may_have_arrived = mayHaveArrived;
     m_decisions.tryPush(decision_input {event {std::move(notice)}});
 }
 
@@ -126,12 +127,10 @@
         return http.end == http_end::answered && http.status == statusOk;
     });
     const int taken = client.deliver(toJson(batch));
-    if (taken < 0 && end != http_end::notSent) {
-        return; // Some messages may have arrived; whoever waits for answers has a deadline.
-    }
+    const bool mayHaveArrived = taken < 0 && end != http_end::notSent;
     for (std::size_t index = static_cast<std::size_t>(std::max(taken, 0)); index < messages.size();
          ++index) {
-        reportUndelivered(messages[index]);
+        reportUndelivered(messages[index], mayHaveArrived);
     }
 }
 
--- a/src/daemon/peer_link.h
+++ b/src/daemon/peer_link.h
@@ -36,7 +36,7 @@
 private:
     void run();
     void deliver(const std::vector<peer_message> &messages);
-    void reportUndelivered(const peer_message &message);
+    void reportUndelivered(const peer_message &message, bool mayHaveArrived);
 
     const peer_address m_address;
     const std::string m_cellKey;
--- a/test/process_failures.sh
+++ b/test/process_failures.sh
@@ -63,5 +63,7 @@
 for rack in 1 2 3 4; do curl -s "$(rack_control $rack 6)/ledger"; done > "$CELL_DIR/ledger.txt"
 scripts/verdict.sh "$CELL_DIR/verdict.txt" "$CELL_DIR/ledger.txt"
 verdict=$?
+grep -l "did not decide in time" "$CELL_DIR"/entry-6.log && verdict=1
+grep -q "event=drained" "$CELL_DIR/entry-6.log" || { echo "entry-6 did not drain"; verdict=1; }
 grep -l "invariant broken" "$CELL_DIR"/*.log && verdict=1
 [ $load_code -eq 0 ] && [ $verdict -eq 0 ]
