--- a/src/core/decision_core.cpp
+++ b/src/core/decision_core.cpp
@@ -17,8 +17,8 @@
 namespace {
 
 constexpr microseconds loadReportInterval = second;
-/// Every so many load reports also lists the spare capacity of the shards.
-constexpr int reportsPerShardList = 4;
+/// A load report lists the spare capacity of the shards this often, and a second later for each.
+constexpr microseconds shardListInterval = 3 * second;
 
 void listShardLoads(const entry_state &state, load_report &report, timestamp now)
 {
@@ -39,8 +39,12 @@
     load_report report;
     request_environment environment = environmentOf(state);
     reportSlots(state.requests, environment, report, context.now);
-    if (state.loadReportsSent++ % reportsPerShardList == 0) {
+    if (context.now >= state.nextShardListAt) {
         listShardLoads(state, report, context.now);
+        // The more shards there are to list, the less often; answers to placements carry news
+        // anyway.
+        const auto shards = static_cast<microseconds>(report.shards.size());
+        state.nextShardListAt = context.now + shardListInterval + shards * second;
     }
     // The entry itself is one of the places that its jobs may go to.
     noteLoad(state.requests, state.cell.identity, report, context.now);
@@ -62,6 +66,10 @@
 
 void takeList(entry_state &state, const list_update &list, step_context &context)
 {
+    if (list.is_unchanged) {
+        state.cell.listReceivedAt = context.now;
+        return;
+    }
     noteList(state.cell, list, context.now);
     for (auto &[name, worker] : state.pool.workers) {
         if (state.cell.instances.count(name) == 0) {
--- a/src/core/entry_state.h
+++ b/src/core/entry_state.h
@@ -30,7 +30,7 @@
     std::map<std::string, std::uint64_t> homeFence;
     std::uint64_t nextCall = 1;
     timestamp nextLoadReportAt = 0;
-    int loadReportsSent = 0;
+    timestamp nextShardListAt = 0;
     timestamp newestNow = distantPast;
     bool isDrainReported = false;
     std::uint64_t clockAlarms = 0;
--- a/src/daemon/caller_server.cpp
+++ b/src/daemon/caller_server.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-constexpr std::size_t serverThreads = 192;
+constexpr std::size_t serverThreads = 128;
 constexpr std::int64_t defaultDeadlineMs = 10'000;
 constexpr std::int64_t longestDeadlineMs = 60'000;
 /// The core answers at the deadline; this much later something is wrong with the process itself.
--- a/src/daemon/entry_daemon.cpp
+++ b/src/daemon/entry_daemon.cpp
@@ -1,5 +1,7 @@
 #include "daemon/entry_daemon.h"
 
+#include <malloc.h>
+
 #include <csignal>
 
 #include <atomic>
@@ -22,6 +24,7 @@
 constexpr microseconds waitStep = 50 * millisecond;
 /// A drain that takes longer than this ends without having handed everything over.
 constexpr microseconds drainLimit = 120 * second;
+constexpr int heapCount = 2;
 /// No caller waits for longer than this.
 constexpr microseconds longestCallerWait = 62 * second;
 /// After the drain the balancer and peers get this long to notice.
@@ -182,6 +185,8 @@
 
 int runEntry(const entry_settings &settings)
 {
+    // Hundreds of threads would otherwise get a heap of their own each.
+    mallopt(M_ARENA_MAX, heapCount);
     std::signal(SIGPIPE, SIG_IGN);
     std::signal(SIGTERM, wantEnd);
     std::signal(SIGINT, wantEnd);
--- a/src/daemon/http.cpp
+++ b/src/daemon/http.cpp
@@ -102,6 +102,7 @@
     result.status = response->status;
     result.body = response->body;
     result.isLeaving = response->has_header("Bramley-Leaving");
+    result.entityTag = response->get_header_value("ETag");
     giveBack(address, std::move(client));
     return result;
 }
--- a/src/daemon/http.h
+++ b/src/daemon/http.h
@@ -30,6 +30,8 @@
     int status = 0;
     std::string body;
     bool isLeaving = false;
+    /// Version of the content, where the other side names one.
+    std::string entityTag;
 };
 
 /// Connections to one address that are kept open between calls.
--- a/src/daemon/platform_link.cpp
+++ b/src/daemon/platform_link.cpp
@@ -12,6 +12,7 @@
 constexpr microseconds transactionLimit = 2'500 * millisecond;
 constexpr microseconds listInterval = second;
 constexpr int statusOk = 200;
+constexpr int statusNotModified = 304;
 constexpr int statusTooMany = 429;
 constexpr int statusUnavailable = 503;
 
@@ -94,14 +95,20 @@
 
 void platform_link::runList()
 {
+    std::string entityTag;
     while (!m_commands.isClosed()) {
         const timestamp now = currentTime();
-        const http_result http = m_connections.post(m_host, m_port, "/list", {}, "",
-                                                    now + transactionLimit, now + transactionLimit);
-        if (http.end == http_end::answered && http.status == statusOk) {
+        const http_result http =
+            m_connections.post(m_host, m_port, "/list", {{"If-None-Match", entityTag}}, "",
+                               now + transactionLimit, now + transactionLimit);
+        if (http.end == http_end::answered && http.status == statusNotModified) {
+            list_update unchanged;
+            unchanged.is_unchanged = true;
+            m_decisions.tryPush(decision_input {event {std::move(unchanged)}});
+        } else if (http.end == http_end::answered && http.status == statusOk) {
             auto list = parseJson<list_update>(http.body);
-            if (list) {
-                m_decisions.tryPush(decision_input {event {std::move(*list)}});
+            if (list && m_decisions.tryPush(decision_input {event {std::move(*list)}})) {
+                entityTag = http.entityTag;
             }
         }
         absl::SleepFor(absl::Microseconds(listInterval));
--- a/src/daemon/worker_link.cpp
+++ b/src/daemon/worker_link.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr int requestThreads = 128;
+constexpr int requestThreads = 96;
 constexpr int callThreads = 8;
 constexpr std::size_t requestCapacity = 1024;
 constexpr std::size_t callCapacity = 1024;
--- a/testing/cell_fake.cpp
+++ b/testing/cell_fake.cpp
@@ -118,6 +118,7 @@
     fake_entry &entry = m_entries[static_cast<std::size_t>(index)];
     entry.isAlive = true;
     entry.pausedUntil = 0;
+    entry.listedAt = distantFuture;
     ++entry.generation;
     entry_identity identity;
     identity.name = entry.name;
@@ -181,7 +182,7 @@
 
 void cell_fake::pollList(int index, std::uint64_t generation)
 {
-    const fake_entry &entry = m_entries[static_cast<std::size_t>(index)];
+    fake_entry &entry = m_entries[static_cast<std::size_t>(index)];
     if (!entry.isAlive || entry.generation != generation) {
         return;
     }
@@ -191,10 +192,16 @@
                 return state.at <= m_now - m_options.listLag;
             });
         list_update update;
-        for (const instance &listed : newest->instances) {
-            update.instances.push_back(std::make_unique<instance>(listed));
+        update.is_unchanged = entry.listedAt == newest->at;
+        if (!update.is_unchanged) {
+            for (const instance &listed : newest->instances) {
+                update.instances.push_back(std::make_unique<instance>(listed));
+            }
         }
-        after(networkDelay(), [this, index, update] { deliver(index, update); });
+        entry.listedAt = newest->at;
+        // One poll at a time, so that an update never overtakes the one before.
+        after(std::min<microseconds>(networkDelay(), listInterval / 2),
+              [this, index, update] { deliver(index, update); });
     }
     after(listInterval, [this, index, generation] { pollList(index, generation); });
 }
@@ -485,6 +492,7 @@
         }
         worker_report report = reportOf(worker.tasks, worker.activeRequests, order.known_version);
         report.is_leaving = m_now >= worker.leftAt;
+        counters.workerBytes += toJson(order).size() + toJson(report).size();
         result.seen = std::make_unique<worker_report>(std::move(report));
     }
     const bool isLost = worker.isAlive && (isSilent || happens(m_options.answerLossPerMille));
--- a/testing/cell_fake.h
+++ b/testing/cell_fake.h
@@ -67,6 +67,8 @@
     std::vector<fault_window> tableCuts;
     std::vector<fault_window> peerCuts;
     std::uint64_t generation = 0;
+    /// Time of the newest list that the entry has got.
+    timestamp listedAt = distantFuture;
 };
 
 struct fake_worker
@@ -108,6 +110,8 @@
     std::uint64_t peerMessages = 0;
     std::uint64_t peerBytes = 0;
     std::uint64_t workerCalls = 0;
+    /// Bodies of worker calls and of their answers.
+    std::uint64_t workerBytes = 0;
     std::uint64_t dispatches = 0;
 };
 
--- a/testing/platform_standin.cpp
+++ b/testing/platform_standin.cpp
@@ -135,13 +135,21 @@
         out.set_content(text, "application/json");
     }
 
-    void list(const httplib::Request &, httplib::Response &out)
+    void list(const httplib::Request &in, httplib::Response &out)
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
         const auto asOf = steady::now() - std::chrono::milliseconds(m_listLagMs);
         while (m_history.size() > 1 && m_history[1].at <= asOf) {
             m_history.pop_front();
         }
+        const std::string tag = m_history.empty()
+            ? "none"
+            : std::to_string(m_history.front().at.time_since_epoch().count());
+        out.set_header("ETag", tag);
+        if (in.get_header_value("If-None-Match") == tag) {
+            out.status = 304;
+            return;
+        }
         instance_list shown;
         if (!m_history.empty() && m_history.front().at <= asOf) {
             for (const auto &[name, listed] : m_history.front().instances) {
