--- /dev/null
+++ b/cmake/bramleygradeConfig.cmake
@@ -0,0 +1,5 @@
+include(CMakeFindDependencyMacro)
+find_dependency(FlatBuffers)
+find_dependency(PkgConfig)
+pkg_check_modules(JSONCPP REQUIRED IMPORTED_TARGET jsoncpp)
+include("${CMAKE_CURRENT_LIST_DIR}/bramleygradeTargets.cmake")
--- a/scripts/mutate.sh
+++ b/scripts/mutate.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Shows that the histories can fail: breaks one rule of the core at a time, in a copy of the tree, and
-# runs histories until one is broken. Prints a line for each mutation; exit code 1 where one survives.
+# Shows that the tests can fail: breaks one rule of the core at a time, in a copy of the tree, and runs
+# histories and units. Prints a line for each mutation; exit code 1 where one survives.
 #
 # mutate.sh [HISTORIES]: how many histories each mutation gets (default 400, from seed 1).
 set -u
@@ -10,6 +10,7 @@
 git ls-files -z | xargs -0 cp --parents -t "$copy"
 cmake -S "$copy" -B "$copy/build" -G Ninja > /dev/null
 survivors=0
+units="authority_test request_home_test documents_test task_owner_test worker_pool_test cell_view_test"
 
 mutate() { # NAME FILE FROM TO
     local name=$1 file=$copy/src/core/$2 from=$3 to=$4
@@ -20,22 +21,28 @@
         survivors=$((survivors + 1))
         return
     fi
-    if ! cmake --build "$copy/build" --target histories > "$copy/log" 2>&1; then
+    if ! cmake --build "$copy/build" --target histories $units > "$copy/log" 2>&1; then
         echo "$name: does not compile, mend the mutation"
         survivors=$((survivors + 1))
     else
-        local part per=$(((count + 7) / 8)) found
+        local part unit failed found per=$(((count + 7) / 8))
         for part in 0 1 2 3 4 5 6 7; do
             "$copy/build/histories" --first $((1 + part * per)) --count $per \
                 > "$copy/out.$part" 2>&1 &
         done
-        wait
+        wait 2> /dev/null
         found=$(cat "$copy"/out.? | grep -cE '^seed|invariant broken')
+        failed=""
+        for unit in $units; do
+            "$copy/build/$unit" > /dev/null 2>&1 || failed="$failed $unit"
+        done
         if [ "$found" -gt 0 ]; then
-            echo "$name: caught, $found findings, as: $(cat "$copy"/out.? \
+            echo "$name: caught by histories ($found findings) and units (${failed:- none}): $(cat "$copy"/out.? \
                 | grep -hE '^seed|invariant broken' | head -n 1 | cut -c 1-110)"
+        elif [ -n "$failed" ]; then
+            echo "$name: caught by units ($failed ), not by $count histories"
         else
-            echo "$name: SURVIVED $count histories"
+            echo "$name: SURVIVED $count histories and the units"
             survivors=$((survivors + 1))
         fi
     fi
@@ -43,14 +50,14 @@
 }
 
 mutate "a claimant does not wait" authority.cpp \
-    'mustWait ? now + lengthenedByClockError(authoritySpan) : now' 'now'
+    'mustWait ? now + lengthenedByClockError(authoritySpan)' \
+    '(mustWait && now < 0) ? now'
 mutate "promises are given while a claim is unsettled" authority.cpp \
     'found->second.unsettledClaims > 0 || ' ''
-mutate "authority is not checked before a request leaves" request_routing.cpp \
-    '    timestamp limit = std::min({request.startBy' \
-    '    (void)self; return now + 30 * second; timestamp limit = std::min({request.startBy'
+mutate "orders to start have no limit in time" task_owner.cpp \
+    'order.start_by = commitment.startBy;' 'order.start_by = commitment.startBy + 60 * second;'
 mutate "a home vouches for every id" request_home.cpp \
-    'issued <= vouchFrom + futureTolerance + clockOffsetBound' 'issued < 0'
+    'issued <= vouchFrom + futureTolerance + clockOffsetBound' 'issued + 1000 * second <= vouchFrom'
 mutate "repeats do not find the first attempt" request_home.cpp \
     'if (known != state.remembered.end()) {' 'if (known != state.remembered.end() && now < 0) {'
 mutate "repeated forwards are not dropped" requests.cpp \
