--- a/scripts/mutate.sh
+++ b/scripts/mutate.sh
@@ -7,7 +7,7 @@
 cd "$(dirname "$0")/.."
 count=${1:-400}
 copy=$(mktemp -d)
-git ls-files -z | xargs -0 cp --parents -t "$copy"
+git ls-files -z --cached --others --exclude-standard | xargs -0 cp --parents -t "$copy"
 cmake -S "$copy" -B "$copy/build" -G Ninja > /dev/null
 survivors=0
 units="authority_test request_home_test documents_test task_owner_test worker_pool_test cell_view_test"
--- a/src/core/inspection.cpp
+++ b/src/core/inspection.cpp
@@ -108,6 +108,27 @@
     return requests;
 }
 
+Json::Value dumpJobs(const entry_state &state)
+{
+    Json::Value jobs(Json::objectValue);
+    for (const auto &[shard, home] : state.jobs.homes) {
+        Json::Value &row = jobs["homes"][shard];
+        row["ready"] = home.phase == home_phase::ready;
+        row["epoch"] = static_cast<Json::UInt64>(home.epoch);
+        row["racks_awaited"] = static_cast<Json::UInt64>(home.missing.size());
+    }
+    for (const auto &[name, job] : state.jobs.jobs) {
+        Json::Value &count = jobs["count"][wire::EnumNamejob_phase(job.row.phase)];
+        count = count.asInt() + 1;
+        for (const job_task &task : job.tasks) {
+            const bool isRunning = task.phase == job_task_phase::running;
+            Json::Value &running = jobs["running_tasks"][serviceOfJob(name)];
+            running = running.asInt() + (isRunning ? 1 : 0);
+        }
+    }
+    return jobs;
+}
+
 void addMetric(std::ostream &text, const char *name, const char *kind, const char *help,
                double value)
 {
@@ -161,6 +182,7 @@
     dump["documents"] = dumpDocuments(state, now);
     dump["members"] = dumpMembers(state, now);
     dump["requests"] = dumpRequests(state);
+    dump["jobs"] = dumpJobs(state);
     Json::StreamWriterBuilder writer;
     writer["indentation"] = "";
     return Json::writeString(writer, dump);
