Split the owner and the home of tasks by job

Change: moves only, into choice, commitments and reports, and into submit, home and news. Ruled out: changes of behaviour.

--- /dev/null
+++ b/src/core/job_news.cpp
@@ -0,0 +1,162 @@
+#include <algorithm>
+
+#include "core/job_home.h"
+#include "core/job_placement.h"
+#include "core/task_messages.h"
+
+namespace bramleygrade {
+
+namespace {
+
+/// A task that failed this often ends its job.
+constexpr int failureLimit = 5;
+constexpr microseconds firstRetryDelay = 200 * millisecond;
+constexpr int retryDoublingLimit = 6;
+
+job_task *findJobTask(entry_state &state, const std::string &service, const std::string &id,
+                      int task)
+{
+    const auto job = state.jobs.jobs.find(service + "/" + id);
+    const bool isKnown = job != state.jobs.jobs.end() && task >= 0
+        && task < static_cast<int>(job->second.tasks.size());
+    return isKnown ? &job->second.tasks[static_cast<std::size_t>(task)] : nullptr;
+}
+
+void tellToStop(entry_state &state, const task_report &report, step_context &context)
+{
+    stop_task stop;
+    stop.service = report.service;
+    stop.job = report.job;
+    stop.task = report.task;
+    stop.incarnation = report.incarnation;
+    stop.shard = report.shard;
+    sendToOwner(state, report.shard, std::move(stop), context);
+}
+
+bool isEnd(placement_result result)
+{
+    return result != placement_result::running && result != placement_result::held;
+}
+
+/// A task that finished is on record only once its row is written; until then the worker keeps it.
+void recordFinish(job_view &job, int task)
+{
+    job_task &ended = job.tasks[static_cast<std::size_t>(task)];
+    if (ended.phase == job_task_phase::ended) {
+        return;
+    }
+    ended.phase = job_task_phase::ended;
+    job.row.finished_tasks.push_back(task);
+    job.isRowOutdated = true;
+    const bool isAllDone =
+        std::all_of(job.tasks.begin(), job.tasks.end(),
+                    [](const job_task &other) { return other.phase == job_task_phase::ended; });
+    if (isAllDone && job.row.phase == job_phase::accepted) {
+        job.row.phase = job_phase::finished;
+    }
+}
+
+void retryTask(job_view &job, job_task &task, placement_result result, timestamp now)
+{
+    task.phase = job_task_phase::waiting;
+    if (result == placement_result::failed) {
+        ++task.failures;
+        const int doublings = std::min(task.failures, retryDoublingLimit);
+        task.notBefore = now + (firstRetryDelay << doublings);
+        if (task.failures >= failureLimit && job.row.phase == job_phase::accepted) {
+            job.row.phase = job_phase::failed;
+            job.isRowOutdated = true;
+        }
+    } else if (result == placement_result::refused) {
+        task.notBefore = now + (job.row.specification->urgent ? 50 : 100) * millisecond;
+    }
+}
+
+/// News of a task that this home does not expect to exist: an orphan must end.
+void noteStrayTask(entry_state &state, const task_report &report, step_context &context)
+{
+    const auto home = state.jobs.homes.find(jobHomeOf(report.service));
+    const bool isReady = home != state.jobs.homes.end() && home->second.phase == home_phase::ready;
+    if (isReady && report.result != placement_result::refused
+        && report.result != placement_result::absent) {
+        tellToStop(state, report, context);
+    }
+}
+
+void noteRunning(entry_state &state, job_view &job, job_task &task, const task_report &report,
+                 step_context &context)
+{
+    const bool isWanted = job.row.phase == job_phase::accepted;
+    task.phase = job_task_phase::running;
+    task.shard = report.shard;
+    task.worker = report.worker;
+    task.heardAt = context.now;
+    task.committed = {report.committed_cpu_millis, report.committed_memory_mb, report.accelerators};
+    learnUsage(state.jobs.usage[report.service], *job.row.specification, report);
+    if (!isWanted) {
+        tellToStop(state, report, context);
+    }
+}
+
+} // namespace
+
+void noteFoundTasks(entry_state &state, const found_tasks &found, step_context &context)
+{
+    const auto home = state.jobs.homes.find(found.home_shard);
+    if (home == state.jobs.homes.end() || home->second.phase != home_phase::finding
+        || home->second.findNumber != found.number
+        || home->second.missing.erase(found.shard) == 0) {
+        return;
+    }
+    for (const auto &report : found.tasks) {
+        job_task *task = findJobTask(state, report->service, report->job, report->task);
+        if (task != nullptr && task->phase != job_task_phase::ended) {
+            task->incarnation = std::max(task->incarnation, report->incarnation);
+            noteRunning(state, state.jobs.jobs.at(report->service + "/" + report->job), *task,
+                        *report, context);
+        }
+    }
+    if (home->second.missing.empty()) {
+        home->second.phase = home_phase::ready;
+    }
+}
+
+void noteTaskNews(entry_state &state, const std::string &from, const task_report &report,
+                  step_context &context)
+{
+    noteShardLoad(state, from, report);
+    const auto home = state.jobs.homes.find(jobHomeOf(report.service));
+    const bool isReady = home != state.jobs.homes.end() && home->second.phase == home_phase::ready;
+    if (!isReady) {
+        return; // Asked for again during recovery, and reported again by the worker's owner.
+    }
+    job_task *task = findJobTask(state, report.service, report.job, report.task);
+    if (task == nullptr) {
+        noteStrayTask(state, report, context);
+        return;
+    }
+    job_view &job = state.jobs.jobs.at(report.service + "/" + report.job);
+    if (report.incarnation != task->incarnation || task->phase == job_task_phase::ended) {
+        const bool isStray = report.result == placement_result::running;
+        const bool isOnRecord = !job.isRowOutdated && isEnd(report.result);
+        if (isStray || isOnRecord) {
+            tellToStop(state, report, context);
+        }
+        return;
+    }
+    if (report.result == placement_result::running) {
+        noteRunning(state, job, *task, report, context);
+    } else if (report.result == placement_result::held) {
+        noteHeld(state, job, *task, report, context);
+    } else if (report.result == placement_result::finished) {
+        recordFinish(job, report.task);
+    } else if (task->phase != job_task_phase::waiting) {
+        noteGangMiss(state, job, *task, report, context);
+        retryTask(job, *task, report.result, context.now);
+        tellToStop(state, report, context);
+    } else if (report.result != placement_result::refused) {
+        tellToStop(state, report, context); // Ended before, and the worker still lists it.
+    }
+}
+
+} // namespace bramleygrade
--- a/src/core/table_sync.cpp
+++ b/src/core/table_sync.cpp
@@ -124,8 +124,10 @@
         noteApplyWrite(state.documents, state.cell, operation, result, context);
         return;
     case operation_purpose::submitJob:
+        noteSubmitWrite(state, operation, result, context);
+        return;
     case operation_purpose::updateJob:
-        noteJobWrite(state, operation, result, context);
+        noteJobWrite(state, result, context);
         return;
     case operation_purpose::loadJobs:
         noteJobsLoaded(state, operation, result, context);
--- a/src/core/task_owner.cpp
+++ b/src/core/task_owner.cpp
@@ -3,117 +3,17 @@
 #include <algorithm>
 
 #include "core/invariant.h"
+#include "core/task_choice.h"
+#include "core/task_commitments.h"
 #include "core/task_messages.h"
 
 namespace bramleygrade {
 
 namespace {
 
-/// A worker whose task starts fail is left alone for this long, doubling with each failure.
-constexpr microseconds firstAvoidance = second;
-constexpr int avoidanceDoublingLimit = 6;
-/// Placements ask to be started within this time at most.
-constexpr microseconds longestStartLimit = 5 * second;
 /// A worker that makes room for an urgent task is kept for that job this long.
 constexpr microseconds reservationSpan = 3 * second;
 
-void commit(worker_view &worker, const std::string &key, task_commitment commitment)
-{
-    worker.committed = worker.committed + commitment.committed;
-    BRAMLEYGRADE_INVARIANT(
-        fits(worker.committed, capacityOf(worker.info)),
-        "a worker would be committed beyond its resources; check the choice of worker");
-    worker.tasks.emplace(key, std::move(commitment));
-}
-
-void release(worker_view &worker, const std::string &key)
-{
-    const auto found = worker.tasks.find(key);
-    if (found != worker.tasks.end()) {
-        worker.committed = worker.committed - found->second.committed;
-        worker.tasks.erase(found);
-    }
-}
-
-bool takesTasks(const entry_state &state, const worker_view &worker, const std::string &job,
-                const service_document &document, timestamp now)
-{
-    const auto shard = state.authority.shards.find(worker.shard);
-    const bool isReservedForOther = now < worker.reservedUntil && worker.reservedFor != job;
-    return shard != state.authority.shards.end() && isKnownToOwner(worker, shard->second)
-        && !isLeavingWorker(worker) && now >= worker.avoidTasksUntil && !isReservedForOther
-        && isAllowedDomain(document, worker.info.failure_domain);
-}
-
-/// Share of the worker that is committed in its scarcest resource, in thousandths.
-std::int64_t scarcestShare(const resources &used, const resources &capacity)
-{
-    const auto share = [](std::int64_t part, std::int64_t whole) {
-        return whole > 0 ? part * 1000 / whole : 0;
-    };
-    return std::max({share(used.cpuMillis, capacity.cpuMillis),
-                     share(used.memoryMb, capacity.memoryMb),
-                     share(used.accelerators, capacity.accelerators)});
-}
-
-/// Accelerators are kept for tasks that need them, where another worker fits as well.
-std::int64_t placementCost(const worker_view &worker, const resources &size,
-                           placement_policy policy)
-{
-    constexpr std::int64_t wastedAcceleratorCost = 10'000;
-    const std::int64_t share = scarcestShare(worker.committed + size, capacityOf(worker.info));
-    const bool wastes = size.accelerators == 0 && worker.info.accelerators > 0;
-    return (policy == placement_policy::best_packing ? -share : share)
-        + (wastes ? wastedAcceleratorCost : 0);
-}
-
-worker_view *chooseWorker(entry_state &state, const place_task &wanted,
-                          const service_document &document, timestamp now)
-{
-    worker_view *best = nullptr;
-    std::int64_t bestCost = 0;
-    const resources size = sizeOf(wanted);
-    for (auto &[name, worker] : state.pool.workers) {
-        if (worker.shard != wanted.shard
-            || !takesTasks(state, worker, wanted.job->id, document, now)
-            || !fits(size, capacityOf(worker.info) - worker.committed)) {
-            continue;
-        }
-        const std::int64_t cost = placementCost(worker, size, document.policy);
-        if (best == nullptr || cost < bestCost) {
-            best = &worker;
-            bestCost = cost;
-        }
-    }
-    return best;
-}
-
-void callWorker(entry_state &state, const worker_view &worker, worker_call_kind kind,
-                task_order order, step_context &context)
-{
-    worker_call call;
-    call.call = state.nextCall++;
-    call.worker = worker.info.name;
-    call.host = worker.info.host;
-    call.port = worker.info.port;
-    call.kind = kind;
-    call.order = std::make_unique<task_order>(std::move(order));
-    emit(context, std::move(call));
-}
-
-task_order orderFor(const task_commitment &commitment)
-{
-    task_order order;
-    order.job = commitment.job;
-    order.task = commitment.task;
-    order.incarnation = commitment.incarnation;
-    order.service = commitment.service;
-    order.cpu_millis = commitment.committed.cpuMillis;
-    order.memory_mb = commitment.committed.memoryMb;
-    order.accelerators = commitment.committed.accelerators;
-    return order;
-}
-
 /// Orders the worker to start; the order cannot take effect after `startBy`.
 void startOn(entry_state &state, worker_view &worker, task_commitment &commitment,
              const place_task &wanted, step_context &context)
@@ -135,15 +35,6 @@
     callWorker(state, worker, worker_call_kind::start, std::move(order), context);
 }
 
-/// A placement whose end was reported must not begin again when its message is repeated: its home
-/// may have placed the next incarnation elsewhere.
-void rememberEnd(entry_state &state, const std::string &key, timestamp startBy, timestamp now)
-{
-    if (startBy > now) {
-        state.endedPlacements[key] = startBy;
-    }
-}
-
 /// Orders checkpoints on the worker that can make room at the least cost; the home tries again.
 void makeRoom(entry_state &state, const place_task &wanted, const service_document &document,
               step_context &context)
@@ -213,18 +104,6 @@
     return nullptr;
 }
 
-/// True where the worker has been out of reach for so long that no lease on it can last, neither of
-/// this owner nor of a former one.
-bool isLapsed(const entry_state &state, const worker_view &worker, timestamp now)
-{
-    const auto shard = state.authority.shards.find(worker.shard);
-    if (shard == state.authority.shards.end()) {
-        return false;
-    }
-    const timestamp formerLeases = shard->second.actsFrom + lengthenedByClockError(taskLeaseSpan);
-    return now > std::max(formerLeases, worker.leasedUntil) + 2 * clockOffsetBound;
-}
-
 /// True where every worker of the shard has reported after `since`, or can run nothing any more
 /// that was started before.
 bool isShardSeenSince(const entry_state &state, const std::string &shard, timestamp since,
@@ -263,20 +142,6 @@
     pollSoon(state, wanted.shard, since, context.now);
 }
 
-/// Resources that a task frees go back, and its home hears of it.
-void endTask(entry_state &state, worker_view &worker, const std::string &key,
-             placement_result result, step_context &context)
-{
-    const auto found = worker.tasks.find(key);
-    if (found == worker.tasks.end()) {
-        return;
-    }
-    const task_commitment ended = found->second;
-    release(worker, key);
-    rememberEnd(state, key, context.now + longestStartLimit, context.now);
-    reportTask(state, worker, ended, result, context);
-}
-
 void placeNew(entry_state &state, const std::string &from, const place_task &wanted,
               const std::string &key, step_context &context)
 {
@@ -335,130 +200,6 @@
     }
 }
 
-void noteStartFailure(worker_view &worker, timestamp now)
-{
-    const int doublings = std::min(worker.startFailuresInRow, avoidanceDoublingLimit);
-    worker.avoidTasksUntil = now + (firstAvoidance << doublings);
-    ++worker.startFailuresInRow;
-}
-
-void noteStart(entry_state &state, worker_view &worker, const std::string &key,
-               const worker_result &result, step_context &context)
-{
-    const auto found = worker.tasks.find(key);
-    if (found == worker.tasks.end()) {
-        return;
-    }
-    if (result.accepted) {
-        worker.startFailuresInRow = 0;
-        found->second.isConfirmed = true;
-        found->second.confirmedAt = context.now;
-        reportTask(state, worker, found->second, placement_result::running, context);
-        return;
-    }
-    const bool isLost = result.reached && result.seen == nullptr;
-    if (isLost) {
-        worker.nextPollAt = context.now; // The next report tells.
-        return;
-    }
-    noteStartFailure(worker, context.now);
-    endTask(state, worker, key, placement_result::refused, context);
-}
-
-/// A task that runs on the worker and that this owner did not start: a former owner did.
-void adoptTask(entry_state &state, worker_view &worker, const worker_task &seen,
-               const std::string &key, step_context &context)
-{
-    task_commitment commitment;
-    commitment.committed = {seen.cpu_millis, seen.memory_mb, seen.accelerators};
-    commitment.job = seen.job;
-    commitment.task = seen.task;
-    commitment.incarnation = seen.incarnation;
-    commitment.service = seen.service;
-    commitment.isCheckpointable = seen.checkpointable;
-    commitment.isConfirmed = true;
-    commitment.confirmedAt = context.now;
-    commit(worker, key, std::move(commitment));
-    reportTask(state, worker, worker.tasks.at(key), placement_result::running, context);
-}
-
-placement_result resultOf(task_phase phase)
-{
-    switch (phase) {
-    case task_phase::running:
-        return placement_result::running;
-    case task_phase::finished:
-        return placement_result::finished;
-    case task_phase::failed:
-        return placement_result::failed;
-    case task_phase::stopped:
-        return placement_result::stopped;
-    case task_phase::checkpointed:
-        return placement_result::checkpointed;
-    }
-    return placement_result::failed;
-}
-
-void noteSeenTask(entry_state &state, worker_view &worker, const worker_task &seen,
-                  step_context &context)
-{
-    const std::string key = taskKeyOf(seen.job, seen.task, seen.incarnation);
-    const auto known = worker.tasks.find(key);
-    if (seen.phase == task_phase::running) {
-        if (known == worker.tasks.end()) {
-            adoptTask(state, worker, seen, key, context);
-            return;
-        }
-        task_commitment &task = known->second;
-        const bool isNews = !task.isConfirmed;
-        task.isConfirmed = true;
-        task.confirmedAt = isNews ? context.now : task.confirmedAt;
-        task.usedCpuMillis = seen.used_cpu_millis;
-        task.usedMemoryMb = seen.used_memory_mb;
-        const bool isUsageNew = task.reportedUsage != seen.used_cpu_millis;
-        constexpr microseconds usageInterval = 30 * second;
-        constexpr microseconds reminderInterval = 300 * second;
-        const microseconds interval = isUsageNew ? usageInterval : reminderInterval;
-        if (isNews || context.now - task.reportedAt > interval) {
-            task.reportedUsage = seen.used_cpu_millis;
-            reportTask(state, worker, task, placement_result::running, context);
-        }
-        return;
-    }
-    // Ended tasks are told until the home has them on record and lets the worker forget them.
-    if (known != worker.tasks.end()) {
-        endTask(state, worker, key, resultOf(seen.phase), context);
-        return;
-    }
-    task_commitment ended;
-    ended.job = seen.job;
-    ended.task = seen.task;
-    ended.incarnation = seen.incarnation;
-    ended.service = seen.service;
-    reportTask(state, worker, ended, resultOf(seen.phase), context);
-}
-
-/// Commitments that the worker does not list: never started, or ended with a restart of the worker.
-void dropUnlisted(entry_state &state, worker_view &worker, const worker_result &result,
-                  step_context &context)
-{
-    std::vector<std::string> unlisted;
-    for (const auto &[key, task] : worker.tasks) {
-        const bool isListed = std::any_of(
-            result.seen->tasks.begin(), result.seen->tasks.end(), [&key = key](const auto &seen) {
-                return taskKeyOf(seen->job, seen->task, seen->incarnation) == key;
-            });
-        const timestamp settledAt =
-            task.isConfirmed ? task.confirmedAt : task.startBy + 2 * clockOffsetBound;
-        if (!isListed && !task.isHeld && result.asked_at > settledAt) {
-            unlisted.push_back(key);
-        }
-    }
-    for (const std::string &key : unlisted) {
-        endTask(state, worker, key, placement_result::absent, context);
-    }
-}
-
 } // namespace
 
 resources sizeOf(const place_task &wanted)
@@ -560,78 +301,6 @@
     sendTaskMessage(state, from, std::move(found), context);
 }
 
-void noteTaskCall(entry_state &state, worker_view &worker, const worker_result &result,
-                  step_context &context)
-{
-    if (result.order == nullptr) {
-        return;
-    }
-    const task_order &order = *result.order;
-    const std::string key = taskKeyOf(order.job, order.task, order.incarnation);
-    if (result.kind == worker_call_kind::start) {
-        noteStart(state, worker, key, result, context);
-    } else if (result.accepted && result.kind == worker_call_kind::forget) {
-        worker.endedKeys.erase(key);
-    } else if (result.accepted) {
-        worker.nextPollAt = context.now; // Stopped or checkpointed: the next report tells.
-        if (result.seen != nullptr && result.asked_at >= worker.seenAt) {
-            worker.seenAt = result.asked_at;
-            noteTaskReport(state, worker, result, context);
-        }
-    }
-}
-
-void noteTaskReport(entry_state &state, worker_view &worker, const worker_result &result,
-                    step_context &context)
-{
-    if (result.seen->is_unchanged) {
-        return;
-    }
-    worker.reportVersion = result.seen->version;
-    worker.endedKeys.clear();
-    for (const auto &seen : result.seen->tasks) {
-        if (seen->phase != task_phase::running) {
-            worker.endedKeys.insert(taskKeyOf(seen->job, seen->task, seen->incarnation));
-        }
-    }
-    // Ended tasks first, so that what they free is there for tasks that are adopted.
-    for (const bool isRunning : {false, true}) {
-        for (const auto &seen : result.seen->tasks) {
-            if ((seen->phase == task_phase::running) == isRunning) {
-                noteSeenTask(state, worker, *seen, context);
-            }
-        }
-    }
-    dropUnlisted(state, worker, result, context);
-}
-
-void tendTasks(entry_state &state, step_context &context)
-{
-    for (auto item = state.endedPlacements.begin(); item != state.endedPlacements.end();) {
-        item = context.now >= item->second ? state.endedPlacements.erase(item) : std::next(item);
-    }
-    for (auto &[name, worker] : state.pool.workers) {
-        const bool isSilent =
-            isLapsed(state, worker, context.now) && context.now - worker.seenAt > taskLeaseSpan;
-        std::vector<std::string> ended;
-        for (const auto &[key, task] : worker.tasks) {
-            if (isSilent || (task.isHeld && context.now >= task.holdUntil)) {
-                ended.push_back(key);
-            }
-        }
-        for (const std::string &key : ended) {
-            endTask(state, worker, key, placement_result::absent, context);
-        }
-    }
-}
-
-void endTasksOf(entry_state &state, worker_view &worker, step_context &context)
-{
-    while (!worker.tasks.empty()) {
-        endTask(state, worker, worker.tasks.begin()->first, placement_result::absent, context);
-    }
-}
-
 bool hasUnsettledStarts(const worker_pool &pool, const std::string &shard)
 {
     for (const auto &[name, worker] : pool.workers) {
--- a/src/core/task_owner.h
+++ b/src/core/task_owner.h
@@ -14,6 +14,8 @@
 
 /// A worker ends a task whose lease has not been renewed for this long.
 constexpr microseconds taskLeaseSpan = 60 * second;
+/// Placements ask to be started within this time at most.
+constexpr microseconds longestStartLimit = 5 * second;
 
 /// Size that a place_task asks for.
 resources sizeOf(const place_task &wanted);
--- /dev/null
+++ b/src/core/task_reports.cpp
@@ -0,0 +1,213 @@
+#include <algorithm>
+
+#include "core/task_commitments.h"
+#include "core/task_messages.h"
+#include "core/task_owner.h"
+
+namespace bramleygrade {
+
+namespace {
+
+/// A worker whose task starts fail is left alone for this long, doubling with each failure.
+constexpr microseconds firstAvoidance = second;
+constexpr int avoidanceDoublingLimit = 6;
+
+void noteStartFailure(worker_view &worker, timestamp now)
+{
+    const int doublings = std::min(worker.startFailuresInRow, avoidanceDoublingLimit);
+    worker.avoidTasksUntil = now + (firstAvoidance << doublings);
+    ++worker.startFailuresInRow;
+}
+
+void noteStart(entry_state &state, worker_view &worker, const std::string &key,
+               const worker_result &result, step_context &context)
+{
+    const auto found = worker.tasks.find(key);
+    if (found == worker.tasks.end()) {
+        return;
+    }
+    if (result.accepted) {
+        worker.startFailuresInRow = 0;
+        found->second.isConfirmed = true;
+        found->second.confirmedAt = context.now;
+        reportTask(state, worker, found->second, placement_result::running, context);
+        return;
+    }
+    const bool isLost = result.reached && result.seen == nullptr;
+    if (isLost) {
+        worker.nextPollAt = context.now; // The next report tells.
+        return;
+    }
+    noteStartFailure(worker, context.now);
+    endTask(state, worker, key, placement_result::refused, context);
+}
+
+/// A task that runs on the worker and that this owner did not start: a former owner did.
+void adoptTask(entry_state &state, worker_view &worker, const worker_task &seen,
+               const std::string &key, step_context &context)
+{
+    task_commitment commitment;
+    commitment.committed = {seen.cpu_millis, seen.memory_mb, seen.accelerators};
+    commitment.job = seen.job;
+    commitment.task = seen.task;
+    commitment.incarnation = seen.incarnation;
+    commitment.service = seen.service;
+    commitment.isCheckpointable = seen.checkpointable;
+    commitment.isConfirmed = true;
+    commitment.confirmedAt = context.now;
+    commit(worker, key, std::move(commitment));
+    reportTask(state, worker, worker.tasks.at(key), placement_result::running, context);
+}
+
+placement_result resultOf(task_phase phase)
+{
+    switch (phase) {
+    case task_phase::running:
+        return placement_result::running;
+    case task_phase::finished:
+        return placement_result::finished;
+    case task_phase::failed:
+        return placement_result::failed;
+    case task_phase::stopped:
+        return placement_result::stopped;
+    case task_phase::checkpointed:
+        return placement_result::checkpointed;
+    }
+    return placement_result::failed;
+}
+
+void noteSeenTask(entry_state &state, worker_view &worker, const worker_task &seen,
+                  step_context &context)
+{
+    const std::string key = taskKeyOf(seen.job, seen.task, seen.incarnation);
+    const auto known = worker.tasks.find(key);
+    if (seen.phase == task_phase::running) {
+        if (known == worker.tasks.end()) {
+            adoptTask(state, worker, seen, key, context);
+            return;
+        }
+        task_commitment &task = known->second;
+        const bool isNews = !task.isConfirmed;
+        task.isConfirmed = true;
+        task.confirmedAt = isNews ? context.now : task.confirmedAt;
+        task.usedCpuMillis = seen.used_cpu_millis;
+        task.usedMemoryMb = seen.used_memory_mb;
+        const bool isUsageNew = task.reportedUsage != seen.used_cpu_millis;
+        constexpr microseconds usageInterval = 30 * second;
+        constexpr microseconds reminderInterval = 300 * second;
+        const microseconds interval = isUsageNew ? usageInterval : reminderInterval;
+        if (isNews || context.now - task.reportedAt > interval) {
+            task.reportedUsage = seen.used_cpu_millis;
+            reportTask(state, worker, task, placement_result::running, context);
+        }
+        return;
+    }
+    // Ended tasks are told until the home has them on record and lets the worker forget them.
+    if (known != worker.tasks.end()) {
+        endTask(state, worker, key, resultOf(seen.phase), context);
+        return;
+    }
+    task_commitment ended;
+    ended.job = seen.job;
+    ended.task = seen.task;
+    ended.incarnation = seen.incarnation;
+    ended.service = seen.service;
+    reportTask(state, worker, ended, resultOf(seen.phase), context);
+}
+
+/// Commitments that the worker does not list: never started, or ended with a restart of the worker.
+void dropUnlisted(entry_state &state, worker_view &worker, const worker_result &result,
+                  step_context &context)
+{
+    std::vector<std::string> unlisted;
+    for (const auto &[key, task] : worker.tasks) {
+        const bool isListed = std::any_of(
+            result.seen->tasks.begin(), result.seen->tasks.end(), [&key = key](const auto &seen) {
+                return taskKeyOf(seen->job, seen->task, seen->incarnation) == key;
+            });
+        const timestamp settledAt =
+            task.isConfirmed ? task.confirmedAt : task.startBy + 2 * clockOffsetBound;
+        if (!isListed && !task.isHeld && result.asked_at > settledAt) {
+            unlisted.push_back(key);
+        }
+    }
+    for (const std::string &key : unlisted) {
+        endTask(state, worker, key, placement_result::absent, context);
+    }
+}
+
+} // namespace
+
+void noteTaskCall(entry_state &state, worker_view &worker, const worker_result &result,
+                  step_context &context)
+{
+    if (result.order == nullptr) {
+        return;
+    }
+    const task_order &order = *result.order;
+    const std::string key = taskKeyOf(order.job, order.task, order.incarnation);
+    if (result.kind == worker_call_kind::start) {
+        noteStart(state, worker, key, result, context);
+    } else if (result.accepted && result.kind == worker_call_kind::forget) {
+        worker.endedKeys.erase(key);
+    } else if (result.accepted) {
+        worker.nextPollAt = context.now; // Stopped or checkpointed: the next report tells.
+        if (result.seen != nullptr && result.asked_at >= worker.seenAt) {
+            worker.seenAt = result.asked_at;
+            noteTaskReport(state, worker, result, context);
+        }
+    }
+}
+
+void noteTaskReport(entry_state &state, worker_view &worker, const worker_result &result,
+                    step_context &context)
+{
+    if (result.seen->is_unchanged) {
+        return;
+    }
+    worker.reportVersion = result.seen->version;
+    worker.endedKeys.clear();
+    for (const auto &seen : result.seen->tasks) {
+        if (seen->phase != task_phase::running) {
+            worker.endedKeys.insert(taskKeyOf(seen->job, seen->task, seen->incarnation));
+        }
+    }
+    // Ended tasks first, so that what they free is there for tasks that are adopted.
+    for (const bool isRunning : {false, true}) {
+        for (const auto &seen : result.seen->tasks) {
+            if ((seen->phase == task_phase::running) == isRunning) {
+                noteSeenTask(state, worker, *seen, context);
+            }
+        }
+    }
+    dropUnlisted(state, worker, result, context);
+}
+
+void tendTasks(entry_state &state, step_context &context)
+{
+    for (auto item = state.endedPlacements.begin(); item != state.endedPlacements.end();) {
+        item = context.now >= item->second ? state.endedPlacements.erase(item) : std::next(item);
+    }
+    for (auto &[name, worker] : state.pool.workers) {
+        const bool isSilent =
+            isLapsed(state, worker, context.now) && context.now - worker.seenAt > taskLeaseSpan;
+        std::vector<std::string> ended;
+        for (const auto &[key, task] : worker.tasks) {
+            if (isSilent || (task.isHeld && context.now >= task.holdUntil)) {
+                ended.push_back(key);
+            }
+        }
+        for (const std::string &key : ended) {
+            endTask(state, worker, key, placement_result::absent, context);
+        }
+    }
+}
+
+void endTasksOf(entry_state &state, worker_view &worker, step_context &context)
+{
+    while (!worker.tasks.empty()) {
+        endTask(state, worker, worker.tasks.begin()->first, placement_result::absent, context);
+    }
+}
+
+} // namespace bramleygrade
