--- a/src/core/documents.h
+++ b/src/core/documents.h
@@ -72,6 +72,11 @@
 
 bool areDocumentsFresh(const document_state &state, timestamp now);
 
+/// Version of the service's document that is in force here; 0 where there is none.
+std::uint64_t sequenceOf(const document_state &state, const std::string &service);
+
+bool isOwnerOfDocuments(const authority_state &authority, const cell_state &cell, timestamp now);
+
 const service_document *findDocument(const document_state &state, const std::string &service);
 
 /// Says what is wrong with a document, or nothing.
--- /dev/null
+++ b/testing/cell_fake_workers.cpp
@@ -0,0 +1,165 @@
+#include <algorithm>
+
+#include "bramleygrade/json_codec.h"
+#include "testing/cell_fake.h"
+
+namespace bramleygrade {
+
+namespace {
+
+constexpr microseconds callLimit = 2 * second;
+constexpr microseconds answerGrace = 200 * millisecond;
+constexpr int statusOk = 200;
+constexpr int statusFailed = 500;
+
+} // namespace
+
+int cell_fake::indexOfWorker(const std::string &name) const
+{
+    for (std::size_t index = 0; index < m_workers.size(); ++index) {
+        if (m_workers[index].tasks.info.name == name) {
+            return static_cast<int>(index);
+        }
+    }
+    return -1;
+}
+
+void cell_fake::finishAttempt(int index, const dispatch_request &wanted, endpoint_outcome outcome,
+                              int status, const std::string &body)
+{
+    endpoint_result result;
+    result.attempt = wanted.attempt;
+    result.outcome = outcome;
+    result.status = status;
+    result.body = body;
+    deliver(index, result);
+}
+
+void cell_fake::sendRequest(int index, const dispatch_request &wanted)
+{
+    const fake_entry &entry = m_entries[static_cast<std::size_t>(index)];
+    if (!entry.isAlive) {
+        return;
+    }
+    if (m_now < entry.pausedUntil) {
+        at(entry.pausedUntil, [this, index, wanted] { sendRequest(index, wanted); });
+        return;
+    }
+    if (localTime(index) >= wanted.start_by) {
+        finishAttempt(index, wanted, endpoint_outcome::too_late, 0, "");
+        return;
+    }
+    ++counters.dispatches;
+    after(networkDelay(), [this, index, wanted] { arriveAtEndpoint(index, wanted); });
+}
+
+void cell_fake::arriveAtEndpoint(int index, const dispatch_request &wanted)
+{
+    const int target = indexOfWorker(wanted.worker);
+    fake_worker &worker = m_workers[static_cast<std::size_t>(target)];
+    if (!worker.isAlive) {
+        finishAttempt(index, wanted, endpoint_outcome::not_sent, 0, "");
+        return;
+    }
+    const timestamp lostAt = m_now
+        + std::max<microseconds>(wanted.deadline + answerGrace - localTime(index), millisecond);
+    const auto lose = [this, index, wanted] {
+        finishAttempt(index, wanted, endpoint_outcome::lost, 0, "");
+    };
+    if (isWithin(worker.silent, m_now)) {
+        at(lostAt, lose);
+        return;
+    }
+    if (worker.failsRequests) {
+        finishAttempt(index, wanted, endpoint_outcome::answered, statusFailed, "failed");
+        return;
+    }
+    if (worker.activeRequests >= worker.tasks.info.slots) {
+        finishAttempt(index, wanted, endpoint_outcome::refused, 0, "");
+        return;
+    }
+    ++worker.activeRequests;
+    worker.mostActive = std::max(worker.mostActive, worker.activeRequests);
+    runs.push_back(
+        {wanted.request_id, wanted.body, wanted.worker, worker.tasks.info.failure_domain, m_now});
+    const microseconds mean = m_options.answerTime * worker.slowFactor;
+    const microseconds takes = mean / 2 + static_cast<microseconds>(draw(mean));
+    const bool isLost = happens(m_options.answerLossPerMille);
+    if (isLost) {
+        at(lostAt, lose);
+    }
+    after(takes, [this, index, target, wanted, isLost] {
+        --m_workers[static_cast<std::size_t>(target)].activeRequests;
+        if (!isLost) {
+            after(networkDelay(), [this, index, wanted] {
+                finishAttempt(index, wanted, endpoint_outcome::answered, statusOk, wanted.body);
+            });
+        }
+    });
+}
+
+void cell_fake::callWorker(int index, const worker_call &wanted)
+{
+    const fake_entry &entry = m_entries[static_cast<std::size_t>(index)];
+    if (!entry.isAlive) {
+        return;
+    }
+    if (m_now < entry.pausedUntil) {
+        at(entry.pausedUntil, [this, index, wanted] { callWorker(index, wanted); });
+        return;
+    }
+    ++counters.workerCalls;
+    const timestamp askedAt = localTime(index);
+    after(networkDelay(),
+          [this, index, wanted, askedAt] { arriveAtWorker(index, wanted, askedAt); });
+}
+
+void cell_fake::arriveAtWorker(int index, const worker_call &wanted, timestamp askedAt)
+{
+    fake_worker &worker = m_workers[static_cast<std::size_t>(indexOfWorker(wanted.worker))];
+    worker_result result;
+    result.call = wanted.call;
+    result.worker = wanted.worker;
+    result.kind = wanted.kind;
+    result.asked_at = askedAt;
+    result.order = std::make_unique<task_order>(*wanted.order);
+    result.reached = worker.isAlive;
+    if (onWorkerCall) {
+        onWorkerCall(index, wanted);
+    }
+    const bool isSilent = isWithin(worker.silent, m_now);
+    if (worker.isAlive && !isSilent) {
+        const task_order &order = *wanted.order;
+        passTimeAt(worker.tasks, m_now);
+        result.accepted = true;
+        switch (wanted.kind) {
+        case worker_call_kind::poll:
+            renewAllAt(worker.tasks, order.lease_until, m_now);
+            break;
+        case worker_call_kind::start:
+            result.accepted = startTaskAt(worker.tasks, order, m_now);
+            break;
+        case worker_call_kind::stop:
+            stopTaskAt(worker.tasks, order, m_now);
+            break;
+        case worker_call_kind::checkpoint:
+            checkpointTaskAt(worker.tasks, order, m_now);
+            break;
+        case worker_call_kind::forget:
+            forgetTaskAt(worker.tasks, order, m_now);
+            break;
+        }
+        worker_report report = reportOf(worker.tasks, worker.activeRequests, order.known_version);
+        report.is_leaving = m_now >= worker.leftAt;
+        counters.workerBytes += toJson(order).size() + toJson(report).size();
+        result.seen = std::make_unique<worker_report>(std::move(report));
+    }
+    const bool isLost = worker.isAlive && (isSilent || happens(m_options.answerLossPerMille));
+    if (isLost) {
+        result.seen = nullptr;
+        result.accepted = false;
+    }
+    after(isLost ? callLimit : networkDelay(), [this, index, result] { deliver(index, result); });
+}
+
+} // namespace bramleygrade
--- a/testing/history.cpp
+++ b/testing/history.cpp
@@ -1,4 +1,4 @@
-#include "testing/history.h"
+#include "testing/history_run.h"
 
 #include <algorithm>
 #include <iostream>
@@ -10,84 +10,11 @@
 
 namespace {
 
-constexpr microseconds settleTime = 15 * second;
 constexpr microseconds sampleInterval = 40 * millisecond;
-/// An accepted change is in force everywhere after this long (the users' letter).
-constexpr microseconds changeLimit = 14 * second;
-/// A leaving endpoint receives no new work after this long (the brief: a few seconds).
-constexpr microseconds leavingLimit = 6 * second;
 
-/// What callers know of one request.
-struct request_record
-{
-    std::string body;
-    bool isUnrepeatable = false;
-    int attempts = 0;
-    int open = 0;
-    bool isOver = false;
-    bool toldDone = false;
-    bool toldNotRun = false;
-    bool gotWrongBody = false;
-};
-
-struct open_attempt
-{
-    std::string request;
-    int entry = 0;
-    std::uint64_t generation = 0;
-    bool isRepeat = false;
-    /// An entry that lives has answered by then.
-    timestamp answerBy = 0;
-    bool hasArrived = false;
-};
-
-class history
-{
-public:
-    explicit history(const history_options &options)
-        : m_options(options)
-        , m_cell(cellOptions(options))
-    {
-    }
-
-    history_result run();
-
-private:
-    static cell_options cellOptions(const history_options &options);
-    void scheduleFaults();
-    void scheduleEntryFaults(timestamp from, timestamp until);
-    void scheduleWorkerFaults(timestamp from, timestamp until);
-    void scheduleCallers();
-    void sendAttempt(const std::string &id);
-    void repeatLater(const std::string &id);
-    void noteAnswer(int entry, const answer_caller &answered);
-    void scheduleOperators();
-    void applyChange(int number);
-    void scheduleJobs();
-    void noteOperatorAnswer(const answer_operator &answered);
-    void sampleAuthority();
-    void judgeRequests();
-    void judgePlaces();
-    void judgeTasks();
-    void violate(std::string text) { m_result.violations.push_back(std::move(text)); }
-    void trace(const std::string &text) const;
-    timestamp randomTime(timestamp from, timestamp until)
-    {
-        return from + static_cast<timestamp>(m_cell.draw(static_cast<std::uint64_t>(until - from)));
-    }
-    timestamp end() const { return historyStart + m_options.length; }
-    int randomEntry() { return static_cast<int>(m_cell.draw(m_cell.entries().size())); }
-
-    history_options m_options;
-    cell_fake m_cell;
-    history_result m_result;
-    std::map<std::string, request_record> m_requests;
-    std::map<std::uint64_t, open_attempt> m_open;
-    std::map<std::uint64_t, std::string> m_operations;
-    std::uint64_t m_nextHandle = 1;
-};
+} // namespace
 
-cell_options history::cellOptions(const history_options &options)
+cell_options history_run::cellOptions(const history_options &options)
 {
     cell_options cell;
     cell.seed = options.seed * 0x9e3779b97f4a7c15ull + 1;
@@ -104,94 +31,14 @@
     return cell;
 }
 
-void history::trace(const std::string &text) const
+void history_run::trace(const std::string &text) const
 {
     if (m_options.isTraced) {
         std::cout << (m_cell.now() - historyStart) / millisecond << " ms " << text << '\n';
     }
 }
 
-void history::scheduleEntryFaults(timestamp from, timestamp until)
-{
-    for (std::uint64_t count = m_cell.draw(4); count > 0; --count) {
-        const int entry = randomEntry();
-        m_cell.at(randomTime(from, until), [this, entry] {
-            const microseconds span = second + static_cast<microseconds>(m_cell.draw(14 * second));
-            trace("pause entry " + std::to_string(entry + 1) + " for "
-                  + std::to_string(span / millisecond));
-            m_cell.pauseEntry(entry, span);
-        });
-    }
-    for (std::uint64_t count = m_cell.draw(3); count > 0; --count) {
-        const int entry = randomEntry();
-        m_cell.at(randomTime(from, until), [this, entry] {
-            trace("kill entry " + std::to_string(entry + 1));
-            m_cell.killEntry(entry);
-            if (m_cell.draw(3) == 0) {
-                return;
-            }
-            m_cell.after(second + static_cast<microseconds>(m_cell.draw(15 * second)),
-                         [this, entry] {
-                             trace("start entry " + std::to_string(entry + 1));
-                             m_cell.startEntry(entry);
-                         });
-        });
-    }
-    if (m_cell.draw(4) == 0) {
-        const int entry = randomEntry();
-        m_cell.at(randomTime(from, until), [this, entry] {
-            trace("drain entry " + std::to_string(entry + 1));
-            operator_request drain;
-            drain.action = operator_action::drain;
-            m_cell.deliver(entry, drain);
-        });
-    }
-    for (fake_entry &entry : m_cell.entries()) {
-        for (std::vector<fault_window> *cuts : {&entry.tableCuts, &entry.peerCuts}) {
-            for (std::uint64_t count = m_cell.draw(3); count > 0; --count) {
-                const timestamp start = randomTime(from, until);
-                cuts->push_back(
-                    {start, start + second + static_cast<timestamp>(m_cell.draw(20 * second))});
-            }
-        }
-    }
-}
-
-void history::scheduleWorkerFaults(timestamp from, timestamp until)
-{
-    for (std::size_t index = 0; index < m_cell.workers().size(); ++index) {
-        const int worker = static_cast<int>(index);
-        fake_worker &fake = m_cell.workers()[index];
-        if (m_cell.draw(4) == 0) {
-            const timestamp start = randomTime(from, until);
-            fake.silent.push_back(
-                {start, start + second + static_cast<timestamp>(m_cell.draw(15 * second))});
-        }
-        if (m_cell.draw(10) == 0) {
-            m_cell.at(randomTime(from, until), [this, worker] { m_cell.leaveWorker(worker); });
-        }
-        if (m_cell.draw(12) == 0) {
-            m_cell.at(randomTime(from, until), [this, worker] { m_cell.killWorker(worker); });
-        }
-        fake.tasks.failsTasks = m_cell.draw(12) == 0;
-        fake.failsRequests = m_cell.draw(12) == 0;
-    }
-}
-
-void history::scheduleFaults()
-{
-    const timestamp from = historyStart + settleTime;
-    const timestamp until = end();
-    for (std::uint64_t count = m_cell.draw(3); count > 0; --count) {
-        const timestamp start = randomTime(from, until);
-        m_cell.tableOutages.push_back(
-            {start, start + 5 * second + static_cast<timestamp>(m_cell.draw(35 * second))});
-    }
-    scheduleEntryFaults(from, until);
-    scheduleWorkerFaults(from, until);
-}
-
-void history::scheduleCallers()
+void history_run::scheduleCallers()
 {
     const int count = 150 + static_cast<int>(m_cell.draw(150));
     for (int number = 0; number < count; ++number) {
@@ -210,7 +57,7 @@
     }
 }
 
-void history::sendAttempt(const std::string &id)
+void history_run::sendAttempt(const std::string &id)
 {
     request_record &record = m_requests.at(id);
     const int entry = randomEntry();
@@ -253,7 +100,7 @@
     });
 }
 
-void history::repeatLater(const std::string &id)
+void history_run::repeatLater(const std::string &id)
 {
     const request_record &record = m_requests.at(id);
     constexpr int attemptLimit = 5;
@@ -266,7 +113,7 @@
     }
 }
 
-void history::noteAnswer(int entry, const answer_caller &answered)
+void history_run::noteAnswer(int entry, const answer_caller &answered)
 {
     const auto found = m_open.find(answered.handle);
     if (found == m_open.end()) {
@@ -305,7 +152,7 @@
     }
 }
 
-void history::applyChange(int number)
+void history_run::applyChange(int number)
 {
     static const std::vector<std::vector<std::string>> choices {
         {"domain-a", "domain-b", "domain-c"},
@@ -335,7 +182,7 @@
     m_cell.deliver(entry, request);
 }
 
-void history::scheduleOperators()
+void history_run::scheduleOperators()
 {
     for (int number = 0; number < 6; ++number) {
         m_cell.at(historyStart + (4 + number) * second, [this, number] {
@@ -357,7 +204,7 @@
     }
 }
 
-void history::scheduleJobs()
+void history_run::scheduleJobs()
 {
     for (int number = 0; number < 12; ++number) {
         m_cell.at(randomTime(historyStart + settleTime, end() - 15 * second), [this, number] {
@@ -390,7 +237,7 @@
     }
 }
 
-void history::noteOperatorAnswer(const answer_operator &answered)
+void history_run::noteOperatorAnswer(const answer_operator &answered)
 {
     const auto found = m_operations.find(answered.handle);
     if (found == m_operations.end()) {
@@ -405,7 +252,7 @@
     m_operations.erase(found);
 }
 
-void history::sampleAuthority()
+void history_run::sampleAuthority()
 {
     static const std::vector<std::string> shards {"documents", "home-0", "home-7",
                                                   "rack-1",    "rack-2", "rack-3"};
@@ -441,114 +288,7 @@
     m_cell.after(sampleInterval, [this] { sampleAuthority(); });
 }
 
-void history::judgeRequests()
-{
-    std::map<std::string, int> ranById;
-    std::map<std::string, int> ranByBody;
-    for (const endpoint_run &run : m_cell.runs) {
-        if (!run.requestId.empty()) {
-            ++ranById[run.requestId];
-        }
-        ++ranByBody[run.body];
-    }
-    for (const auto &[id, record] : m_requests) {
-        const int ran = record.isUnrepeatable ? ranById[id] : ranByBody[record.body];
-        if (record.isUnrepeatable && ran > 1) {
-            violate(id + " ran " + std::to_string(ran) + " times");
-        }
-        if (record.toldNotRun && ran > 0) {
-            violate(id + " was said not to have run, but ran");
-        }
-        if (record.toldDone && record.toldNotRun) {
-            violate(id + " was said to be done and not to have run");
-        }
-        if (record.gotWrongBody) {
-            violate(id + " got an answer that is not its own");
-        }
-    }
-    for (const auto &[handle, attempt] : m_open) {
-        const fake_entry &entry = m_cell.entries()[static_cast<std::size_t>(attempt.entry)];
-        const bool isServed = entry.isAlive && entry.generation == attempt.generation;
-        m_result.unanswered += 1;
-        const bool isDue = m_cell.now() > std::max(attempt.answerBy, entry.pausedUntil + second);
-        if (isServed && isDue) {
-            violate(attempt.request + " got no answer from an entry that lives");
-        }
-    }
-}
-
-/// Requests ran only where a document that was in force lately allows, and not on leaving workers.
-void history::judgePlaces()
-{
-    const auto &changes = m_cell.documentChanges;
-    for (const endpoint_run &run : m_cell.runs) {
-        bool isAllowed = false;
-        for (std::size_t index = 0; index < changes.size(); ++index) {
-            const timestamp until =
-                index + 1 < changes.size() ? changes[index + 1].at : distantFuture;
-            const bool wasInForce = changes[index].at <= run.at && until + changeLimit > run.at;
-            const auto &domains = changes[index].allowedDomains;
-            isAllowed = isAllowed
-                || (wasInForce
-                    && std::find(domains.begin(), domains.end(), run.domain) != domains.end());
-        }
-        if (!isAllowed) {
-            violate("a request ran in " + run.domain + " against its document at "
-                    + std::to_string((run.at - historyStart) / millisecond) + " ms");
-        }
-    }
-    for (const fake_worker &worker : m_cell.workers()) {
-        for (const endpoint_run &run : m_cell.runs) {
-            if (run.worker == worker.tasks.info.name && worker.leftAt < distantFuture
-                && run.at > worker.leftAt + leavingLimit) {
-                violate("leaving " + run.worker + " got new work");
-            }
-        }
-    }
-}
-
-void history::judgeTasks()
-{
-    struct task_run
-    {
-        timestamp from;
-        timestamp until;
-        std::string worker;
-    };
-    std::map<std::string, std::vector<task_run>> runs;
-    for (fake_worker &worker : m_cell.workers()) {
-        if (worker.isAlive) {
-            passTimeAt(worker.tasks, m_cell.now());
-        }
-        if (worker.tasks.overcommits > 0) {
-            violate(worker.tasks.info.name + " was committed beyond its resources");
-        }
-        std::vector<fake_task> tasks = worker.tasks.ledger;
-        for (const auto &[key, task] : worker.tasks.tasks) {
-            tasks.push_back(task);
-        }
-        for (const fake_task &task : tasks) {
-            const bool isRunning = task.phase == task_phase::running;
-            runs[task.order.job + "/" + std::to_string(task.order.task)].push_back(
-                {task.startedAt, isRunning ? distantFuture : task.endedAt, worker.tasks.info.name});
-            ++m_result.tasksStarted;
-            m_result.tasksFinished += task.phase == task_phase::finished ? 1 : 0;
-        }
-    }
-    for (const auto &[task, places] : runs) {
-        for (std::size_t left = 0; left < places.size(); ++left) {
-            for (std::size_t right = left + 1; right < places.size(); ++right) {
-                if (places[left].from < places[right].until
-                    && places[right].from < places[left].until) {
-                    violate("task " + task + " ran on " + places[left].worker + " and "
-                            + places[right].worker + " at one time");
-                }
-            }
-        }
-    }
-}
-
-history_result history::run()
+history_result history_run::run()
 {
     m_cell.onAnswer = [this](int entry, const answer_caller &answered) {
         noteAnswer(entry, answered);
@@ -606,11 +346,9 @@
     return m_result;
 }
 
-} // namespace
-
 history_result runHistory(const history_options &options)
 {
-    return history(options).run();
+    return history_run(options).run();
 }
 
 } // namespace bramleygrade
