--- a/bench/control_cost.cpp
+++ b/bench/control_cost.cpp
@@ -27,16 +27,12 @@
 
 void applyDocument(cell_fake &cell)
 {
-    operator_request request;
-    request.handle = 1;
-    request.action = operator_action::apply;
-    request.document = std::make_unique<service_document>();
-    request.document->service = "booking";
-    request.document->team = "team";
-    request.document->allowed_domains = {"domain-a", "domain-b", "domain-c"};
-    request.document->quota_cpu_millis = 1'000'000'000;
-    request.document->quota_memory_mb = 1'000'000'000;
-    cell.deliver(0, request);
+    service_document document;
+    document.service = "booking";
+    document.team = "team";
+    document.quota_cpu_millis = 1'000'000'000;
+    document.quota_memory_mb = 1'000'000'000;
+    applyOpenDocument(cell, std::move(document));
 }
 
 void submitJob(cell_fake &cell, int number, int tasks)
--- a/bench/offered_load.cpp
+++ b/bench/offered_load.cpp
@@ -38,17 +38,12 @@
 
 void applyDocument(cell_fake &cell)
 {
-    operator_request request;
-    request.handle = 1;
-    request.action = operator_action::apply;
-    request.document = std::make_unique<service_document>();
-    request.document->service = "booking";
-    request.document->team = "bursting";
+    service_document document;
+    document.team = "bursting";
     for (int team = 0; team < quietTeams; ++team) {
-        request.document->callers.push_back("quiet-" + std::to_string(team));
+        document.callers.push_back("quiet-" + std::to_string(team));
     }
-    request.document->allowed_domains = {"domain-a", "domain-b", "domain-c"};
-    cell.deliver(0, request);
+    applyOpenDocument(cell, std::move(document));
 }
 
 void scheduleFaults(cell_fake &cell, const offered_load &load, timestamp start)
--- a/bench/packing.cpp
+++ b/bench/packing.cpp
@@ -77,17 +77,13 @@
 
 void applyDocument(cell_fake &cell)
 {
-    operator_request request;
-    request.handle = 1;
-    request.action = operator_action::apply;
-    request.document = std::make_unique<service_document>();
-    request.document->service = "booking";
-    request.document->team = "sittplats";
-    request.document->allowed_domains = {"domain-a", "domain-b", "domain-c"};
-    request.document->policy = placement_policy::best_packing;
-    request.document->quota_cpu_millis = 100'000'000;
-    request.document->quota_memory_mb = 100'000'000;
-    cell.deliver(0, request);
+    service_document document;
+    document.service = "booking";
+    document.team = "sittplats";
+    document.policy = placement_policy::best_packing;
+    document.quota_cpu_millis = 100'000'000;
+    document.quota_memory_mb = 100'000'000;
+    applyOpenDocument(cell, std::move(document));
 }
 
 packing_row runOurs(const std::string &load, const std::vector<wished_task> &tasks,
--- a/samples/virtual_cell.cpp
+++ b/samples/virtual_cell.cpp
@@ -20,13 +20,9 @@
         cell.startEntry(entry);
     }
     cell.at(historyStart + 8 * second, [&cell] {
-        operator_request apply;
-        apply.action = operator_action::apply;
-        apply.document = std::make_unique<service_document>();
-        apply.document->service = "booking";
-        apply.document->team = "salon-a";
-        apply.document->allowed_domains = {"domain-a", "domain-b", "domain-c"};
-        cell.deliver(0, apply);
+        service_document document;
+        document.team = "salon-a";
+        applyOpenDocument(cell, std::move(document));
     });
     cell.at(historyStart + 14 * second, [&cell] {
         caller_request request;
--- a/src/core/job_news.cpp
+++ b/src/core/job_news.cpp
@@ -3,6 +3,7 @@
 #include "core/job_home.h"
 #include "core/job_placement.h"
 #include "core/task_messages.h"
+#include "core/usage_estimate.h"
 
 namespace bramleygrade {
 
--- a/src/core/job_placement.h
+++ b/src/core/job_placement.h
@@ -24,10 +24,4 @@
 /// Takes in the spare capacity that a report carries.
 void noteShardLoad(entry_state &state, const std::string &from, const task_report &report);
 
-/// Moves the estimate of what tasks of a service take towards what one was seen to take.
-void learnUsage(usage_estimate &usage, const job_specification &job, const task_report &report);
-
-/// What a task of the job is given: what such tasks were seen to take, with a margin.
-resources estimateSize(const job_book &book, const job_specification &job, int failures);
-
 } // namespace bramleygrade
--- a/testing/cell_fake.cpp
+++ b/testing/cell_fake.cpp
@@ -27,6 +27,16 @@
     });
 }
 
+void applyOpenDocument(cell_fake &cell, service_document document)
+{
+    operator_request request;
+    request.action = operator_action::apply;
+    document.service = "booking";
+    document.allowed_domains = {"domain-a", "domain-b", "domain-c"};
+    request.document = std::make_unique<service_document>(std::move(document));
+    cell.deliver(0, request);
+}
+
 cell_fake::cell_fake(const cell_options &options)
     : m_options(options)
     , m_random(options.seed)
--- a/testing/cell_fake.h
+++ b/testing/cell_fake.h
@@ -210,6 +210,10 @@
     std::deque<listed_state> m_lists;
 };
 
+/// An operator applies a new document of the service `booking`, the one that the fake workers
+/// answer, allowed in all domains, through the first entry.
+void applyOpenDocument(cell_fake &cell, service_document document);
+
 bool isWithin(const std::vector<fault_window> &windows, timestamp now);
 
 } // namespace bramleygrade
