--- /dev/null
+++ b/test/bad_input.sh
@@ -0,0 +1,71 @@
+#!/usr/bin/env bash
+# Bad input at a real entry gets a clear error, and the next good request is served.
+#
+# bad_input.sh BUILD_FOLDER
+set -u
+cd "$(dirname "$0")/.."
+CELL_BIN=$1
+PLATFORM_PORT=39000 ENTRY_BASE=37000 WORKER_BASE=39100
+. scripts/cell.sh
+trap cell_stop EXIT
+run_process platform "$CELL_BIN/platform_standin" --port "$PLATFORM_PORT"
+sleep 0.5
+start_rack 1 booking 4 5
+start_entry 1
+echo '{"service": "booking", "team": "carpathian", "callers": ["salon-a"],
+       "allowed_domains": ["domain-a"]}' > "$CELL_DIR/booking.json"
+for _ in $(seq 60); do
+    tool 1 apply "$CELL_DIR/booking.json" > /dev/null 2>&1 && break
+    sleep 1
+done
+url=http://$(caller_address 1)/v1/services
+failures=0
+expect() { # NAME PATTERN COMMAND...: the output of the command must hold the pattern
+    local name=$1 pattern=$2 output
+    shift 2
+    output=$("$@" 2>&1)
+    if echo "$output" | grep -qE "$pattern"; then echo "ok: $name"; else
+        echo "FAILED: $name: expected $pattern in: $(echo "$output" | head -c 300)"
+        failures=$((failures + 1))
+    fi
+}
+call() { curl -s -i -m 20 -H "Bramley-Team: salon-a" "$@"; }
+served() {
+    for _ in $(seq 40); do
+        call -d hello "$url/booking/x" | grep -q "served by" && echo served && return
+        sleep 0.5
+    done
+}
+expect "a good request" served served
+expect "unknown team" "may not call it" curl -s -i -H "Bramley-Team: nobody" -d x "$url/booking/x"
+expect "no team" "HTTP/1.1 400" curl -s -i -d x "$url/booking/x"
+expect "unknown service" "unknown service" call -d x "$url/nothing/x"
+expect "deadline of 0" "Bramley-Deadline-Ms" call -H "Bramley-Deadline-Ms: 0" -d x "$url/booking/x"
+expect "deadline of words" "Bramley-Deadline-Ms" call -H "Bramley-Deadline-Ms: soon" -d x "$url/booking/x"
+expect "malformed id" "request-id" call -H "Bramley-Request-Id: seat12" -d x "$url/booking/x"
+expect "id from the future" "future" call -H "Bramley-Request-Id: 9999999999999-x" -d x "$url/booking/x"
+expect "id of long ago" "may-have-run" call -H "Bramley-Request-Id: 1000-x" -d x "$url/booking/x"
+head -c 1500000 /dev/zero | tr '\0' a > "$CELL_DIR/large"
+expect "body over 1 MiB" "1 MiB|413" call --data-binary "@$CELL_DIR/large" "$url/booking/x"
+head -c 3000000 /dev/zero | tr '\0' a > "$CELL_DIR/huge"
+expect "body over all limits" "413" call --data-binary "@$CELL_DIR/huge" "$url/booking/x"
+flood=()
+for number in $(seq 300); do flood+=(-H "X-Flood-$number: $(head -c 200 /dev/zero | tr '\0' b)"); done
+expect "a flood of headers" "HTTP/1.1 [2-5]" call "${flood[@]}" -d x "$url/booking/x"
+expect "an endless header" "HTTP/1.1 4|^$" call -H "X-Long: $(head -c 100000 /dev/zero | tr '\0' c)" \
+    -d x "$url/booking/x"
+expect "no key of the cell" "403" curl -s -i "http://$(operator_address 1)/v1/dump"
+operate() { curl -s -i -H "Bramley-Cell-Key: $CELL_KEY" -d "$1" "http://$(operator_address 1)/v1/operate"; }
+expect "malformed operator JSON" "HTTP/1.1 400" operate '{"action": '
+expect "unknown operator field" "unknown field" operate '{"acton": "get"}'
+expect "apply without a document" "document:" operate '{"action": "apply"}'
+expect "impossible document" "no worker of the platform" operate \
+    '{"action": "apply", "document": {"service": "x", "team": "t", "allowed_domains": ["moon"]}}'
+expect "stale document version" "merge and apply again" operate \
+    '{"action": "apply", "expected": 7, "document": {"service": "booking", "team": "t",
+      "allowed_domains": ["domain-a"]}}'
+expect "peers' port without the key" "403" curl -s -i -d '{}' "http://127.0.0.1:$((ENTRY_BASE + 12))/peer"
+expect "the dump is JSON with every part" "shards.*workers" tool 1 dump
+expect "a good request after all that" served served
+expect "the entry lives" "no problem" tool 1 status
+exit "$failures"
