After a pause, no new work before the list has been read again

Its owner had been paused for 12.9 s; after it went on, one reading of the table gave it authority back, and it placed work by the list from before the pause. Ruled out: lateness in the network (at most 2 s) and the sender's own check, since authority was regained properly. Change: what was listed before a pause of more than 2 s does not count; an entry that gets no list goes on after 5 s.

--- a/src/core/cell_view.cpp
+++ b/src/core/cell_view.cpp
@@ -93,6 +93,11 @@
     return isListTrusted && isOldEnough && state.instances.count(nameOfIdentity(identity)) == 0;
 }
 
+bool isListCurrent(const cell_state &state, timestamp now)
+{
+    return state.listAskedAt >= state.awakeSince || now - state.awakeSince > listWaitLimit;
+}
+
 bool isRackGone(const cell_state &state, const std::string &rackShard, timestamp since,
                 timestamp now)
 {
--- a/src/core/cell_view.h
+++ b/src/core/cell_view.h
@@ -15,6 +15,9 @@
 
 /// A list older than this says nothing about who is gone.
 constexpr microseconds listTrustLimit = 10 * second;
+/// A process that has not run for this long takes what it knows for outdated.
+constexpr microseconds sleepLimit = 2 * second;
+constexpr microseconds listWaitLimit = 5 * second;
 /// The list may lack an instance this long after it began to act.
 constexpr microseconds listLagBound = 10 * second;
 /// Without successors that could act, any member claims a shard whose owner was not heard this
@@ -59,6 +62,9 @@
     std::map<std::string, member_view> members;
     std::map<std::string, instance> instances;
     timestamp listReceivedAt = distantPast;
+    timestamp listAskedAt = distantPast;
+    /// When this process last went on after it had not run for a while.
+    timestamp awakeSince = distantPast;
     std::set<std::string> listedRacks;
 
     /// Identity to the time of its newest message.
@@ -86,6 +92,11 @@
 /// with this identity cannot act any more. `since` is when this entry first learned of it.
 bool isGone(const cell_state &state, const std::string &identity, timestamp since, timestamp now);
 
+/// True unless the newest list was asked for before the process went on after a pause: what was
+/// listed then may be leaving now. An entry that gets no list goes on after `listWaitLimit` all the
+/// same.
+bool isListCurrent(const cell_state &state, timestamp now);
+
 /// True where the platform has taken all workers of the rack from its list, so that nothing runs
 /// there. `since` is when something may last have been placed there: the list may lag behind that.
 bool isRackGone(const cell_state &state, const std::string &rackShard, timestamp since,
--- a/src/core/decision_core.cpp
+++ b/src/core/decision_core.cpp
@@ -66,6 +66,7 @@
 
 void takeList(entry_state &state, const list_update &list, step_context &context)
 {
+    state.cell.listAskedAt = list.asked_at;
     if (list.is_unchanged) {
         state.cell.listReceivedAt = context.now;
         return;
@@ -212,6 +213,9 @@
     entry_state &state = core.state();
     BRAMLEYGRADE_INVARIANT(now >= state.newestNow,
                            "time went back; feed the core from a clock that never does");
+    if (now - state.newestNow > sleepLimit) {
+        state.cell.awakeSince = now;
+    }
     state.newestNow = now;
     std::vector<command> commands;
     step_context context {now, commands};
--- a/src/core/request_routing.cpp
+++ b/src/core/request_routing.cpp
@@ -40,7 +40,8 @@
 {
     request_state &request = flow.requests.at(number);
     const service_document *document = findDocument(environment.documents, request.service);
-    if (document == nullptr || !areDocumentsFresh(environment.documents, context.now)) {
+    if (document == nullptr || !areDocumentsFresh(environment.documents, context.now)
+        || !isListCurrent(environment.cell, context.now)) {
         return false;
     }
     worker_view *worker =
--- a/src/core/task_owner.cpp
+++ b/src/core/task_owner.cpp
@@ -150,7 +150,8 @@
         && wanted.start_by < context.now + longestStartLimit
         && state.endedPlacements.count(key) == 0
         && !state.authority.shards.at(wanted.shard).isClosing;
-    if (document == nullptr || !areDocumentsFresh(state.documents, context.now) || !isInTime) {
+    if (document == nullptr || !areDocumentsFresh(state.documents, context.now) || !isInTime
+        || !isListCurrent(state.cell, context.now)) {
         refuseTask(state, from, wanted, placement_result::refused, context);
         return;
     }
--- a/src/daemon/platform_link.cpp
+++ b/src/daemon/platform_link.cpp
@@ -104,9 +104,13 @@
         if (http.end == http_end::answered && http.status == statusNotModified) {
             list_update unchanged;
             unchanged.is_unchanged = true;
+            unchanged.asked_at = now;
             m_decisions.tryPush(decision_input {event {std::move(unchanged)}});
         } else if (http.end == http_end::answered && http.status == statusOk) {
             auto list = parseJson<list_update>(http.body);
+            if (list) {
+                list->asked_at = now;
+            }
             if (list && m_decisions.tryPush(decision_input {event {std::move(*list)}})) {
                 entityTag = http.entityTag;
             }
--- a/test/cell_view_test.cpp
+++ b/test/cell_view_test.cpp
@@ -65,6 +65,20 @@
     BOOST_TEST(!isGone(state, "entry-1#1", distantPast, now + listTrustLimit));
 }
 
+BOOST_AUTO_TEST_CASE(a_list_asked_for_before_a_pause_does_not_count_after_it)
+{
+    cell_state state;
+    state.listAskedAt = now;
+    state.awakeSince = now;
+    BOOST_TEST(isListCurrent(state, now));
+    state.awakeSince = now + 10 * second;
+    BOOST_TEST(!isListCurrent(state, now + 10 * second));
+    BOOST_TEST(!isListCurrent(state, state.awakeSince + listWaitLimit));
+    BOOST_TEST(isListCurrent(state, state.awakeSince + listWaitLimit + 1));
+    state.listAskedAt = now + 11 * second;
+    BOOST_TEST(isListCurrent(state, now + 11 * second));
+}
+
 BOOST_AUTO_TEST_CASE(a_rack_is_gone_only_by_a_trusted_list_and_after_its_lag)
 {
     cell_state state;
--- a/testing/cell_fake.cpp
+++ b/testing/cell_fake.cpp
@@ -198,6 +198,7 @@
                 return state.at <= m_now - m_options.listLag;
             });
         list_update update;
+        update.asked_at = localTime(index);
         update.is_unchanged = entry.listedAt == newest->at;
         if (!update.is_unchanged) {
             for (const instance &listed : newest->instances) {
--- a/testing/history_verdict.cpp
+++ b/testing/history_verdict.cpp
@@ -73,7 +73,9 @@
         for (const endpoint_run &run : m_cell.runs) {
             if (run.worker == worker.tasks.info.name && worker.leftAt < distantFuture
                 && run.at > worker.leftAt + leavingLimit) {
-                violate("leaving " + run.worker + " got new work");
+                violate("leaving " + run.worker + " got new work "
+                        + std::to_string((run.at - worker.leftAt) / millisecond)
+                        + " ms after it said so");
             }
         }
     }
