Two checks on bad input that could not fail

Cause: one pattern matched any empty line, the other any status. Ruled out: a fault of the entry; it answers 400 to an endless header and serves a flood within its limits. Seen: 23 cases pass with the stricter patterns. Conclusion: replaced by stricter ones.

--- a/test/bad_input.sh
+++ b/test/bad_input.sh
@@ -51,8 +51,8 @@
 expect "body over all limits" "413" call --data-binary "@$CELL_DIR/huge" "$url/booking/x"
 flood=()
 for number in $(seq 300); do flood+=(-H "X-Flood-$number: $(head -c 200 /dev/zero | tr '\0' b)"); done
-expect "a flood of headers" "HTTP/1.1 [2-5]" call "${flood[@]}" -d x "$url/booking/x"
-expect "an endless header" "HTTP/1.1 4|^$" call -H "X-Long: $(head -c 100000 /dev/zero | tr '\0' c)" \
+expect "a flood of headers" "served by|HTTP/1.1 4" call "${flood[@]}" -d x "$url/booking/x"
+expect "an endless header" "HTTP/1.1 400" call -H "X-Long: $(head -c 100000 /dev/zero | tr '\0' c)" \
     -d x "$url/booking/x"
 expect "no key of the cell" "403" curl -s -i "http://$(operator_address 1)/v1/dump"
 operate() { curl -s -i -H "Bramley-Cell-Key: $CELL_KEY" -d "$1" "http://$(operator_address 1)/v1/operate"; }
