--- /dev/null
+++ b/cmake/tests.cmake
@@ -0,0 +1,67 @@
+# Fakes, tests, benchmarks and samples.
+add_library(bramleygrade_fakes STATIC
+    testing/cell_fake.cpp
+    testing/cell_fake_workers.cpp
+    testing/history.cpp
+    testing/history_faults.cpp
+    testing/history_verdict.cpp
+    testing/table_fake.cpp
+    testing/worker_fake.cpp)
+target_include_directories(bramleygrade_fakes PUBLIC ${CMAKE_SOURCE_DIR})
+target_link_libraries(bramleygrade_fakes PUBLIC bramleygrade_core)
+foreach(standin platform worker)
+    add_executable(${standin}_standin testing/${standin}_standin.cpp)
+    target_link_libraries(${standin}_standin PRIVATE bramleygrade_fakes PkgConfig::HTTPLIB absl::flags
+                          absl::flags_parse absl::strings Threads::Threads)
+endforeach()
+
+add_executable(load bench/load.cpp)
+target_link_libraries(load PRIVATE PkgConfig::HTTPLIB absl::flags absl::flags_parse absl::strings
+                      Threads::Threads)
+
+add_executable(histories testing/histories.cpp)
+target_link_libraries(histories PRIVATE bramleygrade_fakes absl::flags absl::flags_parse)
+
+enable_testing()
+foreach(unit json_codec settings authority request_home request_queue worker_pool cell_view documents
+             task_owner)
+    add_executable(${unit}_test test/${unit}_test.cpp)
+    target_include_directories(${unit}_test PRIVATE ${CMAKE_SOURCE_DIR}/src)
+    target_link_libraries(${unit}_test PRIVATE bramleygrade_daemon Boost::headers)
+    add_test(NAME ${unit} COMMAND ${unit}_test)
+endforeach()
+
+add_executable(jobs_test test/jobs_test.cpp)
+target_link_libraries(jobs_test PRIVATE bramleygrade_fakes Boost::headers)
+add_test(NAME jobs COMMAND jobs_test)
+
+# 10,000 randomised histories in virtual time; the seeds are fixed, so that the verdict is too.
+foreach(part RANGE 0 7)
+    math(EXPR first "${part} * 1250 + 1")
+    add_test(NAME histories_from_${first} COMMAND histories --first ${first} --count 1250
+                     --known_red ${CMAKE_SOURCE_DIR}/KNOWN-RED.txt)
+    set_tests_properties(histories_from_${first} PROPERTIES COST 1000)
+endforeach()
+
+add_test(NAME process_failures
+         COMMAND ${CMAKE_SOURCE_DIR}/test/process_failures.sh ${CMAKE_BINARY_DIR})
+add_test(NAME bad_input COMMAND ${CMAKE_SOURCE_DIR}/test/bad_input.sh ${CMAKE_BINARY_DIR})
+set_tests_properties(process_failures bad_input PROPERTIES RUN_SERIAL TRUE COST 1)
+
+find_package(benchmark REQUIRED)
+add_executable(outcomes bench/outcomes.cpp bench/baselines.cpp bench/offered_load.cpp
+                        bench/packing.cpp)
+target_link_libraries(outcomes PRIVATE bramleygrade_fakes absl::flags absl::flags_parse)
+add_executable(decision_cost bench/decision_cost.cpp)
+target_include_directories(decision_cost PRIVATE ${CMAKE_SOURCE_DIR}/src)
+target_link_libraries(decision_cost PRIVATE bramleygrade_core benchmark::benchmark)
+add_executable(control_cost bench/control_cost.cpp)
+target_link_libraries(control_cost PRIVATE bramleygrade_fakes)
+
+add_executable(embed_core samples/embed_core.cpp)
+target_link_libraries(embed_core PRIVATE bramleygrade_core)
+add_executable(virtual_cell samples/virtual_cell.cpp)
+target_link_libraries(virtual_cell PRIVATE bramleygrade_fakes)
+add_test(NAME sample_embed_core COMMAND embed_core)
+add_test(NAME sample_virtual_cell COMMAND virtual_cell)
+
--- a/scripts/install.sh
+++ b/scripts/install.sh
@@ -4,7 +4,7 @@
 packages="g++ cmake ninja-build pkg-config curl clang-format clang-tidy
     libabsl-dev libflatbuffers-dev flatbuffers-compiler libboost-dev libboost-test-dev
     libcpp-httplib-dev libssl-dev zlib1g-dev libbrotli-dev libjsonrpccpp-dev libjsoncpp-dev
-    liblog4cxx-dev libexpected-dev librapidcheck-dev libbenchmark-dev"
+    liblog4cxx-dev libexpected-dev librapidcheck-dev libbenchmark-dev rapidjson-dev"
 missing=""
 for package in $packages; do
     dpkg-query -W -f='${Status}' "$package" 2> /dev/null | grep -q "install ok installed" \
--- /dev/null
+++ b/src/cell/job_state.cpp
@@ -0,0 +1,92 @@
+#include "cell/job_state.h"
+
+#include <algorithm>
+
+namespace bramleygrade::cell {
+
+namespace {
+
+/// Workers that the objective's share of advice is reckoned on (users' rules, "Credit").
+constexpr int adviceWorkersInObjective = 30;
+
+} // namespace
+
+occurrence_state &occurrenceOf(job_state &job, int index)
+{
+    const auto found = job.occurrences.find(index);
+    if (found != job.occurrences.end()) {
+        return found->second;
+    }
+    occurrence_state &made = job.occurrences[index];
+    for (const step_spec &step : job.spec.steps) {
+        step_state state;
+        state.tasks.resize(static_cast<std::size_t>(step.count));
+        made.steps.push_back(std::move(state));
+    }
+    return made;
+}
+
+task_state *findTask(job_state &job, const task_id &id)
+{
+    const int last = std::max(job.spec.occurrences, 1) - 1;
+    if (id.occurrence < 0 || id.occurrence > last || id.step < 0
+        || id.step >= static_cast<int>(job.spec.steps.size())) {
+        return nullptr;
+    }
+    auto &tasks = occurrenceOf(job, id.occurrence).steps[static_cast<std::size_t>(id.step)].tasks;
+    if (id.index < 0 || id.index >= static_cast<int>(tasks.size())) {
+        return nullptr;
+    }
+    return &tasks[static_cast<std::size_t>(id.index)];
+}
+
+bool isStepReady(const job_state &job, const occurrence_state &occurrence, int step)
+{
+    const auto &after = job.spec.steps[static_cast<std::size_t>(step)].after;
+    return std::all_of(after.begin(), after.end(), [&](int before) {
+        const auto &state = occurrence.steps[static_cast<std::size_t>(before)];
+        return state.done_count == static_cast<int>(state.tasks.size());
+    });
+}
+
+job_phase visiblePhase(const job_state &job)
+{
+    if (job.final_phase && job.final_stored) {
+        return *job.final_phase;
+    }
+    return job.started_any ? job_phase::running : job_phase::queued;
+}
+
+bool hasRuns(const job_state &job)
+{
+    for (const auto &[index, occurrence] : job.occurrences) {
+        for (const step_state &step : occurrence.steps) {
+            for (const task_state &task : step.tasks) {
+                if (task.phase != run_phase::none) {
+                    return true;
+                }
+            }
+        }
+    }
+    return false;
+}
+
+microseconds longestChain(const job_state &job)
+{
+    const microseconds advice = job.policy.needs_advice
+        ? job.policy.advice.base + adviceWorkersInObjective * job.policy.advice.per_worker
+        : 0;
+    std::vector<microseconds> chain;
+    microseconds longest = 0;
+    for (const step_spec &step : job.spec.steps) {
+        microseconds before = 0;
+        for (const int index : step.after) {
+            before = std::max(before, chain[static_cast<std::size_t>(index)]);
+        }
+        chain.push_back(before + step.estimate + advice);
+        longest = std::max(longest, chain.back());
+    }
+    return longest;
+}
+
+} // namespace bramleygrade::cell
--- /dev/null
+++ b/src/cell/job_state.h
@@ -0,0 +1,124 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <set>
+
+#include "cell/types.h"
+
+namespace bramleygrade::cell {
+
+/// Where the newest run of a task stands.
+enum class run_phase {
+    none, ///< no run exists
+    starting, ///< the order has left, the worker has not answered
+    unclear, ///< the order got no answer; the worker must be fenced before the task is run again
+    running,
+    stopping, ///< a stop was ordered; the end is not listed yet
+};
+
+/// One task and its newest run.
+struct task_state
+{
+    bool done = false;
+    int failures = 0;
+    /// Number of the newest run; rises with each start.
+    int attempt = 0;
+    run_phase phase = run_phase::none;
+    std::string worker;
+    /// Token of the newest start order.
+    std::int64_t token = 0;
+    /// Highest attempt whose end has been seen.
+    int ended_attempt = 0;
+    timestamp ordered_at = distantPast;
+    /// Time at which the worker was known to have the run.
+    timestamp confirmed_at = distantPast;
+    int percent = 0;
+    /// Time at which `percent` last changed.
+    timestamp progress_at = distantPast;
+    std::string checkpoint;
+    /// Workers on which the task has failed.
+    std::set<std::string> failed_on;
+};
+
+/// What the advisory service said of one worker for one step.
+struct advice_entry
+{
+    bool allowed = false;
+    std::string ticket;
+    timestamp valid_until = distantPast;
+};
+
+/// One step of one occurrence.
+struct step_state
+{
+    std::vector<task_state> tasks;
+    int done_count = 0;
+    /// Runs that ended `failed`, counted once for a gang.
+    int gang_failures = 0;
+    std::map<std::string, advice_entry> advice;
+    bool advice_pending = false;
+    timestamp advice_not_before = distantPast;
+    /// Time of the first start order of the gang's newest run.
+    timestamp gang_started_at = distantPast;
+    int gang_attempt = 0;
+    /// A member of the newest run has ended or was lost: all start again, once none is left.
+    bool gang_broken = false;
+};
+
+struct occurrence_state
+{
+    std::vector<step_state> steps;
+    int steps_done = 0;
+    timestamp due_at = distantPast;
+    bool completed = false;
+};
+
+/// A job that has been accepted, with the progress of its tasks.
+struct job_state
+{
+    job_spec spec;
+    queue_policy policy;
+    /// Epoch of the scheduler that accepted it; attempts of later epochs start higher.
+    std::int64_t accepted_epoch = 0;
+    timestamp received_at = distantPast;
+    /// Time by which the job should be completed.
+    timestamp objective_at = distantFuture;
+    /// The row is in the store; nothing is started before.
+    bool stored = false;
+    bool cancelled = false;
+    /// Set once the job has ended; the phase becomes visible when `final_stored`.
+    std::optional<job_phase> final_phase;
+    bool final_stored = false;
+    timestamp final_at = distantPast;
+    /// Time of the first occurrence; jobs without occurrences leave it.
+    timestamp first_due_at = distantPast;
+    bool started_any = false;
+    std::map<int, occurrence_state> occurrences;
+    int occurrences_completed = 0;
+    /// Was loaded at a takeover: tasks may run on workers that have not reported yet.
+    bool inherited = false;
+};
+
+/// Attempt numbers that one epoch may use, so that a successor's numbers are always higher.
+constexpr int attemptsPerEpoch = 1000;
+
+/// The occurrence, created on first use.
+occurrence_state &occurrenceOf(job_state &job, int index);
+
+/// The task, or null if the job has no such task.
+task_state *findTask(job_state &job, const task_id &id);
+
+/// Whether all steps before `step` are done.
+bool isStepReady(const job_state &job, const occurrence_state &occurrence, int step);
+
+/// What callers are told.
+job_phase visiblePhase(const job_state &job);
+
+/// Whether any run of the job may still exist.
+bool hasRuns(const job_state &job);
+
+/// The longest chain of estimated run times, advice included.
+microseconds longestChain(const job_state &job);
+
+} // namespace bramleygrade::cell
--- /dev/null
+++ b/src/cell/scheduler_decide.cpp
@@ -0,0 +1,307 @@
+#include <algorithm>
+
+#include "cell/placement.h"
+#include "cell/scheduler.h"
+
+namespace bramleygrade::cell {
+
+namespace {
+
+/// Share of each worker's processors kept for the queue with the highest priority.
+constexpr int urgentShareDivisor = 16;
+
+void orderLook(scheduler &cell, worker_state &worker, timestamp now, bool fence, orders &out)
+{
+    look_order look;
+    look.worker = worker.entry.id;
+    look.fencing_token = fencingToken(cell, worker);
+    look.acknowledged_end = worker.acknowledged_end;
+    look.fence = fence;
+    if (worker.clock != 0) {
+        look.lease_until = workerClock(worker, now) + cell.settings.lease.longest;
+    }
+    // The first look fences, and a look with unstored ends would be answered at once anyway.
+    if (!fence && worker.fenced && worker.unanswered_looks == 0 && worker.unstored_ends.empty()) {
+        look.wait = cell.settings.look_wait;
+    }
+    worker.lease_over_at = std::max(worker.lease_over_at, leaseOverBy(cell.settings.lease, now));
+    (fence ? worker.fence_in_flight : worker.look_in_flight) = true;
+    out.looks.push_back(look);
+}
+
+void lookAtWorkers(scheduler &cell, timestamp now, orders &out)
+{
+    for (auto place = cell.workers.begin(); place != cell.workers.end();) {
+        worker_state &worker = place->second;
+        const bool idle = !worker.look_in_flight && !worker.fence_in_flight;
+        const bool over = worker.unanswered_looks > 0 && now > worker.lease_over_at;
+        const bool left = !worker.listed && worker.entry.draining && worker.refused;
+        if ((over || left) && (!worker.runs.empty() || !worker.settled)) {
+            ++cell.counters.lapsed_workers;
+            dropRuns(cell, worker, now, out);
+        }
+        if (idle && !worker.listed && worker.runs.empty() && (worker.settled || worker.fenced)) {
+            place = cell.workers.erase(place);
+            continue;
+        }
+        if (worker.fence_wanted && !worker.fence_in_flight
+            && (worker.unanswered_looks == 0 || now >= worker.next_look_at)) {
+            ++worker.fence_count;
+            orderLook(cell, worker, now, true, out);
+        } else if (idle && now >= worker.next_look_at) {
+            orderLook(cell, worker, now, false, out);
+        }
+        ++place;
+    }
+}
+
+room_map roomsNow(scheduler &cell, timestamp now)
+{
+    room_map rooms;
+    for (auto &[id, worker] : cell.workers) {
+        if (isUsable(worker, now) && worker.clock != 0) {
+            rooms.emplace(id, worker_room {&worker, freeRoom(worker)});
+        }
+    }
+    return rooms;
+}
+
+bool isSettled(const scheduler &cell)
+{
+    return std::all_of(cell.workers.begin(), cell.workers.end(),
+                       [](const auto &entry) { return entry.second.settled; });
+}
+
+/// The tasks of the step that may be started now; empty for a gang that is not whole.
+std::vector<int> waitingTasks(const step_spec &spec, const step_state &step)
+{
+    std::vector<int> tasks;
+    bool active = false;
+    for (std::size_t index = 0; index < step.tasks.size(); ++index) {
+        const task_state &task = step.tasks[index];
+        if (!task.done && task.phase == run_phase::none) {
+            tasks.push_back(static_cast<int>(index));
+        }
+        active = active || task.phase != run_phase::none;
+    }
+    if (spec.gang && active && step.gang_broken) {
+        tasks.clear();
+    }
+    return tasks;
+}
+
+void collectStep(job_state &job, int number, occurrence_state &occurrence, int index, timestamp now,
+                 std::vector<waiting_step> &found)
+{
+    waiting_step waiting;
+    waiting.tasks =
+        waitingTasks(stepOf(job, index), occurrence.steps[static_cast<std::size_t>(index)]);
+    if (waiting.tasks.empty()) {
+        return;
+    }
+    waiting.objective_at = occurrence.due_at == distantPast
+        ? job.objective_at
+        : occurrence.due_at + (job.objective_at - job.received_at);
+    waiting.late = now > waiting.objective_at;
+    waiting.priority = job.policy.priority;
+    waiting.job = &job;
+    waiting.occurrence = number;
+    waiting.step = index;
+    found.push_back(std::move(waiting));
+}
+
+/// Creates the occurrences that are due. Returns whether more are to come.
+bool openOccurrences(job_state &job, timestamp now)
+{
+    if (job.spec.occurrences == 0) {
+        occurrenceOf(job, 0);
+        return false;
+    }
+    for (int number = 0; number < job.spec.occurrences; ++number) {
+        const timestamp due = job.first_due_at + number * job.spec.interval;
+        if (now < due) {
+            return true;
+        }
+        occurrenceOf(job, number).due_at = due;
+    }
+    return false;
+}
+
+std::vector<waiting_step> collectWaiting(scheduler &cell, timestamp now)
+{
+    std::vector<waiting_step> found;
+    const bool settled = isSettled(cell);
+    for (auto place = cell.open_jobs.begin(); place != cell.open_jobs.end();) {
+        job_state *job = findJob(cell, *place);
+        if (job == nullptr || job->final_phase) {
+            place = cell.open_jobs.erase(place);
+            continue;
+        }
+        const std::size_t before = found.size();
+        bool more = openOccurrences(*job, now);
+        if (job->inherited && !settled) {
+            ++place;
+            continue;
+        }
+        for (auto &[number, occurrence] : job->occurrences) {
+            for (int step = 0; step < static_cast<int>(job->spec.steps.size()); ++step) {
+                if (!occurrence.completed && isStepReady(*job, occurrence, step)) {
+                    collectStep(*job, number, occurrence, step, now, found);
+                }
+            }
+        }
+        place = found.size() == before && !more ? cell.open_jobs.erase(place) : std::next(place);
+    }
+    std::sort(found.begin(), found.end());
+    return found;
+}
+
+int nextAttempt(const scheduler &cell, const job_state &job, const task_state &task)
+{
+    const auto base = static_cast<int>((cell.epoch - job.accepted_epoch) * attemptsPerEpoch);
+    return std::max(task.attempt, base) + 1;
+}
+
+void startTask(scheduler &cell, const waiting_step &waiting, int index, int attempt,
+               worker_room &room, timestamp now, orders &out)
+{
+    step_state &step = stepState(waiting);
+    task_state &task = step.tasks[static_cast<std::size_t>(index)];
+    worker_state &worker = *room.worker;
+    const task_id id {waiting.job->spec.id, waiting.occurrence, waiting.step, index};
+    task.attempt = attempt;
+    task.phase = run_phase::starting;
+    task.worker = worker.entry.id;
+    task.ordered_at = now;
+    task.confirmed_at = distantPast;
+    task.progress_at = now;
+    task.percent = 0;
+    task.token = fencingToken(cell, worker);
+    waiting.job->started_any = true;
+    addRun(worker, id, reservedDemand(stepSpec(waiting)));
+    room.free = room.free - reservedDemand(stepSpec(waiting));
+    worker.lease_over_at = std::max(worker.lease_over_at, leaseOverBy(cell.settings.lease, now));
+    ++cell.counters.starts;
+    const auto advice = step.advice.find(worker.entry.id);
+    out.starts.push_back({id, attempt, worker.entry.id, waiting.job->spec.payload,
+                          advice == step.advice.end() ? "" : advice->second.ticket, task.checkpoint,
+                          workerClock(worker, now) + cell.settings.lease.longest, task.token});
+}
+
+void startGang(scheduler &cell, const waiting_step &waiting, const placement_plan &plan,
+               room_map &rooms, timestamp now, orders &out)
+{
+    step_state &step = stepState(waiting);
+    if (waiting.tasks.size() == step.tasks.size()) {
+        int attempt = 0;
+        for (const task_state &task : step.tasks) {
+            attempt = std::max(attempt, nextAttempt(cell, *waiting.job, task));
+        }
+        step.gang_attempt = attempt;
+        step.gang_broken = false;
+        step.gang_started_at = now;
+    }
+    for (std::size_t index = 0; index < waiting.tasks.size(); ++index) {
+        startTask(cell, waiting, waiting.tasks[index], step.gang_attempt,
+                  rooms.at(plan.workers[index]), now, out);
+    }
+}
+
+void startIndependent(scheduler &cell, const waiting_step &waiting, const placement_plan &plan,
+                      room_map &rooms, timestamp now, orders &out)
+{
+    const step_state &step = stepState(waiting);
+    for (std::size_t index = 0; index < plan.workers.size(); ++index) {
+        const std::string &id = plan.workers[index];
+        worker_room &room = rooms.at(id);
+        const auto advice = step.advice.find(id);
+        const bool ticket = !waiting.job->policy.needs_advice
+            || (advice != step.advice.end() && advice->second.valid_until > now + ticketMargin);
+        const int task = waiting.tasks[index];
+        if (ticket) {
+            const int attempt =
+                nextAttempt(cell, *waiting.job, step.tasks[static_cast<std::size_t>(task)]);
+            startTask(cell, waiting, task, attempt, room, now, out);
+        } else {
+            room.free =
+                room.free - reservedDemand(stepSpec(waiting)); // kept until the ticket comes
+        }
+    }
+}
+
+void keepUrgentShare(room_map &rooms)
+{
+    for (auto &[id, room] : rooms) {
+        room.free.cpu_milli -= room.worker->entry.capacity.cpu_milli / urgentShareDivisor;
+    }
+}
+
+void placeStep(scheduler &cell, const waiting_step &waiting, room_map &rooms, timestamp now,
+               orders &out)
+{
+    const bool gang = stepSpec(waiting).gang;
+    const placement_plan plan = planStep(waiting, rooms, now);
+    std::vector<std::string> ask = workersToAsk(cell, waiting, plan, rooms, now);
+    if (!ask.empty()) {
+        stepState(waiting).advice_pending = true;
+        ++cell.counters.advice_calls;
+        out.advice.push_back(makeAdviceOrder(waiting, std::move(ask)));
+    }
+    if (!waiting.job->stored) {
+        return;
+    }
+    if (!gang) {
+        startIndependent(cell, waiting, plan, rooms, now, out);
+    } else if (plan.unplaced == 0 && plan.tickets_valid) {
+        startGang(cell, waiting, plan, rooms, now, out);
+    } else if (plan.unplaced == 0) {
+        for (const std::string &id : plan.workers) {
+            rooms.at(id).free = rooms.at(id).free - reservedDemand(stepSpec(waiting));
+        }
+    } else {
+        reserveForGang(waiting, waiting.tasks.size(), rooms);
+    }
+}
+
+} // namespace
+
+void placeWaiting(scheduler &cell, timestamp now, orders &out)
+{
+    if (!cell.place_wanted || cell.open_jobs.empty()) {
+        return;
+    }
+    cell.place_wanted = false;
+    const std::vector<waiting_step> waiting = collectWaiting(cell, now);
+    if (waiting.empty()) {
+        return;
+    }
+    room_map rooms = roomsNow(cell, now);
+    bool urgentShareKept = false;
+    for (const waiting_step &step : waiting) {
+        if (!urgentShareKept && (step.late || step.priority > 0)) {
+            keepUrgentShare(rooms);
+            urgentShareKept = true;
+        }
+        placeStep(cell, step, rooms, now, out);
+    }
+}
+
+void decide(scheduler &cell, timestamp now, orders &out)
+{
+    lookAtWorkers(cell, now, out);
+    checkRuns(cell, now, out);
+    placeWaiting(cell, now, out);
+}
+
+timestamp nextDeadline(const scheduler &cell)
+{
+    timestamp next = cell.next_check_at;
+    for (const auto &[id, worker] : cell.workers) {
+        if (!worker.look_in_flight && !worker.fence_in_flight) {
+            next = std::min(next, worker.next_look_at);
+        }
+    }
+    return next;
+}
+
+} // namespace bramleygrade::cell
--- /dev/null
+++ b/src/cell/scheduler_ends.cpp
@@ -0,0 +1,324 @@
+#include <algorithm>
+
+#include "cell/scheduler.h"
+
+namespace bramleygrade::cell {
+
+namespace {
+
+/// A run without progress for longer than this, and a tenth of its estimate, has stalled.
+constexpr microseconds stallLimit = 2'500 * millisecond;
+/// Pause before a stop that was not acknowledged is ordered again.
+constexpr microseconds stopRetry = 700 * millisecond;
+/// Part of the gang's timeout after which an incomplete gang is stopped.
+constexpr int gangFillDivisor = 2;
+constexpr microseconds checkInterval = 200 * millisecond;
+/// A worker that refused work is left alone for this long (the users' registry lag).
+constexpr microseconds refusalPause = 800 * millisecond;
+
+using step_tasks = std::vector<task_state>;
+
+void markDone(scheduler &cell, job_state &job, const reported_end &end, timestamp now, orders &out)
+{
+    occurrence_state &occurrence = occurrenceOf(job, end.task.occurrence);
+    step_state &step = occurrence.steps[static_cast<std::size_t>(end.task.step)];
+    const bool gang = stepOf(job, end.task.step).gang;
+    for (std::size_t index = 0; index < step.tasks.size(); ++index) {
+        task_state &task = step.tasks[index];
+        if (task.done || (!gang && static_cast<int>(index) != end.task.index)) {
+            continue;
+        }
+        task.done = true;
+        ++step.done_count;
+        if (!gang && task.phase != run_phase::none) {
+            stopRun(cell, end.task, task, now, out); // a copy of a task that is done
+        }
+    }
+    if (step.done_count < static_cast<int>(step.tasks.size())) {
+        return;
+    }
+    openJob(cell, job);
+    if (++occurrence.steps_done < static_cast<int>(occurrence.steps.size())) {
+        return;
+    }
+    occurrence.completed = true;
+    if (++job.occurrences_completed == std::max(job.spec.occurrences, 1)) {
+        finishJob(cell, job, job_phase::completed, now, out);
+    }
+}
+
+void markFailed(scheduler &cell, worker_state &worker, job_state &job, task_state &task,
+                const reported_end &end, timestamp now, orders &out)
+{
+    const step_spec &spec = stepOf(job, end.task.step);
+    step_state &step =
+        occurrenceOf(job, end.task.occurrence).steps[static_cast<std::size_t>(end.task.step)];
+    ++task.failures;
+    task.failed_on.insert(worker.entry.id);
+    const int failures = spec.gang ? ++step.gang_failures : task.failures;
+    out.notes.push_back({"run_failed", end.task.job,
+                         "worker=" + worker.entry.id + " attempt=" + std::to_string(end.attempt)
+                             + " failures=" + std::to_string(failures)});
+    if (!spec.long_running && failures >= job.policy.max_attempts) {
+        finishJob(cell, job, job_phase::failed, now, out);
+    }
+}
+
+/// The change that stores the end; 0 if nothing has to be stored.
+std::uint64_t applyOutcome(scheduler &cell, worker_state &worker, job_state &job, task_state &task,
+                           const reported_end &end, timestamp now, orders &out)
+{
+    const bool lasting = stepOf(job, end.task.step).long_running;
+    if (task.done || job.final_phase || lasting) {
+        return 0;
+    }
+    if (end.how == end_kind::done) {
+        const std::uint64_t change = noteChange(cell, job.spec.id, false);
+        markDone(cell, job, end, now, out);
+        return change;
+    }
+    if (end.how == end_kind::failed) {
+        const std::uint64_t change = noteChange(cell, job.spec.id, false);
+        markFailed(cell, worker, job, task, end, now, out);
+        return change;
+    }
+    return 0;
+}
+
+void countEnd(scheduler &cell, const reported_end &end)
+{
+    switch (end.how) {
+    case end_kind::done:
+        ++cell.counters.ends_done;
+        break;
+    case end_kind::failed:
+        ++cell.counters.ends_failed;
+        break;
+    default:
+        ++cell.counters.ends_other;
+    }
+}
+
+void keepCheckpoint(job_state &job, const reported_end &end, task_state &task)
+{
+    if (end.checkpoint.empty()) {
+        return;
+    }
+    task.checkpoint = end.checkpoint;
+    if (stepOf(job, end.task.step).gang) {
+        for (task_state &member : occurrenceOf(job, end.task.occurrence)
+                                      .steps[static_cast<std::size_t>(end.task.step)]
+                                      .tasks) {
+            member.checkpoint = end.checkpoint;
+        }
+    }
+}
+
+bool isGangIncomplete(const step_state &step)
+{
+    const auto active = std::count_if(step.tasks.begin(), step.tasks.end(), [](const auto &task) {
+        return task.phase != run_phase::none;
+    });
+    return active > 0 && active < static_cast<std::ptrdiff_t>(step.tasks.size());
+}
+
+void stopGang(scheduler &cell, task_id id, step_state &step, timestamp now, orders &out)
+{
+    for (std::size_t index = 0; index < step.tasks.size(); ++index) {
+        task_state &task = step.tasks[index];
+        if (task.phase != run_phase::none && task.phase != run_phase::stopping) {
+            id.index = static_cast<int>(index);
+            stopRun(cell, id, task, now, out);
+        }
+    }
+    step.gang_broken = true;
+}
+
+void checkGang(scheduler &cell, const job_state &job, const task_id &id, step_state &step,
+               timestamp now, orders &out)
+{
+    if (!isGangIncomplete(step) || step.done_count > 0) {
+        return;
+    }
+    const microseconds limit = cell.settings.gang_timeout / gangFillDivisor;
+    if (step.gang_broken || now > step.gang_started_at + limit) {
+        out.notes.push_back({"gang_incomplete", job.spec.id, "step=" + std::to_string(id.step)});
+        stopGang(cell, id, step, now, out);
+    }
+}
+
+void checkRun(scheduler &cell, const job_state &job, const task_id &id, task_state &task,
+              timestamp now, orders &out)
+{
+    const step_spec &spec = stepOf(job, id.step);
+    if (task.phase == run_phase::stopping && now > task.ordered_at + stopRetry) {
+        stopRun(cell, id, task, now, out);
+        return;
+    }
+    const timestamp moved = std::max(task.progress_at, task.confirmed_at);
+    if (task.phase != run_phase::running || spec.long_running
+        || now < moved + stallLimit + spec.estimate / 10) {
+        return;
+    }
+    const auto worker = cell.workers.find(task.worker);
+    if (worker == cell.workers.end() || worker->second.unanswered_looks > 0) {
+        return;
+    }
+    ++cell.counters.stalled_runs;
+    out.notes.push_back({"run_stalled", id.job, "worker=" + task.worker});
+    noteOutcome(worker->second, false, now);
+    task.failed_on.insert(task.worker);
+    stopRun(cell, id, task, now, out);
+}
+
+void checkJob(scheduler &cell, job_state &job, timestamp now, orders &out)
+{
+    for (auto &[number, occurrence] : job.occurrences) {
+        for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+            step_state &state = occurrence.steps[step];
+            task_id id {job.spec.id, number, static_cast<int>(step), 0};
+            if (job.spec.steps[step].gang) {
+                checkGang(cell, job, id, state, now, out);
+            }
+            for (std::size_t index = 0; index < state.tasks.size(); ++index) {
+                id.index = static_cast<int>(index);
+                checkRun(cell, job, id, state.tasks[index], now, out);
+            }
+        }
+    }
+}
+
+void forgetEnded(scheduler &cell, timestamp now)
+{
+    while (!cell.forgotten_at.empty() && cell.forgotten_at.begin()->first <= now) {
+        cell.jobs.erase(cell.forgotten_at.begin()->second);
+        cell.forgotten_at.erase(cell.forgotten_at.begin());
+    }
+}
+
+} // namespace
+
+void applyEnd(scheduler &cell, worker_state &worker, const reported_end &end, timestamp now,
+              orders &out)
+{
+    countEnd(cell, end);
+    job_state *job = findJob(cell, end.task.job);
+    task_state *task = job == nullptr ? nullptr : findTask(*job, end.task);
+    if (task == nullptr) {
+        worker.unstored_ends[end.sequence] = 0;
+        return;
+    }
+    task->ended_attempt = std::max(task->ended_attempt, end.attempt);
+    task->attempt = std::max(task->attempt, end.attempt);
+    step_state &step =
+        occurrenceOf(*job, end.task.occurrence).steps[static_cast<std::size_t>(end.task.step)];
+    if (step.gang_attempt == end.attempt && end.how != end_kind::done) {
+        step.gang_broken = true;
+    }
+    keepCheckpoint(*job, end, *task);
+    if (task->phase != run_phase::none && task->worker == worker.entry.id
+        && task->attempt == end.attempt) {
+        releaseRun(cell, end.task, *job, *task);
+    }
+    if (end.how == end_kind::done || (end.how == end_kind::failed && task->failures == 0)) {
+        noteOutcome(worker, end.how == end_kind::done, now);
+    }
+    worker.unstored_ends[end.sequence] = applyOutcome(cell, worker, *job, *task, end, now, out);
+    cell.place_wanted = true;
+}
+
+void stopRun(scheduler &cell, const task_id &id, task_state &task, timestamp now, orders &out)
+{
+    const auto worker = cell.workers.find(task.worker);
+    if (worker == cell.workers.end()) {
+        return;
+    }
+    task.phase = run_phase::stopping;
+    task.ordered_at = now;
+    out.stops.push_back({id, task.attempt, task.worker, fencingToken(cell, worker->second)});
+}
+
+void onStopOutcome(scheduler &cell, const stop_order &order, order_outcome outcome, timestamp now)
+{
+    job_state *job = findJob(cell, order.task.job);
+    task_state *task = job == nullptr ? nullptr : findTask(*job, order.task);
+    if (task == nullptr || task->phase != run_phase::stopping || task->worker != order.worker
+        || task->attempt != order.attempt) {
+        return;
+    }
+    if (outcome == order_outcome::accepted && task->confirmed_at == distantPast) {
+        task->confirmed_at = now;
+    }
+}
+
+void onStartOutcome(scheduler &cell, const start_order &order, order_outcome outcome, timestamp now,
+                    orders &out)
+{
+    job_state *job = findJob(cell, order.task.job);
+    task_state *task = job == nullptr ? nullptr : findTask(*job, order.task);
+    const auto worker = cell.workers.find(order.worker);
+    if (task == nullptr || worker == cell.workers.end() || task->worker != order.worker
+        || task->attempt != order.attempt || task->phase == run_phase::none) {
+        return;
+    }
+    if (outcome == order_outcome::accepted) {
+        if (task->phase == run_phase::starting) {
+            task->phase = run_phase::running;
+        }
+        task->confirmed_at = now;
+        task->progress_at = now;
+        return;
+    }
+    if (outcome == order_outcome::unanswered) {
+        ++cell.counters.unanswered_orders;
+        task->phase = task->phase == run_phase::starting ? run_phase::unclear : task->phase;
+        worker->second.fence_wanted = true;
+        return;
+    }
+    if (task->phase == run_phase::running) {
+        return; // a report has shown it meanwhile
+    }
+    ++cell.counters.refused_starts;
+    out.notes.push_back(
+        {"start_refused", order.task.job,
+         "worker=" + order.worker + " outcome=" + std::to_string(static_cast<int>(outcome))});
+    if (outcome == order_outcome::refused_incarnation) {
+        worker->second.fenced = false;
+        dropRuns(cell, worker->second, now, out);
+        return;
+    }
+    step_state &step =
+        occurrenceOf(*job, order.task.occurrence).steps[static_cast<std::size_t>(order.task.step)];
+    if (outcome == order_outcome::refused_ticket) {
+        step.advice[order.worker].valid_until = distantPast;
+    } else if (outcome == order_outcome::refused_old) {
+        task->ended_attempt = std::max(task->ended_attempt, order.attempt);
+        step.gang_broken = step.gang_broken || step.gang_attempt == order.attempt;
+    } else if (outcome == order_outcome::refused_fence) {
+        if (order.fencing_token == fencingToken(cell, worker->second)) {
+            out.notes.push_back({"superseded", "", "worker=" + order.worker});
+        }
+    } else {
+        worker->second.avoided_until = now + refusalPause;
+        worker->second.next_look_at = std::min(worker->second.next_look_at, now);
+    }
+    releaseRun(cell, order.task, *job, *task);
+}
+
+void checkRuns(scheduler &cell, timestamp now, orders &out)
+{
+    if (now < cell.next_check_at) {
+        return;
+    }
+    cell.next_check_at = now + checkInterval;
+    for (auto &[id, job] : cell.jobs) {
+        if (!job.final_phase || !job.final_stored || now < job.final_at + second * 3) {
+            checkJob(cell, job, now, out);
+        }
+    }
+    forgetEnded(cell, now);
+    // Time alone may have made more possible: occurrences, tickets, workers to be trusted again.
+    cell.place_wanted = cell.place_wanted || !cell.open_jobs.empty();
+}
+
+} // namespace bramleygrade::cell
--- /dev/null
+++ b/src/cell/scheduler_workers.cpp
@@ -0,0 +1,272 @@
+#include <algorithm>
+
+#include "cell/scheduler.h"
+
+namespace bramleygrade::cell {
+
+namespace {
+
+/// Pause before the next look at a worker that did not answer.
+constexpr microseconds lookRetry = 250 * millisecond;
+/// Pause before the next look while ends wait to be stored.
+constexpr microseconds unstoredLookPause = 250 * millisecond;
+/// Ends that a worker lists in one report (users' protocol).
+constexpr std::size_t endsPerReport = 500;
+/// Bits of the fencing token that count the fences within an epoch.
+constexpr int fenceBits = 20;
+
+std::set<task_id> listedTasks(const worker_report &report)
+{
+    std::set<task_id> listed;
+    for (const reported_run &run : report.running) {
+        listed.insert(run.task);
+    }
+    return listed;
+}
+
+void adoptRun(scheduler &cell, worker_state &worker, job_state &job, task_state &task,
+              const reported_run &run, timestamp sentAt)
+{
+    task.phase = run_phase::running;
+    task.worker = worker.entry.id;
+    task.attempt = std::max(task.attempt, run.attempt);
+    task.confirmed_at = sentAt;
+    task.progress_at = sentAt;
+    task.token = fencingToken(cell, worker);
+    job.started_any = true;
+    step_state &step =
+        occurrenceOf(job, run.task.occurrence).steps[static_cast<std::size_t>(run.task.step)];
+    step.gang_attempt = std::max(step.gang_attempt, run.attempt);
+    step.gang_started_at = std::max(step.gang_started_at, sentAt);
+    addRun(worker, run.task, reservedDemand(stepOf(job, run.task.step)));
+}
+
+void stopStranger(scheduler &cell, const worker_state &worker, const reported_run &run, orders &out)
+{
+    out.stops.push_back({run.task, run.attempt, worker.entry.id, fencingToken(cell, worker)});
+    out.notes.push_back({"stop_unexpected_run", run.task.job, "worker=" + worker.entry.id});
+}
+
+void takeCheckpoint(job_state &job, const reported_run &run, task_state &task)
+{
+    if (run.checkpoint.empty()) {
+        return;
+    }
+    task.checkpoint = run.checkpoint;
+    if (stepOf(job, run.task.step).gang) {
+        auto &tasks = occurrenceOf(job, run.task.occurrence)
+                          .steps[static_cast<std::size_t>(run.task.step)]
+                          .tasks;
+        for (task_state &member : tasks) {
+            member.checkpoint = run.checkpoint;
+        }
+    }
+}
+
+void applyRunning(scheduler &cell, worker_state &worker, const reported_run &run, timestamp sentAt,
+                  timestamp now, orders &out)
+{
+    job_state *job = findJob(cell, run.task.job);
+    task_state *task = job == nullptr ? nullptr : findTask(*job, run.task);
+    if (task == nullptr) {
+        stopStranger(cell, worker, run, out);
+        return;
+    }
+    const bool current = task->phase != run_phase::none && task->worker == worker.entry.id
+        && task->attempt == run.attempt;
+    if (!current) {
+        if (run.attempt <= task->ended_attempt) {
+            return; // an answer from before the end that is known already
+        }
+        if (task->phase != run_phase::none || task->done || job->final_phase) {
+            stopStranger(cell, worker, run, out);
+            return;
+        }
+        adoptRun(cell, worker, *job, *task, run, sentAt);
+    } else if (task->phase == run_phase::starting || task->phase == run_phase::unclear) {
+        task->phase = run_phase::running;
+        task->confirmed_at = now;
+        task->progress_at = now;
+    }
+    if (task->percent != run.percent) {
+        task->percent = run.percent;
+        task->progress_at = now;
+    }
+    takeCheckpoint(*job, run, *task);
+}
+
+/// Whether a report that does not list the run proves that it does not exist.
+bool isAbsent(const task_state &task, const look_order &order, timestamp sentAt)
+{
+    switch (task.phase) {
+    case run_phase::running:
+    case run_phase::stopping:
+        return task.confirmed_at != distantPast && task.confirmed_at < sentAt;
+    case run_phase::unclear:
+        return order.fencing_token > task.token;
+    default:
+        return false;
+    }
+}
+
+void releaseAbsent(scheduler &cell, worker_state &worker, const look_order &order,
+                   const worker_report &report, timestamp sentAt, orders &out)
+{
+    const std::set<task_id> listed = listedTasks(report);
+    std::vector<task_id> absent;
+    for (const task_id &id : worker.runs) {
+        if (listed.count(id) == 0) {
+            absent.push_back(id);
+        }
+    }
+    for (const task_id &id : absent) {
+        job_state *job = findJob(cell, id.job);
+        task_state *task = job == nullptr ? nullptr : findTask(*job, id);
+        if (task == nullptr || !isAbsent(*task, order, sentAt)) {
+            continue;
+        }
+        const bool wasUnclear = task->phase == run_phase::unclear;
+        out.notes.push_back({wasUnclear ? "start_had_no_effect" : "run_vanished", id.job,
+                             "worker=" + worker.entry.id});
+        if (!wasUnclear) {
+            occurrenceOf(*job, id.occurrence).steps[static_cast<std::size_t>(id.step)].gang_broken =
+                true;
+        }
+        releaseRun(cell, id, *job, *task);
+    }
+}
+
+} // namespace
+
+std::int64_t fencingToken(const scheduler &cell, const worker_state &worker)
+{
+    return (cell.epoch << fenceBits) + worker.fence_count;
+}
+
+void changeWorkers(scheduler &cell, const std::vector<worker_entry> &entries, timestamp now)
+{
+    std::set<std::string> seen;
+    for (const worker_entry &entry : entries) {
+        seen.insert(entry.id);
+        const auto [place, added] = cell.workers.try_emplace(entry.id);
+        worker_state &worker = place->second;
+        worker.entry = entry;
+        worker.listed = true;
+        worker.unlisted_at = distantFuture;
+        if (added) {
+            worker.next_look_at = now;
+            // Leases of a predecessor may hold this long, if the worker does not answer.
+            worker.lease_over_at =
+                leaseOverBy(cell.settings.lease, now) + cell.settings.predecessor_grace;
+        }
+    }
+    for (auto &[id, worker] : cell.workers) {
+        if (seen.count(id) == 0 && worker.listed) {
+            worker.listed = false;
+            worker.unlisted_at = now;
+            worker.next_look_at = std::min(worker.next_look_at, now);
+        }
+    }
+    cell.place_wanted = true;
+}
+
+void releaseRun(scheduler &cell, const task_id &id, job_state &job, task_state &task)
+{
+    const auto worker = cell.workers.find(task.worker);
+    if (worker != cell.workers.end()) {
+        removeRun(worker->second, id, reservedDemand(stepOf(job, id.step)));
+    }
+    task.phase = run_phase::none;
+    task.worker.clear();
+    task.percent = 0;
+    task.confirmed_at = distantPast;
+    openJob(cell, job);
+    cell.place_wanted = true;
+}
+
+void dropRuns(scheduler &cell, worker_state &worker, timestamp now, orders &out)
+{
+    const std::set<task_id> runs = worker.runs;
+    for (const task_id &id : runs) {
+        job_state *job = findJob(cell, id.job);
+        task_state *task = job == nullptr ? nullptr : findTask(*job, id);
+        if (task == nullptr) {
+            continue;
+        }
+        occurrenceOf(*job, id.occurrence).steps[static_cast<std::size_t>(id.step)].gang_broken =
+            true;
+        releaseRun(cell, id, *job, *task);
+    }
+    worker.runs.clear();
+    worker.used = {};
+    worker.settled = true;
+    cell.place_wanted = true;
+    out.notes.push_back(
+        {"worker_runs_lost", "",
+         "worker=" + worker.entry.id + " runs=" + std::to_string(runs.size())
+             + " silent_ms=" + std::to_string((now - worker.answered_at) / millisecond)});
+}
+
+void onReport(scheduler &cell, const look_order &order, const worker_report &report,
+              timestamp sentAt, timestamp now, orders &out)
+{
+    const auto found = cell.workers.find(order.worker);
+    if (found == cell.workers.end()) {
+        return;
+    }
+    worker_state &worker = found->second;
+    (order.fence ? worker.fence_in_flight : worker.look_in_flight) = false;
+    worker.unanswered_looks = 0;
+    worker.refused = false;
+    worker.answered_at = now;
+    worker.clock = report.worker_clock;
+    worker.clock_read_at = now;
+    if (order.fencing_token == fencingToken(cell, worker)) {
+        cell.place_wanted = cell.place_wanted || !worker.settled || worker.fence_wanted;
+        worker.fenced = true;
+        worker.settled = true;
+        worker.fence_wanted = false;
+    }
+    for (const reported_end &end : report.ended) {
+        if (end.sequence > worker.last_end) {
+            worker.last_end = end.sequence;
+            applyEnd(cell, worker, end, now, out);
+        }
+    }
+    for (const reported_run &run : report.running) {
+        applyRunning(cell, worker, run, sentAt, now, out);
+    }
+    if (report.ended.size() < endsPerReport) {
+        releaseAbsent(cell, worker, order, report, sentAt, out);
+    }
+    acknowledgeStored(worker, 0);
+    worker.next_look_at = worker.unstored_ends.empty() ? now : now + unstoredLookPause;
+}
+
+void onLookFailed(scheduler &cell, const look_order &order, order_outcome outcome, timestamp now,
+                  orders &out)
+{
+    const auto found = cell.workers.find(order.worker);
+    if (found == cell.workers.end()) {
+        return;
+    }
+    worker_state &worker = found->second;
+    (order.fence ? worker.fence_in_flight : worker.look_in_flight) = false;
+    worker.next_look_at = now + lookRetry;
+    if (outcome == order_outcome::refused_fence) {
+        if (order.fencing_token == fencingToken(cell, worker)) {
+            out.notes.push_back({"superseded", "", "worker=" + worker.entry.id});
+        }
+        return;
+    }
+    if (worker.unanswered_looks++ == 0) {
+        out.notes.push_back({"worker_silent", "", "worker=" + worker.entry.id});
+    }
+    worker.refused = outcome == order_outcome::not_sent;
+    if (outcome == order_outcome::refused_incarnation) {
+        worker.fenced = false;
+        dropRuns(cell, worker, now, out);
+    }
+}
+
+} // namespace bramleygrade::cell
--- /dev/null
+++ b/src/cell/worker_state.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <map>
+#include <set>
+
+#include "cell/job_state.h"
+#include "cell/types.h"
+
+namespace bramleygrade::cell {
+
+/// What the scheduler knows of one incarnation of a worker.
+struct worker_state
+{
+    worker_entry entry;
+    /// The registry holds the worker.
+    bool listed = true;
+    timestamp unlisted_at = distantFuture;
+    /// It has answered a look under this scheduler's fencing token.
+    bool fenced = false;
+    /// What ran there before this scheduler took over is known, or cannot run any more.
+    bool settled = false;
+    /// Raised to fence orders that got no answer.
+    std::int64_t fence_count = 0;
+    /// Sum of the demands of all runs that may exist there.
+    resources used;
+    std::set<task_id> runs;
+    /// The worker's clock at its newest answer, and our time when the look had been sent.
+    std::int64_t clock = 0;
+    timestamp clock_read_at = distantPast;
+    /// Our time after which no lease on the worker can still hold.
+    timestamp lease_over_at = distantPast;
+    std::int64_t last_end = 0;
+    std::int64_t acknowledged_end = 0;
+    /// Ends whose effect is not stored yet, with the number of the change that stores it.
+    std::map<std::int64_t, std::uint64_t> unstored_ends;
+    bool look_in_flight = false;
+    bool fence_in_flight = false;
+    /// An order got no answer; a look with a higher token must follow.
+    bool fence_wanted = false;
+    timestamp next_look_at = distantPast;
+    int unanswered_looks = 0;
+    /// The newest look found nobody listening.
+    bool refused = false;
+    timestamp answered_at = distantPast;
+    /// Failed runs, less successful ones, decaying with time.
+    double failure_score = 0;
+    timestamp avoided_until = distantPast;
+    /// Run time on this worker as a multiple of the mean of its service.
+    double slowness = 1.0;
+};
+
+/// Longest lease that a worker grants, and the figures that bound its end.
+struct lease_terms
+{
+    microseconds longest = 6 * second;
+    /// Largest error of a worker's clock rate (users' protocol: 2 %), as parts of one.
+    double clock_rate_error = 0.02;
+    /// Longest time between reading a worker's clock and using the reading.
+    microseconds reading_slack = 100 * millisecond;
+};
+
+/// The worker's clock now, by its newest answer.
+std::int64_t workerClock(const worker_state &worker, timestamp now);
+
+/// Our time after which a lease ordered now cannot hold any more.
+timestamp leaseOverBy(const lease_terms &terms, timestamp orderedAt);
+
+/// Whether new work may be placed there.
+bool isUsable(const worker_state &worker, timestamp now);
+
+resources freeRoom(const worker_state &worker);
+
+/// Counts a run in or out of the worker's used resources.
+void addRun(worker_state &worker, const task_id &task, const resources &demand);
+void removeRun(worker_state &worker, const task_id &task, const resources &demand);
+
+/// Learns from an end: a failure lowers the trust in the worker, a success restores it.
+void noteOutcome(worker_state &worker, bool succeeded, timestamp now);
+
+/// Marks the ends that change `stored` has made durable as ready to acknowledge.
+void acknowledgeStored(worker_state &worker, std::uint64_t stored);
+
+} // namespace bramleygrade::cell
--- /dev/null
+++ b/src/entry/calls.cpp
@@ -0,0 +1,188 @@
+#include <algorithm>
+
+#include "entry/entry.h"
+
+namespace bramleygrade::entry {
+
+namespace {
+
+constexpr microseconds lookupPatience = 800 * millisecond;
+/// A write that takes longer than this shows a store that is down or slow: what would have to
+/// wait for it is refused at once.
+constexpr microseconds slowStore = 1'000 * millisecond;
+/// Time after which a refused caller may come back, while the store is in trouble.
+constexpr microseconds storeRetryAfter = 1 * second;
+
+void answerSimple(const answer_function &answer, answer_kind kind)
+{
+    caller_answer reply;
+    reply.kind = kind;
+    answer(reply);
+}
+
+void answerPhase(const answer_function &answer, cell::job_phase phase)
+{
+    caller_answer reply;
+    reply.kind = answer_kind::state;
+    reply.phase = phase;
+    answer(reply);
+}
+
+bool isStoreInTrouble(const scheduler_side &lead, timestamp now)
+{
+    return lead.write && now > lead.write_started_at + slowStore;
+}
+
+void refuse(entry_state &entry, const caller_call &call, const answer_function &answer)
+{
+    caller_answer reply;
+    reply.kind = answer_kind::refused;
+    reply.retry_after = storeRetryAfter;
+    reply.reason = "the table service does not answer";
+    logEvent(entry, "call_refused",
+             {{"job", call.job},
+              {"queue", call.queue},
+              {"store_silent_ms",
+               std::to_string((steadyNow() - entry.lead->written_at) / millisecond)}});
+    answer(reply);
+}
+
+/// Reads one row of the table; an unanswered read is answered as unknown.
+void lookUp(entry_state &entry, const char *table, const std::string &key,
+            const answer_function &answer, const std::function<void(const stored_row *)> &found)
+{
+    entry.ports.store.read({table, key, key + "!", true}, steadyNow() + lookupPatience,
+                           [key, answer, found](const store_result &result) {
+                               if (result.outcome != store_outcome::done) {
+                                   answerSimple(answer, answer_kind::unknown);
+                                   return;
+                               }
+                               const auto row = std::find_if(
+                                   result.rows.begin(), result.rows.end(),
+                                   [&](const stored_row &entry) { return entry.key == key; });
+                               found(row == result.rows.end() ? nullptr : &*row);
+                           });
+}
+
+void answerFromStore(entry_state &entry, const caller_call &call, const answer_function &answer)
+{
+    lookUp(entry, endedTable, call.job, answer, [call, answer](const stored_row *row) {
+        const auto ended = row == nullptr ? std::nullopt : decodeEnded(row->value);
+        if (!ended) {
+            answerSimple(answer, answer_kind::no_such_job);
+        } else if (call.kind == call_kind::cancel) {
+            answerSimple(answer, answer_kind::accepted);
+        } else {
+            answerPhase(answer, ended->phase);
+        }
+    });
+}
+
+void addWaiter(entry_state &entry, const caller_call &call, timestamp deadline,
+               const answer_function &answer)
+{
+    entry.lead->waiters.emplace(call.job, stored_waiter {call.kind, deadline, answer});
+}
+
+void submit(entry_state &entry, const caller_call &call, timestamp deadline,
+            const answer_function &answer)
+{
+    scheduler_side &lead = *entry.lead;
+    const timestamp now = steadyNow();
+    if (const cell::job_state *known = cell::findJob(lead.cell, call.job)) {
+        if (known->stored) {
+            answerSimple(answer, answer_kind::accepted);
+        } else {
+            addWaiter(entry, call, deadline, answer);
+        }
+        return;
+    }
+    const cell::queue_policy *policy = cell::findQueue(entry.config, call.queue);
+    if (policy == nullptr) {
+        answerSimple(answer, answer_kind::no_such_queue);
+        return;
+    }
+    if (isStoreInTrouble(lead, now)) {
+        refuse(entry, call, answer);
+        return;
+    }
+    cell::job_spec spec = call.spec;
+    spec.id = call.job;
+    spec.queue = call.queue;
+    cell::acceptJob(lead.cell, spec, *policy, now);
+    cell::job_state *job = cell::findJob(lead.cell, call.job);
+    const std::int64_t wall = wallNow();
+    job->first_due_at = now + (spec.first_due_wall - wall);
+    lead.accepted_wall[call.job] = wall;
+    logEvent(entry, "job_received",
+             {{"job", call.job},
+              {"queue", call.queue},
+              {"steps", std::to_string(spec.steps.size())},
+              {"objective_ms", std::to_string((job->objective_at - now) / millisecond)},
+              {"config", std::to_string(entry.config.version)},
+              {"live_jobs", std::to_string(lead.cell.jobs.size())}});
+    addWaiter(entry, call, deadline, answer);
+    wantDecision(entry);
+}
+
+void cancel(entry_state &entry, const caller_call &call, timestamp deadline,
+            const answer_function &answer)
+{
+    scheduler_side &lead = *entry.lead;
+    const cell::job_state *known = cell::findJob(lead.cell, call.job);
+    if (known == nullptr) {
+        answerFromStore(entry, call, answer);
+        return;
+    }
+    if (known->final_stored) {
+        answerSimple(answer, answer_kind::accepted);
+        return;
+    }
+    cell::orders out;
+    cell::cancelJob(lead.cell, call.job, steadyNow(), out);
+    logEvent(entry, "job_cancelled", {{"job", call.job}});
+    addWaiter(entry, call, deadline, answer);
+    runOrders(entry, std::move(out));
+    wantDecision(entry);
+}
+
+} // namespace
+
+void handleCall(entry_state &entry, const caller_call &call, timestamp deadline,
+                const answer_function &answer)
+{
+    if (!entry.lead) {
+        answerSimple(answer, answer_kind::not_scheduler);
+        return;
+    }
+    if (entry.role == entry_role::loading) {
+        entry.lead->early.emplace_back(
+            [&entry, call, deadline, answer] { handleCall(entry, call, deadline, answer); });
+        return;
+    }
+    switch (call.kind) {
+    case call_kind::submit:
+        submit(entry, call, deadline, answer);
+        return;
+    case call_kind::cancel:
+        cancel(entry, call, deadline, answer);
+        return;
+    case call_kind::pending: {
+        caller_answer reply;
+        reply.kind = answer_kind::pending;
+        reply.pending = cell::pendingJobs(entry.lead->cell, call.queue);
+        answer(reply);
+        return;
+    }
+    case call_kind::state:
+        break;
+    }
+    const cell::job_state *known = cell::findJob(entry.lead->cell, call.job);
+    if (known != nullptr && known->stored) {
+        answerPhase(answer, cell::visiblePhase(*known));
+    } else {
+        answerFromStore(entry, call, answer);
+    }
+}
+
+} // namespace bramleygrade::entry
--- /dev/null
+++ b/src/entry/daemon.cpp
@@ -0,0 +1,300 @@
+#include "entry/daemon.h"
+
+#include <csignal>
+#include <ctime>
+#include <fstream>
+#include <iostream>
+#include <random>
+#include <sstream>
+
+#include <boost/asio/signal_set.hpp>
+#include <sys/stat.h>
+
+#include "entry/entry.h"
+#include "entry/state_dump.h"
+
+namespace bramleygrade::entry {
+
+namespace {
+
+constexpr microseconds tickInterval = 50 * millisecond;
+/// Time after SIGTERM in which new connections still come: two checks of readiness, a second
+/// apart, and one more (users' protocol).
+constexpr microseconds rotationLag = 2'500 * millisecond;
+/// Kept of the grace for the end of the process itself.
+constexpr microseconds shutdownReserve = 700 * millisecond;
+constexpr microseconds handoverRetry = 300 * millisecond;
+/// Without a sign of life for this long the entry asks for no new connections.
+constexpr microseconds unreadyAfter = 1'500 * millisecond;
+constexpr microseconds settingsCheck = 1 * second;
+
+timestamp readClock(clockid_t clock)
+{
+    timespec now {};
+    clock_gettime(clock, &now);
+    return static_cast<timestamp>(now.tv_sec) * second + now.tv_nsec / 1'000;
+}
+
+std::string makeIncarnation()
+{
+    std::random_device random;
+    std::ostringstream text;
+    text << std::hex << wallNow() << '-' << random();
+    return text.str();
+}
+
+bool isReady(const entry_state &entry)
+{
+    const bool follows = entry.lead != nullptr
+        || (entry.heard_at != distantPast && steadyNow() < entry.heard_at + unreadyAfter);
+    return !entry.stopping && entry.config.version > 0 && follows;
+}
+
+void serveReadiness(entry_state &entry, const net::http_server::responder &respond)
+{
+    respond({isReady(entry) ? 200 : 503, {}, ""});
+}
+
+void serveMetrics(entry_state &entry, const net::http_request &request,
+                  const net::http_server::responder &respond)
+{
+    if (request.target == "/dump") {
+        respond({200, {{"Content-Type", "application/json"}}, dumpState(entry)});
+        return;
+    }
+    refreshGauges(entry);
+    respond({200, {{"Content-Type", "text/plain; version=0.0.4"}}, exposeMetrics(entry.metrics)});
+}
+
+std::string listenAll(entry_state &entry)
+{
+    net::server_limits limits;
+    limits.body_bytes = 1U << 20U;
+    entry.callers = std::make_unique<net::http_server>(
+        entry.loop,
+        [&entry](net::http_request request, const net::http_server::responder &respond) {
+            serveCaller(entry, std::move(request), respond);
+        },
+        limits);
+    entry.readiness = std::make_unique<net::http_server>(
+        entry.loop,
+        [&entry](const net::http_request &, const net::http_server::responder &respond) {
+            serveReadiness(entry, respond);
+        });
+    limits.body_bytes = 16U << 20U;
+    limits.idle = 3'600 * second;
+    entry.peers = std::make_unique<net::http_server>(
+        entry.loop,
+        [&entry](const net::http_request &request, const net::http_server::responder &respond) {
+            servePeer(entry, request, respond);
+        },
+        limits);
+    std::string error = entry.callers->listen(entry.settings.caller_address);
+    error = error.empty() ? entry.readiness->listen(entry.settings.ready_address) : error;
+    error = error.empty() ? entry.peers->listen(entry.settings.peer_address) : error;
+    if (error.empty() && !entry.settings.metrics_address.empty()) {
+        entry.metrics_server = std::make_unique<net::http_server>(
+            entry.loop,
+            [&entry](const net::http_request &request, const net::http_server::responder &respond) {
+                serveMetrics(entry, request, respond);
+            });
+        error = entry.metrics_server->listen(entry.settings.metrics_address);
+    }
+    return error;
+}
+
+void giveLeadAway(entry_state &entry)
+{
+    if (!entry.lead || entry.members.size() < 2) {
+        return;
+    }
+    handOver(entry, [](bool) {}); // if it is refused, `continueStop` asks again
+}
+
+void beginStop(entry_state &entry)
+{
+    if (entry.stopping) {
+        return;
+    }
+    const timestamp now = steadyNow();
+    entry.stopping = true;
+    entry.stop_at = now + entry.settings.shutdown_grace - shutdownReserve;
+    entry.next_probe_at = now;
+    logEvent(entry, "stopping",
+             {{"in_progress", std::to_string(entry.callers->requestsInProgress())},
+              {"scheduler", entry.lead ? "yes" : "no"}});
+    entry.callers->drain();
+    giveLeadAway(entry);
+}
+
+void continueStop(entry_state &entry, timestamp now)
+{
+    const timestamp rotated =
+        entry.stop_at - (entry.settings.shutdown_grace - shutdownReserve) + rotationLag;
+    if (entry.lead && now >= entry.next_probe_at + handoverRetry) {
+        entry.next_probe_at = now;
+        giveLeadAway(entry);
+    }
+    if (now < rotated) {
+        return;
+    }
+    entry.callers->closeIdle();
+    if (entry.callers->requestsInProgress() > 0 && now < entry.stop_at) {
+        return;
+    }
+    logEvent(entry, "stopped", {{"cut_off", std::to_string(entry.callers->requestsInProgress())}});
+    entry.finished = true;
+    flushLog(entry.log);
+    entry.loop.stop();
+}
+
+void tick(entry_state &entry)
+{
+    const timestamp now = steadyNow();
+    if (entry.last_tick_at != distantPast && now > entry.last_tick_at + 10 * tickInterval) {
+        logEvent(entry, "paused",
+                 {{"for_ms", std::to_string((now - entry.last_tick_at) / millisecond)}});
+    }
+    entry.last_tick_at = now;
+    followScheduler(entry, now);
+    leadTick(entry, now);
+    expireForwarded(entry, now);
+    if (entry.stopping) {
+        continueStop(entry, now);
+    }
+    flushLog(entry.log);
+}
+
+void runTicks(entry_state &entry)
+{
+    entry.tick_timer.expires_after(std::chrono::microseconds(tickInterval));
+    entry.tick_timer.async_wait([&entry](boost::system::error_code) {
+        if (!entry.finished) {
+            tick(entry);
+            runTicks(entry);
+        }
+    });
+}
+
+void reload(entry_state &entry, const std::string &path, const char *cause)
+{
+    const auto settings = readCellSettings(path);
+    if (!settings) {
+        logEvent(entry, "reload_failed", {{"why", settings.error().message}});
+        return;
+    }
+    const bool restart = settings->caller_address != entry.settings.caller_address
+        || settings->peer_address != entry.settings.peer_address;
+    // Addresses of our own take effect at the next start; all else does so at once.
+    entry.settings.store_address = settings->store_address;
+    entry.settings.advice_address = settings->advice_address;
+    entry.settings.log_lines_per_second = settings->log_lines_per_second;
+    entry.settings.shutdown_grace = settings->shutdown_grace;
+    entry.log.lines_per_second = settings->log_lines_per_second;
+    logEvent(entry, "reloaded", {{"cause", cause}, {"restart_needed", restart ? "yes" : "no"}});
+}
+
+std::string readAll(const std::string &path)
+{
+    std::ifstream file(path);
+    std::stringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+/// The settings may change without a signal.
+struct settings_watch
+{
+    std::string path;
+    std::string text;
+    boost::asio::steady_timer timer;
+};
+
+void watchSettings(entry_state &entry, settings_watch &watch)
+{
+    watch.timer.expires_after(std::chrono::microseconds(settingsCheck));
+    watch.timer.async_wait([&entry, &watch](boost::system::error_code error) {
+        if (error || entry.finished) {
+            return;
+        }
+        std::string text = readAll(watch.path);
+        if (!text.empty() && text != watch.text) {
+            watch.text = std::move(text);
+            reload(entry, watch.path, "the file has changed");
+        }
+        watchSettings(entry, watch);
+    });
+}
+
+void handleSignals(entry_state &entry, boost::asio::signal_set &signals, settings_watch &watch)
+{
+    signals.async_wait([&entry, &signals, &watch](boost::system::error_code error, int signal) {
+        if (error) {
+            return;
+        }
+        if (signal == SIGHUP) {
+            watch.text = readAll(watch.path);
+            reload(entry, watch.path, "SIGHUP");
+        } else {
+            beginStop(entry);
+        }
+        handleSignals(entry, signals, watch);
+    });
+}
+
+} // namespace
+
+timestamp steadyNow()
+{
+    return readClock(CLOCK_BOOTTIME);
+}
+
+std::int64_t wallNow()
+{
+    return readClock(CLOCK_REALTIME);
+}
+
+entry_state::entry_state(boost::asio::io_context &context, cell_settings given)
+    : loop(context)
+    , settings(std::move(given))
+    , log(openLog(settings.name, settings.log_lines_per_second))
+    , client(context, steadyNow)
+    , tick_timer(context)
+    , decide_timer(context)
+    , incarnation(makeIncarnation())
+{
+    members[settings.name] = settings.peer_address;
+}
+
+int runCellEntry(const std::string &settingsPath, const platform_connector &connect)
+{
+    const auto settings = readCellSettings(settingsPath);
+    if (!settings) {
+        std::cerr << settings.error().message << std::endl;
+        return 2;
+    }
+    std::signal(SIGPIPE, SIG_IGN);
+    boost::asio::io_context loop(1);
+    entry_state entry(loop, *settings);
+    entry.ports = connect(entry.settings, entry.client);
+    const std::string error = listenAll(entry);
+    if (!error.empty()) {
+        std::cerr << settingsPath << ": " << error << std::endl;
+        return 2;
+    }
+    logEvent(entry, "started",
+             {{"incarnation", entry.incarnation},
+              {"domain", entry.settings.failure_domain},
+              {"callers", entry.settings.caller_address},
+              {"store", entry.settings.store_address}});
+    settings_watch watch {settingsPath, readAll(settingsPath), boost::asio::steady_timer(loop)};
+    boost::asio::signal_set signals(loop, SIGTERM, SIGINT, SIGHUP);
+    handleSignals(entry, signals, watch);
+    watchSettings(entry, watch);
+    watchConfig(entry);
+    runTicks(entry);
+    loop.run();
+    return 0;
+}
+
+} // namespace bramleygrade::entry
--- /dev/null
+++ b/src/entry/entry.h
@@ -0,0 +1,193 @@
+#pragma once
+
+#include <list>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "cell/scheduler.h"
+#include "entry/entry_settings.h"
+#include "entry/event_log.h"
+#include "entry/metrics.h"
+#include "entry/ports.h"
+#include "entry/rows.h"
+#include "net/http_client.h"
+#include "net/http_server.h"
+
+/// \file
+/// One entry of the cell: takes callers' requests, follows the scheduler, and is the scheduler
+/// itself if it holds the head row. All entries are equal; all state here runs on one event loop.
+
+namespace bramleygrade::entry {
+
+enum class entry_role { follower, claiming, loading, scheduler };
+
+using answer_function = std::function<void(caller_answer)>;
+
+/// A call that waits for its change to be stored.
+struct stored_waiter
+{
+    call_kind kind = call_kind::submit;
+    timestamp give_up_at = distantFuture;
+    answer_function answer;
+};
+
+/// What only the scheduler has.
+struct scheduler_side
+{
+    cell::scheduler cell;
+    std::int64_t head_version = 0;
+    std::int64_t sequence = 0;
+    /// Wall-clock time at which each job was accepted, microseconds since 1970.
+    std::map<std::string, std::int64_t> accepted_wall;
+    /// Jobs of the write under way that must not have ended under an earlier scheduler.
+    std::vector<std::string> new_in_write;
+    std::optional<table_write> write;
+    std::int64_t write_sequence = 0;
+    /// An earlier try of the write under way got no answer, so that it may have had effect.
+    bool write_unclear = false;
+    bool write_in_flight = false;
+    timestamp write_started_at = distantPast;
+    timestamp next_write_at = distantPast;
+    timestamp written_at = distantPast;
+    std::multimap<std::string, stored_waiter> waiters;
+    /// Calls that came while the rows were being loaded.
+    std::vector<std::function<void()>> early;
+    /// What the registry says of the workers, by row key.
+    std::map<std::string, cell::worker_entry> registry;
+    std::int64_t registry_version = 0;
+    bool decide_posted = false;
+    timestamp timer_at = distantFuture;
+    /// The newest proof that nobody else is the scheduler.
+    timestamp confirmed_at = distantPast;
+    bool suspended = false;
+    timestamp next_beat_at = distantPast;
+    timestamp next_handover_at = distantPast;
+    std::map<std::string, timestamp> adviser_busy_until;
+    std::map<std::string, int> adviser_failures;
+};
+
+/// A caller's call on its way to the scheduler.
+struct forwarded_call
+{
+    caller_call call;
+    timestamp deadline = distantFuture;
+    timestamp hold_until = distantFuture;
+    answer_function answer;
+    /// An attempt may have taken effect.
+    bool unclear = false;
+    bool in_flight = false;
+    /// Raised with each attempt, so that answers to former ones are told apart.
+    int attempt = 0;
+    bool answered = false;
+};
+
+struct entry_state
+{
+    entry_state(boost::asio::io_context &context, cell_settings given);
+
+    boost::asio::io_context &loop;
+    cell_settings settings;
+    platform_ports ports;
+    event_log log;
+    entry_metrics metrics;
+    net::http_client client;
+    std::unique_ptr<net::http_server> callers;
+    std::unique_ptr<net::http_server> readiness;
+    std::unique_ptr<net::http_server> peers;
+    std::unique_ptr<net::http_server> metrics_server;
+    boost::asio::steady_timer tick_timer;
+    boost::asio::steady_timer decide_timer;
+
+    std::string incarnation;
+    cell::cell_config config;
+    std::int64_t config_watch_version = 0;
+    timestamp config_read_at = distantPast;
+
+    entry_role role = entry_role::follower;
+    /// Highest epoch seen, and whose it is.
+    std::int64_t epoch = 0;
+    member scheduler;
+    /// When the scheduler's newest sign of life came.
+    timestamp heard_at = distantPast;
+    std::map<std::string, std::int64_t> pending;
+    timestamp pending_at = distantPast;
+    std::map<std::string, std::string> members;
+    bool probing = false;
+    timestamp next_probe_at = distantPast;
+    std::unique_ptr<scheduler_side> lead;
+    std::list<std::shared_ptr<forwarded_call>> forwarded;
+    bool store_reachable = true;
+    bool stopping = false;
+    timestamp stop_at = distantFuture;
+    bool finished = false;
+    timestamp last_tick_at = distantPast;
+};
+
+/// Microseconds of a steady clock that also counts time in which the instance was suspended.
+timestamp steadyNow();
+/// Microseconds since 1970.
+std::int64_t wallNow();
+
+template <typename... Fields>
+void logEvent(entry_state &entry, const char *event, log_fields fields)
+{
+    writeEvent(entry.log, wallNow(), event, fields);
+}
+
+member self(const entry_state &entry);
+
+// callers.cpp
+void serveCaller(entry_state &entry, net::http_request request,
+                 const net::http_server::responder &respond);
+/// Sends waiting calls again, after the scheduler has changed.
+void resendForwarded(entry_state &entry);
+void expireForwarded(entry_state &entry, timestamp now);
+
+// peers.cpp
+void servePeer(entry_state &entry, const net::http_request &request,
+               const net::http_server::responder &respond);
+void sendBeats(entry_state &entry, timestamp now);
+void sendPeer(entry_state &entry, const std::string &address, const std::string &path,
+              std::string body, microseconds patience, bool idempotent,
+              std::function<void(net::call_result)> done);
+
+// membership.cpp
+void followScheduler(entry_state &entry, timestamp now);
+void noteScheduler(entry_state &entry, std::int64_t epoch, const member &scheduler, timestamp now);
+void readHead(
+    entry_state &entry,
+    const std::function<void(store_result, std::optional<head_row>, std::int64_t version)> &done);
+void claimHead(entry_state &entry, std::int64_t version, std::int64_t epoch,
+               const std::function<void(bool)> &done);
+void handOver(entry_state &entry, const std::function<void(bool)> &done);
+void stepDown(entry_state &entry, const char *reason);
+
+// leading.cpp
+void startLeading(entry_state &entry, std::int64_t headVersion);
+void wantDecision(entry_state &entry);
+void runOrders(entry_state &entry, cell::orders orders);
+void leadTick(entry_state &entry, timestamp now);
+
+// writes.cpp
+void pumpWrites(entry_state &entry);
+void expireWaiters(entry_state &entry, timestamp now);
+
+// calls.cpp
+void handleCall(entry_state &entry, const caller_call &call, timestamp deadline,
+                const answer_function &answer);
+
+// watches.cpp
+void watchConfig(entry_state &entry);
+void watchWorkers(entry_state &entry, std::int64_t epoch);
+
+// advisers.cpp
+void askForAdvice(entry_state &entry, const cell::advice_order &order);
+
+} // namespace bramleygrade::entry
--- /dev/null
+++ b/src/entry/entry_settings.cpp
@@ -0,0 +1,132 @@
+#include "entry/entry_settings.h"
+
+#include <algorithm>
+#include <fstream>
+#include <map>
+#include <sstream>
+
+#include <rapidjson/document.h>
+#include <rapidjson/error/en.h>
+
+namespace bramleygrade::entry {
+
+namespace {
+
+using failure = tl::unexpected<cell_settings_error>;
+
+struct text_field
+{
+    const char *name;
+    std::string cell_settings::*field;
+    bool required;
+};
+
+const text_field textFields[] = {
+    {"name", &cell_settings::name, true},
+    {"failure_domain", &cell_settings::failure_domain, false},
+    {"host", &cell_settings::host, true},
+    {"caller_address", &cell_settings::caller_address, true},
+    {"ready_address", &cell_settings::ready_address, true},
+    {"peer_address", &cell_settings::peer_address, true},
+    {"metrics_address", &cell_settings::metrics_address, false},
+    {"store_address", &cell_settings::store_address, true},
+    {"advice_address", &cell_settings::advice_address, false},
+};
+
+struct span_field
+{
+    const char *name;
+    microseconds cell_settings::*field;
+    microseconds unit;
+    double least;
+    double most;
+};
+
+const span_field spanFields[] = {
+    {"longest_lease_ms", &cell_settings::longest_lease, millisecond, 1'000, 600'000},
+    {"gang_timeout_ms", &cell_settings::gang_timeout, millisecond, 100, 600'000},
+    {"stop_timeout_ms", &cell_settings::stop_timeout, millisecond, 1, 600'000},
+    {"ended_kept_s", &cell_settings::ended_kept, second, 1, 864'000},
+    {"shutdown_grace_s", &cell_settings::shutdown_grace, second, 1, 3'600},
+    {"log_lines_per_second", &cell_settings::log_lines_per_second, 1, 1, 1'000'000},
+};
+
+std::size_t lineOf(const std::string &text, std::size_t offset)
+{
+    return 1
+        + static_cast<std::size_t>(std::count(
+            text.begin(), text.begin() + static_cast<std::ptrdiff_t>(std::min(offset, text.size())),
+            '\n'));
+}
+
+std::size_t lineOfField(const std::string &text, const std::string &name)
+{
+    const std::size_t place = text.find('"' + name + '"');
+    return place == std::string::npos ? 1 : lineOf(text, place);
+}
+
+failure fail(const std::string &origin, std::size_t line, const std::string &what)
+{
+    return failure({origin + ":" + std::to_string(line) + ": " + what});
+}
+
+} // namespace
+
+tl::expected<cell_settings, cell_settings_error> parseCellSettings(const std::string &origin,
+                                                                   const std::string &text)
+{
+    rapidjson::Document document;
+    constexpr unsigned flags = rapidjson::kParseCommentsFlag | rapidjson::kParseTrailingCommasFlag;
+    document.Parse<flags>(text.c_str(), text.size());
+    if (document.HasParseError()) {
+        return fail(origin, lineOf(text, document.GetErrorOffset()),
+                    std::string(rapidjson::GetParseError_En(document.GetParseError()))
+                        + " Correct the JSON there; comments are // or /* */.");
+    }
+    if (!document.IsObject()) {
+        return fail(origin, 1, "settings must be one JSON object: put { } around the fields");
+    }
+    cell_settings settings;
+    for (const text_field &entry : textFields) {
+        const auto member = document.FindMember(entry.name);
+        const bool given = member != document.MemberEnd() && member->value.IsString()
+            && member->value.GetStringLength() > 0;
+        if (given) {
+            settings.*entry.field = member->value.GetString();
+        } else if (entry.required) {
+            return fail(origin, lineOfField(text, entry.name),
+                        std::string("'") + entry.name
+                            + "' is missing or not a text; add it, for example \"" + entry.name
+                            + "\": \"10.0.0.1:8080\"");
+        }
+    }
+    for (const span_field &entry : spanFields) {
+        const auto member = document.FindMember(entry.name);
+        if (member == document.MemberEnd()) {
+            continue;
+        }
+        const bool number = member->value.IsNumber();
+        const double value = number ? member->value.GetDouble() : 0;
+        if (!number || value < entry.least || value > entry.most) {
+            std::ostringstream range;
+            range << "'" << entry.name << "' must be a number from " << entry.least << " to "
+                  << entry.most << "; change it or leave it out";
+            return fail(origin, lineOfField(text, entry.name), range.str());
+        }
+        settings.*entry.field = static_cast<microseconds>(value * static_cast<double>(entry.unit));
+    }
+    return settings;
+}
+
+tl::expected<cell_settings, cell_settings_error> readCellSettings(const std::string &path)
+{
+    std::ifstream file(path);
+    if (!file) {
+        return failure({path + ": cannot be read; give the path of a readable settings file"});
+    }
+    std::stringstream text;
+    text << file.rdbuf();
+    return parseCellSettings(path, text.str());
+}
+
+} // namespace bramleygrade::entry
--- /dev/null
+++ b/src/entry/event_log.cpp
@@ -0,0 +1,96 @@
+#include "entry/event_log.h"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+namespace bramleygrade::entry {
+
+namespace {
+
+/// Bytes kept while standard output takes none.
+constexpr std::size_t largestBuffer = 512U << 10U;
+
+void appendText(std::string &out, const std::string &text)
+{
+    out += '"';
+    for (const char c : text) {
+        if (c == '"' || c == '\\') {
+            out += '\\';
+            out += c;
+        } else {
+            out += static_cast<unsigned char>(c) < 0x20 ? ' ' : c;
+        }
+    }
+    out += '"';
+}
+
+bool isAdmitted(event_log &log, std::int64_t wall)
+{
+    if (wall >= log.rate_window_at + second || wall < log.rate_window_at) {
+        log.rate_window_at = wall;
+        log.lines_in_window = 0;
+    }
+    if (++log.lines_in_window > log.lines_per_second || log.pending.size() > largestBuffer) {
+        ++log.dropped;
+        return false;
+    }
+    return true;
+}
+
+void appendLine(event_log &log, std::int64_t wall, const char *event, log_fields fields)
+{
+    std::string &out = log.pending;
+    out += R"({"at_ms":)";
+    out += std::to_string(wall / millisecond);
+    out += R"(,"instance":)";
+    appendText(out, log.instance);
+    out += R"(,"event":)";
+    appendText(out, event);
+    for (const auto &[name, value] : fields) {
+        out += ',';
+        appendText(out, name);
+        out += ':';
+        appendText(out, value);
+    }
+    out += "}\n";
+    ++log.written;
+}
+
+} // namespace
+
+event_log openLog(std::string instance, std::int64_t linesPerSecond)
+{
+    const int flags = fcntl(STDOUT_FILENO, F_GETFL);
+    if (flags >= 0) {
+        fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+    }
+    event_log log;
+    log.instance = std::move(instance);
+    log.lines_per_second = linesPerSecond;
+    return log;
+}
+
+void writeEvent(event_log &log, std::int64_t wall, const char *event, log_fields fields)
+{
+    if (!isAdmitted(log, wall)) {
+        return;
+    }
+    if (log.dropped != log.dropped_reported) {
+        appendLine(log, wall, "log_lines_dropped", {{"total", std::to_string(log.dropped)}});
+        log.dropped_reported = log.dropped;
+    }
+    appendLine(log, wall, event, fields);
+}
+
+void flushLog(event_log &log)
+{
+    if (log.pending.empty()) {
+        return;
+    }
+    const ssize_t taken = ::write(STDOUT_FILENO, log.pending.data(), log.pending.size());
+    if (taken > 0) {
+        log.pending.erase(0, static_cast<std::size_t>(taken));
+    }
+}
+
+} // namespace bramleygrade::entry
--- /dev/null
+++ b/src/entry/membership.cpp
@@ -0,0 +1,287 @@
+#include <algorithm>
+#include <functional>
+
+#include "entry/entry.h"
+
+namespace bramleygrade::entry {
+
+namespace {
+
+/// Silence after which a scheduler is looked for; three signs of life are missing by then.
+constexpr microseconds silenceLimit = 700 * millisecond;
+/// Pause between two looks for the scheduler.
+constexpr microseconds probePause = 150 * millisecond;
+/// Time that another entry gets to answer.
+constexpr microseconds peerPatience = 250 * millisecond;
+constexpr microseconds storePatience = 700 * millisecond;
+/// A sign of life that another entry heard within this counts as ours.
+constexpr microseconds freshHearing = 500 * millisecond;
+/// Claims are spread over this much time, so that one of many claimants is first.
+constexpr microseconds claimSpread = 160 * millisecond;
+
+microseconds claimDelay(const entry_state &entry)
+{
+    const auto mixed = std::hash<std::string> {}(entry.settings.name + entry.incarnation);
+    return static_cast<microseconds>(mixed % static_cast<std::size_t>(claimSpread));
+}
+
+void endProbe(entry_state &entry)
+{
+    entry.probing = false;
+    entry.next_probe_at = steadyNow() + probePause;
+}
+
+void claimAfterProbe(entry_state &entry, std::int64_t version, std::int64_t epoch)
+{
+    claimHead(entry, version, epoch, [&entry](bool) { endProbe(entry); });
+}
+
+/// Asks the other entries whether they hear the scheduler; claims the head if none does.
+void askOpinions(entry_state &entry, std::int64_t version, std::int64_t epoch)
+{
+    struct poll
+    {
+        std::size_t open = 0;
+        std::size_t answers = 0;
+        bool heard = false;
+    };
+    const auto asked = std::make_shared<poll>();
+    std::vector<std::string> addresses;
+    for (const auto &[name, address] : entry.members) {
+        if (name != entry.settings.name && name != entry.scheduler.name) {
+            addresses.push_back(address);
+        }
+    }
+    if (addresses.empty()) {
+        claimAfterProbe(entry, version, epoch);
+        return;
+    }
+    asked->open = addresses.size();
+    for (const std::string &address : addresses) {
+        sendPeer(entry, address, "/word", "{}", peerPatience, true,
+                 [&entry, asked, version, epoch](const net::call_result &result) {
+                     const auto word = decodeWord(result.body);
+                     if (result.status == 200 && word) {
+                         ++asked->answers;
+                         asked->heard = asked->heard
+                             || (word->epoch >= epoch && word->heard_ago >= 0
+                                 && word->heard_ago < freshHearing);
+                     }
+                     if (--asked->open > 0) {
+                         return;
+                     }
+                     if (asked->heard) {
+                         endProbe(entry);
+                         return;
+                     }
+                     claimAfterProbe(entry, version, epoch);
+                 });
+    }
+}
+
+void greetScheduler(entry_state &entry, const head_row &head, std::int64_t version)
+{
+    member_word word;
+    word.sender = self(entry);
+    word.epoch = head.epoch;
+    sendPeer(entry, head.address, "/hello", encodeWord(word), peerPatience, true,
+             [&entry, head, version](const net::call_result &result) {
+                 const auto answer = decodeWord(result.body);
+                 if (result.status == 200 && answer && answer->is_scheduler) {
+                     noteScheduler(entry, answer->epoch, answer->sender, steadyNow());
+                     endProbe(entry);
+                     return;
+                 }
+                 askOpinions(entry, version, head.epoch);
+             });
+}
+
+void probeScheduler(entry_state &entry)
+{
+    entry.probing = true;
+    readHead(entry,
+             [&entry](const store_result &result, const std::optional<head_row> &head,
+                      std::int64_t version) {
+                 if (result.outcome != store_outcome::done || entry.role != entry_role::follower) {
+                     endProbe(entry);
+                     return;
+                 }
+                 if (!head) {
+                     claimAfterProbe(entry, version, 0);
+                     return;
+                 }
+                 if (head->epoch > entry.epoch) {
+                     entry.epoch = head->epoch;
+                     entry.scheduler = {head->scheduler, head->address};
+                 }
+                 if (head->address == self(entry).address) {
+                     claimAfterProbe(entry, version, head->epoch);
+                     return;
+                 }
+                 greetScheduler(entry, *head, version);
+             });
+}
+
+} // namespace
+
+member self(const entry_state &entry)
+{
+    return {entry.settings.name, entry.settings.peer_address};
+}
+
+void noteScheduler(entry_state &entry, std::int64_t epoch, const member &scheduler, timestamp now)
+{
+    if (epoch < entry.epoch) {
+        return;
+    }
+    const bool changed = epoch > entry.epoch || entry.scheduler.address != scheduler.address
+        || entry.heard_at == distantPast;
+    if (entry.role != entry_role::follower && epoch > entry.epoch) {
+        stepDown(entry, "a higher epoch acts");
+    }
+    entry.epoch = epoch;
+    entry.scheduler = scheduler;
+    entry.heard_at = now;
+    entry.members[scheduler.name] = scheduler.address;
+    if (changed) {
+        logEvent(entry, "scheduler_known",
+                 {{"scheduler", scheduler.name}, {"epoch", std::to_string(epoch)}});
+        resendForwarded(entry);
+    }
+}
+
+void followScheduler(entry_state &entry, timestamp now)
+{
+    if (entry.role != entry_role::follower || entry.probing || entry.stopping
+        || now < entry.next_probe_at) {
+        return;
+    }
+    const microseconds limit = entry.heard_at == distantPast ? 0 : silenceLimit;
+    if (now < entry.heard_at + limit + claimDelay(entry)) {
+        return;
+    }
+    if (entry.heard_at != distantPast) {
+        logEvent(entry, "scheduler_silent",
+                 {{"scheduler", entry.scheduler.name},
+                  {"epoch", std::to_string(entry.epoch)},
+                  {"silent_ms", std::to_string((now - entry.heard_at) / millisecond)}});
+    }
+    probeScheduler(entry);
+}
+
+void readHead(
+    entry_state &entry,
+    const std::function<void(store_result, std::optional<head_row>, std::int64_t version)> &done)
+{
+    row_range range {headTable, headKey, std::string(headKey) + "!", true};
+    entry.ports.store.read(range, steadyNow() + storePatience,
+                           [&entry, done](const store_result &result) {
+                               entry.store_reachable = result.outcome == store_outcome::done;
+                               std::optional<head_row> head;
+                               std::int64_t version = 0;
+                               for (const stored_row &row : result.rows) {
+                                   if (row.key == headKey) {
+                                       head = decodeHead(row.value);
+                                       version = row.version;
+                                   }
+                               }
+                               done(result, head, version);
+                           });
+}
+
+void claimHead(entry_state &entry, std::int64_t version, std::int64_t epoch,
+               const std::function<void(bool)> &done)
+{
+    if (entry.role != entry_role::follower || entry.stopping) {
+        done(false);
+        return;
+    }
+    entry.role = entry_role::claiming;
+    const std::int64_t next = std::max(epoch, entry.epoch) + 1;
+    table_write claim;
+    claim.expected.push_back({headTable, headKey, version});
+    claim.puts.push_back(
+        {headTable, headKey,
+         encodeHead({next, 0, entry.settings.name, entry.settings.peer_address, entry.incarnation}),
+         0, false});
+    logEvent(entry, "claim", {{"epoch", std::to_string(next)}});
+    entry.ports.store.write(
+        claim, steadyNow() + storePatience, [&entry, next, done](const store_result &result) {
+            entry.role = entry_role::follower;
+            if (result.outcome == store_outcome::done) {
+                entry.epoch = next;
+                startLeading(entry, result.version);
+                done(true);
+                return;
+            }
+            if (result.outcome != store_outcome::unanswered) {
+                done(false);
+                return;
+            }
+            // The claim may have taken effect: the row tells.
+            readHead(entry,
+                     [&entry, next, done](const store_result &, const std::optional<head_row> &head,
+                                          std::int64_t now) {
+                         const bool mine = head && head->epoch == next && head->sequence == 0
+                             && head->incarnation == entry.incarnation
+                             && entry.role == entry_role::follower;
+                         if (mine) {
+                             entry.epoch = next;
+                             startLeading(entry, now);
+                         }
+                         done(mine);
+                     });
+        });
+}
+
+void stepDown(entry_state &entry, const char *reason)
+{
+    if (!entry.lead) {
+        return;
+    }
+    logEvent(entry, "stepped_down", {{"epoch", std::to_string(entry.epoch)}, {"reason", reason}});
+    ++entry.metrics.counters["stepped_down_total"];
+    entry.role = entry_role::follower;
+    const std::unique_ptr<scheduler_side> former = std::move(entry.lead);
+    entry.decide_timer.cancel();
+    entry.scheduler = {};
+    entry.heard_at = steadyNow() - silenceLimit;
+    for (const auto &call : former->early) {
+        call();
+    }
+    for (const auto &[id, waiter] : former->waiters) {
+        caller_answer answer;
+        answer.kind = answer_kind::unknown;
+        answer.reason = "the scheduler has changed";
+        waiter.answer(answer);
+    }
+}
+
+void handOver(entry_state &entry, const std::function<void(bool)> &done)
+{
+    std::vector<std::string> addresses;
+    for (const auto &[name, address] : entry.members) {
+        if (name != entry.settings.name) {
+            addresses.push_back(address);
+        }
+    }
+    if (addresses.empty()) {
+        done(false);
+        return;
+    }
+    // Another one is asked each time, in case the first cannot reach the store either.
+    const std::size_t turn = static_cast<std::size_t>(entry.metrics.counters["handovers_asked"]++);
+    member_word word;
+    word.sender = self(entry);
+    word.epoch = entry.epoch;
+    sendPeer(entry, addresses[turn % addresses.size()], "/handover", encodeWord(word),
+             2 * storePatience, false, [&entry, done](const net::call_result &result) {
+                 const bool taken = result.status == 200;
+                 if (taken && entry.lead) {
+                     stepDown(entry, "handed over");
+                 }
+                 done(taken);
+             });
+}
+
+} // namespace bramleygrade::entry
--- /dev/null
+++ b/src/entry/messages.cpp
@@ -0,0 +1,190 @@
+#include "entry/json_text.h"
+#include "entry/rows.h"
+
+namespace bramleygrade::entry {
+
+namespace {
+
+void writeMember(json_writer &out, const member &value)
+{
+    out.StartArray();
+    putText(out, value.name);
+    putText(out, value.address);
+    out.EndArray();
+}
+
+member readMember(const rapidjson::Value &value)
+{
+    if (!value.IsArray() || value.Size() < 2) {
+        return {};
+    }
+    return {textOf(value[0]), textOf(value[1])};
+}
+
+} // namespace
+
+std::string encodeAnswer(const caller_answer &answer)
+{
+    return writeObject([&](json_writer &out) {
+        put(out, "kind", static_cast<int>(answer.kind));
+        put(out, "phase", static_cast<int>(answer.phase));
+        put(out, "pending", answer.pending);
+        put(out, "retry", answer.retry_after);
+        put(out, "reason", answer.reason);
+    });
+}
+
+std::optional<caller_answer> decodeAnswer(const std::string &text)
+{
+    rapidjson::Document document;
+    if (!parseObject(text, document)) {
+        return std::nullopt;
+    }
+    caller_answer answer;
+    answer.kind = static_cast<answer_kind>(integerField(document, "kind"));
+    answer.phase = static_cast<cell::job_phase>(integerField(document, "phase"));
+    answer.pending = integerField(document, "pending");
+    answer.retry_after = integerField(document, "retry");
+    answer.reason = textField(document, "reason");
+    return answer;
+}
+
+std::string encodeAdviceOrder(const cell::advice_order &order)
+{
+    return writeObject([&](json_writer &out) {
+        put(out, "job", order.step.job);
+        put(out, "occurrence", order.step.occurrence);
+        put(out, "step", order.step.step);
+        put(out, "expected", order.expected);
+        out.Key("workers");
+        out.StartArray();
+        for (const std::string &worker : order.workers) {
+            putText(out, worker);
+        }
+        out.EndArray();
+    });
+}
+
+std::optional<cell::advice_order> decodeAdviceOrder(const std::string &text)
+{
+    rapidjson::Document document;
+    const auto *workers = parseObject(text, document) ? arrayField(document, "workers") : nullptr;
+    if (workers == nullptr) {
+        return std::nullopt;
+    }
+    cell::advice_order order;
+    order.step = {textField(document, "job"),
+                  static_cast<int>(integerField(document, "occurrence")),
+                  static_cast<int>(integerField(document, "step")), 0};
+    order.expected = integerField(document, "expected");
+    for (const auto &worker : workers->GetArray()) {
+        order.workers.push_back(textOf(worker));
+    }
+    return order;
+}
+
+std::string encodeAdviceResult(const advice_result &result)
+{
+    return writeObject([&](json_writer &out) {
+        put(out, "answered", result.answered);
+        put(out, "valid", result.valid);
+        out.Key("allowed");
+        out.StartArray();
+        for (const auto &[worker, ticket] : result.allowed) {
+            writeMember(out, {worker, ticket});
+        }
+        out.EndArray();
+    });
+}
+
+std::optional<advice_result> decodeAdviceResult(const std::string &text)
+{
+    rapidjson::Document document;
+    const auto *allowed = parseObject(text, document) ? arrayField(document, "allowed") : nullptr;
+    if (allowed == nullptr) {
+        return std::nullopt;
+    }
+    advice_result result;
+    result.answered = truthField(document, "answered");
+    result.valid = integerField(document, "valid");
+    for (const auto &row : allowed->GetArray()) {
+        const member pair = readMember(row);
+        result.allowed.emplace_back(pair.name, pair.address);
+    }
+    return result;
+}
+
+std::string encodeBeat(const beat_message &beat)
+{
+    return writeObject([&](json_writer &out) {
+        put(out, "epoch", beat.epoch);
+        out.Key("sender");
+        writeMember(out, beat.sender);
+        out.Key("members");
+        out.StartArray();
+        for (const member &entry : beat.members) {
+            writeMember(out, entry);
+        }
+        out.EndArray();
+        out.Key("pending");
+        out.StartObject();
+        for (const auto &[queue, count] : beat.pending) {
+            put(out, queue.c_str(), count);
+        }
+        out.EndObject();
+    });
+}
+
+std::optional<beat_message> decodeBeat(const std::string &text)
+{
+    rapidjson::Document document;
+    if (!parseObject(text, document)) {
+        return std::nullopt;
+    }
+    beat_message beat;
+    beat.epoch = integerField(document, "epoch");
+    if (const auto *sender = findField(document, "sender")) {
+        beat.sender = readMember(*sender);
+    }
+    if (const auto *members = arrayField(document, "members")) {
+        for (const auto &entry : members->GetArray()) {
+            beat.members.push_back(readMember(entry));
+        }
+    }
+    const auto *pending = findField(document, "pending");
+    if (pending != nullptr && pending->IsObject()) {
+        for (const auto &entry : pending->GetObject()) {
+            beat.pending.emplace_back(entry.name.GetString(), integerOf(entry.value));
+        }
+    }
+    return beat;
+}
+
+std::string encodeWord(const member_word &word)
+{
+    return writeObject([&](json_writer &out) {
+        out.Key("sender");
+        writeMember(out, word.sender);
+        put(out, "epoch", word.epoch);
+        put(out, "heard", word.heard_ago);
+        put(out, "scheduler", word.is_scheduler);
+    });
+}
+
+std::optional<member_word> decodeWord(const std::string &text)
+{
+    rapidjson::Document document;
+    if (!parseObject(text, document)) {
+        return std::nullopt;
+    }
+    member_word word;
+    if (const auto *sender = findField(document, "sender")) {
+        word.sender = readMember(*sender);
+    }
+    word.epoch = integerField(document, "epoch");
+    word.heard_ago = integerField(document, "heard", -1);
+    word.is_scheduler = truthField(document, "scheduler");
+    return word;
+}
+
+} // namespace bramleygrade::entry
--- /dev/null
+++ b/src/entry/peers.cpp
@@ -0,0 +1,198 @@
+#include <algorithm>
+
+#include "entry/entry.h"
+
+namespace bramleygrade::entry {
+
+namespace {
+
+constexpr microseconds beatInterval = 250 * millisecond;
+constexpr microseconds beatPatience = 400 * millisecond;
+/// Time that a caller's call may wait here; the entry that forwarded it gives up before.
+constexpr microseconds callPatience = 3 * second;
+/// Beats that a member may miss before it is forgotten.
+constexpr int membersForgottenAfter = 40;
+
+void answerWith(const net::http_server::responder &respond, int status, std::string body)
+{
+    respond({status, {{"Content-Type", "application/json"}}, std::move(body)});
+}
+
+member_word ownWord(const entry_state &entry)
+{
+    member_word word;
+    word.sender = self(entry);
+    word.epoch = entry.epoch;
+    word.is_scheduler = entry.lead != nullptr;
+    word.heard_ago = entry.lead         ? 0
+        : entry.heard_at == distantPast ? -1
+                                        : steadyNow() - entry.heard_at;
+    return word;
+}
+
+void onBeat(entry_state &entry, const beat_message &beat,
+            const net::http_server::responder &respond)
+{
+    const timestamp now = steadyNow();
+    if (beat.epoch >= entry.epoch) {
+        noteScheduler(entry, beat.epoch, beat.sender, now);
+        for (const member &other : beat.members) {
+            entry.members[other.name] = other.address;
+        }
+        entry.pending.clear();
+        entry.pending.insert(beat.pending.begin(), beat.pending.end());
+        entry.pending_at = now;
+    }
+    answerWith(respond, 200, encodeWord(ownWord(entry)));
+}
+
+void onHello(entry_state &entry, const member_word &word,
+             const net::http_server::responder &respond)
+{
+    if (entry.lead) {
+        const bool added = entry.members.count(word.sender.name) == 0;
+        entry.members[word.sender.name] = word.sender.address;
+        if (added) {
+            logEvent(entry, "member_joined", {{"member", word.sender.name}});
+        }
+    }
+    answerWith(respond, 200, encodeWord(ownWord(entry)));
+}
+
+void onHandover(entry_state &entry, const member_word &word,
+                const net::http_server::responder &respond)
+{
+    if (entry.lead || entry.stopping || word.epoch < entry.epoch) {
+        answerWith(respond, 409, "{}");
+        return;
+    }
+    readHead(entry,
+             [&entry, word, respond](const store_result &result,
+                                     const std::optional<head_row> &head, std::int64_t version) {
+                 if (result.outcome != store_outcome::done || !head || head->epoch != word.epoch) {
+                     answerWith(respond, 503, "{}");
+                     return;
+                 }
+                 claimHead(entry, version, word.epoch, [respond](bool claimed) {
+                     answerWith(respond, claimed ? 200 : 503, "{}");
+                 });
+             });
+}
+
+void onCall(entry_state &entry, const caller_call &call, const net::http_server::responder &respond)
+{
+    handleCall(entry, call, steadyNow() + callPatience, [respond](const caller_answer &answer) {
+        answerWith(respond, 200, encodeAnswer(answer));
+    });
+}
+
+void onAdviceAsked(entry_state &entry, const cell::advice_order &order,
+                   const net::http_server::responder &respond)
+{
+    entry.ports.advice(order, steadyNow() + order.expected + second,
+                       [respond](const advice_result &result) {
+                           answerWith(respond, 200, encodeAdviceResult(result));
+                       });
+}
+
+template <typename Message, typename Handler>
+void dispatch(entry_state &entry, const std::optional<Message> &message, Handler handle,
+              const net::http_server::responder &respond)
+{
+    if (!message) {
+        answerWith(respond, 400, "{}");
+        return;
+    }
+    handle(entry, *message, respond);
+}
+
+void sendBeat(entry_state &entry, const std::string &name, const std::string &address,
+              const std::string &body)
+{
+    sendPeer(entry, address, "/beat", body, beatPatience, true,
+             [&entry, name, epoch = entry.epoch](const net::call_result &result) {
+                 if (!entry.lead || entry.epoch != epoch) {
+                     return;
+                 }
+                 const auto word = decodeWord(result.body);
+                 int &missed = entry.lead->adviser_failures["beat " + name];
+                 if (result.status != 200 || !word) {
+                     if (++missed == 1) {
+                         logEvent(entry, "member_silent", {{"member", name}});
+                     }
+                     if (missed > membersForgottenAfter) {
+                         entry.members.erase(name);
+                         logEvent(entry, "member_forgotten", {{"member", name}});
+                     }
+                     return;
+                 }
+                 if (missed > 0) {
+                     logEvent(entry, "member_back", {{"member", name}});
+                 }
+                 missed = 0;
+                 if (word->epoch > epoch) {
+                     noteScheduler(entry, word->epoch, {}, steadyNow());
+                 } else {
+                     entry.lead->confirmed_at = steadyNow();
+                 }
+             });
+}
+
+} // namespace
+
+void sendPeer(entry_state &entry, const std::string &address, const std::string &path,
+              std::string body, microseconds patience, bool idempotent,
+              std::function<void(net::call_result)> done)
+{
+    net::http_call call;
+    call.address = address;
+    call.method = "POST";
+    call.target = path;
+    call.body = std::move(body);
+    call.deadline = steadyNow() + patience;
+    call.idempotent = idempotent;
+    entry.client.send(std::move(call), std::move(done));
+}
+
+void sendBeats(entry_state &entry, timestamp now)
+{
+    entry.lead->next_beat_at = now + beatInterval;
+    beat_message beat;
+    beat.epoch = entry.epoch;
+    beat.sender = self(entry);
+    for (const auto &[name, address] : entry.members) {
+        beat.members.push_back({name, address});
+    }
+    for (const cell::queue_policy &queue : entry.config.queues) {
+        beat.pending.emplace_back(queue.name, cell::pendingJobs(entry.lead->cell, queue.name));
+    }
+    const std::string body = encodeBeat(beat);
+    const auto members = entry.members;
+    for (const auto &[name, address] : members) {
+        if (name != entry.settings.name) {
+            sendBeat(entry, name, address, body);
+        }
+    }
+}
+
+void servePeer(entry_state &entry, const net::http_request &request,
+               const net::http_server::responder &respond)
+{
+    if (request.target == "/beat") {
+        dispatch(entry, decodeBeat(request.body), onBeat, respond);
+    } else if (request.target == "/call") {
+        dispatch(entry, decodeCall(request.body), onCall, respond);
+    } else if (request.target == "/advice") {
+        dispatch(entry, decodeAdviceOrder(request.body), onAdviceAsked, respond);
+    } else if (request.target == "/hello") {
+        dispatch(entry, decodeWord(request.body), onHello, respond);
+    } else if (request.target == "/handover") {
+        dispatch(entry, decodeWord(request.body), onHandover, respond);
+    } else if (request.target == "/word") {
+        answerWith(respond, 200, encodeWord(ownWord(entry)));
+    } else {
+        answerWith(respond, 404, "{}");
+    }
+}
+
+} // namespace bramleygrade::entry
--- /dev/null
+++ b/src/entry/rows.cpp
@@ -0,0 +1,338 @@
+#include "entry/rows.h"
+
+#include "entry/json_text.h"
+
+namespace bramleygrade::entry {
+
+namespace {
+
+void writeStep(json_writer &out, const cell::step_spec &step)
+{
+    out.StartObject();
+    put(out, "count", step.count);
+    put(out, "cpu", step.demand.cpu_milli);
+    put(out, "mem", step.demand.memory_mb);
+    if (step.demand.accelerators != 0) {
+        put(out, "acc", step.demand.accelerators);
+    }
+    put(out, "est", step.estimate);
+    if (!step.after.empty()) {
+        out.Key("after");
+        out.StartArray();
+        for (const int before : step.after) {
+            out.Int(before);
+        }
+        out.EndArray();
+    }
+    const auto flag = [&](const char *name, bool set) {
+        if (set) {
+            put(out, name, true);
+        }
+    };
+    flag("ckpt", step.checkpointing);
+    flag("gang", step.gang);
+    flag("rack1", step.same_rack);
+    flag("spec", step.speculative);
+    flag("long", step.long_running);
+    flag("scav", step.scavenging);
+    const auto text = [&](const char *name, const std::string &value) {
+        if (!value.empty()) {
+            put(out, name, value);
+        }
+    };
+    text("label", step.required_label);
+    text("near", step.preferred_rack);
+    text("image", step.image);
+    put(out, "perw", step.max_per_worker);
+    put(out, "resp", step.response_target);
+    put(out, "miss", step.max_unavailable);
+    out.EndObject();
+}
+
+cell::step_spec readStep(const rapidjson::Value &value)
+{
+    cell::step_spec step;
+    step.count = static_cast<int>(integerField(value, "count", 1));
+    step.demand = {integerField(value, "cpu"), integerField(value, "mem"),
+                   integerField(value, "acc")};
+    step.estimate = integerField(value, "est");
+    if (const auto *after = arrayField(value, "after")) {
+        for (const auto &before : after->GetArray()) {
+            step.after.push_back(static_cast<int>(integerOf(before)));
+        }
+    }
+    step.checkpointing = truthField(value, "ckpt");
+    step.gang = truthField(value, "gang");
+    step.same_rack = truthField(value, "rack1");
+    step.speculative = truthField(value, "spec");
+    step.long_running = truthField(value, "long");
+    step.scavenging = truthField(value, "scav");
+    step.required_label = textField(value, "label");
+    step.preferred_rack = textField(value, "near");
+    step.image = textField(value, "image");
+    step.max_per_worker = static_cast<int>(integerField(value, "perw"));
+    step.response_target = integerField(value, "resp");
+    step.max_unavailable = static_cast<int>(integerField(value, "miss", -1));
+    return step;
+}
+
+void writeSpec(json_writer &out, const cell::job_spec &spec)
+{
+    put(out, "queue", spec.queue);
+    put(out, "payload", spec.payload);
+    put(out, "occ", spec.occurrences);
+    put(out, "due", spec.first_due_wall);
+    put(out, "every", spec.interval);
+    out.Key("steps");
+    out.StartArray();
+    for (const cell::step_spec &step : spec.steps) {
+        writeStep(out, step);
+    }
+    out.EndArray();
+}
+
+bool readSpec(const rapidjson::Value &value, cell::job_spec &spec)
+{
+    const auto *steps = arrayField(value, "steps");
+    if (steps == nullptr || steps->Empty()) {
+        return false;
+    }
+    spec.queue = textField(value, "queue");
+    spec.payload = textField(value, "payload");
+    spec.occurrences = static_cast<int>(integerField(value, "occ"));
+    spec.first_due_wall = integerField(value, "due");
+    spec.interval = integerField(value, "every");
+    for (const auto &step : steps->GetArray()) {
+        spec.steps.push_back(readStep(step));
+    }
+    return true;
+}
+
+void writePolicy(json_writer &out, const cell::queue_policy &policy)
+{
+    put(out, "service", policy.service);
+    put(out, "prio", policy.priority);
+    put(out, "tries", policy.max_attempts);
+    put(out, "slack", policy.slack_factor);
+    put(out, "target", policy.latency_target);
+    put(out, "advised", policy.needs_advice);
+    put(out, "adv0", policy.advice.base);
+    put(out, "adv1", policy.advice.per_worker);
+    put(out, "advv", policy.advice.valid);
+}
+
+cell::queue_policy readPolicy(const rapidjson::Value &value)
+{
+    cell::queue_policy policy;
+    policy.name = textField(value, "queue");
+    policy.service = textField(value, "service");
+    policy.priority = static_cast<int>(integerField(value, "prio"));
+    policy.max_attempts = static_cast<int>(integerField(value, "tries", 1));
+    policy.slack_factor = numberField(value, "slack", 1.0);
+    policy.latency_target = integerField(value, "target");
+    policy.needs_advice = truthField(value, "advised");
+    policy.advice = {integerField(value, "adv0"), integerField(value, "adv1"),
+                     integerField(value, "advv")};
+    return policy;
+}
+
+void writeStepProgress(json_writer &out, const cell::step_state &step)
+{
+    out.StartObject();
+    std::string done;
+    for (const cell::task_state &task : step.tasks) {
+        done += task.done ? '1' : '0';
+    }
+    put(out, "done", done);
+    put(out, "gang", step.gang_failures);
+    out.Key("tasks");
+    out.StartArray();
+    for (std::size_t index = 0; index < step.tasks.size(); ++index) {
+        const cell::task_state &task = step.tasks[index];
+        if (task.done || (task.failures == 0 && task.checkpoint.empty())) {
+            continue;
+        }
+        out.StartArray();
+        out.Uint64(index);
+        out.Int(task.failures);
+        putText(out, task.checkpoint);
+        out.EndArray();
+    }
+    out.EndArray();
+    out.EndObject();
+}
+
+void readStepProgress(const rapidjson::Value &value, cell::step_state &step)
+{
+    const std::string done = textField(value, "done");
+    for (std::size_t index = 0; index < step.tasks.size() && index < done.size(); ++index) {
+        step.tasks[index].done = done[index] == '1';
+        step.done_count += step.tasks[index].done ? 1 : 0;
+    }
+    step.gang_failures = static_cast<int>(integerField(value, "gang"));
+    const auto *tasks = arrayField(value, "tasks");
+    if (tasks == nullptr) {
+        return;
+    }
+    for (const auto &row : tasks->GetArray()) {
+        if (!row.IsArray() || row.Size() < 3) {
+            continue;
+        }
+        const std::int64_t index = integerOf(row[0], -1);
+        if (index >= 0 && index < static_cast<std::int64_t>(step.tasks.size())) {
+            auto &task = step.tasks[static_cast<std::size_t>(index)];
+            task.failures = static_cast<int>(integerOf(row[1]));
+            task.checkpoint = textOf(row[2]);
+        }
+    }
+}
+
+} // namespace
+
+std::string encodeHead(const head_row &head)
+{
+    return writeObject([&](json_writer &out) {
+        put(out, "epoch", head.epoch);
+        put(out, "sequence", head.sequence);
+        put(out, "scheduler", head.scheduler);
+        put(out, "address", head.address);
+        put(out, "incarnation", head.incarnation);
+    });
+}
+
+std::optional<head_row> decodeHead(const std::string &value)
+{
+    rapidjson::Document document;
+    if (!parseObject(value, document)) {
+        return std::nullopt;
+    }
+    return head_row {integerField(document, "epoch"), integerField(document, "sequence"),
+                     textField(document, "scheduler"), textField(document, "address"),
+                     textField(document, "incarnation")};
+}
+
+std::string encodeJob(const cell::job_state &job, std::int64_t acceptedWall)
+{
+    return writeObject([&](json_writer &out) {
+        put(out, "epoch", job.accepted_epoch);
+        put(out, "wall", acceptedWall);
+        writePolicy(out, job.policy);
+        writeSpec(out, job.spec);
+    });
+}
+
+std::optional<cell::job_state> decodeJob(const std::string &id, const std::string &value,
+                                         std::int64_t &acceptedWall)
+{
+    rapidjson::Document document;
+    cell::job_state job;
+    if (!parseObject(value, document) || !readSpec(document, job.spec)) {
+        return std::nullopt;
+    }
+    job.spec.id = id;
+    job.policy = readPolicy(document);
+    job.accepted_epoch = integerField(document, "epoch");
+    acceptedWall = integerField(document, "wall");
+    return job;
+}
+
+std::string encodeProgress(const cell::job_state &job)
+{
+    return writeObject([&](json_writer &out) {
+        out.Key("occurrences");
+        out.StartArray();
+        for (const auto &[number, occurrence] : job.occurrences) {
+            out.StartObject();
+            put(out, "number", number);
+            out.Key("steps");
+            out.StartArray();
+            for (const cell::step_state &step : occurrence.steps) {
+                writeStepProgress(out, step);
+            }
+            out.EndArray();
+            out.EndObject();
+        }
+        out.EndArray();
+    });
+}
+
+bool decodeProgress(const std::string &value, cell::job_state &job)
+{
+    rapidjson::Document document;
+    const auto *occurrences =
+        parseObject(value, document) ? arrayField(document, "occurrences") : nullptr;
+    if (occurrences == nullptr) {
+        return false;
+    }
+    for (const auto &row : occurrences->GetArray()) {
+        cell::occurrence_state &occurrence =
+            cell::occurrenceOf(job, static_cast<int>(integerField(row, "number")));
+        const auto *steps = arrayField(row, "steps");
+        for (std::size_t index = 0;
+             steps != nullptr && index < occurrence.steps.size() && index < steps->Size();
+             ++index) {
+            cell::step_state &step = occurrence.steps[index];
+            readStepProgress((*steps)[static_cast<rapidjson::SizeType>(index)], step);
+            const bool whole = step.done_count == static_cast<int>(step.tasks.size());
+            occurrence.steps_done += whole ? 1 : 0;
+        }
+        occurrence.completed = occurrence.steps_done == static_cast<int>(occurrence.steps.size());
+        job.occurrences_completed += occurrence.completed ? 1 : 0;
+        job.started_any = true;
+    }
+    return true;
+}
+
+std::string encodeEnded(const ended_row &row)
+{
+    return writeObject([&](json_writer &out) {
+        put(out, "phase", static_cast<int>(row.phase));
+        put(out, "wall", row.ended_wall);
+    });
+}
+
+std::optional<ended_row> decodeEnded(const std::string &value)
+{
+    rapidjson::Document document;
+    if (!parseObject(value, document)) {
+        return std::nullopt;
+    }
+    return ended_row {static_cast<cell::job_phase>(integerField(document, "phase")),
+                      integerField(document, "wall")};
+}
+
+std::string encodeCall(const caller_call &call)
+{
+    return writeObject([&](json_writer &out) {
+        put(out, "kind", static_cast<int>(call.kind));
+        put(out, "queue", call.queue);
+        put(out, "job", call.job);
+        if (call.kind == call_kind::submit) {
+            out.Key("spec");
+            out.StartObject();
+            writeSpec(out, call.spec);
+            out.EndObject();
+        }
+    });
+}
+
+std::optional<caller_call> decodeCall(const std::string &text)
+{
+    rapidjson::Document document;
+    if (!parseObject(text, document)) {
+        return std::nullopt;
+    }
+    caller_call call;
+    call.kind = static_cast<call_kind>(integerField(document, "kind"));
+    call.queue = textField(document, "queue");
+    call.job = textField(document, "job");
+    if (const auto *spec = findField(document, "spec")) {
+        if (!readSpec(*spec, call.spec)) {
+            return std::nullopt;
+        }
+        call.spec.id = call.job;
+    }
+    return call;
+}
+
+} // namespace bramleygrade::entry
--- /dev/null
+++ b/src/entry/rows.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include <optional>
+#include <string>
+
+#include "cell/job_state.h"
+#include "cell/scheduler.h"
+#include "entry/ports.h"
+
+/// \file
+/// The rows in which the cell keeps what must last, and the messages between entries: JSON.
+
+namespace bramleygrade::entry {
+
+constexpr char headTable[] = "cell";
+constexpr char headKey[] = "head";
+constexpr char jobTable[] = "jobs";
+constexpr char progressTable[] = "progress";
+constexpr char endedTable[] = "ended";
+
+/// The row that every write of the scheduler depends on and renews. Whoever has renewed it last
+/// is the scheduler; its sequence tells a lost answer from a lost write.
+struct head_row
+{
+    std::int64_t epoch = 0;
+    std::int64_t sequence = 0;
+    std::string scheduler;
+    std::string address;
+    /// Tells two lives of the same instance apart.
+    std::string incarnation;
+};
+
+std::string encodeHead(const head_row &head);
+std::optional<head_row> decodeHead(const std::string &value);
+
+/// What never changes of an accepted job. `acceptedWall`: time of day, microseconds since 1970.
+std::string encodeJob(const cell::job_state &job, std::int64_t acceptedWall);
+/// Returns nothing if the value cannot be read.
+std::optional<cell::job_state> decodeJob(const std::string &id, const std::string &value,
+                                         std::int64_t &acceptedWall);
+
+/// Which tasks are done or have failed, and their newest checkpoints; empty: nothing yet.
+std::string encodeProgress(const cell::job_state &job);
+bool decodeProgress(const std::string &value, cell::job_state &job);
+
+struct ended_row
+{
+    cell::job_phase phase = cell::job_phase::completed;
+    /// Time of day, microseconds since 1970.
+    std::int64_t ended_wall = 0;
+};
+
+std::string encodeEnded(const ended_row &row);
+std::optional<ended_row> decodeEnded(const std::string &value);
+
+// Messages between entries.
+
+std::string encodeCall(const caller_call &call);
+std::optional<caller_call> decodeCall(const std::string &text);
+std::string encodeAnswer(const caller_answer &answer);
+std::optional<caller_answer> decodeAnswer(const std::string &text);
+std::string encodeAdviceOrder(const cell::advice_order &order);
+std::optional<cell::advice_order> decodeAdviceOrder(const std::string &text);
+std::string encodeAdviceResult(const advice_result &result);
+std::optional<advice_result> decodeAdviceResult(const std::string &text);
+
+struct member
+{
+    std::string name;
+    std::string address;
+};
+
+/// The scheduler's sign of life, with what entries answer callers from.
+struct beat_message
+{
+    std::int64_t epoch = 0;
+    member sender;
+    std::vector<member> members;
+    std::vector<std::pair<std::string, std::int64_t>> pending;
+};
+
+std::string encodeBeat(const beat_message &beat);
+std::optional<beat_message> decodeBeat(const std::string &text);
+
+/// An entry's word about itself: who it is and whose sign of life it heard last.
+struct member_word
+{
+    member sender;
+    std::int64_t epoch = 0;
+    /// Age of the newest sign of life, microseconds; -1: none yet.
+    microseconds heard_ago = -1;
+    bool is_scheduler = false;
+};
+
+std::string encodeWord(const member_word &word);
+std::optional<member_word> decodeWord(const std::string &text);
+
+} // namespace bramleygrade::entry
--- /dev/null
+++ b/src/entry/state_dump.cpp
@@ -0,0 +1,131 @@
+#include "entry/state_dump.h"
+
+#include "entry/json_text.h"
+
+namespace bramleygrade::entry {
+
+namespace {
+
+std::int64_t ageMs(timestamp then)
+{
+    return then == distantPast ? -1 : (steadyNow() - then) / millisecond;
+}
+
+void writeWorkers(json_writer &out, const cell::scheduler &cell)
+{
+    out.Key("workers");
+    out.StartArray();
+    for (const auto &[id, worker] : cell.workers) {
+        out.StartObject();
+        put(out, "id", id);
+        put(out, "address", worker.entry.address);
+        put(out, "listed", worker.listed);
+        put(out, "fenced", worker.fenced);
+        put(out, "settled", worker.settled);
+        put(out, "draining", worker.entry.draining);
+        put(out, "token", cell::fencingToken(cell, worker));
+        put(out, "used_cpu_milli", worker.used.cpu_milli);
+        put(out, "cpu_milli", worker.entry.capacity.cpu_milli);
+        put(out, "runs", static_cast<std::int64_t>(worker.runs.size()));
+        put(out, "unstored_ends", static_cast<std::int64_t>(worker.unstored_ends.size()));
+        put(out, "answered_ms_ago", ageMs(worker.answered_at));
+        out.EndObject();
+    }
+    out.EndArray();
+}
+
+void writeJobs(json_writer &out, const cell::scheduler &cell)
+{
+    out.Key("jobs");
+    out.StartArray();
+    for (const auto &[id, job] : cell.jobs) {
+        if (job.final_phase) {
+            continue;
+        }
+        out.StartObject();
+        put(out, "id", id);
+        put(out, "queue", job.spec.queue);
+        put(out, "stored", job.stored);
+        put(out, "inherited", job.inherited);
+        put(out, "started", job.started_any);
+        put(out, "age_ms", ageMs(job.received_at));
+        put(out, "objective_in_ms", -ageMs(job.objective_at));
+        out.EndObject();
+    }
+    out.EndArray();
+}
+
+} // namespace
+
+std::string dumpState(const entry_state &entry)
+{
+    return writeObject([&](json_writer &out) {
+        put(out, "instance", entry.settings.name);
+        put(out, "incarnation", entry.incarnation);
+        put(out, "role", static_cast<int>(entry.role));
+        put(out, "epoch", entry.epoch);
+        put(out, "scheduler", entry.scheduler.name);
+        put(out, "heard_ms_ago", ageMs(entry.heard_at));
+        put(out, "config", entry.config.version);
+        put(out, "config_read_ms_ago", ageMs(entry.config_read_at));
+        put(out, "store_reachable", entry.store_reachable);
+        put(out, "calls_waiting", static_cast<std::int64_t>(entry.forwarded.size()));
+        out.Key("members");
+        out.StartObject();
+        for (const auto &[name, address] : entry.members) {
+            put(out, name.c_str(), address);
+        }
+        out.EndObject();
+        if (entry.lead) {
+            put(out, "unsaved_jobs", static_cast<std::int64_t>(entry.lead->cell.unsaved.size()));
+            put(out, "open_jobs", static_cast<std::int64_t>(entry.lead->cell.open_jobs.size()));
+            writeWorkers(out, entry.lead->cell);
+            writeJobs(out, entry.lead->cell);
+        }
+    });
+}
+
+void refreshGauges(entry_state &entry)
+{
+    auto &gauges = entry.metrics.gauges;
+    gauges["epoch"] = entry.epoch;
+    gauges["is_scheduler"] = entry.lead ? 1 : 0;
+    gauges["config_version"] = entry.config.version;
+    gauges["calls_waiting"] = static_cast<std::int64_t>(entry.forwarded.size());
+    gauges["members"] = static_cast<std::int64_t>(entry.members.size());
+    gauges["connections_opened"] = static_cast<std::int64_t>(entry.client.connectionsOpened());
+    gauges["log_lines_written"] = static_cast<std::int64_t>(entry.log.written);
+    gauges["log_lines_dropped"] = static_cast<std::int64_t>(entry.log.dropped);
+    if (!entry.lead) {
+        return;
+    }
+    const cell::scheduler &cell = entry.lead->cell;
+    gauges["jobs_in_memory"] = static_cast<std::int64_t>(cell.jobs.size());
+    gauges["jobs_open"] = static_cast<std::int64_t>(cell.open_jobs.size());
+    gauges["workers"] = static_cast<std::int64_t>(cell.workers.size());
+    std::int64_t used = 0;
+    std::int64_t all = 0;
+    for (const auto &[id, worker] : cell.workers) {
+        used += worker.used.cpu_milli;
+        all += worker.entry.capacity.cpu_milli;
+    }
+    gauges["cpu_milli_promised"] = used;
+    gauges["cpu_milli_capacity"] = all;
+    const cell::scheduler_counters &counts = cell.counters;
+    auto &counters = entry.metrics.counters;
+    counters["task_starts_total"] = counts.starts;
+    counters["task_starts_refused_total"] = counts.refused_starts;
+    counters["orders_unanswered_total"] = counts.unanswered_orders;
+    counters["task_ends_total{how=\"done\"}"] = counts.ends_done;
+    counters["task_ends_total{how=\"failed\"}"] = counts.ends_failed;
+    counters["task_ends_total{how=\"other\"}"] = counts.ends_other;
+    counters["advice_calls_total"] = counts.advice_calls;
+    counters["workers_lapsed_total"] = counts.lapsed_workers;
+    counters["runs_stalled_total"] = counts.stalled_runs;
+    counters["jobs_total{state=\"accepted\"}"] = counts.jobs_accepted;
+    counters["jobs_total{state=\"completed\"}"] = counts.jobs_completed;
+    counters["jobs_total{state=\"failed\"}"] = counts.jobs_failed;
+    counters["jobs_total{state=\"cancelled\"}"] = counts.jobs_cancelled;
+}
+
+} // namespace bramleygrade::entry
--- /dev/null
+++ b/src/entry/watches.cpp
@@ -0,0 +1,209 @@
+#include <algorithm>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "entry/entry.h"
+
+namespace bramleygrade::entry {
+
+namespace {
+
+/// How long one call waits for a change; short, so that a silent connection is found soon.
+constexpr microseconds watchWait = 1'500 * millisecond;
+constexpr microseconds watchPatience = 700 * millisecond;
+constexpr microseconds readPatience = 800 * millisecond;
+constexpr microseconds retryPause = 150 * millisecond;
+
+void later(entry_state &entry, microseconds pause, const std::function<void()> &run)
+{
+    const auto timer = std::make_shared<boost::asio::steady_timer>(entry.loop);
+    timer->expires_after(std::chrono::microseconds(pause));
+    timer->async_wait([timer, run](boost::system::error_code error) {
+        if (!error) {
+            run();
+        }
+    });
+}
+
+void noteStore(entry_state &entry, bool reachable)
+{
+    if (entry.store_reachable != reachable) {
+        logEvent(entry, reachable ? "store_regained" : "store_lost",
+                 {{"config", std::to_string(entry.config.version)},
+                  {"config_read_ms_ago",
+                   std::to_string((steadyNow() - entry.config_read_at) / millisecond)}});
+    }
+    entry.store_reachable = reachable;
+}
+
+void adoptConfig(entry_state &entry, const std::vector<stored_row> &rows)
+{
+    for (const stored_row &row : rows) {
+        if (row.key != entry.ports.translate.config_key || row.removed) {
+            continue;
+        }
+        cell::cell_config config;
+        if (!entry.ports.translate.decodeConfig(row, config)) {
+            logEvent(entry, "config_unreadable", {{"row", std::to_string(row.version)}});
+            continue;
+        }
+        if (config.version <= entry.config.version) {
+            continue;
+        }
+        logEvent(entry, "config_adopted",
+                 {{"version", std::to_string(config.version)},
+                  {"before", std::to_string(entry.config.version)},
+                  {"queues", std::to_string(config.queues.size())}});
+        entry.config = std::move(config);
+        if (entry.lead) {
+            cell::changeConfig(entry.lead->cell, entry.config);
+            wantDecision(entry);
+        }
+    }
+}
+
+void readConfig(entry_state &entry)
+{
+    const std::string key = entry.ports.translate.config_key;
+    entry.ports.store.read({entry.ports.translate.config_table, key, key + "!", false},
+                           steadyNow() + readPatience, [&entry](const store_result &result) {
+                               const bool done = result.outcome == store_outcome::done;
+                               noteStore(entry, done);
+                               if (done) {
+                                   entry.config_watch_version = result.version;
+                                   entry.config_read_at = steadyNow();
+                                   adoptConfig(entry, result.rows);
+                                   watchConfig(entry);
+                               } else {
+                                   later(entry, retryPause, [&entry] { readConfig(entry); });
+                               }
+                           });
+}
+
+void applyWorkerRows(entry_state &entry, const std::vector<stored_row> &rows)
+{
+    scheduler_side &lead = *entry.lead;
+    for (const stored_row &row : rows) {
+        cell::worker_entry worker;
+        const bool usable = !row.removed && entry.ports.translate.decodeWorker(row, worker);
+        const auto known = lead.registry.find(row.key);
+        if (!usable) {
+            if (known != lead.registry.end()) {
+                logEvent(entry, "worker_unlisted",
+                         {{"worker", row.key}, {"row", std::to_string(row.version)}});
+                lead.registry.erase(known);
+            }
+            continue;
+        }
+        if (known == lead.registry.end() || known->second.draining != worker.draining) {
+            logEvent(entry, worker.draining ? "worker_draining" : "worker_listed",
+                     {{"worker", worker.id}, {"row", std::to_string(row.version)}});
+        }
+        lead.registry[row.key] = worker;
+    }
+    std::vector<cell::worker_entry> entries;
+    for (const auto &[key, worker] : lead.registry) {
+        entries.push_back(worker);
+    }
+    cell::changeWorkers(lead.cell, entries, steadyNow());
+    wantDecision(entry);
+}
+
+bool leads(const entry_state &entry, std::int64_t epoch)
+{
+    return entry.lead && entry.epoch == epoch;
+}
+
+void followWorkers(entry_state &entry, std::int64_t epoch)
+{
+    entry.ports.store.watch(entry.ports.translate.worker_table, entry.lead->registry_version,
+                            watchWait, steadyNow() + watchWait + watchPatience,
+                            [&entry, epoch](const store_result &result) {
+                                if (!leads(entry, epoch)) {
+                                    return;
+                                }
+                                if (result.outcome == store_outcome::done) {
+                                    entry.lead->registry_version =
+                                        std::max(entry.lead->registry_version, result.version);
+                                    if (!result.rows.empty()) {
+                                        applyWorkerRows(entry, result.rows);
+                                    }
+                                    followWorkers(entry, epoch);
+                                    return;
+                                }
+                                later(entry, retryPause, [&entry, epoch] {
+                                    if (leads(entry, epoch)) {
+                                        watchWorkers(entry, epoch);
+                                    }
+                                });
+                            });
+}
+
+/// The registry, read page by page; changes since the first page are watched for.
+struct registry_read
+{
+    std::vector<stored_row> rows;
+    std::int64_t version = 0;
+};
+
+void readWorkers(entry_state &entry, std::int64_t epoch, const std::string &from,
+                 const std::shared_ptr<registry_read> &read)
+{
+    entry.ports.store.read(
+        {entry.ports.translate.worker_table, from, "", false}, steadyNow() + readPatience,
+        [&entry, epoch, read](const store_result &result) {
+            if (!leads(entry, epoch)) {
+                return;
+            }
+            if (result.outcome != store_outcome::done) {
+                later(entry, retryPause, [&entry, epoch] {
+                    if (leads(entry, epoch)) {
+                        watchWorkers(entry, epoch);
+                    }
+                });
+                return;
+            }
+            read->version = read->version == 0 ? result.version : read->version;
+            read->rows.insert(read->rows.end(), result.rows.begin(), result.rows.end());
+            if (result.more && !result.rows.empty()) {
+                readWorkers(entry, epoch, result.rows.back().key + '\0', read);
+                return;
+            }
+            entry.lead->registry.clear();
+            entry.lead->registry_version = read->version;
+            applyWorkerRows(entry, read->rows);
+            followWorkers(entry, epoch);
+        });
+}
+
+} // namespace
+
+void watchConfig(entry_state &entry)
+{
+    if (entry.config_watch_version == 0) {
+        readConfig(entry);
+        return;
+    }
+    entry.ports.store.watch(
+        entry.ports.translate.config_table, entry.config_watch_version, watchWait,
+        steadyNow() + watchWait + watchPatience, [&entry](const store_result &result) {
+            if (result.outcome != store_outcome::done) {
+                // Read all again: changes may have been missed.
+                entry.config_watch_version = 0;
+                later(entry, retryPause, [&entry] { readConfig(entry); });
+                return;
+            }
+            noteStore(entry, true);
+            entry.config_watch_version = std::max(entry.config_watch_version, result.version);
+            entry.config_read_at = steadyNow();
+            adoptConfig(entry, result.rows);
+            watchConfig(entry);
+        });
+}
+
+void watchWorkers(entry_state &entry, std::int64_t epoch)
+{
+    readWorkers(entry, epoch, "", std::make_shared<registry_read>());
+}
+
+} // namespace bramleygrade::entry
--- /dev/null
+++ b/src/net/http_client.cpp
@@ -0,0 +1,241 @@
+#include "net/http_client.h"
+
+#include <map>
+#include <optional>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+namespace bramleygrade::net {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+/// Largest answer that is read (users' store: 1 MB of rows, in base64 and JSON).
+constexpr std::uint64_t largestAnswer = 16U << 20U;
+/// Idle connections kept for each address.
+constexpr std::size_t idlePerAddress = 16;
+
+std::optional<tcp::endpoint> parseEndpoint(const std::string &address)
+{
+    const std::size_t colon = address.rfind(':');
+    if (colon == std::string::npos) {
+        return std::nullopt;
+    }
+    error_code error;
+    const auto host = asio::ip::make_address(address.substr(0, colon), error);
+    const int port = std::atoi(address.c_str() + colon + 1);
+    if (error || port <= 0 || port > 65'535) {
+        return std::nullopt;
+    }
+    return tcp::endpoint(host, static_cast<unsigned short>(port));
+}
+
+} // namespace
+
+struct connection
+{
+    explicit connection(asio::io_context &loop)
+        : socket(loop)
+    {
+    }
+    tcp::socket socket;
+    boost::beast::flat_buffer buffer;
+};
+
+struct http_client::state
+{
+    asio::io_context &loop;
+    clock_function now;
+    std::map<std::string, std::vector<std::shared_ptr<connection>>> idle;
+    std::uint64_t opened = 0;
+};
+
+namespace {
+
+/// One call under way.
+struct exchange : std::enable_shared_from_this<exchange>
+{
+    exchange(std::shared_ptr<http_client::state> owner, http_call request,
+             http_client::completion whenDone)
+        : client(std::move(owner))
+        , call(std::move(request))
+        , done(std::move(whenDone))
+        , timer(client->loop)
+    {
+    }
+
+    void start()
+    {
+        prepare();
+        armTimer();
+        auto &kept = client->idle[call.address];
+        if (!kept.empty()) {
+            link = kept.back();
+            kept.pop_back();
+            reused = true;
+            write();
+            return;
+        }
+        connect();
+    }
+
+    void prepare()
+    {
+        message.method_string(call.method);
+        message.target(call.target);
+        message.version(11);
+        message.set(http::field::host, call.address);
+        for (const auto &[name, value] : call.headers) {
+            message.set(name, value);
+        }
+        message.body() = std::move(call.body);
+        message.prepare_payload();
+    }
+
+    void armTimer()
+    {
+        const microseconds left = std::max<microseconds>(call.deadline - client->now(), 1);
+        timer.expires_after(std::chrono::microseconds(std::min(left, 3'600 * second)));
+        timer.async_wait([self = shared_from_this()](error_code error) {
+            if (!error) {
+                self->finish(
+                    {self->sent ? call_outcome::unanswered : call_outcome::not_sent, 0, ""});
+            }
+        });
+    }
+
+    void connect()
+    {
+        const auto endpoint = parseEndpoint(call.address);
+        if (!endpoint) {
+            finish({call_outcome::not_sent, 0, ""});
+            return;
+        }
+        ++client->opened;
+        reused = false;
+        link = std::make_shared<connection>(client->loop);
+        link->socket.async_connect(*endpoint, [self = shared_from_this()](error_code error) {
+            if (self->ended) {
+                return;
+            }
+            if (error) {
+                self->finish({call_outcome::not_sent, 0, ""});
+                return;
+            }
+            error_code ignored;
+            self->link->socket.set_option(tcp::no_delay(true), ignored);
+            self->write();
+        });
+    }
+
+    void write()
+    {
+        sent = true;
+        http::async_write(link->socket, message,
+                          [self = shared_from_this()](error_code error, std::size_t) {
+                              if (!self->ended) {
+                                  error ? self->fail() : self->read();
+                              }
+                          });
+    }
+
+    void read()
+    {
+        parser.emplace();
+        parser->body_limit(largestAnswer);
+        http::async_read(link->socket, link->buffer, *parser,
+                         [self = shared_from_this()](error_code error, std::size_t) {
+                             if (!self->ended) {
+                                 error ? self->fail() : self->answer();
+                             }
+                         });
+    }
+
+    /// A kept connection may have been closed by the other side while it was idle.
+    void fail()
+    {
+        if (reused && call.idempotent) {
+            link.reset();
+            connect();
+            return;
+        }
+        finish({call_outcome::unanswered, 0, ""});
+    }
+
+    void answer()
+    {
+        auto &kept = client->idle[call.address];
+        if (parser->get().keep_alive() && kept.size() < idlePerAddress) {
+            kept.push_back(link);
+        }
+        auto &response = parser->get();
+        call_result result {call_outcome::answered, static_cast<int>(response.result_int()),
+                            std::move(response.body())};
+        link.reset();
+        finish(std::move(result));
+    }
+
+    void finish(call_result result)
+    {
+        if (ended) {
+            return;
+        }
+        ended = true;
+        timer.cancel();
+        if (link) {
+            error_code ignored;
+            link->socket.set_option(asio::socket_base::linger(true, 0), ignored);
+            link->socket.close(ignored);
+        }
+        done(std::move(result));
+    }
+
+    std::shared_ptr<http_client::state> client;
+    http_call call;
+    http_client::completion done;
+    asio::steady_timer timer;
+    std::shared_ptr<connection> link;
+    http::request<http::string_body> message;
+    std::optional<http::response_parser<http::string_body>> parser;
+    bool reused = false;
+    bool sent = false;
+    bool ended = false;
+};
+
+} // namespace
+
+std::string findHeader(const header_list &headers, const std::string &name)
+{
+    for (const auto &[key, value] : headers) {
+        if (boost::beast::iequals(key, name)) {
+            return value;
+        }
+    }
+    return "";
+}
+
+http_client::http_client(asio::io_context &loop, clock_function now)
+    : m_state(std::make_shared<state>(state {loop, now, {}, 0}))
+{
+}
+
+http_client::~http_client() = default;
+
+std::uint64_t http_client::connectionsOpened() const
+{
+    return m_state->opened;
+}
+
+void http_client::send(http_call call, completion done)
+{
+    std::make_shared<exchange>(m_state, std::move(call), std::move(done))->start();
+}
+
+} // namespace bramleygrade::net
--- a/src/tools/main.cpp
+++ b/src/tools/main.cpp
@@ -6,6 +6,8 @@
 #include "absl/flags/usage.h"
 #include "daemon/entry_daemon.h"
 #include "daemon/settings.h"
+#include "entry/daemon.h"
+#include "platform.h"
 #include "tools/operator_tools.h"
 
 ABSL_FLAG(std::string, settings, "", "settings file of the entry");
@@ -24,6 +26,11 @@
     return runEntry(*settings);
 }
 
+int runCellTool(const std::vector<std::string> &)
+{
+    return entry::runCellEntry(absl::GetFlag(FLAGS_settings), platform::connect);
+}
+
 int printVersion(const std::vector<std::string> &)
 {
     std::cout << "bramleygrade " BRAMLEYGRADE_VERSION << std::endl;
@@ -34,6 +41,7 @@
 {
     static const std::map<std::string, tool> tools {
         {"entry", {"--settings FILE: runs one entry", runEntryTool}},
+        {"cell", {"--settings FILE: runs one cell entry on the platform", runCellTool}},
         {"apply", {"FILE [--expected N]: puts a service document in force", applyDocument}},
         {"get", {"SERVICE: prints the document in force", getDocument}},
         {"submit", {"FILE: submits a job", submitJob}},
