Takeover: progress of inherited jobs is stored, runs of ended jobs block their worker, members in the store

Ruled out: a lost or reordered list of ends (all were listed), loss on the way to the store. Change: see the code; advice is queued here, one long or two short calls open per entry; silent workers' leases are no longer renewed; submissions are refused at once when the store is in trouble.

--- a/src/cell/advice.cpp
+++ b/src/cell/advice.cpp
@@ -16,6 +16,8 @@
 constexpr microseconds adviceRetry = 60 * millisecond;
 /// Margin by which a ticket is taken to end early: the way back of the answer.
 constexpr microseconds ticketSafety = 40 * millisecond;
+/// Added to the priority of late jobs; above any priority of a queue.
+constexpr int latePriority = 1'000;
 /// How fast the learned share of allowed workers forgets.
 constexpr double shareMemory = 0.97;
 
@@ -131,6 +133,7 @@
     advice_order order;
     order.step = {waiting.job->spec.id, waiting.occurrence, waiting.step, 0};
     order.expected = terms.base + terms.per_worker * static_cast<microseconds>(workers.size());
+    order.priority = waiting.priority + (waiting.late ? latePriority : 0);
     order.long_call = order.expected > longCall;
     order.workers = std::move(workers);
     return order;
--- a/src/cell/scheduler.h
+++ b/src/cell/scheduler.h
@@ -69,6 +69,8 @@
     /// Time that the advisory service will take.
     microseconds expected = 0;
     bool long_call = false;
+    /// Lower is asked first: late jobs after those on time, then the team's priority.
+    int priority = 0;
 };
 
 /// A decision worth a log line.
--- a/src/cell/scheduler_decide.cpp
+++ b/src/cell/scheduler_decide.cpp
@@ -17,14 +17,18 @@
     look.fencing_token = fencingToken(cell, worker);
     look.acknowledged_end = worker.acknowledged_end;
     look.fence = fence;
-    if (worker.clock != 0) {
+    // A worker whose answers are lost must lose its leases, so that they are not renewed.
+    if (worker.clock != 0 && worker.unanswered_looks == 0) {
         look.lease_until = workerClock(worker, now) + cell.settings.lease.longest;
     }
     // The first look fences, and a look with unstored ends would be answered at once anyway.
     if (!fence && worker.fenced && worker.unanswered_looks == 0 && worker.unstored_ends.empty()) {
         look.wait = cell.settings.look_wait;
     }
-    worker.lease_over_at = std::max(worker.lease_over_at, leaseOverBy(cell.settings.lease, now));
+    if (look.lease_until != 0) {
+        worker.lease_over_at
+            = std::max(worker.lease_over_at, leaseOverBy(cell.settings.lease, now));
+    }
     (fence ? worker.fence_in_flight : worker.look_in_flight) = true;
     out.looks.push_back(look);
 }
--- a/src/cell/scheduler_ends.cpp
+++ b/src/cell/scheduler_ends.cpp
@@ -208,6 +208,7 @@
         worker.unstored_ends[end.sequence] = 0;
         return;
     }
+    job->started_any = true; // also if a predecessor started it
     task->ended_attempt = std::max(task->ended_attempt, end.attempt);
     task->attempt = std::max(task->attempt, end.attempt);
     step_state &step =
--- a/src/cell/scheduler_workers.cpp
+++ b/src/cell/scheduler_workers.cpp
@@ -41,8 +41,9 @@
     addRun(worker, run.task, reservedDemand(stepOf(job, run.task.step)));
 }
 
-void stopStranger(scheduler &cell, const worker_state &worker, const reported_run &run, orders &out)
+void stopStranger(scheduler &cell, worker_state &worker, const reported_run &run, orders &out)
 {
+    ++worker.strangers;
     out.stops.push_back({run.task, run.attempt, worker.entry.id, fencingToken(cell, worker)});
     out.notes.push_back({"stop_unexpected_run", run.task.job, "worker=" + worker.entry.id});
 }
@@ -222,7 +223,13 @@
     worker.clock = report.worker_clock;
     worker.clock_read_at = now;
     if (order.fencing_token == fencingToken(cell, worker)) {
-        cell.place_wanted = cell.place_wanted || !worker.settled || worker.fence_wanted;
+        if (!worker.settled || worker.fence_wanted) {
+            cell.place_wanted = true;
+            out.notes.push_back({"worker_settled", "",
+                                 "worker=" + worker.entry.id
+                                     + " running=" + std::to_string(report.running.size())
+                                     + " ended=" + std::to_string(report.ended.size())});
+        }
         worker.fenced = true;
         worker.settled = true;
         worker.fence_wanted = false;
@@ -233,6 +240,7 @@
             applyEnd(cell, worker, end, now, out);
         }
     }
+    worker.strangers = 0;
     for (const reported_run &run : report.running) {
         applyRunning(cell, worker, run, sentAt, now, out);
     }
@@ -240,7 +248,8 @@
         releaseAbsent(cell, worker, order, report, sentAt, out);
     }
     acknowledgeStored(worker, 0);
-    worker.next_look_at = worker.unstored_ends.empty() ? now : now + unstoredLookPause;
+    worker.next_look_at
+        = worker.unstored_ends.empty() && worker.strangers == 0 ? now : now + unstoredLookPause;
 }
 
 void onLookFailed(scheduler &cell, const look_order &order, order_outcome outcome, timestamp now,
@@ -254,6 +263,7 @@
     (order.fence ? worker.fence_in_flight : worker.look_in_flight) = false;
     worker.next_look_at = now + lookRetry;
     if (outcome == order_outcome::refused_fence) {
+        worker.next_look_at = now;
         if (order.fencing_token == fencingToken(cell, worker)) {
             out.notes.push_back({"superseded", "", "worker=" + worker.entry.id});
         }
--- a/src/cell/worker_state.h
+++ b/src/cell/worker_state.h
@@ -42,6 +42,8 @@
     /// The newest look found nobody listening.
     bool refused = false;
     timestamp answered_at = distantPast;
+    /// Runs of its newest report that should not be there; what they take is not known.
+    int strangers = 0;
     /// Failed runs, less successful ones, decaying with time.
     double failure_score = 0;
     timestamp avoided_until = distantPast;
--- a/src/entry/advisers.cpp
+++ b/src/entry/advisers.cpp
@@ -7,38 +7,49 @@
 namespace {
 
 /// Time beyond the advisory service's own that an answer may take.
-constexpr microseconds advicePatience = 600 * millisecond;
-/// A call's way to the adviser and back.
-constexpr microseconds adviceOverhead = 3 * millisecond;
+constexpr microseconds advicePatience = 700 * millisecond;
 /// An adviser that fails is left out for this long.
-constexpr microseconds adviserPause = 2 * second;
+constexpr microseconds adviserPause = 1 * second;
+/// Calls that one entry has open at a time. The service takes them one after another; a second
+/// one, of the short kind, covers the way there and back.
+constexpr int longCallsOpen = 1;
+constexpr int shortCallsOpen = 2;
 
 struct adviser
 {
     std::string name;
     std::string address;
-    timestamp free_at = 0;
 };
 
-/// The advisory service takes one call at a time of each instance, in turn. The first half of the
-/// instances, by name, makes the long calls, the others the short ones.
-adviser chooseAdviser(entry_state &entry, bool longCall, timestamp now)
+/// The first half of the entries, by name, makes the long calls, the others the short ones, so
+/// that a short call never waits behind a long one.
+std::vector<adviser> advisersFor(const entry_state &entry, bool longCall)
 {
-    std::vector<adviser> advisers;
+    std::vector<adviser> all;
     for (const auto &[name, address] : entry.members) {
-        advisers.push_back({name, address, std::max(now, entry.lead->adviser_busy_until[name])});
+        all.push_back({name, address});
     }
-    if (entry.members.count(entry.settings.name) == 0) {
-        advisers.push_back({entry.settings.name, entry.settings.peer_address,
-                            std::max(now, entry.lead->adviser_busy_until[entry.settings.name])});
+    if (all.size() < 2) {
+        return all;
     }
-    const std::size_t half = (advisers.size() + 1) / 2;
-    const auto middle = advisers.begin() + static_cast<std::ptrdiff_t>(half);
-    const bool split = advisers.size() > 1;
-    const auto first = !split || longCall ? advisers.begin() : middle;
-    const auto last = !split || !longCall ? advisers.end() : middle;
-    return *std::min_element(
-        first, last, [](const adviser &a, const adviser &b) { return a.free_at < b.free_at; });
+    const auto half = static_cast<std::ptrdiff_t>((all.size() + 1) / 2);
+    return longCall ? std::vector<adviser>(all.begin(), all.begin() + half)
+                    : std::vector<adviser>(all.begin() + half, all.end());
+}
+
+/// The entry with the fewest open calls; none if all have enough.
+std::optional<adviser> chooseAdviser(entry_state &entry, bool longCall, timestamp now)
+{
+    std::optional<adviser> best;
+    int fewest = longCall ? longCallsOpen : shortCallsOpen;
+    for (const adviser &candidate : advisersFor(entry, longCall)) {
+        const adviser_state &state = entry.lead->advisers[candidate.name];
+        if (now >= state.paused_until && state.in_flight < fewest) {
+            fewest = state.in_flight;
+            best = candidate;
+        }
+    }
+    return best;
 }
 
 void onResult(entry_state &entry, const cell::advice_order &order, const std::string &adviser,
@@ -46,36 +57,39 @@
 {
     const timestamp now = steadyNow();
     observeLatency(entry.metrics, "advice_seconds", now - askedAt);
+    adviser_state &state = entry.lead->advisers[adviser];
+    --state.in_flight;
     if (result.answered) {
         cell::onAdvice(entry.lead->cell, order, result.allowed, result.valid, now);
     } else {
         ++entry.metrics.counters["advice_failed_total"];
-        entry.lead->adviser_busy_until[adviser] = now + adviserPause;
-        logEvent(entry, "advice_failed", {{"job", order.step.job}, {"adviser", adviser}});
+        state.paused_until = now + adviserPause;
+        logEvent(entry, "advice_failed",
+                 {{"job", order.step.job},
+                  {"adviser", adviser},
+                  {"took_ms", std::to_string((now - askedAt) / millisecond)}});
         cell::onAdviceFailed(entry.lead->cell, order, now);
     }
+    pumpAdvice(entry);
     wantDecision(entry);
 }
 
-} // namespace
-
-void askForAdvice(entry_state &entry, const cell::advice_order &order)
+void callAdviser(entry_state &entry, const cell::advice_order &order, const adviser &chosen)
 {
     const timestamp now = steadyNow();
-    const adviser chosen = chooseAdviser(entry, order.long_call, now);
-    const timestamp doneBy = chosen.free_at + order.expected + adviceOverhead;
-    entry.lead->adviser_busy_until[chosen.name] = doneBy;
+    const int ahead = entry.lead->advisers[chosen.name].in_flight++;
+    const microseconds patience = order.expected * (ahead + 1) + advicePatience;
     logEvent(entry, "advice_asked",
              {{"job", order.step.job},
               {"step", std::to_string(order.step.step)},
               {"workers", std::to_string(order.workers.size())},
               {"adviser", chosen.name},
-              {"expected_ms", std::to_string((doneBy - now) / millisecond)}});
+              {"queued", std::to_string(entry.lead->advice_queue.size())}});
     const auto concerns = [&entry, epoch = entry.epoch] {
         return entry.lead && entry.epoch == epoch && entry.role == entry_role::scheduler;
     };
     if (chosen.name == entry.settings.name) {
-        entry.ports.advice(order, doneBy + advicePatience,
+        entry.ports.advice(order, now + patience,
                            [&entry, order, chosen, now, concerns](const advice_result &result) {
                                if (concerns()) {
                                    onResult(entry, order, chosen.name, result, now);
@@ -83,8 +97,7 @@
                            });
         return;
     }
-    sendPeer(entry, chosen.address, "/advice", encodeAdviceOrder(order),
-             doneBy - now + advicePatience, true,
+    sendPeer(entry, chosen.address, "/advice", encodeAdviceOrder(order), patience, true,
              [&entry, order, chosen, now, concerns](const net::call_result &reply) {
                  if (!concerns()) {
                      return;
@@ -95,4 +108,36 @@
              });
 }
 
+} // namespace
+
+void askForAdvice(entry_state &entry, const cell::advice_order &order)
+{
+    const auto place = std::upper_bound(
+        entry.lead->advice_queue.begin(), entry.lead->advice_queue.end(), order,
+        [](const auto &a, const auto &b) { return a.priority < b.priority; });
+    entry.lead->advice_queue.insert(place, order);
+    pumpAdvice(entry);
+}
+
+void pumpAdvice(entry_state &entry)
+{
+    const timestamp now = steadyNow();
+    auto &queue = entry.lead->advice_queue;
+    for (std::size_t index = 0; index < queue.size();) {
+        const cell::advice_order order = queue[index];
+        const cell::job_state *job = cell::findJob(entry.lead->cell, order.step.job);
+        if (job == nullptr || job->final_phase) {
+            queue.erase(queue.begin() + static_cast<std::ptrdiff_t>(index));
+            continue;
+        }
+        const auto chosen = chooseAdviser(entry, order.long_call, now);
+        if (!chosen) {
+            ++index;
+            continue;
+        }
+        queue.erase(queue.begin() + static_cast<std::ptrdiff_t>(index));
+        callAdviser(entry, order, *chosen);
+    }
+}
+
 } // namespace bramleygrade::entry
--- a/src/entry/calls.cpp
+++ b/src/entry/calls.cpp
@@ -7,9 +7,6 @@
 namespace {
 
 constexpr microseconds lookupPatience = 800 * millisecond;
-/// A write that takes longer than this shows a store that is down or slow: what would have to
-/// wait for it is refused at once.
-constexpr microseconds slowStore = 1'000 * millisecond;
 /// Time after which a refused caller may come back, while the store is in trouble.
 constexpr microseconds storeRetryAfter = 1 * second;
 
@@ -28,11 +25,6 @@
     answer(reply);
 }
 
-bool isStoreInTrouble(const scheduler_side &lead, timestamp now)
-{
-    return lead.write && now > lead.write_started_at + slowStore;
-}
-
 void refuse(entry_state &entry, const caller_call &call, const answer_function &answer)
 {
     caller_answer reply;
--- a/src/entry/daemon.cpp
+++ b/src/entry/daemon.cpp
@@ -89,6 +89,7 @@
             servePeer(entry, request, respond);
         },
         limits);
+    entry.peers->onClose([&entry](const std::string &peer) { onPeerClosed(entry, peer); });
     std::string error = entry.callers->listen(entry.settings.caller_address);
     error = error.empty() ? entry.readiness->listen(entry.settings.ready_address) : error;
     error = error.empty() ? entry.peers->listen(entry.settings.peer_address) : error;
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -38,6 +38,13 @@
     answer_function answer;
 };
 
+/// Calls to the advisory service that one entry makes for the scheduler.
+struct adviser_state
+{
+    int in_flight = 0;
+    timestamp paused_until = distantPast;
+};
+
 /// What only the scheduler has.
 struct scheduler_side
 {
@@ -69,8 +76,12 @@
     bool suspended = false;
     timestamp next_beat_at = distantPast;
     timestamp next_handover_at = distantPast;
-    std::map<std::string, timestamp> adviser_busy_until;
-    std::map<std::string, int> adviser_failures;
+    bool handover_in_flight = false;
+    std::map<std::string, int> missed_beats;
+    /// The row of members in the store is out of date.
+    bool members_changed = true;
+    std::map<std::string, adviser_state> advisers;
+    std::vector<cell::advice_order> advice_queue;
 };
 
 /// A caller's call on its way to the scheduler.
@@ -119,6 +130,8 @@
     std::map<std::string, std::int64_t> pending;
     timestamp pending_at = distantPast;
     std::map<std::string, std::string> members;
+    /// Where the scheduler's signs of life come from, HOST:PORT.
+    std::string beat_peer;
     bool probing = false;
     timestamp next_probe_at = distantPast;
     std::unique_ptr<scheduler_side> lead;
@@ -151,6 +164,8 @@
 void expireForwarded(entry_state &entry, timestamp now);
 
 // peers.cpp
+/// A connection that other entries had opened is gone.
+void onPeerClosed(entry_state &entry, const std::string &peer);
 void servePeer(entry_state &entry, const net::http_request &request,
                const net::http_server::responder &respond);
 void sendBeats(entry_state &entry, timestamp now);
@@ -160,6 +175,8 @@
 
 // membership.cpp
 void followScheduler(entry_state &entry, timestamp now);
+/// The scheduler may be gone: the next look for it does not wait for more silence.
+void expectScheduler(entry_state &entry);
 void noteScheduler(entry_state &entry, std::int64_t epoch, const member &scheduler, timestamp now);
 void readHead(
     entry_state &entry,
@@ -176,6 +193,8 @@
 void leadTick(entry_state &entry, timestamp now);
 
 // writes.cpp
+/// Whether the write under way takes so long that the store must be down or slow.
+bool isStoreInTrouble(const scheduler_side &lead, timestamp now);
 void pumpWrites(entry_state &entry);
 void expireWaiters(entry_state &entry, timestamp now);
 
@@ -189,5 +208,7 @@
 
 // advisers.cpp
 void askForAdvice(entry_state &entry, const cell::advice_order &order);
+/// Makes the calls that wait and have an entry to make them.
+void pumpAdvice(entry_state &entry);
 
 } // namespace bramleygrade::entry
--- a/src/entry/leading.cpp
+++ b/src/entry/leading.cpp
@@ -247,6 +247,9 @@
     if (!trouble || now < lead.next_handover_at) {
         return;
     }
+    if (lead.handover_in_flight) {
+        return;
+    }
     lead.next_handover_at = now + handoverPause;
     logEvent(entry, "store_lost",
              {{"write_age_ms", std::to_string((now - lead.write_started_at) / millisecond)}});
@@ -336,6 +339,9 @@
     }
     checkConfirmation(entry, now);
     checkStore(entry, now);
+    if (entry.lead) {
+        pumpAdvice(entry);
+    }
     if (entry.lead) {
         expireWaiters(entry, now);
         pumpWrites(entry);
--- a/src/entry/membership.cpp
+++ b/src/entry/membership.cpp
@@ -12,7 +12,7 @@
 /// Pause between two looks for the scheduler.
 constexpr microseconds probePause = 150 * millisecond;
 /// Time that another entry gets to answer.
-constexpr microseconds peerPatience = 250 * millisecond;
+constexpr microseconds peerPatience = 350 * millisecond;
 constexpr microseconds storePatience = 700 * millisecond;
 /// A sign of life that another entry heard within this counts as ours.
 constexpr microseconds freshHearing = 500 * millisecond;
@@ -79,14 +79,23 @@
     }
 }
 
-void greetScheduler(entry_state &entry, const head_row &head, std::int64_t version)
+/// Joins the scheduler that the head row names. One that was not known before gets some time to
+/// start, unless it says that it does not act.
+void greetScheduler(entry_state &entry, const head_row &head, std::int64_t version, bool isNew)
 {
     member_word word;
     word.sender = self(entry);
     word.epoch = head.epoch;
     sendPeer(entry, head.address, "/hello", encodeWord(word), peerPatience, true,
-             [&entry, head, version](const net::call_result &result) {
+             [&entry, head, version, isNew](const net::call_result &result) {
                  const auto answer = decodeWord(result.body);
+                 const bool answered = result.status == 200 && answer;
+                 const bool firstTry = isNew && entry.heard_at != distantPast;
+                 if (firstTry && !answered && result.outcome == net::call_outcome::unanswered) {
+                     entry.heard_at = steadyNow();
+                     endProbe(entry);
+                     return;
+                 }
                  if (result.status == 200 && answer && answer->is_scheduler) {
                      noteScheduler(entry, answer->epoch, answer->sender, steadyNow());
                      endProbe(entry);
@@ -118,7 +127,7 @@
                      claimAfterProbe(entry, version, head->epoch);
                      return;
                  }
-                 greetScheduler(entry, *head, version);
+                 greetScheduler(entry, *head, version, false);
              });
 }
 
@@ -150,6 +159,11 @@
     }
 }
 
+void expectScheduler(entry_state &entry)
+{
+    entry.heard_at = std::min(entry.heard_at, steadyNow() - silenceLimit);
+}
+
 void followScheduler(entry_state &entry, timestamp now)
 {
     if (entry.role != entry_role::follower || entry.probing || entry.stopping
@@ -173,7 +187,7 @@
     entry_state &entry,
     const std::function<void(store_result, std::optional<head_row>, std::int64_t version)> &done)
 {
-    row_range range {headTable, headKey, std::string(headKey) + "!", true};
+    const row_range range {headTable, "", "", true};
     entry.ports.store.read(range, steadyNow() + storePatience,
                            [&entry, done](const store_result &result) {
                                entry.store_reachable = result.outcome == store_outcome::done;
@@ -183,6 +197,10 @@
                                    if (row.key == headKey) {
                                        head = decodeHead(row.value);
                                        version = row.version;
+                                   } else if (row.key == membersKey) {
+                                       for (const member &other : decodeMembers(row.value)) {
+                                           entry.members.emplace(other.name, other.address);
+                                       }
                                    }
                                }
                                done(result, head, version);
@@ -259,6 +277,9 @@
 
 void handOver(entry_state &entry, const std::function<void(bool)> &done)
 {
+    if (entry.lead->handover_in_flight) {
+        return;
+    }
     std::vector<std::string> addresses;
     for (const auto &[name, address] : entry.members) {
         if (name != entry.settings.name) {
@@ -271,12 +292,16 @@
     }
     // Another one is asked each time, in case the first cannot reach the store either.
     const std::size_t turn = static_cast<std::size_t>(entry.metrics.counters["handovers_asked"]++);
+    entry.lead->handover_in_flight = true;
     member_word word;
     word.sender = self(entry);
     word.epoch = entry.epoch;
     sendPeer(entry, addresses[turn % addresses.size()], "/handover", encodeWord(word),
              2 * storePatience, false, [&entry, done](const net::call_result &result) {
                  const bool taken = result.status == 200;
+                 if (entry.lead) {
+                     entry.lead->handover_in_flight = false;
+                 }
                  if (taken && entry.lead) {
                      stepDown(entry, "handed over");
                  }
--- a/src/entry/messages.cpp
+++ b/src/entry/messages.cpp
@@ -114,6 +114,27 @@
     return result;
 }
 
+std::string encodeMembers(const std::map<std::string, std::string> &members)
+{
+    return writeObject([&](json_writer &out) {
+        for (const auto &[name, address] : members) {
+            put(out, name.c_str(), address);
+        }
+    });
+}
+
+std::vector<member> decodeMembers(const std::string &value)
+{
+    rapidjson::Document document;
+    std::vector<member> members;
+    if (parseObject(value, document)) {
+        for (const auto &entry : document.GetObject()) {
+            members.push_back({entry.name.GetString(), textOf(entry.value)});
+        }
+    }
+    return members;
+}
+
 std::string encodeBeat(const beat_message &beat)
 {
     return writeObject([&](json_writer &out) {
--- a/src/entry/peers.cpp
+++ b/src/entry/peers.cpp
@@ -30,12 +30,13 @@
     return word;
 }
 
-void onBeat(entry_state &entry, const beat_message &beat,
+void onBeat(entry_state &entry, const beat_message &beat, const std::string &peer,
             const net::http_server::responder &respond)
 {
     const timestamp now = steadyNow();
     if (beat.epoch >= entry.epoch) {
         noteScheduler(entry, beat.epoch, beat.sender, now);
+        entry.beat_peer = peer;
         for (const member &other : beat.members) {
             entry.members[other.name] = other.address;
         }
@@ -50,9 +51,11 @@
              const net::http_server::responder &respond)
 {
     if (entry.lead) {
-        const bool added = entry.members.count(word.sender.name) == 0;
-        entry.members[word.sender.name] = word.sender.address;
+        std::string &address = entry.members[word.sender.name];
+        const bool added = address != word.sender.address;
+        address = word.sender.address;
         if (added) {
+            entry.lead->members_changed = true;
             logEvent(entry, "member_joined", {{"member", word.sender.name}});
         }
     }
@@ -115,13 +118,14 @@
                      return;
                  }
                  const auto word = decodeWord(result.body);
-                 int &missed = entry.lead->adviser_failures["beat " + name];
+                 int &missed = entry.lead->missed_beats[name];
                  if (result.status != 200 || !word) {
                      if (++missed == 1) {
                          logEvent(entry, "member_silent", {{"member", name}});
                      }
                      if (missed > membersForgottenAfter) {
                          entry.members.erase(name);
+                         entry.lead->members_changed = true;
                          logEvent(entry, "member_forgotten", {{"member", name}});
                      }
                      return;
@@ -175,11 +179,24 @@
     }
 }
 
+void onPeerClosed(entry_state &entry, const std::string &peer)
+{
+    if (entry.role == entry_role::follower && !peer.empty() && peer == entry.beat_peer) {
+        // The scheduler has ended, or lost its connections: look at once.
+        entry.beat_peer.clear();
+        expectScheduler(entry);
+    }
+}
+
 void servePeer(entry_state &entry, const net::http_request &request,
                const net::http_server::responder &respond)
 {
     if (request.target == "/beat") {
-        dispatch(entry, decodeBeat(request.body), onBeat, respond);
+        const auto take = [&request](entry_state &to, const beat_message &beat,
+                                     const net::http_server::responder &answer) {
+            onBeat(to, beat, request.peer, answer);
+        };
+        dispatch(entry, decodeBeat(request.body), take, respond);
     } else if (request.target == "/call") {
         dispatch(entry, decodeCall(request.body), onCall, respond);
     } else if (request.target == "/advice") {
--- a/src/entry/rows.h
+++ b/src/entry/rows.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <map>
 #include <optional>
 #include <string>
 
@@ -14,6 +15,7 @@
 
 constexpr char headTable[] = "cell";
 constexpr char headKey[] = "head";
+constexpr char membersKey[] = "members";
 constexpr char jobTable[] = "jobs";
 constexpr char progressTable[] = "progress";
 constexpr char endedTable[] = "ended";
@@ -70,6 +72,10 @@
     std::string address;
 };
 
+/// Peer addresses of the entries by name, for a scheduler that has just started.
+std::string encodeMembers(const std::map<std::string, std::string> &members);
+std::vector<member> decodeMembers(const std::string &value);
+
 /// The scheduler's sign of life, with what entries answer callers from.
 struct beat_message
 {
--- a/src/entry/writes.cpp
+++ b/src/entry/writes.cpp
@@ -14,6 +14,11 @@
 constexpr microseconds lazyPause = 150 * millisecond;
 constexpr microseconds writePatience = 1'200 * millisecond;
 constexpr microseconds retryPause = 80 * millisecond;
+/// A write that takes longer than this shows a store that is down or slow: what would have to
+/// wait for it is refused at once.
+constexpr microseconds slowStore = 1'000 * millisecond;
+/// Time after which a refused caller may come back.
+constexpr microseconds refusedRetryAfter = 1 * second;
 
 void addJobRows(entry_state &entry, const cell::job_state &job, table_write &write)
 {
@@ -51,6 +56,10 @@
                           encodeHead({entry.epoch, lead.write_sequence, entry.settings.name,
                                       entry.settings.peer_address, entry.incarnation}),
                           0, false});
+    if (lead.members_changed) {
+        write.puts.push_back({headTable, membersKey, encodeMembers(entry.members), 0, false});
+        lead.members_changed = false;
+    }
     for (const std::string &id : cell::beginWrite(lead.cell, jobsPerWrite)) {
         if (const cell::job_state *job = cell::findJob(lead.cell, id)) {
             addJobRows(entry, *job, write);
@@ -110,6 +119,7 @@
 {
     scheduler_side &lead = *entry.lead;
     cell::onWriteRefused(lead.cell);
+    lead.members_changed = true;
     lead.write.reset();
     for (const stored_row &row : rows) {
         if (row.table == endedTable && row.version != 0 && cell::withdrawJob(lead.cell, row.key)) {
@@ -163,6 +173,7 @@
         if (!lead.write_unclear) {
             const timestamp since = lead.write_started_at;
             cell::onWriteRefused(lead.cell);
+            lead.members_changed = true;
             buildWrite(entry);
             lead.write_started_at = since;
         }
@@ -174,12 +185,20 @@
     if (lead.write) {
         return true; // one that has to be sent again
     }
+    if (lead.members_changed && now > lead.written_at + lazyPause) {
+        return true;
+    }
     return !lead.cell.unsaved.empty()
         && (lead.cell.write_urgent || now > lead.written_at + lazyPause);
 }
 
 } // namespace
 
+bool isStoreInTrouble(const scheduler_side &lead, timestamp now)
+{
+    return lead.write && now > lead.write_started_at + slowStore;
+}
+
 void pumpWrites(entry_state &entry)
 {
     if (!entry.lead || entry.role != entry_role::scheduler) {
@@ -210,16 +229,18 @@
 void expireWaiters(entry_state &entry, timestamp now)
 {
     scheduler_side &lead = *entry.lead;
+    const bool trouble = isStoreInTrouble(lead, now);
     for (auto place = lead.waiters.begin(); place != lead.waiters.end();) {
-        if (now < place->second.give_up_at) {
+        const bool over = now >= place->second.give_up_at;
+        const bool untouched = (over || trouble) && place->second.kind == call_kind::submit
+            && cell::withdrawJob(lead.cell, place->first);
+        if (!over && !untouched) {
             ++place;
             continue;
         }
         caller_answer answer;
-        const bool untouched =
-            place->second.kind == call_kind::submit && cell::withdrawJob(lead.cell, place->first);
         answer.kind = untouched ? answer_kind::refused : answer_kind::unknown;
-        answer.retry_after = second;
+        answer.retry_after = refusedRetryAfter;
         answer.reason = "the table service does not answer";
         logEvent(entry, "call_given_up",
                  {{"job", place->first},
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -26,6 +26,7 @@
     std::set<std::shared_ptr<session>> sessions;
     std::size_t in_progress = 0;
     bool draining = false;
+    std::function<void(const std::string &)> closed;
 };
 
 struct session : std::enable_shared_from_this<session>
@@ -139,7 +140,9 @@
             answering = false;
             --server->in_progress;
         }
-        server->sessions.erase(shared_from_this());
+        if (server->sessions.erase(shared_from_this()) > 0 && server->closed) {
+            server->closed(peer);
+        }
     }
 
     std::shared_ptr<http_server::state> server;
@@ -175,12 +178,17 @@
 
 http_server::http_server(asio::io_context &loop, handler handle, server_limits limits)
     : m_state(std::make_shared<state>(
-        state {loop, std::move(handle), limits, tcp::acceptor(loop), {}, 0, false}))
+        state {loop, std::move(handle), limits, tcp::acceptor(loop), {}, 0, false, {}}))
 {
 }
 
 http_server::~http_server() = default;
 
+void http_server::onClose(std::function<void(const std::string &)> closed)
+{
+    m_state->closed = std::move(closed);
+}
+
 std::string http_server::listen(const std::string &address)
 {
     const std::size_t colon = address.rfind(':');
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -33,6 +33,9 @@
     http_server(boost::asio::io_context &loop, handler handle, server_limits limits = {});
     ~http_server();
 
+    /// Called with HOST:PORT of each caller whose connection has ended.
+    void onClose(std::function<void(const std::string &)> closed);
+
     /// Returns an empty text, or why the address cannot be used and what to do.
     std::string listen(const std::string &address);
 
