Randomised histories of the cell scheduler; ends of a job wait until all that is known of it is stored

Ruled out: the store double (its writes depend on the epoch), a late write of the predecessor. Change: workers, schedulers and store in virtual time (testing/cell); an end is acknowledged once no change of its job is open; failures are kept as sets of attempts, so that an end that is listed again to a successor, or by several members of a gang, counts once.

--- a/src/cell/job_state.h
+++ b/src/cell/job_state.h
@@ -21,7 +21,8 @@
 struct task_state
 {
     bool done = false;
-    int failures = 0;
+    /// Attempts that ended `failed`; an end may be listed again to a successor.
+    std::set<int> failed_attempts;
     /// Number of the newest run; rises with each start.
     int attempt = 0;
     run_phase phase = run_phase::none;
@@ -54,8 +55,8 @@
 {
     std::vector<task_state> tasks;
     int done_count = 0;
-    /// Runs that ended `failed`, counted once for a gang.
-    int gang_failures = 0;
+    /// Attempts of the gang of which a member ended `failed`.
+    std::set<int> gang_failed_attempts;
     std::map<std::string, advice_entry> advice;
     bool advice_pending = false;
     timestamp advice_not_before = distantPast;
--- a/src/cell/scheduler_ends.cpp
+++ b/src/cell/scheduler_ends.cpp
@@ -53,24 +53,33 @@
     const step_spec &spec = stepOf(job, end.task.step);
     step_state &step =
         occurrenceOf(job, end.task.occurrence).steps[static_cast<std::size_t>(end.task.step)];
-    ++task.failures;
+    task.failed_attempts.insert(end.attempt);
     task.failed_on.insert(worker.entry.id);
-    const int failures = spec.gang ? ++step.gang_failures : task.failures;
+    step.gang_failed_attempts.insert(end.attempt);
+    const std::size_t failures
+        = spec.gang ? step.gang_failed_attempts.size() : task.failed_attempts.size();
     out.notes.push_back({"run_failed", end.task.job,
                          "worker=" + worker.entry.id + " attempt=" + std::to_string(end.attempt)
                              + " failures=" + std::to_string(failures)});
-    if (!spec.long_running && failures >= job.policy.max_attempts) {
+    if (!spec.long_running && static_cast<int>(failures) >= job.policy.max_attempts) {
         finishJob(cell, job, job_phase::failed, now, out);
     }
 }
 
+/// The change after which all that is known of the job is stored; 0 if it is stored already.
+std::uint64_t openChange(const scheduler &cell, const std::string &job)
+{
+    const bool open = cell.unsaved.count(job) > 0 || cell.in_write.count(job) > 0;
+    return open ? cell.change_number : 0;
+}
+
 /// The change that stores the end; 0 if nothing has to be stored.
 std::uint64_t applyOutcome(scheduler &cell, worker_state &worker, job_state &job, task_state &task,
                            const reported_end &end, timestamp now, orders &out)
 {
     const bool lasting = stepOf(job, end.task.step).long_running;
     if (task.done || job.final_phase || lasting) {
-        return 0;
+        return openChange(cell, job.spec.id);
     }
     if (end.how == end_kind::done) {
         const std::uint64_t change = noteChange(cell, job.spec.id, false);
@@ -141,6 +150,12 @@
         return;
     }
     const microseconds limit = cell.settings.gang_timeout / gangFillDivisor;
+    const bool toStop = std::any_of(step.tasks.begin(), step.tasks.end(), [](const auto &task) {
+        return task.phase != run_phase::none && task.phase != run_phase::stopping;
+    });
+    if (!toStop) {
+        return;
+    }
     if (step.gang_broken || now > step.gang_started_at + limit) {
         out.notes.push_back({"gang_incomplete", job.spec.id, "step=" + std::to_string(id.step)});
         stopGang(cell, id, step, now, out);
@@ -221,7 +236,7 @@
         && task->attempt == end.attempt) {
         releaseRun(cell, end.task, *job, *task);
     }
-    if (end.how == end_kind::done || (end.how == end_kind::failed && task->failures == 0)) {
+    if (end.how == end_kind::done || (end.how == end_kind::failed && task->failed_attempts.empty())) {
         noteOutcome(worker, end.how == end_kind::done, now);
     }
     worker.unstored_ends[end.sequence] = applyOutcome(cell, worker, *job, *task, end, now, out);
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -62,6 +62,8 @@
     bool write_in_flight = false;
     timestamp write_started_at = distantPast;
     timestamp next_write_at = distantPast;
+    /// When a change that waits for `next_write_at` can be written.
+    timestamp write_wanted_at = distantFuture;
     timestamp written_at = distantPast;
     std::multimap<std::string, stored_waiter> waiters;
     /// Calls that came while the rows were being loaded.
--- a/src/entry/leading.cpp
+++ b/src/entry/leading.cpp
@@ -194,7 +194,8 @@
 
 void armDecideTimer(entry_state &entry, timestamp now)
 {
-    const timestamp next = cell::nextDeadline(entry.lead->cell);
+    const timestamp next
+        = std::min(cell::nextDeadline(entry.lead->cell), entry.lead->write_wanted_at);
     if (entry.lead->timer_at > now && entry.lead->timer_at <= next) {
         return;
     }
@@ -220,8 +221,8 @@
     cell::decide(entry.lead->cell, now, out);
     runOrders(entry, std::move(out));
     if (entry.lead) {
-        armDecideTimer(entry, now);
         pumpWrites(entry);
+        armDecideTimer(entry, now);
     }
     observeLatency(entry.metrics, "decision_seconds", steadyNow() - now);
 }
--- a/src/entry/rows.cpp
+++ b/src/entry/rows.cpp
@@ -136,6 +136,27 @@
     return policy;
 }
 
+void writeAttempts(json_writer &out, const char *name, const std::set<int> &attempts)
+{
+    out.Key(name);
+    out.StartArray();
+    for (const int attempt : attempts) {
+        out.Int(attempt);
+    }
+    out.EndArray();
+}
+
+std::set<int> readAttempts(const rapidjson::Value &value, const char *name)
+{
+    std::set<int> attempts;
+    if (const auto *rows = arrayField(value, name)) {
+        for (const auto &attempt : rows->GetArray()) {
+            attempts.insert(static_cast<int>(integerOf(attempt)));
+        }
+    }
+    return attempts;
+}
+
 void writeStepProgress(json_writer &out, const cell::step_state &step)
 {
     out.StartObject();
@@ -144,19 +165,19 @@
         done += task.done ? '1' : '0';
     }
     put(out, "done", done);
-    put(out, "gang", step.gang_failures);
+    writeAttempts(out, "gang", step.gang_failed_attempts);
     out.Key("tasks");
     out.StartArray();
     for (std::size_t index = 0; index < step.tasks.size(); ++index) {
         const cell::task_state &task = step.tasks[index];
-        if (task.done || (task.failures == 0 && task.checkpoint.empty())) {
+        if (task.done || (task.failed_attempts.empty() && task.checkpoint.empty())) {
             continue;
         }
-        out.StartArray();
-        out.Uint64(index);
-        out.Int(task.failures);
-        putText(out, task.checkpoint);
-        out.EndArray();
+        out.StartObject();
+        put(out, "index", static_cast<std::int64_t>(index));
+        writeAttempts(out, "failed", task.failed_attempts);
+        put(out, "checkpoint", task.checkpoint);
+        out.EndObject();
     }
     out.EndArray();
     out.EndObject();
@@ -169,20 +190,17 @@
         step.tasks[index].done = done[index] == '1';
         step.done_count += step.tasks[index].done ? 1 : 0;
     }
-    step.gang_failures = static_cast<int>(integerField(value, "gang"));
+    step.gang_failed_attempts = readAttempts(value, "gang");
     const auto *tasks = arrayField(value, "tasks");
     if (tasks == nullptr) {
         return;
     }
     for (const auto &row : tasks->GetArray()) {
-        if (!row.IsArray() || row.Size() < 3) {
-            continue;
-        }
-        const std::int64_t index = integerOf(row[0], -1);
+        const std::int64_t index = integerField(row, "index", -1);
         if (index >= 0 && index < static_cast<std::int64_t>(step.tasks.size())) {
             auto &task = step.tasks[static_cast<std::size_t>(index)];
-            task.failures = static_cast<int>(integerOf(row[1]));
-            task.checkpoint = textOf(row[2]);
+            task.failed_attempts = readAttempts(row, "failed");
+            task.checkpoint = textField(row, "checkpoint");
         }
     }
 }
@@ -236,6 +254,11 @@
     return job;
 }
 
+bool needsProgressRow(const cell::job_state &job)
+{
+    return job.started_any && !job.occurrences.empty();
+}
+
 std::string encodeProgress(const cell::job_state &job)
 {
     return writeObject([&](json_writer &out) {
--- a/src/entry/rows.h
+++ b/src/entry/rows.h
@@ -41,7 +41,9 @@
 std::optional<cell::job_state> decodeJob(const std::string &id, const std::string &value,
                                          std::int64_t &acceptedWall);
 
-/// Which tasks are done or have failed, and their newest checkpoints; empty: nothing yet.
+/// Whether there is progress that a successor must know.
+bool needsProgressRow(const cell::job_state &job);
+/// Which tasks are done or have failed, and their newest checkpoints.
 std::string encodeProgress(const cell::job_state &job);
 bool decodeProgress(const std::string &value, cell::job_state &job);
 
--- a/src/entry/writes.cpp
+++ b/src/entry/writes.cpp
@@ -40,7 +40,7 @@
     if (!job.stored) {
         write.puts.push_back({jobTable, id, encodeJob(job, lead.accepted_wall[id]), 0, false});
     }
-    if (!job.occurrences.empty() && job.started_any) {
+    if (needsProgressRow(job)) {
         write.puts.push_back({progressTable, id, encodeProgress(job), 0, false});
     }
 }
@@ -210,9 +210,10 @@
         return;
     }
     if (now < lead.next_write_at) {
-        lead.cell.next_check_at = std::min(lead.cell.next_check_at, lead.next_write_at);
+        lead.write_wanted_at = lead.next_write_at;
         return;
     }
+    lead.write_wanted_at = distantFuture;
     if (!lead.write) {
         buildWrite(entry);
     }
--- /dev/null
+++ b/testing/cell/cell_history.cpp
@@ -0,0 +1,405 @@
+#include "testing/cell/cell_history.h"
+
+#include <algorithm>
+
+#include "entry/rows.h"
+#include "testing/cell/history_state.h"
+
+namespace bramleygrade::testing {
+
+namespace {
+
+using cell::order_outcome;
+
+constexpr microseconds patience = 400 * millisecond;
+constexpr microseconds tickInterval = 20 * millisecond;
+constexpr microseconds lookWait = 200 * millisecond;
+/// Time for all jobs to end after the trouble.
+constexpr microseconds calmLimit = 60 * second;
+constexpr std::size_t jobsPerWrite = 30;
+
+cell::queue_policy makePolicy()
+{
+    cell::queue_policy policy;
+    policy.name = "queue";
+    policy.service = "booking";
+    policy.max_attempts = 3;
+    policy.slack_factor = 2;
+    policy.latency_target = second;
+    return policy;
+}
+
+} // namespace
+
+void cell_history::state::at(timestamp when, std::function<void()> run)
+{
+    events.emplace(std::max(when, now), timed_event {++next_event, std::move(run)});
+}
+
+bool cell_history::state::chance(double share)
+{
+    return std::uniform_real_distribution<double>(0, 1)(random) < share;
+}
+
+microseconds cell_history::state::between(microseconds least, microseconds most)
+{
+    return std::uniform_int_distribution<microseconds>(least, most)(random);
+}
+
+void cell_history::state::every(microseconds mean, const std::function<void()> &run)
+{
+    if (mean == 0) {
+        return;
+    }
+    at(now + between(mean / 2, mean * 3 / 2), [this, mean, run] {
+        if (!calm) {
+            run();
+            every(mean, run);
+        }
+    });
+}
+
+void cell_history::state::addWorker()
+{
+    worker_double worker;
+    worker.entry.id = "worker-" + std::to_string(++next_worker);
+    worker.entry.service = "booking";
+    worker.entry.address = worker.entry.id;
+    worker.entry.rack = "rack-" + std::to_string(next_worker % 2);
+    worker.entry.capacity = {8'000, 16'000, 0};
+    workers[worker.entry.id] = worker;
+}
+
+std::vector<cell::worker_entry> cell_history::state::registry() const
+{
+    std::vector<cell::worker_entry> entries;
+    for (const auto &[id, worker] : workers) {
+        if (worker.up) {
+            entries.push_back(worker.entry);
+        }
+    }
+    return entries;
+}
+
+void cell_history::state::takeOver()
+{
+    const auto made = std::make_shared<scheduler_double>();
+    made->cell.settings.look_wait = lookWait;
+    made->cell.settings.predecessor_grace = 2'500 * millisecond;
+    cell::beginEpoch(made->cell, ++store.epoch, now);
+    cell::cell_config config;
+    config.version = 1;
+    config.queues.push_back(makePolicy());
+    cell::changeConfig(made->cell, config);
+    for (const auto &[id, value] : store.jobs) {
+        std::int64_t accepted = 0;
+        auto job = entry::decodeJob(id, value, accepted);
+        const auto progress = store.progress.find(id);
+        if (progress != store.progress.end()) {
+            entry::decodeProgress(progress->second, *job);
+        }
+        cell::inheritJob(made->cell, std::move(*job), now);
+    }
+    cell::changeWorkers(made->cell, registry(), now);
+    schedulers.push_back(made);
+    ++counts.takeovers;
+    tick(made);
+}
+
+void cell_history::state::tick(const scheduler_pointer &scheduler)
+{
+    if (!scheduler->alive) {
+        return;
+    }
+    if (now >= scheduler->paused_until) {
+        cell::orders out;
+        cell::changeWorkers(scheduler->cell, registry(), now);
+        cell::decide(scheduler->cell, now, out);
+        carryOut(scheduler, out);
+        write(scheduler);
+    }
+    at(now + tickInterval, [this, scheduler] { tick(scheduler); });
+}
+
+void cell_history::state::carryOut(const scheduler_pointer &scheduler, const cell::orders &orders)
+{
+    for (const auto &order : orders.stops) {
+        sendStop(scheduler, order);
+    }
+    for (const auto &order : orders.starts) {
+        sendStart(scheduler, order);
+    }
+    for (const auto &order : orders.looks) {
+        sendLook(scheduler, order);
+    }
+}
+
+namespace {
+
+/// Delivers an order after a delay; its answer, or the lack of one, comes back to the scheduler.
+template <typename Order, typename Deliver, typename Answer>
+void exchange(cell_history::state &history, const scheduler_pointer &scheduler, const Order &order,
+              Deliver deliver, Answer answer)
+{
+    const timestamp giveUpAt = history.now + patience;
+    const auto back = [&history, scheduler, answer](timestamp when, order_outcome outcome) {
+        history.at(std::max(when, scheduler->paused_until), [scheduler, answer, outcome] {
+            if (scheduler->alive) {
+                answer(outcome);
+            }
+        });
+    };
+    if (history.cut_off.count(order.worker) > 0 || history.workers.count(order.worker) == 0) {
+        back(giveUpAt, order_outcome::unanswered);
+        return;
+    }
+    if (!history.calm && history.chance(history.trouble.late_orders)) {
+        back(giveUpAt, order_outcome::unanswered);
+        history.at(history.now + history.between(2 * second, 12 * second),
+                   [deliver] { deliver(); });
+        return;
+    }
+    const bool lost = !history.calm && history.chance(history.trouble.lost_answers);
+    history.at(history.now + history.between(200, 3 * millisecond),
+               [&history, deliver, back, lost, giveUpAt] {
+                   const order_outcome outcome = deliver();
+                   const bool silent = lost || outcome == order_outcome::unanswered;
+                   back(silent ? giveUpAt : history.now + history.between(200, 3 * millisecond),
+                        silent ? order_outcome::unanswered : outcome);
+               });
+}
+
+} // namespace
+
+void cell_history::state::sendStart(const scheduler_pointer &scheduler,
+                                    const cell::start_order &order)
+{
+    exchange(*this, scheduler, order,
+             [this, order] { return startRun(workers.at(order.worker), ledger, order, now); },
+             [this, scheduler, order](order_outcome outcome) {
+                 cell::orders out;
+                 cell::onStartOutcome(scheduler->cell, order, outcome, now, out);
+                 carryOut(scheduler, out);
+             });
+}
+
+void cell_history::state::sendStop(const scheduler_pointer &scheduler,
+                                   const cell::stop_order &order)
+{
+    exchange(*this, scheduler, order,
+             [this, order] { return stopRun(workers.at(order.worker), ledger, order, now); },
+             [this, scheduler, order](order_outcome outcome) {
+                 cell::onStopOutcome(scheduler->cell, order, outcome, now);
+             });
+}
+
+void cell_history::state::sendLook(const scheduler_pointer &scheduler,
+                                   const cell::look_order &order)
+{
+    const timestamp sentAt = now;
+    const auto report = std::make_shared<cell::worker_report>();
+    exchange(*this, scheduler, order,
+             [this, order, report] {
+                 return lookAt(workers.at(order.worker), ledger, order, now, *report);
+             },
+             [this, scheduler, order, report, sentAt](order_outcome outcome) {
+                 cell::orders out;
+                 if (outcome == order_outcome::accepted) {
+                     cell::onReport(scheduler->cell, order, *report, sentAt, now, out);
+                 } else {
+                     cell::onLookFailed(scheduler->cell, order, outcome, now, out);
+                 }
+                 carryOut(scheduler, out);
+             });
+}
+
+void cell_history::state::write(const scheduler_pointer &scheduler)
+{
+    cell::scheduler &cell = scheduler->cell;
+    if (scheduler->write_in_flight || cell.unsaved.empty() || !store.up) {
+        return;
+    }
+    store_double change;
+    for (const std::string &id : cell::beginWrite(cell, jobsPerWrite)) {
+        const cell::job_state *job = cell::findJob(cell, id);
+        if (job->final_phase) {
+            change.ended[id] = *job->final_phase;
+            continue;
+        }
+        change.jobs[id] = entry::encodeJob(*job, 0);
+        if (entry::needsProgressRow(*job)) {
+            change.progress[id] = entry::encodeProgress(*job);
+        }
+    }
+    scheduler->write_in_flight = true;
+    const std::int64_t epoch = cell.epoch;
+    at(now + between(3 * millisecond, 20 * millisecond), [this, scheduler, change, epoch] {
+        scheduler->write_in_flight = false;
+        if (epoch != store.epoch || !scheduler->alive) {
+            scheduler->alive = scheduler->alive && epoch == store.epoch;
+            return;
+        }
+        store.jobs.insert(change.jobs.begin(), change.jobs.end());
+        for (const auto &[id, value] : change.progress) {
+            store.progress[id] = value;
+        }
+        for (const auto &[id, phase] : change.ended) {
+            store.ended.emplace(id, phase);
+            store.jobs.erase(id);
+            store.progress.erase(id);
+        }
+        cell::onWritten(scheduler->cell, now);
+        for (const auto &[id, value] : change.jobs) {
+            accepted.insert(id);
+        }
+    });
+}
+
+void cell_history::state::submit()
+{
+    const auto leader = std::find_if(schedulers.rbegin(), schedulers.rend(),
+                                     [&](const auto &entry) { return entry->alive; });
+    if (leader == schedulers.rend()) {
+        return;
+    }
+    cell::job_spec spec;
+    spec.id = "job" + std::to_string(++next_job);
+    spec.queue = "queue";
+    const int steps = static_cast<int>(between(1, 3));
+    for (int index = 0; index < steps; ++index) {
+        cell::step_spec step;
+        step.count = static_cast<int>(between(1, 5));
+        step.demand = {between(500, 4'000), between(100, 5'000), 0};
+        step.estimate = second;
+        if (index > 0) {
+            step.after.push_back(index - 1);
+        }
+        for (int task = 0; task < step.count; ++task) {
+            ledger.truth[{spec.id, 0, index, task}]
+                = {between(100 * millisecond, 3 * second),
+                   chance(trouble.failing_tasks) ? static_cast<int>(between(1, 3)) : 0};
+        }
+        spec.steps.push_back(step);
+    }
+    ledger.jobs[spec.id] = spec;
+    ledger.max_attempts[spec.id] = makePolicy().max_attempts;
+    cell::acceptJob((*leader)->cell, spec, makePolicy(), now);
+    ++counts.jobs;
+    if (chance(trouble.cancelled_jobs)) {
+        const std::string id = spec.id;
+        at(now + between(0, 3 * second), [this, id] {
+            for (const auto &scheduler : schedulers) {
+                cell::orders out;
+                if (scheduler->alive && cell::cancelJob(scheduler->cell, id, now, out)) {
+                    carryOut(scheduler, out);
+                }
+            }
+        });
+    }
+}
+
+void cell_history::state::startTrouble()
+{
+    every(trouble.scheduler_death_every, [this] {
+        schedulers.back()->alive = false;
+        at(now + between(100 * millisecond, 2 * second), [this] { takeOver(); });
+    });
+    every(trouble.scheduler_pause_every, [this] {
+        // The paused one wakes with old beliefs beside its successor.
+        schedulers.back()->paused_until = now + between(second, 4 * second);
+        at(now + between(700 * millisecond, second), [this] { takeOver(); });
+    });
+    every(trouble.worker_crash_every, [this] {
+        auto victim = workers.begin();
+        std::advance(victim, between(0, static_cast<microseconds>(workers.size()) - 1));
+        crash(victim->second, ledger);
+        ++counts.crashes;
+        at(now + second, [this] { addWorker(); });
+    });
+    every(trouble.worker_cut_every, [this] {
+        auto victim = workers.begin();
+        std::advance(victim, between(0, static_cast<microseconds>(workers.size()) - 1));
+        const std::string id = victim->first;
+        cut_off.insert(id);
+        at(now + between(second, 12 * second), [this, id] { cut_off.erase(id); });
+    });
+    every(trouble.store_outage_every, [this] {
+        store.up = false;
+        at(now + between(second, 5 * second), [this] { store.up = true; });
+    });
+}
+
+void cell_history::state::checkEnd()
+{
+    for (const std::string &id : accepted) {
+        const auto ended = store.ended.find(id);
+        if (ended == store.ended.end()) {
+            ledger.faults.push_back("accepted job " + id + " has not ended");
+            continue;
+        }
+        if (ended->second == cell::job_phase::completed) {
+            ++counts.completed;
+            for (std::size_t step = 0; step < ledger.jobs.at(id).steps.size(); ++step) {
+                for (int task = 0; task < ledger.jobs.at(id).steps[step].count; ++task) {
+                    if (ledger.done_ended.count({id, 0, static_cast<int>(step), task}) == 0) {
+                        ledger.faults.push_back("job " + id + " completed before all was done");
+                    }
+                }
+            }
+        }
+    }
+    counts.starts = ledger.starts;
+}
+
+cell_history::cell_history(std::uint64_t seed, const history_faults &faults, int workers)
+    : m_state(std::make_unique<state>())
+{
+    m_state->random.seed(seed);
+    m_state->trouble = faults;
+    for (int index = 0; index < workers; ++index) {
+        m_state->addWorker();
+    }
+}
+
+cell_history::~cell_history() = default;
+
+void cell_history::run(microseconds length)
+{
+    state &history = *m_state;
+    history.takeOver();
+    history.startTrouble();
+    history.every(250 * millisecond, [&history] { history.submit(); });
+    const timestamp calmAt = history.now + length;
+    const timestamp endAt = calmAt + calmLimit;
+    history.at(calmAt, [&history] {
+        history.calm = true;
+        history.store.up = true;
+        history.cut_off.clear();
+    });
+    while (!history.events.empty() && history.events.begin()->first < endAt) {
+        const auto first = history.events.begin();
+        history.now = first->first;
+        const auto run = std::move(first->second.run);
+        history.events.erase(first);
+        run();
+        for (auto &[id, worker] : history.workers) {
+            advance(worker, history.ledger, history.now);
+        }
+        if (history.calm && !history.ledger.faults.empty()) {
+            break;
+        }
+    }
+    history.checkEnd();
+}
+
+const fault_list &cell_history::faults() const
+{
+    return m_state->ledger.faults;
+}
+
+history_counts cell_history::counts() const
+{
+    return m_state->counts;
+}
+
+} // namespace bramleygrade::testing
