The workers in use are recorded in the store; a woken scheduler learns no worker before the head is read

Ruled out: lost progress rows (present), the order of ends. Change: a row names the workers in use, written before the first start on one; new workers are used only if the head row, read after they were seen, is still ours; fences are counted per scheduler.

--- a/src/cell/scheduler.h
+++ b/src/cell/scheduler.h
@@ -148,6 +148,8 @@
     timestamp took_over_at = distantPast;
     cell_config config;
     std::map<std::string, worker_state> workers;
+    /// Fences raised so far; a worker that is forgotten and comes back starts with this number.
+    std::int64_t fences = 0;
     std::unordered_map<std::string, job_state> jobs;
     /// Jobs with tasks that may be started.
     std::set<std::string> open_jobs;
@@ -175,6 +177,10 @@
 /// The policy of the queue in force; null if there is none.
 const queue_policy *findQueue(const cell_config &config, const std::string &name);
 
+/// Takes in a worker that a predecessor used, whether the registry holds it or not; call before
+/// the first event.
+void inheritWorker(scheduler &cell, const worker_entry &entry, timestamp now);
+
 /// Replaces what the registry says of the workers.
 void changeWorkers(scheduler &cell, const std::vector<worker_entry> &entries, timestamp now);
 
@@ -191,7 +197,11 @@
 job_state *findJob(scheduler &cell, const std::string &id);
 /// Accepted jobs of the queue of which no task has started.
 std::int64_t pendingJobs(const scheduler &cell, const std::string &queue);
-/// Moves up to `most` jobs with unstored changes into the write under way and names them.
+/// Stands for the list of workers among the names of changed jobs.
+constexpr char workerListChange[] = "";
+
+/// Moves up to `most` jobs with unstored changes into the write under way and names them; one of
+/// the names may be `workerListChange`.
 std::vector<std::string> beginWrite(scheduler &cell, std::size_t most);
 /// The write under way is in the store.
 void onWritten(scheduler &cell, timestamp now);
--- a/src/cell/scheduler_decide.cpp
+++ b/src/cell/scheduler_decide.cpp
@@ -26,8 +26,8 @@
         look.wait = cell.settings.look_wait;
     }
     if (look.lease_until != 0) {
-        worker.lease_over_at
-            = std::max(worker.lease_over_at, leaseOverBy(cell.settings.lease, now));
+        worker.lease_over_at =
+            std::max(worker.lease_over_at, leaseOverBy(cell.settings.lease, now));
     }
     (fence ? worker.fence_in_flight : worker.look_in_flight) = true;
     out.looks.push_back(look);
@@ -45,12 +45,13 @@
             dropRuns(cell, worker, now, out);
         }
         if (idle && !worker.listed && worker.runs.empty() && (worker.settled || worker.fenced)) {
+            noteChange(cell, workerListChange, false);
             place = cell.workers.erase(place);
             continue;
         }
         if (worker.fence_wanted && !worker.fence_in_flight
             && (worker.unanswered_looks == 0 || now >= worker.next_look_at)) {
-            ++worker.fence_count;
+            worker.fence_count = ++cell.fences;
             orderLook(cell, worker, now, true, out);
         } else if (idle && now >= worker.next_look_at) {
             orderLook(cell, worker, now, false, out);
--- a/src/cell/scheduler_ends.cpp
+++ b/src/cell/scheduler_ends.cpp
@@ -56,8 +56,8 @@
     task.failed_attempts.insert(end.attempt);
     task.failed_on.insert(worker.entry.id);
     step.gang_failed_attempts.insert(end.attempt);
-    const std::size_t failures
-        = spec.gang ? step.gang_failed_attempts.size() : task.failed_attempts.size();
+    const std::size_t failures =
+        spec.gang ? step.gang_failed_attempts.size() : task.failed_attempts.size();
     out.notes.push_back({"run_failed", end.task.job,
                          "worker=" + worker.entry.id + " attempt=" + std::to_string(end.attempt)
                              + " failures=" + std::to_string(failures)});
@@ -236,7 +236,8 @@
         && task->attempt == end.attempt) {
         releaseRun(cell, end.task, *job, *task);
     }
-    if (end.how == end_kind::done || (end.how == end_kind::failed && task->failed_attempts.empty())) {
+    if (end.how == end_kind::done
+        || (end.how == end_kind::failed && task->failed_attempts.empty())) {
         noteOutcome(worker, end.how == end_kind::done, now);
     }
     worker.unstored_ends[end.sequence] = applyOutcome(cell, worker, *job, *task, end, now, out);
--- a/src/cell/scheduler_jobs.cpp
+++ b/src/cell/scheduler_jobs.cpp
@@ -172,6 +172,9 @@
         cell.in_write.insert(*first);
         cell.unsaved.erase(first);
     }
+    for (auto &[id, worker] : cell.workers) {
+        worker.in_write = cell.in_write.count(workerListChange) > 0;
+    }
     cell.write_urgent = cell.write_urgent && !cell.unsaved.empty();
     return ids;
 }
@@ -191,6 +194,10 @@
         }
     }
     cell.in_write.clear();
+    for (auto &[id, worker] : cell.workers) {
+        worker.recorded = worker.recorded || worker.in_write;
+        worker.in_write = false;
+    }
     std::uint64_t stored = cell.change_number;
     for (const auto &[id, change] : cell.unsaved) {
         stored = std::min(stored, change - 1);
@@ -212,6 +219,9 @@
         place->second = std::min(place->second, change);
     }
     cell.in_write.clear();
+    for (auto &[id, worker] : cell.workers) {
+        worker.in_write = false;
+    }
     cell.write_urgent = true;
 }
 
--- a/src/cell/scheduler_workers.cpp
+++ b/src/cell/scheduler_workers.cpp
@@ -144,6 +144,17 @@
     return (cell.epoch << fenceBits) + worker.fence_count;
 }
 
+void inheritWorker(scheduler &cell, const worker_entry &entry, timestamp now)
+{
+    worker_state &worker = cell.workers[entry.id];
+    worker.entry = entry;
+    worker.listed = false;
+    worker.recorded = true;
+    worker.fence_count = cell.fences;
+    worker.next_look_at = now;
+    worker.lease_over_at = leaseOverBy(cell.settings.lease, now) + cell.settings.predecessor_grace;
+}
+
 void changeWorkers(scheduler &cell, const std::vector<worker_entry> &entries, timestamp now)
 {
     std::set<std::string> seen;
@@ -155,6 +166,8 @@
         worker.listed = true;
         worker.unlisted_at = distantFuture;
         if (added) {
+            noteChange(cell, workerListChange, true);
+            worker.fence_count = cell.fences;
             worker.next_look_at = now;
             // Leases of a predecessor may hold this long, if the worker does not answer.
             worker.lease_over_at =
@@ -248,8 +261,8 @@
         releaseAbsent(cell, worker, order, report, sentAt, out);
     }
     acknowledgeStored(worker, 0);
-    worker.next_look_at
-        = worker.unstored_ends.empty() && worker.strangers == 0 ? now : now + unstoredLookPause;
+    worker.next_look_at =
+        worker.unstored_ends.empty() && worker.strangers == 0 ? now : now + unstoredLookPause;
 }
 
 void onLookFailed(scheduler &cell, const look_order &order, order_outcome outcome, timestamp now,
--- a/src/cell/worker_state.cpp
+++ b/src/cell/worker_state.cpp
@@ -30,8 +30,9 @@
 
 bool isUsable(const worker_state &worker, timestamp now)
 {
-    return worker.listed && worker.fenced && !worker.entry.draining && !worker.fence_wanted
-        && worker.unanswered_looks == 0 && worker.strangers == 0 && now >= worker.avoided_until;
+    return worker.listed && worker.recorded && worker.fenced && !worker.entry.draining
+        && !worker.fence_wanted && worker.unanswered_looks == 0 && worker.strangers == 0
+        && now >= worker.avoided_until;
 }
 
 resources freeRoom(const worker_state &worker)
--- a/src/cell/worker_state.h
+++ b/src/cell/worker_state.h
@@ -15,6 +15,10 @@
     /// The registry holds the worker.
     bool listed = true;
     timestamp unlisted_at = distantFuture;
+    /// The store holds that the worker is in use, so that a successor asks it what runs there.
+    bool recorded = false;
+    /// It is part of the write under way.
+    bool in_write = false;
     /// It has answered a look under this scheduler's fencing token.
     bool fenced = false;
     /// What ran there before this scheduler took over is known, or cannot run any more.
--- a/src/entry/advisers.cpp
+++ b/src/entry/advisers.cpp
@@ -112,9 +112,9 @@
 
 void askForAdvice(entry_state &entry, const cell::advice_order &order)
 {
-    const auto place = std::upper_bound(
-        entry.lead->advice_queue.begin(), entry.lead->advice_queue.end(), order,
-        [](const auto &a, const auto &b) { return a.priority < b.priority; });
+    const auto place =
+        std::upper_bound(entry.lead->advice_queue.begin(), entry.lead->advice_queue.end(), order,
+                         [](const auto &a, const auto &b) { return a.priority < b.priority; });
     entry.lead->advice_queue.insert(place, order);
     pumpAdvice(entry);
 }
--- a/src/entry/leading.cpp
+++ b/src/entry/leading.cpp
@@ -48,9 +48,17 @@
         });
 }
 
-void inheritRows(entry_state &entry, const table_load &jobs, const table_load &progress)
+void inheritRows(entry_state &entry, const table_load &cellRows, const table_load &jobs,
+                 const table_load &progress)
 {
     const timestamp now = steadyNow();
+    for (const stored_row &row : cellRows.rows) {
+        if (row.key == workersKey) {
+            for (const cell::worker_entry &worker : decodeWorkers(row.value)) {
+                cell::inheritWorker(entry.lead->cell, worker, now);
+            }
+        }
+    }
     const std::int64_t wall = wallNow();
     std::map<std::string, const stored_row *> made;
     for (const stored_row &row : progress.rows) {
@@ -99,13 +107,15 @@
 {
     const auto jobs = std::make_shared<table_load>(table_load {jobTable, {}});
     const auto progress = std::make_shared<table_load>(table_load {progressTable, {}});
-    const auto open = std::make_shared<int>(2);
-    const auto loaded = [&entry, jobs, progress, open] {
+    const auto cellRows = std::make_shared<table_load>(table_load {headTable, {}});
+    const auto open = std::make_shared<int>(3);
+    const auto loaded = [&entry, cellRows, jobs, progress, open] {
         if (--*open == 0) {
-            inheritRows(entry, *jobs, *progress);
+            inheritRows(entry, *cellRows, *jobs, *progress);
             startActing(entry);
         }
     };
+    loadTable(entry, entry.epoch, cellRows, "", loaded);
     loadTable(entry, entry.epoch, jobs, "", loaded);
     loadTable(entry, entry.epoch, progress, "", loaded);
 }
@@ -194,8 +204,8 @@
 
 void armDecideTimer(entry_state &entry, timestamp now)
 {
-    const timestamp next
-        = std::min(cell::nextDeadline(entry.lead->cell), entry.lead->write_wanted_at);
+    const timestamp next =
+        std::min(cell::nextDeadline(entry.lead->cell), entry.lead->write_wanted_at);
     if (entry.lead->timer_at > now && entry.lead->timer_at <= next) {
         return;
     }
@@ -210,10 +220,28 @@
     });
 }
 
+void checkConfirmation(entry_state &entry, timestamp now)
+{
+    scheduler_side &lead = *entry.lead;
+    const bool alone = entry.members.size() < 2;
+    const bool suspended = !alone && now > lead.confirmed_at + unconfirmedLimit;
+    if (suspended == lead.suspended) {
+        return;
+    }
+    lead.suspended = suspended;
+    logEvent(entry, suspended ? "scheduler_suspended" : "scheduler_resumed",
+             {{"epoch", std::to_string(entry.epoch)},
+              {"confirmed_ms_ago", std::to_string((now - lead.confirmed_at) / millisecond)}});
+    if (!suspended) {
+        wantDecision(entry);
+    }
+}
+
 void decideNow(entry_state &entry)
 {
     const timestamp now = steadyNow();
     entry.lead->decide_posted = false;
+    checkConfirmation(entry, now); // a paused scheduler must not act on old beliefs
     if (entry.lead->suspended) {
         return;
     }
@@ -227,20 +255,6 @@
     observeLatency(entry.metrics, "decision_seconds", steadyNow() - now);
 }
 
-void checkConfirmation(entry_state &entry, timestamp now)
-{
-    scheduler_side &lead = *entry.lead;
-    const bool alone = entry.members.size() < 2;
-    const bool suspended = !alone && now > lead.confirmed_at + unconfirmedLimit;
-    if (suspended != lead.suspended) {
-        lead.suspended = suspended;
-        logEvent(entry, suspended ? "scheduler_suspended" : "scheduler_resumed",
-                 {{"epoch", std::to_string(entry.epoch)},
-                  {"confirmed_ms_ago", std::to_string((now - lead.confirmed_at) / millisecond)}});
-        wantDecision(entry);
-    }
-}
-
 void checkStore(entry_state &entry, timestamp now)
 {
     scheduler_side &lead = *entry.lead;
--- a/src/entry/rows.h
+++ b/src/entry/rows.h
@@ -16,6 +16,7 @@
 constexpr char headTable[] = "cell";
 constexpr char headKey[] = "head";
 constexpr char membersKey[] = "members";
+constexpr char workersKey[] = "workers";
 constexpr char jobTable[] = "jobs";
 constexpr char progressTable[] = "progress";
 constexpr char endedTable[] = "ended";
@@ -74,6 +75,10 @@
     std::string address;
 };
 
+/// The workers in use: what a successor needs to ask each what runs there.
+std::string encodeWorkers(const std::map<std::string, cell::worker_state> &workers);
+std::vector<cell::worker_entry> decodeWorkers(const std::string &value);
+
 /// Peer addresses of the entries by name, for a scheduler that has just started.
 std::string encodeMembers(const std::map<std::string, std::string> &members);
 std::vector<member> decodeMembers(const std::string &value);
--- a/src/entry/watches.cpp
+++ b/src/entry/watches.cpp
@@ -114,6 +114,50 @@
     return entry.lead && entry.epoch == epoch;
 }
 
+bool hasNewWorkers(const entry_state &entry, const std::vector<stored_row> &rows)
+{
+    return std::any_of(rows.begin(), rows.end(), [&](const stored_row &row) {
+        return !row.removed && entry.lead->registry.count(row.key) == 0;
+    });
+}
+
+/// Applies the rows and goes on with `next`. A worker that is new here is used only if the head
+/// row, read after the worker was seen, is still ours: a successor has then read the registry
+/// later, knows the worker too, and fences it before it relies on what runs there.
+void learnWorkers(entry_state &entry, std::int64_t epoch, const std::vector<stored_row> &rows,
+                  const std::function<void()> &next)
+{
+    if (!hasNewWorkers(entry, rows)) {
+        if (!rows.empty()) {
+            applyWorkerRows(entry, rows);
+        }
+        next();
+        return;
+    }
+    readHead(
+        entry,
+        [&entry, epoch, rows, next](const store_result &result, const std::optional<head_row> &head,
+                                    std::int64_t) {
+            if (!leads(entry, epoch)) {
+                return;
+            }
+            if (result.outcome != store_outcome::done || !head) {
+                later(entry, retryPause, [&entry, epoch, rows, next] {
+                    if (leads(entry, epoch)) {
+                        learnWorkers(entry, epoch, rows, next);
+                    }
+                });
+                return;
+            }
+            if (head->epoch > epoch) {
+                noteScheduler(entry, head->epoch, {head->scheduler, head->address}, steadyNow());
+                return;
+            }
+            applyWorkerRows(entry, rows);
+            next();
+        });
+}
+
 void followWorkers(entry_state &entry, std::int64_t epoch)
 {
     entry.ports.store.watch(entry.ports.translate.worker_table, entry.lead->registry_version,
@@ -125,10 +169,8 @@
                                 if (result.outcome == store_outcome::done) {
                                     entry.lead->registry_version =
                                         std::max(entry.lead->registry_version, result.version);
-                                    if (!result.rows.empty()) {
-                                        applyWorkerRows(entry, result.rows);
-                                    }
-                                    followWorkers(entry, epoch);
+                                    learnWorkers(entry, epoch, result.rows,
+                                                 [&entry, epoch] { followWorkers(entry, epoch); });
                                     return;
                                 }
                                 later(entry, retryPause, [&entry, epoch] {
@@ -146,6 +188,21 @@
     std::int64_t version = 0;
 };
 
+/// The rows, and the end of each row that is known and not among them.
+std::vector<stored_row> withRemovals(const entry_state &entry, std::vector<stored_row> rows)
+{
+    std::set<std::string> present;
+    for (const stored_row &row : rows) {
+        present.insert(row.key);
+    }
+    for (const auto &[key, worker] : entry.lead->registry) {
+        if (present.count(key) == 0) {
+            rows.push_back({entry.ports.translate.worker_table, key, "", 0, true});
+        }
+    }
+    return rows;
+}
+
 void readWorkers(entry_state &entry, std::int64_t epoch, const std::string &from,
                  const std::shared_ptr<registry_read> &read)
 {
@@ -169,10 +226,9 @@
                 readWorkers(entry, epoch, result.rows.back().key + '\0', read);
                 return;
             }
-            entry.lead->registry.clear();
             entry.lead->registry_version = read->version;
-            applyWorkerRows(entry, read->rows);
-            followWorkers(entry, epoch);
+            learnWorkers(entry, epoch, withRemovals(entry, read->rows),
+                         [&entry, epoch] { followWorkers(entry, epoch); });
         });
 }
 
--- a/src/entry/writes.cpp
+++ b/src/entry/writes.cpp
@@ -61,7 +61,10 @@
         lead.members_changed = false;
     }
     for (const std::string &id : cell::beginWrite(lead.cell, jobsPerWrite)) {
-        if (const cell::job_state *job = cell::findJob(lead.cell, id)) {
+        if (id == cell::workerListChange) {
+            write.puts.push_back(
+                {headTable, workersKey, encodeWorkers(lead.cell.workers), 0, false});
+        } else if (const cell::job_state *job = cell::findJob(lead.cell, id)) {
             addJobRows(entry, *job, write);
         }
     }
--- a/testing/cell/cell_history.cpp
+++ b/testing/cell/cell_history.cpp
@@ -70,11 +70,12 @@
     workers[worker.entry.id] = worker;
 }
 
-std::vector<cell::worker_entry> cell_history::state::registry() const
+std::vector<cell::worker_entry> cell_history::state::registryFor(const cell::scheduler &cell) const
 {
+    const bool confirmed = store.up && store.epoch == cell.epoch;
     std::vector<cell::worker_entry> entries;
     for (const auto &[id, worker] : workers) {
-        if (worker.up) {
+        if (worker.up && unlisted.count(id) == 0 && (confirmed || cell.workers.count(id) > 0)) {
             entries.push_back(worker.entry);
         }
     }
@@ -100,7 +101,10 @@
         }
         cell::inheritJob(made->cell, std::move(*job), now);
     }
-    cell::changeWorkers(made->cell, registry(), now);
+    for (const cell::worker_entry &worker : entry::decodeWorkers(store.workers)) {
+        cell::inheritWorker(made->cell, worker, now);
+    }
+    cell::changeWorkers(made->cell, registryFor(made->cell), now);
     schedulers.push_back(made);
     ++counts.takeovers;
     tick(made);
@@ -113,7 +117,7 @@
     }
     if (now >= scheduler->paused_until) {
         cell::orders out;
-        cell::changeWorkers(scheduler->cell, registry(), now);
+        cell::changeWorkers(scheduler->cell, registryFor(scheduler->cell), now);
         cell::decide(scheduler->cell, now, out);
         carryOut(scheduler, out);
         write(scheduler);
@@ -174,23 +178,25 @@
 void cell_history::state::sendStart(const scheduler_pointer &scheduler,
                                     const cell::start_order &order)
 {
-    exchange(*this, scheduler, order,
-             [this, order] { return startRun(workers.at(order.worker), ledger, order, now); },
-             [this, scheduler, order](order_outcome outcome) {
-                 cell::orders out;
-                 cell::onStartOutcome(scheduler->cell, order, outcome, now, out);
-                 carryOut(scheduler, out);
-             });
+    exchange(
+        *this, scheduler, order,
+        [this, order] { return startRun(workers.at(order.worker), ledger, order, now); },
+        [this, scheduler, order](order_outcome outcome) {
+            cell::orders out;
+            cell::onStartOutcome(scheduler->cell, order, outcome, now, out);
+            carryOut(scheduler, out);
+        });
 }
 
 void cell_history::state::sendStop(const scheduler_pointer &scheduler,
                                    const cell::stop_order &order)
 {
-    exchange(*this, scheduler, order,
-             [this, order] { return stopRun(workers.at(order.worker), ledger, order, now); },
-             [this, scheduler, order](order_outcome outcome) {
-                 cell::onStopOutcome(scheduler->cell, order, outcome, now);
-             });
+    exchange(
+        *this, scheduler, order,
+        [this, order] { return stopRun(workers.at(order.worker), ledger, order, now); },
+        [this, scheduler, order](order_outcome outcome) {
+            cell::onStopOutcome(scheduler->cell, order, outcome, now);
+        });
 }
 
 void cell_history::state::sendLook(const scheduler_pointer &scheduler,
@@ -198,19 +204,20 @@
 {
     const timestamp sentAt = now;
     const auto report = std::make_shared<cell::worker_report>();
-    exchange(*this, scheduler, order,
-             [this, order, report] {
-                 return lookAt(workers.at(order.worker), ledger, order, now, *report);
-             },
-             [this, scheduler, order, report, sentAt](order_outcome outcome) {
-                 cell::orders out;
-                 if (outcome == order_outcome::accepted) {
-                     cell::onReport(scheduler->cell, order, *report, sentAt, now, out);
-                 } else {
-                     cell::onLookFailed(scheduler->cell, order, outcome, now, out);
-                 }
-                 carryOut(scheduler, out);
-             });
+    exchange(
+        *this, scheduler, order,
+        [this, order, report] {
+            return lookAt(workers.at(order.worker), ledger, order, now, *report);
+        },
+        [this, scheduler, order, report, sentAt](order_outcome outcome) {
+            cell::orders out;
+            if (outcome == order_outcome::accepted) {
+                cell::onReport(scheduler->cell, order, *report, sentAt, now, out);
+            } else {
+                cell::onLookFailed(scheduler->cell, order, outcome, now, out);
+            }
+            carryOut(scheduler, out);
+        });
 }
 
 void cell_history::state::write(const scheduler_pointer &scheduler)
@@ -221,6 +228,10 @@
     }
     store_double change;
     for (const std::string &id : cell::beginWrite(cell, jobsPerWrite)) {
+        if (id == cell::workerListChange) {
+            change.workers = entry::encodeWorkers(cell.workers);
+            continue;
+        }
         const cell::job_state *job = cell::findJob(cell, id);
         if (job->final_phase) {
             change.ended[id] = *job->final_phase;
@@ -240,6 +251,7 @@
             return;
         }
         store.jobs.insert(change.jobs.begin(), change.jobs.end());
+        store.workers = change.workers == "{}" ? store.workers : change.workers;
         for (const auto &[id, value] : change.progress) {
             store.progress[id] = value;
         }
@@ -275,9 +287,9 @@
             step.after.push_back(index - 1);
         }
         for (int task = 0; task < step.count; ++task) {
-            ledger.truth[{spec.id, 0, index, task}]
-                = {between(100 * millisecond, 3 * second),
-                   chance(trouble.failing_tasks) ? static_cast<int>(between(1, 3)) : 0};
+            ledger.truth[{spec.id, 0, index, task}] = {
+                between(100 * millisecond, 3 * second),
+                chance(trouble.failing_tasks) ? static_cast<int>(between(1, 3)) : 0};
         }
         spec.steps.push_back(step);
     }
@@ -324,8 +336,16 @@
         at(now + between(second, 12 * second), [this, id] { cut_off.erase(id); });
     });
     every(trouble.store_outage_every, [this] {
+        // Workers' entries lapse meanwhile, and are back some time after its return.
         store.up = false;
-        at(now + between(second, 5 * second), [this] { store.up = true; });
+        for (const auto &[id, worker] : workers) {
+            if (chance(trouble.lapsing_entries)) {
+                unlisted.insert(id);
+            }
+        }
+        const timestamp back = now + between(second, 5 * second);
+        at(back, [this] { store.up = true; });
+        at(back + between(0, 2 * second), [this] { unlisted.clear(); });
     });
 }
 
@@ -375,6 +395,7 @@
         history.calm = true;
         history.store.up = true;
         history.cut_off.clear();
+        history.unlisted.clear();
     });
     while (!history.events.empty() && history.events.begin()->first < endAt) {
         const auto first = history.events.begin();
--- a/testing/cell/cell_history.h
+++ b/testing/cell/cell_history.h
@@ -22,6 +22,8 @@
     microseconds store_outage_every = 0;
     double failing_tasks = 0.1;
     double cancelled_jobs = 0.05;
+    /// Share of the workers' entries that the registry loses in an outage of the store.
+    double lapsing_entries = 0.5;
 };
 
 /// The rows that outlive a scheduler.
@@ -31,6 +33,8 @@
     std::map<std::string, std::string> jobs;
     std::map<std::string, std::string> progress;
     std::map<std::string, cell::job_phase> ended;
+    /// Workers in use.
+    std::string workers = "{}";
     bool up = true;
 };
 
--- a/testing/cell/history_state.h
+++ b/testing/cell/history_state.h
@@ -30,6 +30,7 @@
     std::multimap<timestamp, timed_event> events;
     std::map<std::string, worker_double> workers;
     std::set<std::string> cut_off;
+    std::set<std::string> unlisted;
     run_ledger ledger;
     store_double store;
     std::vector<scheduler_pointer> schedulers;
@@ -45,7 +46,8 @@
     void every(microseconds mean, const std::function<void()> &run);
 
     void addWorker();
-    std::vector<cell::worker_entry> registry() const;
+    /// What the scheduler may learn: workers that it does not know yet only while it is confirmed.
+    std::vector<cell::worker_entry> registryFor(const cell::scheduler &cell) const;
     void takeOver();
     void tick(const scheduler_pointer &scheduler);
     void carryOut(const scheduler_pointer &scheduler, const cell::orders &orders);
--- a/testing/cell/worker_double.cpp
+++ b/testing/cell/worker_double.cpp
@@ -22,8 +22,8 @@
 
 void report(run_ledger &ledger, const std::string &rule, const cell::task_id &task, timestamp now)
 {
-    ledger.faults.push_back(rule + " " + nameOf(task) + " at "
-                            + std::to_string(now / millisecond) + " ms");
+    ledger.faults.push_back(rule + " " + nameOf(task) + " at " + std::to_string(now / millisecond)
+                            + " ms");
 }
 
 void endRun(worker_double &worker, run_ledger &ledger, const cell::task_id &task, end_kind how)
@@ -150,8 +150,8 @@
     ++ledger.starts;
     const task_truth &truth = ledger.truth[order.task];
     const bool fails = ledger.runs_so_far[order.task]++ < truth.failing_runs;
-    worker.lease_until
-        = std::max(worker.lease_until, std::min(order.lease_until, now + longestLease));
+    worker.lease_until =
+        std::max(worker.lease_until, std::min(order.lease_until, now + longestLease));
     worker.runs[order.task] = {order.attempt, now, now + truth.work,
                                fails ? end_kind::failed : end_kind::done,
                                specOf(ledger, order.task).demand};
@@ -195,8 +195,8 @@
     if (isFenced(worker, order.fencing_token)) {
         return order_outcome::refused_fence;
     }
-    worker.lease_until
-        = std::max(worker.lease_until, std::min(order.lease_until, now + longestLease));
+    worker.lease_until =
+        std::max(worker.lease_until, std::min(order.lease_until, now + longestLease));
     acknowledge(worker, ledger, order.acknowledged_end);
     answer.worker_clock = now;
     for (const auto &[task, run] : worker.runs) {
