Unit tests of the cell scheduler, its formats and rows; histories in the test command

Ruled out: tests through the real daemons only (they depend on wall clocks). Change: 23 tests of the scheduler, 8 of the platform's formats, 6 of rows, settings and metrics; 2,000 histories in four parts. Refused callers are told to come back after 2 s while the store is down.

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -65,3 +65,21 @@
 add_test(NAME sample_embed_core COMMAND embed_core)
 add_test(NAME sample_virtual_cell COMMAND virtual_cell)
 
+
+# The cell scheduler on its own, its formats, and randomised histories in virtual time.
+foreach(unit scheduler formats rows)
+    add_executable(cell_${unit}_test test/cell/${unit}_test.cpp)
+    target_include_directories(cell_${unit}_test PRIVATE ${CMAKE_SOURCE_DIR}/test/cell)
+    target_link_libraries(cell_${unit}_test PRIVATE bramleygrade_platform Boost::headers)
+    add_test(NAME cell_${unit} COMMAND cell_${unit}_test)
+endforeach()
+
+add_executable(cell_histories testing/cell/cell_history.cpp testing/cell/histories_main.cpp
+                              testing/cell/worker_double.cpp)
+target_include_directories(cell_histories PRIVATE ${CMAKE_SOURCE_DIR})
+target_link_libraries(cell_histories PRIVATE bramleygrade_entry)
+foreach(part RANGE 0 3)
+    math(EXPR first "${part} * 500 + 1")
+    add_test(NAME cell_histories_from_${first} COMMAND cell_histories ${first} 500)
+    set_tests_properties(cell_histories_from_${first} PROPERTIES COST 500)
+endforeach()
--- a/src/entry/calls.cpp
+++ b/src/entry/calls.cpp
@@ -8,7 +8,7 @@
 
 constexpr microseconds lookupPatience = 800 * millisecond;
 /// Time after which a refused caller may come back, while the store is in trouble.
-constexpr microseconds storeRetryAfter = 1 * second;
+constexpr microseconds storeRetryAfter = 2 * second;
 
 void answerSimple(const answer_function &answer, answer_kind kind)
 {
--- a/src/entry/writes.cpp
+++ b/src/entry/writes.cpp
@@ -18,7 +18,7 @@
 /// wait for it is refused at once.
 constexpr microseconds slowStore = 1'000 * millisecond;
 /// Time after which a refused caller may come back.
-constexpr microseconds refusedRetryAfter = 1 * second;
+constexpr microseconds refusedRetryAfter = 2 * second;
 
 void addJobRows(entry_state &entry, const cell::job_state &job, table_write &write)
 {
--- /dev/null
+++ b/test/cell/cell_fixture.h
@@ -0,0 +1,132 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "cell/scheduler.h"
+
+namespace bramleygrade::testing {
+
+/// A scheduler with three workers of eight processors, all of them looked at, and one queue.
+struct cell_fixture
+{
+    explicit cell_fixture(std::int64_t epoch = 1, bool settle = true)
+    {
+        policy.name = "queue";
+        policy.service = "booking";
+        policy.max_attempts = 2;
+        policy.slack_factor = 2;
+        policy.latency_target = second;
+        cell::cell_config config;
+        config.version = 1;
+        config.queues.push_back(policy);
+        cell::beginEpoch(cell, epoch, now);
+        cell::changeConfig(cell, config);
+        for (int index = 1; index <= 3; ++index) {
+            entries.push_back(makeWorker("worker-" + std::to_string(index)));
+        }
+        cell::changeWorkers(cell, entries, now);
+        store();
+        if (settle) {
+            settleAll();
+        }
+    }
+
+    static cell::worker_entry makeWorker(const std::string &id)
+    {
+        cell::worker_entry entry;
+        entry.id = id;
+        entry.service = "booking";
+        entry.address = id + ":80";
+        entry.rack = "rack-1";
+        entry.capacity = {8'000, 16'000, 0};
+        return entry;
+    }
+
+    static cell::step_spec makeStep(int count, std::int64_t cpu)
+    {
+        cell::step_spec step;
+        step.count = count;
+        step.demand = {cpu, 100, 0};
+        step.estimate = second;
+        return step;
+    }
+
+    static cell::job_spec makeJob(const std::string &id, std::vector<cell::step_spec> steps)
+    {
+        cell::job_spec spec;
+        spec.id = id;
+        spec.queue = "queue";
+        spec.steps = std::move(steps);
+        return spec;
+    }
+
+    /// Every change that is open reaches the store.
+    void store()
+    {
+        cell::beginWrite(cell, 100);
+        cell::onWritten(cell, now);
+    }
+
+    cell::orders decide()
+    {
+        cell::orders out;
+        cell.place_wanted = true;
+        cell::decide(cell, now, out);
+        return out;
+    }
+
+    cell::look_order lookFor(const std::string &worker)
+    {
+        const auto found = cell.workers.find(worker);
+        return {worker, cell::fencingToken(cell, found->second), 0, 0, 0, false};
+    }
+
+    cell::orders report(const std::string &worker, const cell::worker_report &answer)
+    {
+        cell::orders out;
+        cell::worker_report given = answer;
+        given.worker_clock = now;
+        cell::onReport(cell, lookFor(worker), given, now, now, out);
+        return out;
+    }
+
+    cell::orders end(const std::string &worker, std::int64_t sequence, const cell::task_id &task,
+                     int attempt, cell::end_kind how)
+    {
+        cell::worker_report answer;
+        answer.ended.push_back({sequence, task, attempt, how, ""});
+        return report(worker, answer);
+    }
+
+    void settleAll()
+    {
+        decide();
+        for (const auto &entry : entries) {
+            report(entry.id, {});
+        }
+        decide();
+    }
+
+    /// Submits the job, stores it and returns the orders that follow.
+    cell::orders run(const cell::job_spec &spec)
+    {
+        cell::acceptJob(cell, spec, policy, now);
+        store();
+        return decide();
+    }
+
+    /// The worker confirms the start.
+    void confirm(const cell::start_order &order)
+    {
+        cell::orders out;
+        cell::onStartOutcome(cell, order, cell::order_outcome::accepted, now, out);
+    }
+
+    timestamp now = 1'000 * second;
+    cell::queue_policy policy;
+    std::vector<cell::worker_entry> entries;
+    cell::scheduler cell;
+};
+
+} // namespace bramleygrade::testing
--- /dev/null
+++ b/test/cell/rows_test.cpp
@@ -0,0 +1,140 @@
+#define BOOST_TEST_MODULE rows
+#include <boost/test/included/unit_test.hpp>
+
+#include "cell_fixture.h"
+#include "entry/entry_settings.h"
+#include "entry/metrics.h"
+#include "entry/rows.h"
+
+using namespace bramleygrade;
+using bramleygrade::testing::cell_fixture;
+
+BOOST_AUTO_TEST_CASE(a_job_survives_the_store)
+{
+    cell::job_state job;
+    cell::step_spec step = cell_fixture::makeStep(3, 1'500);
+    step.after = {};
+    step.gang = true;
+    step.same_rack = true;
+    step.checkpointing = true;
+    step.required_label = "label";
+    step.preferred_rack = "r1-3";
+    step.max_per_worker = 2;
+    step.max_unavailable = 1;
+    cell::step_spec next = cell_fixture::makeStep(1, 200);
+    next.after = {0};
+    next.long_running = true;
+    job.spec = cell_fixture::makeJob("0123456789abcdef", {step, next});
+    job.spec.payload = "text with \"quotes\" and \n lines";
+    job.spec.occurrences = 3;
+    job.policy.service = "booking";
+    job.policy.max_attempts = 4;
+    job.accepted_epoch = 7;
+    std::int64_t wall = 0;
+    const auto read = entry::decodeJob(job.spec.id, entry::encodeJob(job, 99), wall);
+    BOOST_REQUIRE(read.has_value());
+    BOOST_TEST(wall == 99);
+    BOOST_TEST(read->accepted_epoch == 7);
+    BOOST_TEST(read->policy.max_attempts == 4);
+    BOOST_TEST(read->spec.payload == job.spec.payload);
+    BOOST_TEST(entry::encodeJob(*read, 99) == entry::encodeJob(job, 99));
+}
+
+BOOST_AUTO_TEST_CASE(progress_survives_the_store)
+{
+    cell::job_state job;
+    job.spec = cell_fixture::makeJob("a", {cell_fixture::makeStep(3, 1)});
+    auto &step = cell::occurrenceOf(job, 0).steps[0];
+    step.tasks[1].done = true;
+    step.done_count = 1;
+    step.tasks[2].failed_attempts = {1, 1001};
+    step.tasks[2].checkpoint = "c0ffee";
+    step.gang_failed_attempts = {2};
+    cell::job_state read;
+    read.spec = job.spec;
+    BOOST_REQUIRE(entry::decodeProgress(entry::encodeProgress(job), read));
+    const auto &again = read.occurrences.at(0).steps[0];
+    BOOST_TEST(again.done_count == 1);
+    BOOST_TEST(again.tasks[1].done);
+    BOOST_TEST((again.tasks[2].failed_attempts == std::set<int> {1, 1001}));
+    BOOST_TEST(again.tasks[2].checkpoint == "c0ffee");
+    BOOST_TEST((again.gang_failed_attempts == std::set<int> {2}));
+}
+
+BOOST_AUTO_TEST_CASE(values_that_cannot_be_read_are_refused)
+{
+    const char *values[] = {"", "{", "[]", "7", "{\"steps\":[]}", "{\"steps\":7}", "\xff\xfe"};
+    for (const char *value : values) {
+        std::int64_t wall = 0;
+        BOOST_TEST(!entry::decodeJob("a", value, wall).has_value(), value);
+        cell::job_state job;
+        BOOST_TEST(!entry::decodeProgress(value, job), value);
+        BOOST_TEST(entry::decodeMembers(value).size() <= 1U, value);
+        BOOST_TEST(entry::decodeWorkers(value).empty(), value);
+        BOOST_TEST(!entry::decodeAdviceResult(value).has_value(), value);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(messages_survive_a_round_trip)
+{
+    entry::caller_call call;
+    call.kind = entry::call_kind::submit;
+    call.queue = "queue";
+    call.job = "a";
+    call.spec = cell_fixture::makeJob("a", {cell_fixture::makeStep(2, 5)});
+    const auto read = entry::decodeCall(entry::encodeCall(call));
+    BOOST_REQUIRE(read.has_value());
+    BOOST_TEST(read->spec.steps.at(0).count == 2);
+    entry::caller_answer answer;
+    answer.kind = entry::answer_kind::refused;
+    answer.retry_after = second;
+    answer.reason = "why";
+    const auto back = entry::decodeAnswer(entry::encodeAnswer(answer));
+    BOOST_REQUIRE(back.has_value());
+    BOOST_TEST((back->kind == answer.kind));
+    BOOST_TEST(back->retry_after == second);
+    BOOST_TEST(back->reason == "why");
+}
+
+BOOST_AUTO_TEST_CASE(settings_errors_name_the_line_and_the_remedy)
+{
+    const std::string sound = "{\n\"name\":\"e\",\n\"host\":\"h\",\n\"caller_address\":\"h:1\",\n"
+                              "\"ready_address\":\"h:2\",\n\"peer_address\":\"h:3\",\n"
+                              "\"store_address\":\"h:4\",\n// comment\n\"longest_lease_ms\": ";
+    struct row
+    {
+        std::string text;
+        std::string expected;
+    };
+    const row rows[] = {
+        {sound + "6000}", ""},
+        {sound + "\"long\"}", "f:9: 'longest_lease_ms' must be a number"},
+        {sound + "5}", "f:9: 'longest_lease_ms' must be a number from 1000"},
+        {sound + "6000", "f:9:"},
+        {"{\n\"name\":\"e\"\n}", "'host' is missing or not a text; add it"},
+        {"[]", "must be one JSON object"},
+    };
+    for (const row &entry : rows) {
+        const auto settings = entry::parseCellSettings("f", entry.text);
+        const std::string message = settings ? "" : settings.error().message;
+        BOOST_TEST((entry.expected.empty() ? message.empty()
+                                           : message.find(entry.expected) != std::string::npos),
+                   "expected '" << entry.expected << "', got '" << message << "'");
+    }
+}
+
+BOOST_AUTO_TEST_CASE(metrics_are_exposed_as_text)
+{
+    entry::entry_metrics metrics;
+    ++metrics.counters["calls_total{answer=\"refused\"}"];
+    entry::observeLatency(metrics, "caller_seconds", 3 * millisecond);
+    entry::observeLatency(metrics, "caller_seconds", 10 * second);
+    const std::string text = entry::exposeMetrics(metrics);
+    const char *lines[] = {
+        "# TYPE bramleygrade_calls_total counter", "bramleygrade_calls_total{answer=\"refused\"} 1",
+        "bramleygrade_caller_seconds_bucket{le=\"0.005\"} 1",
+        "bramleygrade_caller_seconds_bucket{le=\"+Inf\"} 2", "bramleygrade_caller_seconds_count 2"};
+    for (const char *line : lines) {
+        BOOST_TEST((text.find(line) != std::string::npos), "missing: " << line << " in\n" << text);
+    }
+}
--- /dev/null
+++ b/test/cell/scheduler_test.cpp
@@ -0,0 +1,397 @@
+#define BOOST_TEST_MODULE scheduler
+#include <boost/test/included/unit_test.hpp>
+
+#include "cell_fixture.h"
+
+using namespace bramleygrade;
+using namespace bramleygrade::cell;
+using cell_report = bramleygrade::cell::worker_report;
+using cell_phase = bramleygrade::cell::job_phase;
+using bramleygrade::testing::cell_fixture;
+
+namespace {
+
+std::int64_t usedOf(const cell_fixture &fixture, const std::string &worker)
+{
+    return fixture.cell.workers.at(worker).used.cpu_milli;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(nothing_starts_before_its_job_is_stored)
+{
+    cell_fixture fixture;
+    acceptJob(fixture.cell, cell_fixture::makeJob("a", {cell_fixture::makeStep(1, 1'000)}),
+              fixture.policy, fixture.now);
+    BOOST_TEST(fixture.decide().starts.empty());
+    fixture.store();
+    BOOST_TEST(fixture.decide().starts.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(no_worker_is_promised_more_than_its_capacity)
+{
+    struct row
+    {
+        const char *name;
+        int count;
+        std::int64_t cpu;
+        std::size_t started;
+    };
+    // A sixteenth of each worker is kept for the most urgent queue, which this one is.
+    const row rows[] = {{"all fit", 3, 1'000, 3},
+                        {"one a worker", 9, 8'000, 3},
+                        {"two a worker", 9, 4'000, 6},
+                        {"larger than any worker", 2, 9'000, 0}};
+    for (const row &entry : rows) {
+        cell_fixture fixture;
+        const auto out = fixture.run(
+            cell_fixture::makeJob("a", {cell_fixture::makeStep(entry.count, entry.cpu)}));
+        BOOST_TEST(out.starts.size() == entry.started, entry.name);
+        for (const auto &[id, worker] : fixture.cell.workers) {
+            BOOST_TEST(fits(worker.used, worker.entry.capacity), entry.name << " on " << id);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(room_of_a_run_is_free_once_its_end_is_listed)
+{
+    cell_fixture fixture;
+    const auto out = fixture.run(cell_fixture::makeJob("a", {cell_fixture::makeStep(1, 8'000)}));
+    const start_order start = out.starts.at(0);
+    fixture.confirm(start);
+    orders ignored;
+    cancelJob(fixture.cell, "a", fixture.now, ignored);
+    BOOST_TEST(usedOf(fixture, start.worker) == 8'000); // what is being stopped still counts
+    fixture.end(start.worker, 1, start.task, start.attempt, end_kind::stopped);
+    BOOST_TEST(usedOf(fixture, start.worker) == 0);
+}
+
+BOOST_AUTO_TEST_CASE(a_step_waits_for_all_tasks_of_the_steps_before_it)
+{
+    cell_fixture fixture;
+    step_spec second = cell_fixture::makeStep(1, 1'000);
+    second.after = {0};
+    const auto out =
+        fixture.run(cell_fixture::makeJob("a", {cell_fixture::makeStep(2, 1'000), second}));
+    BOOST_REQUIRE(out.starts.size() == 2U);
+    fixture.end(out.starts[0].worker, 1, out.starts[0].task, 1, end_kind::done);
+    BOOST_TEST(fixture.decide().starts.empty());
+    fixture.end(out.starts[1].worker, 2, out.starts[1].task, 1, end_kind::done);
+    const auto next = fixture.decide();
+    BOOST_REQUIRE(next.starts.size() == 1U);
+    BOOST_TEST(next.starts[0].task.step == 1);
+}
+
+BOOST_AUTO_TEST_CASE(an_order_without_answer_is_repeated_only_after_a_fence)
+{
+    cell_fixture fixture;
+    const auto out = fixture.run(cell_fixture::makeJob("a", {cell_fixture::makeStep(1, 1'000)}));
+    const start_order start = out.starts.at(0);
+    orders ignored;
+    onStartOutcome(fixture.cell, start, order_outcome::unanswered, fixture.now, ignored);
+    const auto fence = fixture.decide();
+    BOOST_TEST(fence.starts.empty());
+    BOOST_REQUIRE(fence.looks.size() >= 1U);
+    const auto look = std::find_if(fence.looks.begin(), fence.looks.end(),
+                                   [](const look_order &order) { return order.fence; });
+    BOOST_REQUIRE((look != fence.looks.end()));
+    BOOST_TEST(look->fencing_token > start.fencing_token);
+    cell_report empty;
+    empty.worker_clock = fixture.now;
+    onReport(fixture.cell, *look, empty, fixture.now, fixture.now, ignored);
+    const auto again = fixture.decide();
+    BOOST_REQUIRE(again.starts.size() == 1U);
+    BOOST_TEST(again.starts[0].attempt > start.attempt);
+}
+
+BOOST_AUTO_TEST_CASE(a_start_that_had_effect_is_kept_after_the_fence)
+{
+    cell_fixture fixture;
+    const auto out = fixture.run(cell_fixture::makeJob("a", {cell_fixture::makeStep(1, 1'000)}));
+    const start_order start = out.starts.at(0);
+    orders ignored;
+    onStartOutcome(fixture.cell, start, order_outcome::unanswered, fixture.now, ignored);
+    fixture.decide();
+    cell_report running;
+    running.running.push_back({start.task, start.attempt, "", 10});
+    fixture.report(start.worker, running);
+    BOOST_TEST(fixture.decide().starts.empty());
+    BOOST_TEST(usedOf(fixture, start.worker) == 1'000);
+}
+
+// Hunted day fresh-f00f: progress made under a predecessor was acknowledged but not stored.
+BOOST_AUTO_TEST_CASE(ends_of_runs_that_a_predecessor_started_are_stored)
+{
+    cell_fixture fixture(2, false);
+    job_state job;
+    job.spec = cell_fixture::makeJob("a", {cell_fixture::makeStep(2, 1'000)});
+    job.policy = fixture.policy;
+    job.accepted_epoch = 1;
+    inheritJob(fixture.cell, job, fixture.now);
+    fixture.end("worker-1", 1, {"a", 0, 0, 0}, 1, end_kind::done);
+    BOOST_TEST(fixture.cell.workers.at("worker-1").acknowledged_end == 0);
+    BOOST_TEST(beginWrite(fixture.cell, 10).size() == 1U);
+    BOOST_TEST(findJob(fixture.cell, "a")->started_any); // so that the progress row is written
+    onWritten(fixture.cell, fixture.now);
+    BOOST_TEST(fixture.cell.workers.at("worker-1").acknowledged_end == 1);
+}
+
+BOOST_AUTO_TEST_CASE(inherited_tasks_wait_until_every_worker_is_settled)
+{
+    cell_fixture fixture(2, false);
+    inheritWorker(fixture.cell, cell_fixture::makeWorker("worker-9"), fixture.now);
+    job_state job;
+    job.spec = cell_fixture::makeJob("a", {cell_fixture::makeStep(1, 1'000)});
+    job.policy = fixture.policy;
+    job.accepted_epoch = 1;
+    inheritJob(fixture.cell, job, fixture.now);
+    fixture.settleAll();
+    // Hunted day hunt-ed18-15: the registry did not name a worker that had run the task.
+    BOOST_TEST(fixture.decide().starts.empty());
+    fixture.end("worker-9", 1, {"a", 0, 0, 0}, 1, end_kind::done);
+    BOOST_TEST(fixture.decide().starts.empty());
+    BOOST_TEST(findJob(fixture.cell, "a")->final_phase.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(attempts_of_a_later_epoch_are_higher)
+{
+    cell_fixture fixture(3, false);
+    job_state job;
+    job.spec = cell_fixture::makeJob("a", {cell_fixture::makeStep(1, 1'000)});
+    job.policy = fixture.policy;
+    job.accepted_epoch = 1;
+    inheritJob(fixture.cell, job, fixture.now);
+    fixture.settleAll();
+    const auto &task = *findTask(*findJob(fixture.cell, "a"), {"a", 0, 0, 0});
+    BOOST_TEST(task.attempt == 2 * attemptsPerEpoch + 1);
+}
+
+// Hunted day fresh-f00f: a run of a job that had ended was stopped, but its room was given away.
+BOOST_AUTO_TEST_CASE(a_worker_with_a_run_of_an_unknown_job_takes_no_work_until_it_is_gone)
+{
+    cell_fixture fixture;
+    cell_report stranger;
+    stranger.running.push_back({{"gone", 0, 0, 0}, 1, "", 10});
+    for (const auto &entry : fixture.entries) {
+        const auto out = fixture.report(entry.id, stranger);
+        BOOST_TEST(out.stops.size() == 1U);
+    }
+    const auto spec = cell_fixture::makeJob("a", {cell_fixture::makeStep(1, 1'000)});
+    BOOST_TEST(fixture.run(spec).starts.empty());
+    fixture.report("worker-2", {});
+    const auto out = fixture.decide();
+    BOOST_REQUIRE(out.starts.size() == 1U);
+    BOOST_TEST(out.starts[0].worker == "worker-2");
+}
+
+// Standard day trouble-2: members of one gang that failed together counted as many failures.
+BOOST_AUTO_TEST_CASE(failures_count_once_an_attempt)
+{
+    cell_fixture fixture;
+    step_spec gang = cell_fixture::makeStep(2, 1'000);
+    gang.gang = true;
+    const auto out = fixture.run(cell_fixture::makeJob("a", {gang}));
+    BOOST_REQUIRE(out.starts.size() == 2U);
+    for (const start_order &start : out.starts) {
+        fixture.confirm(start);
+    }
+    std::int64_t sequence = 0;
+    for (const start_order &start : out.starts) {
+        fixture.end(start.worker, ++sequence, start.task, start.attempt, end_kind::failed);
+    }
+    BOOST_TEST(!findJob(fixture.cell, "a")->final_phase.has_value());
+    BOOST_TEST(fixture.decide().starts.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(a_job_has_failed_after_its_attempts)
+{
+    cell_fixture fixture;
+    auto out = fixture.run(cell_fixture::makeJob("a", {cell_fixture::makeStep(1, 1'000)}));
+    for (int attempt = 1; attempt <= 2; ++attempt) {
+        BOOST_REQUIRE(out.starts.size() == 1U);
+        fixture.confirm(out.starts[0]);
+        fixture.end(out.starts[0].worker, attempt, out.starts[0].task, out.starts[0].attempt,
+                    end_kind::failed);
+        out = fixture.decide();
+    }
+    BOOST_TEST(out.starts.empty());
+    BOOST_TEST((findJob(fixture.cell, "a")->final_phase == cell_phase::failed));
+}
+
+// History 35: the successor ran tasks of a cancelled job again.
+BOOST_AUTO_TEST_CASE(ends_of_a_job_are_acknowledged_only_when_its_cancellation_is_stored)
+{
+    cell_fixture fixture;
+    const auto out = fixture.run(cell_fixture::makeJob("a", {cell_fixture::makeStep(1, 1'000)}));
+    fixture.confirm(out.starts.at(0));
+    orders ignored;
+    cancelJob(fixture.cell, "a", fixture.now, ignored);
+    fixture.end(out.starts[0].worker, 1, out.starts[0].task, 1, end_kind::done);
+    BOOST_TEST(fixture.cell.workers.at(out.starts[0].worker).acknowledged_end == 0);
+    fixture.store();
+    BOOST_TEST(fixture.cell.workers.at(out.starts[0].worker).acknowledged_end == 1);
+}
+
+// History 325: a forgotten worker that came back refused the lower fence for good.
+BOOST_AUTO_TEST_CASE(a_worker_that_comes_back_is_fenced_no_lower_than_before)
+{
+    cell_fixture fixture;
+    const auto out = fixture.run(cell_fixture::makeJob("a", {cell_fixture::makeStep(1, 1'000)}));
+    const std::string worker = out.starts.at(0).worker;
+    orders ignored;
+    onStartOutcome(fixture.cell, out.starts[0], order_outcome::unanswered, fixture.now, ignored);
+    fixture.decide();
+    const std::int64_t before = fencingToken(fixture.cell, fixture.cell.workers.at(worker));
+    fixture.cell.workers.erase(worker);
+    changeWorkers(fixture.cell, fixture.entries, fixture.now);
+    BOOST_TEST(fencingToken(fixture.cell, fixture.cell.workers.at(worker)) >= before);
+}
+
+BOOST_AUTO_TEST_CASE(the_lease_of_a_silent_worker_runs_out_and_its_tasks_start_elsewhere)
+{
+    cell_fixture fixture;
+    const auto out = fixture.run(cell_fixture::makeJob("a", {cell_fixture::makeStep(1, 1'000)}));
+    const start_order start = out.starts.at(0);
+    fixture.confirm(start);
+    const timestamp silentFrom = fixture.now;
+    orders again;
+    onLookFailed(fixture.cell, fixture.lookFor(start.worker), order_outcome::unanswered,
+                 fixture.now, again);
+    while (again.starts.empty() && fixture.now < silentFrom + 20 * second) {
+        fixture.now += 100 * millisecond;
+        again = fixture.decide();
+        for (const look_order &look : again.looks) {
+            orders ignored;
+            if (look.worker != start.worker) {
+                fixture.report(look.worker, {});
+                continue;
+            }
+            const bool silent = fixture.cell.workers.at(start.worker).unanswered_looks > 0;
+            BOOST_TEST((!silent || look.lease_until == 0)); // no longer renewed
+            onLookFailed(fixture.cell, look, order_outcome::unanswered, fixture.now, ignored);
+        }
+    }
+    BOOST_REQUIRE(again.starts.size() == 1U);
+    BOOST_TEST(again.starts[0].worker != start.worker);
+    BOOST_TEST(fixture.now - silentFrom > fixture.cell.settings.lease.longest);
+}
+
+BOOST_AUTO_TEST_CASE(another_incarnation_at_the_address_ends_what_ran_there)
+{
+    cell_fixture fixture;
+    const auto out = fixture.run(cell_fixture::makeJob("a", {cell_fixture::makeStep(1, 1'000)}));
+    fixture.confirm(out.starts.at(0));
+    orders ignored;
+    onLookFailed(fixture.cell, fixture.lookFor(out.starts[0].worker),
+                 order_outcome::refused_incarnation, fixture.now, ignored);
+    const auto again = fixture.decide();
+    BOOST_REQUIRE(again.starts.size() == 1U);
+    BOOST_TEST(again.starts[0].worker != out.starts[0].worker);
+}
+
+BOOST_AUTO_TEST_CASE(a_draining_worker_takes_no_new_work)
+{
+    cell_fixture fixture;
+    for (auto &entry : fixture.entries) {
+        entry.draining = entry.id != "worker-3";
+    }
+    changeWorkers(fixture.cell, fixture.entries, fixture.now);
+    const auto out = fixture.run(cell_fixture::makeJob("a", {cell_fixture::makeStep(4, 1'000)}));
+    BOOST_REQUIRE(out.starts.size() == 4U);
+    for (const start_order &start : out.starts) {
+        BOOST_TEST(start.worker == "worker-3");
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_gang_starts_whole_or_not_at_all)
+{
+    struct row
+    {
+        int count;
+        std::size_t started;
+    };
+    const row rows[] = {{3, 3}, {4, 0}};
+    for (const row &entry : rows) {
+        cell_fixture fixture;
+        step_spec gang = cell_fixture::makeStep(entry.count, 7'000);
+        gang.gang = true;
+        BOOST_TEST(fixture.run(cell_fixture::makeJob("a", {gang})).starts.size() == entry.started);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_gang_that_cannot_become_complete_is_stopped_in_time)
+{
+    cell_fixture fixture;
+    step_spec gang = cell_fixture::makeStep(3, 7'000);
+    gang.gang = true;
+    const auto out = fixture.run(cell_fixture::makeJob("a", {gang}));
+    BOOST_REQUIRE(out.starts.size() == 3U);
+    fixture.confirm(out.starts[0]);
+    fixture.confirm(out.starts[1]);
+    orders ignored;
+    onStartOutcome(fixture.cell, out.starts[2], order_outcome::refused_unhealthy, fixture.now,
+                   ignored);
+    fixture.now += fixture.cell.settings.gang_timeout * 2 / 3;
+    fixture.cell.workers.at(out.starts[2].worker).avoided_until = distantFuture;
+    BOOST_TEST(fixture.decide().stops.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(a_run_without_progress_is_stopped_and_started_elsewhere)
+{
+    cell_fixture fixture;
+    const auto out = fixture.run(cell_fixture::makeJob("a", {cell_fixture::makeStep(1, 1'000)}));
+    fixture.confirm(out.starts.at(0));
+    fixture.now += 4 * second;
+    BOOST_TEST(fixture.decide().stops.size() == 1U);
+    fixture.end(out.starts[0].worker, 1, out.starts[0].task, 1, end_kind::stopped);
+    const auto again = fixture.decide();
+    BOOST_REQUIRE(again.starts.size() == 1U);
+    BOOST_TEST(again.starts[0].worker != out.starts[0].worker);
+}
+
+BOOST_AUTO_TEST_CASE(a_submission_can_be_withdrawn_only_while_no_write_holds_it)
+{
+    cell_fixture fixture;
+    const auto spec = cell_fixture::makeJob("a", {cell_fixture::makeStep(1, 1'000)});
+    acceptJob(fixture.cell, spec, fixture.policy, fixture.now);
+    BOOST_TEST(withdrawJob(fixture.cell, "a"));
+    BOOST_TEST((findJob(fixture.cell, "a") == nullptr));
+    acceptJob(fixture.cell, spec, fixture.policy, fixture.now);
+    beginWrite(fixture.cell, 10);
+    BOOST_TEST(!withdrawJob(fixture.cell, "a"));
+    onWriteRefused(fixture.cell);
+    BOOST_TEST(withdrawJob(fixture.cell, "a"));
+}
+
+BOOST_AUTO_TEST_CASE(long_running_tasks_are_started_again_however_they_end)
+{
+    const end_kind kinds[] = {end_kind::done, end_kind::failed, end_kind::stopped,
+                              end_kind::lease_lapsed};
+    for (const end_kind how : kinds) {
+        cell_fixture fixture;
+        step_spec lasting = cell_fixture::makeStep(1, 1'000);
+        lasting.long_running = true;
+        const auto out = fixture.run(cell_fixture::makeJob("a", {lasting}));
+        fixture.confirm(out.starts.at(0));
+        fixture.end(out.starts[0].worker, 1, out.starts[0].task, 1, how);
+        BOOST_TEST(fixture.decide().starts.size() == 1U);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(occurrences_start_when_they_are_due)
+{
+    cell_fixture fixture;
+    job_spec spec = cell_fixture::makeJob("a", {cell_fixture::makeStep(1, 1'000)});
+    spec.occurrences = 2;
+    spec.interval = 10 * second;
+    acceptJob(fixture.cell, spec, fixture.policy, fixture.now);
+    findJob(fixture.cell, "a")->first_due_at = fixture.now + second;
+    fixture.store();
+    BOOST_TEST(fixture.decide().starts.empty());
+    fixture.now += second;
+    BOOST_TEST(fixture.decide().starts.size() == 1U);
+    fixture.now += 10 * second;
+    const auto second_start = fixture.decide();
+    BOOST_REQUIRE(!second_start.starts.empty());
+    BOOST_TEST(second_start.starts.back().task.occurrence == 1);
+}
