--- a/test/cell/scheduler_test.cpp
+++ b/test/cell/scheduler_test.cpp
@@ -147,7 +147,7 @@
     inheritJob(fixture.cell, job, fixture.now);
     fixture.settleAll();
     // Hunted day hunt-ed18-15: the registry did not name a worker that had run the task.
-    BOOST_TEST(fixture.decide().starts.empty());
+    BOOST_TEST((findTask(*findJob(fixture.cell, "a"), {"a", 0, 0, 0})->phase == run_phase::none));
     fixture.end("worker-9", 1, {"a", 0, 0, 0}, 1, end_kind::done);
     BOOST_TEST(fixture.decide().starts.empty());
     BOOST_TEST(findJob(fixture.cell, "a")->final_phase.has_value());
