--- a/src/cell/advice.cpp
+++ b/src/cell/advice.cpp
@@ -21,13 +21,18 @@
 /// How fast the learned share of allowed workers forgets.
 constexpr double shareMemory = 0.97;
 
-std::vector<std::string> expiredTickets(const step_state &step, const placement_plan &plan,
+/// Workers of the plan whose tickets are over, or will be by the time that an answer comes.
+std::vector<std::string> expiredTickets(const waiting_step &waiting, const placement_plan &plan,
                                         timestamp now)
 {
+    const step_state &step = stepState(waiting);
+    const advice_terms &terms = waiting.job->policy.advice;
+    const timestamp answered = now + terms.base
+        + terms.per_worker * static_cast<microseconds>(plan.workers.size()) + 2 * ticketMargin;
     std::vector<std::string> expired;
     for (const std::string &id : plan.workers) {
         const auto entry = step.advice.find(id);
-        if ((entry == step.advice.end() || entry->second.valid_until <= now + ticketMargin)
+        if ((entry == step.advice.end() || entry->second.valid_until <= answered)
             && std::find(expired.begin(), expired.end(), id) == expired.end()) {
             expired.push_back(id);
         }
@@ -72,7 +77,7 @@
     std::vector<std::string> ask;
     const bool whole = !stepSpec(waiting).gang || plan.unplaced == 0;
     if (whole && !plan.tickets_valid) {
-        ask = expiredTickets(step, plan, now);
+        ask = expiredTickets(waiting, plan, now);
     }
     if (plan.unplaced == 0) {
         return ask;
--- a/src/cell/job_state.h
+++ b/src/cell/job_state.h
@@ -62,6 +62,10 @@
     timestamp advice_not_before = distantPast;
     /// Time of the first start order of the gang's newest run.
     timestamp gang_started_at = distantPast;
+    /// Room kept for the gang on each worker, while others are stopped for it.
+    std::map<std::string, resources> claims;
+    timestamp claims_until = distantPast;
+    timestamp preempt_not_before = distantPast;
     int gang_attempt = 0;
     /// A member of the newest run has ended or was lost: all start again, once none is left.
     bool gang_broken = false;
--- a/src/cell/placement.cpp
+++ b/src/cell/placement.cpp
@@ -96,9 +96,19 @@
     }
 }
 
-/// Gangs go to few workers: those with the most places first.
-void sortForGang(std::vector<candidate> &candidates)
+/// Gangs go to few workers: those with the most places first. Where the workers with a valid
+/// ticket suffice, the others are left out, so that a gang does not ask for ever new tickets.
+void sortForGang(std::vector<candidate> &candidates, std::int64_t needed)
 {
+    std::int64_t withTicket = 0;
+    for (const candidate &entry : candidates) {
+        withTicket += entry.ticket ? entry.places : 0;
+    }
+    if (withTicket >= needed) {
+        candidates.erase(std::remove_if(candidates.begin(), candidates.end(),
+                                        [](const candidate &entry) { return !entry.ticket; }),
+                         candidates.end());
+    }
     std::stable_sort(candidates.begin(), candidates.end(),
                      [](const candidate &a, const candidate &b) { return a.places > b.places; });
 }
@@ -149,7 +159,7 @@
     const step_spec &spec = stepSpec(waiting);
     std::vector<candidate> candidates = candidatesOf(waiting, rooms, now);
     if (spec.gang) {
-        sortForGang(candidates);
+        sortForGang(candidates, static_cast<std::int64_t>(waiting.tasks.size()));
     }
     if (spec.same_rack) {
         keepOneRack(candidates, static_cast<std::int64_t>(waiting.tasks.size()));
@@ -190,10 +200,14 @@
             return;
         }
         --missing;
+        // What is negative is claimed already and must stay so.
+        const resources demand = reservedDemand(spec);
         room->free.cpu_milli =
-            std::max<std::int64_t>(0, room->free.cpu_milli - spec.demand.cpu_milli);
+            std::min(room->free.cpu_milli,
+                     std::max<std::int64_t>(0, room->free.cpu_milli - demand.cpu_milli));
         room->free.memory_mb =
-            std::max<std::int64_t>(0, room->free.memory_mb - spec.demand.memory_mb);
+            std::min(room->free.memory_mb,
+                     std::max<std::int64_t>(0, room->free.memory_mb - demand.memory_mb));
     }
 }
 
--- a/src/cell/placement.h
+++ b/src/cell/placement.h
@@ -58,6 +58,11 @@
 
 placement_plan planStep(const waiting_step &waiting, const room_map &rooms, timestamp now);
 
+/// Makes room for a gang on few workers by stopping runs of less urgent jobs that can resume from
+/// a checkpoint. Returns the workers of the plan; empty if too little can be freed.
+std::vector<std::string> preemptForGang(scheduler &cell, const waiting_step &waiting,
+                                        const room_map &rooms, timestamp now, orders &out);
+
 /// Keeps room for a gang that does not fit yet, so that later steps leave it alone.
 void reserveForGang(const waiting_step &waiting, std::size_t missing, room_map &rooms);
 
--- a/src/cell/scheduler.h
+++ b/src/cell/scheduler.h
@@ -139,6 +139,7 @@
     std::uint64_t jobs_failed = 0;
     std::uint64_t jobs_cancelled = 0;
     std::uint64_t stalled_runs = 0;
+    std::uint64_t preempted_runs = 0;
 };
 
 struct scheduler
--- a/src/cell/scheduler_decide.cpp
+++ b/src/cell/scheduler_decide.cpp
@@ -77,6 +77,37 @@
                        [](const auto &entry) { return entry.second.settled; });
 }
 
+/// Keeps the rooms that are claimed for gangs from all others.
+void keepClaims(const std::vector<waiting_step> &waiting, room_map &rooms, timestamp now)
+{
+    for (const waiting_step &entry : waiting) {
+        const step_state &step = stepState(entry);
+        if (now >= step.claims_until) {
+            continue;
+        }
+        for (const auto &[id, claim] : step.claims) {
+            const auto room = rooms.find(id);
+            if (room != rooms.end()) {
+                room->second.free = room->second.free - claim;
+            }
+        }
+    }
+}
+
+/// Gives the step its own claims back, to be planned with.
+void openOwnClaims(const waiting_step &waiting, room_map &rooms, timestamp now)
+{
+    step_state &step = stepState(waiting);
+    if (now < step.claims_until) {
+        for (const auto &[id, claim] : step.claims) {
+            const auto room = rooms.find(id);
+            if (room != rooms.end()) {
+                room->second.free = room->second.free + claim;
+            }
+        }
+    }
+}
+
 /// The tasks of the step that may be started now; empty for a gang that is not whole.
 std::vector<int> waitingTasks(const step_spec &spec, const step_state &step)
 {
@@ -241,10 +272,34 @@
     }
 }
 
+/// A gang that does not fit: others make room for it, or it keeps what is free on some workers.
+void waitWithGang(scheduler &cell, const waiting_step &waiting, room_map &rooms, timestamp now,
+                  orders &out)
+{
+    step_state &step = stepState(waiting);
+    const std::vector<std::string> chosen = preemptForGang(cell, waiting, rooms, now, out);
+    if (now >= step.claims_until) {
+        reserveForGang(waiting, waiting.tasks.size(), rooms);
+        return;
+    }
+    for (const auto &[id, claim] : step.claims) {
+        const auto room = rooms.find(id);
+        if (room != rooms.end()) {
+            room->second.free = room->second.free - claim;
+        }
+    }
+    if (!chosen.empty() && waiting.job->policy.needs_advice && !step.advice_pending) {
+        step.advice_pending = true;
+        ++cell.counters.advice_calls;
+        out.advice.push_back(makeAdviceOrder(waiting, chosen));
+    }
+}
+
 void placeStep(scheduler &cell, const waiting_step &waiting, room_map &rooms, timestamp now,
                orders &out)
 {
     const bool gang = stepSpec(waiting).gang;
+    openOwnClaims(waiting, rooms, now);
     const placement_plan plan = planStep(waiting, rooms, now);
     std::vector<std::string> ask = workersToAsk(cell, waiting, plan, rooms, now);
     if (!ask.empty()) {
@@ -259,12 +314,13 @@
         startIndependent(cell, waiting, plan, rooms, now, out);
     } else if (plan.unplaced == 0 && plan.tickets_valid) {
         startGang(cell, waiting, plan, rooms, now, out);
+        stepState(waiting).claims_until = distantPast;
     } else if (plan.unplaced == 0) {
         for (const std::string &id : plan.workers) {
             rooms.at(id).free = rooms.at(id).free - reservedDemand(stepSpec(waiting));
         }
     } else {
-        reserveForGang(waiting, waiting.tasks.size(), rooms);
+        waitWithGang(cell, waiting, rooms, now, out);
     }
 }
 
@@ -281,6 +337,7 @@
         return;
     }
     room_map rooms = roomsNow(cell, now);
+    keepClaims(waiting, rooms, now);
     bool urgentShareKept = false;
     for (const waiting_step &step : waiting) {
         if (!urgentShareKept && (step.late || step.priority > 0)) {
--- a/src/cell/scheduler_jobs.cpp
+++ b/src/cell/scheduler_jobs.cpp
@@ -115,7 +115,9 @@
         for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
             auto &tasks = occurrence.steps[step].tasks;
             for (std::size_t index = 0; index < tasks.size(); ++index) {
-                if (tasks[index].phase != run_phase::none) {
+                // The other members of a gang that is done have ended too and will be listed.
+                const bool ended = tasks[index].done && job.spec.steps[step].gang;
+                if (tasks[index].phase != run_phase::none && !ended) {
                     stopRun(cell,
                             {job.spec.id, number, static_cast<int>(step), static_cast<int>(index)},
                             tasks[index], now, out);
--- a/src/entry/state_dump.cpp
+++ b/src/entry/state_dump.cpp
@@ -122,6 +122,7 @@
     counters["advice_calls_total"] = counts.advice_calls;
     counters["workers_lapsed_total"] = counts.lapsed_workers;
     counters["runs_stalled_total"] = counts.stalled_runs;
+    counters["runs_preempted_total"] = counts.preempted_runs;
     counters["jobs_total{state=\"accepted\"}"] = counts.jobs_accepted;
     counters["jobs_total{state=\"completed\"}"] = counts.jobs_completed;
     counters["jobs_total{state=\"failed\"}"] = counts.jobs_failed;
