A scheduler that is still loading tells no counts of waiting jobs

Ruled out: counts that are too old (they were 8 ms old), jobs taken for started. Change: counts only from a scheduler that acts; entries keep the former ones, with their age.

--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -170,6 +170,8 @@
 void onPeerClosed(entry_state &entry, const std::string &peer);
 void servePeer(entry_state &entry, const net::http_request &request,
                const net::http_server::responder &respond);
+/// What the scheduler tells the other entries; the counts only once its rows are loaded.
+beat_message makeBeat(const entry_state &entry);
 void sendBeats(entry_state &entry, timestamp now);
 void sendPeer(entry_state &entry, const std::string &address, const std::string &path,
               std::string body, microseconds patience, bool idempotent,
--- a/src/entry/peers.cpp
+++ b/src/entry/peers.cpp
@@ -40,9 +40,11 @@
         for (const member &other : beat.members) {
             entry.members[other.name] = other.address;
         }
-        entry.pending.clear();
-        entry.pending.insert(beat.pending.begin(), beat.pending.end());
-        entry.pendingAt = now;
+        if (!beat.pending.empty()) {
+            entry.pending.clear();
+            entry.pending.insert(beat.pending.begin(), beat.pending.end());
+            entry.pendingAt = now;
+        }
     }
     answerWith(respond, 200, encodeWord(ownWord(entry)));
 }
@@ -158,19 +160,27 @@
     entry.client.send(std::move(call), std::move(done));
 }
 
-void sendBeats(entry_state &entry, timestamp now)
+beat_message makeBeat(const entry_state &entry)
 {
-    entry.lead->nextBeatAt = now + beatInterval;
     beat_message beat;
     beat.epoch = entry.epoch;
     beat.sender = self(entry);
     for (const auto &[name, address] : entry.members) {
         beat.members.push_back({name, address});
     }
-    for (const cell::queue_policy &queue : entry.config.queues) {
-        beat.pending.emplace_back(queue.name, cell::pendingJobs(entry.lead->cell, queue.name));
+    // Before the rows are loaded nothing is known of the jobs that wait.
+    if (entry.role == entry_role::scheduler) {
+        for (const cell::queue_policy &queue : entry.config.queues) {
+            beat.pending.emplace_back(queue.name, cell::pendingJobs(entry.lead->cell, queue.name));
+        }
     }
-    const std::string body = encodeBeat(beat);
+    return beat;
+}
+
+void sendBeats(entry_state &entry, timestamp now)
+{
+    entry.lead->nextBeatAt = now + beatInterval;
+    const std::string body = encodeBeat(makeBeat(entry));
     const auto members = entry.members;
     for (const auto &[name, address] : members) {
         if (name != entry.settings.name) {
--- /dev/null
+++ b/test/cell/entry_test.cpp
@@ -0,0 +1,84 @@
+#define BOOST_TEST_MODULE entry
+#include <boost/test/included/unit_test.hpp>
+
+#include "entry/entry.h"
+
+using namespace bramleygrade;
+using namespace bramleygrade::entry;
+
+namespace {
+
+/// An entry without any port, as it is before it listens.
+struct entry_fixture
+{
+    entry_fixture()
+        : entry(loop, makeSettings())
+    {
+        cell::queue_policy queue;
+        queue.name = "queue";
+        entry.config.version = 1;
+        entry.config.queues.push_back(queue);
+    }
+
+    static cell_settings makeSettings()
+    {
+        cell_settings settings;
+        settings.name = "entry-1";
+        settings.peerAddress = "10.0.0.1:1";
+        return settings;
+    }
+
+    void hear(const beat_message &beat)
+    {
+        net::http_request request;
+        request.method = "POST";
+        request.target = "/beat";
+        request.body = encodeBeat(beat);
+        servePeer(entry, request,
+                  [](const net::http_response &response) { BOOST_TEST(response.status == 200); });
+    }
+
+    boost::asio::io_context loop;
+    entry_state entry;
+};
+
+} // namespace
+
+// Hunted day hunt-cbfa-19: a scheduler that was still loading told the others that no job waits.
+BOOST_FIXTURE_TEST_CASE(a_scheduler_tells_counts_only_once_its_rows_are_loaded, entry_fixture)
+{
+    entry.lead = std::make_unique<scheduler_side>();
+    entry.role = entry_role::loading;
+    BOOST_TEST(makeBeat(entry).pending.empty());
+    entry.role = entry_role::scheduler;
+    BOOST_TEST(makeBeat(entry).pending.size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(counts_are_kept_while_a_new_scheduler_tells_none, entry_fixture)
+{
+    beat_message beat;
+    beat.epoch = 1;
+    beat.sender = {"entry-2", "10.0.0.2:1"};
+    beat.pending = {{"queue", 7}};
+    hear(beat);
+    const timestamp told = entry.pendingAt;
+    beat.epoch = 2;
+    beat.pending.clear();
+    hear(beat);
+    BOOST_TEST(entry.pending.at("queue") == 7);
+    BOOST_TEST(entry.pendingAt == told); // so that its age is known
+    BOOST_TEST(entry.epoch == 2);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_lower_epoch_is_not_followed, entry_fixture)
+{
+    beat_message beat;
+    beat.epoch = 3;
+    beat.sender = {"entry-2", "10.0.0.2:1"};
+    hear(beat);
+    beat.epoch = 2;
+    beat.sender = {"entry-3", "10.0.0.3:1"};
+    hear(beat);
+    BOOST_TEST(entry.epoch == 3);
+    BOOST_TEST(entry.scheduler.name == "entry-2");
+}
