Writes are filled by rows, and an end takes one row when they are full

A write held at most 30 jobs, taken in the order of their random names, so that some submissions waited until their callers gave up; each end took three rows.

Change: beginWrite takes what callers wait for first, the oldest first, with a quarter of the rows for the others; an end is written in place of the job's row while changes do not fit, and its rows are moved later; a successor reads such rows as ended jobs; a submission that cannot be stored before its deadline is refused at once; forwarded calls carry the time that is left, and are not repeated while the scheduler lives.

--- a/src/cell/scheduler.h
+++ b/src/cell/scheduler.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <deque>
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -142,6 +142,15 @@
     std::uint64_t preemptedRuns = 0;
 };
 
+/// A change that the store does not hold yet.
+struct unsaved_change
+{
+    /// Rises with each change of any job.
+    std::uint64_t number = 0;
+    /// A caller waits for it.
+    bool urgent = false;
+};
+
 struct scheduler
 {
     scheduler_settings settings;
@@ -154,10 +163,10 @@
     std::unordered_map<std::string, job_state> jobs;
     /// Jobs with tasks that may be started.
     std::set<std::string> openJobs;
-    /// Jobs whose stored rows are out of date, with the number of their oldest unstored change.
-    std::map<std::string, std::uint64_t> unsaved;
+    /// Jobs whose stored rows are out of date, with their oldest unstored change.
+    std::map<std::string, unsaved_change> unsaved;
     /// The same for the write under way.
-    std::map<std::string, std::uint64_t> inWrite;
+    std::map<std::string, unsaved_change> inWrite;
     /// A caller waits for one of the changes in `unsaved`.
     bool writeUrgent = false;
     std::uint64_t changeNumber = 0;
@@ -193,6 +202,8 @@
 bool withdrawJob(scheduler &cell, const std::string &id);
 /// Takes in a job from the store after a takeover; call before the first event.
 void inheritJob(scheduler &cell, job_state job, timestamp now);
+/// Takes in a job that had ended under a predecessor and whose rows are still to be removed.
+void inheritEnded(scheduler &cell, const std::string &id, job_phase phase, timestamp now);
 /// Cancels; returns false if the job is unknown.
 bool cancelJob(scheduler &cell, const std::string &id, timestamp now, orders &out);
 job_state *findJob(scheduler &cell, const std::string &id);
@@ -201,9 +212,14 @@
 /// Stands for the list of workers among the names of changed jobs.
 constexpr char workerListChange[] = "";
 
-/// Moves up to `most` jobs with unstored changes into the write under way and names them; one of
-/// the names may be `workerListChange`.
-std::vector<std::string> beginWrite(scheduler &cell, std::size_t most);
+/// Number of rows that a write of the job's change takes.
+using rows_of_change = std::function<std::size_t(const std::string &job)>;
+
+/// Moves unstored changes into the write under way and names their jobs; one of the names may be
+/// `workerListChange`. Takes those that callers wait for first and the oldest first, with a
+/// quarter of `mostRows` for the others, so that neither keeps the other out for ever.
+std::vector<std::string> beginWrite(scheduler &cell, std::size_t mostRows,
+                                    const rows_of_change &rowsOf);
 /// The write under way is in the store.
 void onWritten(scheduler &cell, timestamp now);
 /// The write under way has had no effect and never will.
--- a/src/cell/scheduler_jobs.cpp
+++ b/src/cell/scheduler_jobs.cpp
@@ -4,6 +4,13 @@
 
 namespace bramleygrade::cell {
 
+namespace {
+
+/// Share of a write that is open to changes for which no caller waits.
+constexpr std::size_t othersShareDivisor = 4;
+
+} // namespace
+
 void beginEpoch(scheduler &cell, std::int64_t epoch, timestamp now)
 {
     cell.epoch = epoch;
@@ -45,7 +52,9 @@
 std::uint64_t noteChange(scheduler &cell, const std::string &job, bool urgent)
 {
     const std::uint64_t number = ++cell.changeNumber;
-    cell.unsaved.emplace(job, number);
+    unsaved_change &change =
+        cell.unsaved.emplace(job, unsaved_change {number, urgent}).first->second;
+    change.urgent = change.urgent || urgent;
     cell.writeUrgent = cell.writeUrgent || urgent;
     return number;
 }
@@ -109,6 +118,20 @@
     }
 }
 
+void inheritEnded(scheduler &cell, const std::string &id, job_phase phase, timestamp now)
+{
+    job_state job;
+    job.spec.id = id;
+    job.stored = true;
+    job.finalPhase = phase;
+    job.finalStored = true;
+    job.finalAt = now;
+    if (cell.jobs.emplace(id, std::move(job)).second) {
+        cell.forgottenAt.emplace(now + cell.settings.endedKept, id);
+        noteChange(cell, id, false);
+    }
+}
+
 void stopAllRuns(scheduler &cell, job_state &job, timestamp now, orders &out)
 {
     for (auto &[number, occurrence] : job.occurrences) {
@@ -165,19 +188,40 @@
     });
 }
 
-std::vector<std::string> beginWrite(scheduler &cell, std::size_t most)
+std::vector<std::string> beginWrite(scheduler &cell, std::size_t mostRows,
+                                    const rows_of_change &rowsOf)
 {
-    std::vector<std::string> ids;
-    while (!cell.unsaved.empty() && ids.size() < most) {
-        const auto first = cell.unsaved.begin();
-        ids.push_back(first->first);
-        cell.inWrite.insert(*first);
-        cell.unsaved.erase(first);
+    std::vector<std::pair<unsaved_change, std::string>> waiting;
+    for (const auto &[id, change] : cell.unsaved) {
+        waiting.emplace_back(change, id);
     }
+    std::sort(waiting.begin(), waiting.end(), [](const auto &left, const auto &right) {
+        return left.first.number < right.first.number;
+    });
+    std::vector<std::string> ids;
+    std::size_t rows = 0;
+    const auto take = [&](bool urgentOnly, std::size_t limit) {
+        for (const auto &[change, id] : waiting) {
+            if ((urgentOnly && !change.urgent) || cell.unsaved.count(id) == 0) {
+                continue;
+            }
+            const std::size_t needed = rowsOf(id);
+            if (rows + needed > limit) {
+                return;
+            }
+            rows += needed;
+            ids.push_back(id);
+            cell.inWrite.emplace(id, change);
+            cell.unsaved.erase(id);
+        }
+    };
+    take(true, mostRows - mostRows / othersShareDivisor);
+    take(false, mostRows);
     for (auto &[id, worker] : cell.workers) {
         worker.inWrite = cell.inWrite.count(workerListChange) > 0;
     }
-    cell.writeUrgent = cell.writeUrgent && !cell.unsaved.empty();
+    cell.writeUrgent = std::any_of(cell.unsaved.begin(), cell.unsaved.end(),
+                                   [](const auto &entry) { return entry.second.urgent; });
     return ids;
 }
 
@@ -202,7 +246,7 @@
     }
     std::uint64_t stored = cell.changeNumber;
     for (const auto &[id, change] : cell.unsaved) {
-        stored = std::min(stored, change - 1);
+        stored = std::min(stored, change.number - 1);
     }
     for (auto &[id, worker] : cell.workers) {
         const std::int64_t before = worker.acknowledgedEnd;
@@ -218,7 +262,8 @@
 {
     for (const auto &[id, change] : cell.inWrite) {
         auto [place, added] = cell.unsaved.emplace(id, change);
-        place->second = std::min(place->second, change);
+        place->second.number = std::min(place->second.number, change.number);
+        place->second.urgent = place->second.urgent || change.urgent;
     }
     cell.inWrite.clear();
     for (auto &[id, worker] : cell.workers) {
--- a/src/entry/callers.cpp
+++ b/src/entry/callers.cpp
@@ -8,10 +8,11 @@
 
 /// How long a call waits for a scheduler to appear before it is refused; a takeover takes less.
 constexpr microseconds schedulerPatience = 1'600 * millisecond;
-/// Time that one attempt may take.
-constexpr microseconds attemptPatience = 1'500 * millisecond;
 /// An answer must leave this long before the caller stops waiting.
 constexpr microseconds answerMargin = 120 * millisecond;
+/// The scheduler's answer to a forwarded call must leave earlier still: by the way between two
+/// regions and back, and one tick of this entry.
+constexpr microseconds forwardMargin = answerMargin + 80 * millisecond;
 constexpr microseconds defaultPatience = 3 * second;
 constexpr microseconds longestPatience = 10 * second;
 /// Time after which a caller may come back when no scheduler is there.
@@ -61,11 +62,11 @@
 
 void sendToScheduler(entry_state &entry, const call_pointer &call, int attempt)
 {
-    const timestamp now = steadyNow();
-    const microseconds patience = std::min(call->deadline - now, attemptPatience);
+    // No second attempt while the scheduler lives: its refusal would not be true for the first.
+    const microseconds patience = call->deadline - steadyNow();
     sendPeer(
-        entry, entry.scheduler.address, "/call", encodeCall(call->call), patience, false,
-        [&entry, call, attempt](const net::call_result &result) {
+        entry, entry.scheduler.address, "/call", encodeCall({call->call, patience - forwardMargin}),
+        patience, false, [&entry, call, attempt](const net::call_result &result) {
             const auto answer = decodeAnswer(result.body);
             if (result.outcome == net::call_outcome::answered && result.status == 200 && answer) {
                 concludeOrRetry(entry, call, attempt, *answer);
--- a/src/entry/calls.cpp
+++ b/src/entry/calls.cpp
@@ -30,12 +30,14 @@
     caller_answer reply;
     reply.kind = answer_kind::refused;
     reply.retryAfter = storeRetryAfter;
-    reply.reason = "the table service does not answer";
-    logEvent(
-        entry, "call_refused",
-        {{"job", call.job},
-         {"queue", call.queue},
-         {"store_silent_ms", std::to_string((steadyNow() - entry.lead->writtenAt) / millisecond)}});
+    reply.reason = "the table service does not answer in time";
+    const timestamp now = steadyNow();
+    logEvent(entry, "call_refused",
+             {{"job", call.job},
+              {"queue", call.queue},
+              {"unsaved_changes", std::to_string(entry.lead->cell.unsaved.size())},
+              {"write_ms", std::to_string(entry.lead->writeTook / millisecond)},
+              {"store_silent_ms", std::to_string((now - entry.lead->writtenAt) / millisecond)}});
     answer(reply);
 }
 
@@ -94,7 +96,7 @@
         answerSimple(answer, answer_kind::no_such_queue);
         return;
     }
-    if (isStoreInTrouble(lead, now)) {
+    if (isStoreInTrouble(lead, now) || expectedStoredAt(lead, now) > deadline) {
         refuse(entry, call, answer);
         return;
     }
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -55,12 +55,18 @@
     std::map<std::string, std::int64_t> acceptedWall;
     /// Jobs of the write under way that must not have ended under an earlier scheduler.
     std::vector<std::string> newInWrite;
+    /// Ended jobs of the write under way whose rows are still to be removed.
+    std::vector<std::string> endedInPlace;
+    /// The changes that waited when the write under way was built did not fit into it.
+    bool crowded = false;
     std::optional<table_write> write;
     std::int64_t writeSequence = 0;
     /// An earlier try of the write under way got no answer, so that it may have had effect.
     bool writeUnclear = false;
     bool writeInFlight = false;
     timestamp writeStartedAt = distantPast;
+    /// Time that a write takes, smoothed over the last few.
+    microseconds writeTook = 0;
     timestamp nextWriteAt = distantPast;
     /// When a change that waits for `nextWriteAt` can be written.
     timestamp writeWantedAt = distantFuture;
@@ -199,6 +205,9 @@
 // writes.cpp
 /// Whether the write under way takes so long that the store must be down or slow.
 bool isStoreInTrouble(const scheduler_side &lead, timestamp now);
+/// When a change made now can be expected in the store, by the writes ahead of it and the time
+/// that the last ones took.
+timestamp expectedStoredAt(const scheduler_side &lead, timestamp now);
 void pumpWrites(entry_state &entry);
 void expireWaiters(entry_state &entry, timestamp now);
 
--- a/src/entry/leading.cpp
+++ b/src/entry/leading.cpp
@@ -65,6 +65,10 @@
         made[row.key] = &row;
     }
     for (const stored_row &row : jobs.rows) {
+        if (const auto ended = decodeEnded(row.value)) {
+            cell::inheritEnded(entry.lead->cell, row.key, ended->phase, now);
+            continue;
+        }
         std::int64_t accepted = wall;
         auto job = decodeJob(row.key, row.value, accepted);
         if (!job) {
--- a/src/entry/peers.cpp
+++ b/src/entry/peers.cpp
@@ -8,8 +8,8 @@
 
 constexpr microseconds beatInterval = 250 * millisecond;
 constexpr microseconds beatPatience = 400 * millisecond;
-/// Time that a caller's call may wait here; the entry that forwarded it gives up before.
-constexpr microseconds callPatience = 3 * second;
+/// Longest time that a call of another entry may wait here (the longest that callers may wait).
+constexpr microseconds longestCallWait = 10 * second;
 /// Beats that a member may miss before it is forgotten.
 constexpr int membersForgottenAfter = 40;
 
@@ -84,9 +84,11 @@
              });
 }
 
-void onCall(entry_state &entry, const caller_call &call, const net::http_server::responder &respond)
+void onCall(entry_state &entry, const call_message &message,
+            const net::http_server::responder &respond)
 {
-    handleCall(entry, call, steadyNow() + callPatience, [respond](const caller_answer &answer) {
+    const microseconds wait = std::clamp<microseconds>(message.wait, 0, longestCallWait);
+    handleCall(entry, message.call, steadyNow() + wait, [respond](const caller_answer &answer) {
         answerWith(respond, 200, encodeAnswer(answer));
     });
 }
--- a/src/entry/rows.cpp
+++ b/src/entry/rows.cpp
@@ -317,16 +317,18 @@
 std::optional<ended_row> decodeEnded(const std::string &value)
 {
     rapidjson::Document document;
-    if (!parseObject(value, document)) {
+    if (!parseObject(value, document) || findField(document, "phase") == nullptr) {
         return std::nullopt;
     }
     return ended_row {static_cast<cell::job_phase>(integerField(document, "phase")),
                       integerField(document, "wall")};
 }
 
-std::string encodeCall(const caller_call &call)
+std::string encodeCall(const call_message &message)
 {
+    const caller_call &call = message.call;
     return writeObject([&](json_writer &out) {
+        put(out, "wait_us", message.wait);
         put(out, "kind", static_cast<int>(call.kind));
         put(out, "queue", call.queue);
         put(out, "job", call.job);
@@ -339,13 +341,15 @@
     });
 }
 
-std::optional<caller_call> decodeCall(const std::string &text)
+std::optional<call_message> decodeCall(const std::string &text)
 {
     rapidjson::Document document;
     if (!parseObject(text, document)) {
         return std::nullopt;
     }
-    caller_call call;
+    call_message message;
+    message.wait = integerField(document, "wait_us");
+    caller_call &call = message.call;
     call.kind = static_cast<call_kind>(integerField(document, "kind"));
     call.queue = textField(document, "queue");
     call.job = textField(document, "job");
@@ -355,7 +359,7 @@
         }
         call.spec.id = call.job;
     }
-    return call;
+    return message;
 }
 
 } // namespace bramleygrade::entry
--- a/src/entry/rows.h
+++ b/src/entry/rows.h
@@ -48,6 +48,7 @@
 std::string encodeProgress(const cell::job_state &job);
 bool decodeProgress(const std::string &value, cell::job_state &job);
 
+/// Stands in the table of ended jobs and, until its rows are removed, in place of the job's row.
 struct ended_row
 {
     cell::job_phase phase = cell::job_phase::completed;
@@ -60,8 +61,16 @@
 
 // Messages between entries.
 
-std::string encodeCall(const caller_call &call);
-std::optional<caller_call> decodeCall(const std::string &text);
+/// A caller's call as one entry sends it to another.
+struct call_message
+{
+    caller_call call;
+    /// How long the sender waits for the answer.
+    microseconds wait = 0;
+};
+
+std::string encodeCall(const call_message &message);
+std::optional<call_message> decodeCall(const std::string &text);
 std::string encodeAnswer(const caller_answer &answer);
 std::optional<caller_answer> decodeAnswer(const std::string &text);
 std::string encodeAdviceOrder(const cell::advice_order &order);
--- a/src/entry/writes.cpp
+++ b/src/entry/writes.cpp
@@ -6,8 +6,13 @@
 
 namespace {
 
-/// Jobs in one write: each may take three of the 100 rows that a transaction holds.
-constexpr std::size_t jobsPerWrite = 30;
+/// Rows of changes in one write: a transaction of the users' store holds 100, of which the head
+/// row takes two and the list of members one.
+constexpr std::size_t changeRowsPerWrite = 97;
+/// Rows of a new job, the usual change for which a caller waits.
+constexpr std::size_t rowsPerChange = 2;
+/// Rows that changes for which callers wait can be sure of in each write (`beginWrite`).
+constexpr std::size_t urgentRowsPerWrite = changeRowsPerWrite * 3 / 4;
 /// Least time between two writes, so that more changes share one.
 constexpr microseconds writePause = 15 * millisecond;
 /// Longest time that a change for which nobody waits is kept back.
@@ -20,6 +25,53 @@
 /// Time after which a refused caller may come back.
 constexpr microseconds refusedRetryAfter = 2 * second;
 
+/// Whether a row in place of the job's own is all that is written of its end now. Its rows are
+/// moved once there is room in a write.
+bool endsInPlace(const scheduler_side &lead, const cell::job_state &job)
+{
+    return lead.crowded && job.finalPhase && job.stored && !job.finalStored;
+}
+
+/// Rows that `addJobRows` adds for the job, or one for the list of workers.
+std::size_t rowsOf(scheduler_side &lead, const std::string &id)
+{
+    const cell::job_state *job = cell::findJob(lead.cell, id);
+    if (job == nullptr || endsInPlace(lead, *job)) {
+        return 1;
+    }
+    if (job->finalPhase) {
+        return job->stored ? 3 : 2;
+    }
+    return (job->stored ? 0 : 2) + (needsProgressRow(*job) ? 1 : 0);
+}
+
+/// Whether the changes that wait do not fit into one write.
+bool isCrowded(scheduler_side &lead)
+{
+    std::size_t rows = 0;
+    lead.crowded = false;
+    for (const auto &[id, change] : lead.cell.unsaved) {
+        rows += rowsOf(lead, id);
+    }
+    return rows > changeRowsPerWrite;
+}
+
+void addEnd(scheduler_side &lead, const cell::job_state &job, table_write &write)
+{
+    const std::string &id = job.spec.id;
+    const std::string value = encodeEnded({*job.finalPhase, wallNow()});
+    if (endsInPlace(lead, job)) {
+        write.puts.push_back({jobTable, id, value, 0, false});
+        lead.endedInPlace.push_back(id);
+        return;
+    }
+    write.puts.push_back({endedTable, id, value, 0, false});
+    if (job.stored) {
+        write.removals.push_back({jobTable, id, 0});
+        write.removals.push_back({progressTable, id, 0});
+    }
+}
+
 void addJobRows(entry_state &entry, const cell::job_state &job, table_write &write)
 {
     scheduler_side &lead = *entry.lead;
@@ -29,11 +81,7 @@
         lead.newInWrite.push_back(id);
     }
     if (job.finalPhase) {
-        write.puts.push_back({endedTable, id, encodeEnded({*job.finalPhase, wallNow()}), 0, false});
-        if (job.stored) {
-            write.removals.push_back({jobTable, id, 0});
-            write.removals.push_back({progressTable, id, 0});
-        }
+        addEnd(lead, job, write);
         return;
     }
     if (!job.stored) {
@@ -48,6 +96,8 @@
 {
     scheduler_side &lead = *entry.lead;
     lead.newInWrite.clear();
+    lead.endedInPlace.clear();
+    lead.crowded = isCrowded(lead);
     table_write write;
     write.expected.push_back({headTable, headKey, lead.headVersion});
     lead.writeSequence = lead.sequence + 1;
@@ -59,7 +109,9 @@
         write.puts.push_back({headTable, membersKey, encodeMembers(entry.members), 0, false});
         lead.membersChanged = false;
     }
-    for (const std::string &id : cell::beginWrite(lead.cell, jobsPerWrite)) {
+    for (const std::string &id :
+         cell::beginWrite(lead.cell, changeRowsPerWrite,
+                          [&lead](const std::string &job) { return rowsOf(lead, job); })) {
         if (id == cell::workerListChange) {
             write.puts.push_back(
                 {headTable, workersKey, encodeWorkers(lead.cell.workers), 0, false});
@@ -97,7 +149,9 @@
 {
     scheduler_side &lead = *entry.lead;
     const timestamp now = steadyNow();
-    observeLatency(entry.metrics, "store_write_seconds", now - lead.writeStartedAt);
+    const microseconds took = now - lead.writeStartedAt;
+    observeLatency(entry.metrics, "store_write_seconds", took);
+    lead.writeTook = (lead.writeTook + took) / 2;
     std::vector<std::string> ids;
     for (const auto &[id, change] : lead.cell.inWrite) {
         ids.push_back(id);
@@ -109,6 +163,9 @@
     lead.confirmedAt = now;
     lead.nextWriteAt = now + writePause;
     cell::onWritten(lead.cell, now);
+    for (const std::string &id : lead.endedInPlace) {
+        cell::noteChange(lead.cell, id, false);
+    }
     answerStored(entry, ids);
     for (const std::string &id : lead.newInWrite) {
         logEvent(entry, "job_stored", {{"job", id}, {"version", std::to_string(version)}});
@@ -201,6 +258,23 @@
     return lead.write && now > lead.writeStartedAt + slowStore;
 }
 
+timestamp expectedStoredAt(const scheduler_side &lead, timestamp now)
+{
+    microseconds took = lead.writeTook;
+    timestamp next = std::max(now, lead.nextWriteAt);
+    if (lead.write) {
+        const microseconds age = now - lead.writeStartedAt;
+        took = std::max(took, age);
+        next = now + (took - age) + writePause;
+    }
+    std::size_t rows = 0;
+    for (const auto &[id, change] : lead.cell.unsaved) {
+        rows += change.urgent ? rowsPerChange : 0;
+    }
+    const std::size_t ahead = rows / urgentRowsPerWrite;
+    return next + took + static_cast<microseconds>(ahead) * (took + writePause);
+}
+
 void pumpWrites(entry_state &entry)
 {
     if (!entry.lead || entry.role != entry_role::scheduler) {
--- a/test/cell/cell_fixture.h
+++ b/test/cell/cell_fixture.h
@@ -7,6 +7,12 @@
 
 namespace bramleygrade::testing {
 
+/// Each change takes one row.
+inline std::size_t oneRow(const std::string &)
+{
+    return 1;
+}
+
 /// A scheduler with three workers of eight processors, all of them looked at, and one queue.
 struct cell_fixture
 {
@@ -64,7 +70,7 @@
     /// Every change that is open reaches the store.
     void store()
     {
-        cell::beginWrite(cell, 100);
+        cell::beginWrite(cell, 100, oneRow);
         cell::onWritten(cell, now);
     }
 
--- a/test/cell/rows_test.cpp
+++ b/test/cell/rows_test.cpp
@@ -77,14 +77,17 @@
 
 BOOST_AUTO_TEST_CASE(messages_survive_a_round_trip)
 {
-    entry::caller_call call;
+    entry::call_message message;
+    message.wait = 1'500 * millisecond;
+    entry::caller_call &call = message.call;
     call.kind = entry::call_kind::submit;
     call.queue = "queue";
     call.job = "a";
     call.spec = cell_fixture::makeJob("a", {cell_fixture::makeStep(2, 5)});
-    const auto read = entry::decodeCall(entry::encodeCall(call));
+    const auto read = entry::decodeCall(entry::encodeCall(message));
     BOOST_REQUIRE(read.has_value());
-    BOOST_TEST(read->spec.steps.at(0).count == 2);
+    BOOST_TEST(read->wait == message.wait);
+    BOOST_TEST(read->call.spec.steps.at(0).count == 2);
     entry::caller_answer answer;
     answer.kind = entry::answer_kind::refused;
     answer.retryAfter = second;
--- a/test/cell/scheduler_test.cpp
+++ b/test/cell/scheduler_test.cpp
@@ -8,6 +8,7 @@
 using cell_report = bramleygrade::cell::worker_report;
 using cell_phase = bramleygrade::cell::job_phase;
 using bramleygrade::testing::cell_fixture;
+using bramleygrade::testing::oneRow;
 
 namespace {
 
@@ -119,6 +120,40 @@
     BOOST_TEST(usedOf(fixture, start.worker) == 1'000);
 }
 
+// Load pattern: a slow store, with more changes than its writes take in. Names are random, so
+// that an order by name would keep some jobs out for as long as the load lasts.
+BOOST_AUTO_TEST_CASE(a_full_write_takes_what_callers_wait_for_and_the_oldest_first)
+{
+    struct row
+    {
+        const char *name;
+        std::vector<std::string> urgent;
+        std::vector<std::string> others;
+        std::size_t rows;
+        std::vector<std::string> taken;
+    };
+    const row rows[] = {
+        {"oldest first", {"f", "a", "c"}, {}, 2, {"f", "a"}},
+        {"callers first", {"f", "a", "c"}, {"z", "b"}, 4, {"f", "a", "c", "z"}},
+        {"a quarter for the others", {"f", "a", "c", "d"}, {"z", "b"}, 4, {"f", "a", "c", "z"}},
+        {"room that nobody else takes", {"f"}, {"z", "b", "a"}, 4, {"f", "z", "b", "a"}},
+    };
+    for (const row &entry : rows) {
+        cell_fixture fixture;
+        for (const std::string &id : entry.others) {
+            noteChange(fixture.cell, id, false);
+        }
+        for (const std::string &id : entry.urgent) {
+            noteChange(fixture.cell, id, true);
+        }
+        const auto taken = beginWrite(fixture.cell, entry.rows, oneRow);
+        BOOST_TEST(taken == entry.taken, entry.name << boost::test_tools::per_element());
+        BOOST_TEST(fixture.cell.writeUrgent
+                   == (taken.size() < entry.urgent.size() + entry.others.size()
+                       && fixture.cell.unsaved.count(entry.urgent.back()) > 0));
+    }
+}
+
 // Hunted day fresh-f00f: progress made under a predecessor was acknowledged but not stored.
 BOOST_AUTO_TEST_CASE(ends_of_runs_that_a_predecessor_started_are_stored)
 {
@@ -130,7 +165,7 @@
     inheritJob(fixture.cell, job, fixture.now);
     fixture.end("worker-1", 1, {"a", 0, 0, 0}, 1, end_kind::done);
     BOOST_TEST(fixture.cell.workers.at("worker-1").acknowledgedEnd == 0);
-    BOOST_TEST(beginWrite(fixture.cell, 10).size() == 1U);
+    BOOST_TEST(beginWrite(fixture.cell, 10, oneRow).size() == 1U);
     BOOST_TEST(findJob(fixture.cell, "a")->startedAny); // so that the progress row is written
     onWritten(fixture.cell, fixture.now);
     BOOST_TEST(fixture.cell.workers.at("worker-1").acknowledgedEnd == 1);
@@ -357,7 +392,7 @@
     BOOST_TEST(withdrawJob(fixture.cell, "a"));
     BOOST_TEST((findJob(fixture.cell, "a") == nullptr));
     acceptJob(fixture.cell, spec, fixture.policy, fixture.now);
-    beginWrite(fixture.cell, 10);
+    beginWrite(fixture.cell, 10, oneRow);
     BOOST_TEST(!withdrawJob(fixture.cell, "a"));
     onWriteRefused(fixture.cell);
     BOOST_TEST(withdrawJob(fixture.cell, "a"));
--- /dev/null
+++ b/test/cell/writes_test.cpp
@@ -0,0 +1,281 @@
+#define BOOST_TEST_MODULE writes
+#include <boost/test/included/unit_test.hpp>
+
+#include "cell_fixture.h"
+#include "entry/entry.h"
+
+using namespace bramleygrade;
+using namespace bramleygrade::entry;
+using bramleygrade::testing::cell_fixture;
+
+namespace {
+
+/// A scheduler whose writes are kept until the test answers them.
+struct writing_fixture
+{
+    writing_fixture()
+        : entry(loop, makeSettings())
+    {
+        queue.name = "queue";
+        queue.service = "booking";
+        entry.config.version = 1;
+        entry.config.queues.push_back(queue);
+        entry.epoch = 3;
+        entry.role = entry_role::scheduler;
+        entry.incarnation = "life-1";
+        entry.lead = std::make_unique<scheduler_side>();
+        entry.lead->headVersion = 40;
+        entry.lead->sequence = 7;
+        entry.lead->membersChanged = false;
+        cell::beginEpoch(entry.lead->cell, entry.epoch, steadyNow());
+        cell::changeConfig(entry.lead->cell, entry.config);
+        entry.ports.store.write = [this](const table_write &write, timestamp,
+                                         const store_completion &done) {
+            writes.push_back(write);
+            completions.push_back(done);
+        };
+        entry.ports.store.read = [this](const row_range &range, timestamp,
+                                        const store_completion &done) {
+            reads.push_back(range.table);
+            completions.push_back(done);
+        };
+    }
+
+    static cell_settings makeSettings()
+    {
+        cell_settings settings;
+        settings.name = "entry-1";
+        settings.peerAddress = "10.0.0.1:1";
+        return settings;
+    }
+
+    static std::string nameOf(int number) { return "job-" + std::to_string(1'000 + number); }
+
+    void submit(const std::string &id, microseconds patience = 3 * second)
+    {
+        caller_call call;
+        call.kind = call_kind::submit;
+        call.queue = "queue";
+        call.job = id;
+        call.spec = cell_fixture::makeJob(id, {cell_fixture::makeStep(2, 1'000)});
+        handleCall(entry, call, steadyNow() + patience,
+                   [this, id](const caller_answer &answer) { answers[id] = answer.kind; });
+    }
+
+    void cancel(const std::string &id)
+    {
+        caller_call call;
+        call.kind = call_kind::cancel;
+        call.queue = "queue";
+        call.job = id;
+        handleCall(entry, call, steadyNow() + 3 * second, [](const caller_answer &) {});
+    }
+
+    /// Sends the next write, without the pause between two of them.
+    void write()
+    {
+        entry.lead->nextWriteAt = distantPast;
+        pumpWrites(entry);
+    }
+
+    void answer(const store_result &result)
+    {
+        const store_completion done = completions.back();
+        done(result);
+    }
+
+    void answerDone()
+    {
+        store_result result;
+        result.outcome = store_outcome::done;
+        result.version = ++version;
+        answer(result);
+    }
+
+    static store_result conflictWith(const stored_row &row)
+    {
+        store_result result;
+        result.outcome = store_outcome::conflict;
+        result.rows.push_back(row);
+        return result;
+    }
+
+    std::size_t rowsOfLastWrite() const
+    {
+        const table_write &last = writes.back();
+        return last.expected.size() + last.puts.size() + last.removals.size();
+    }
+
+    std::size_t puts(const char *table) const
+    {
+        const auto &rows = writes.back().puts;
+        return static_cast<std::size_t>(std::count_if(
+            rows.begin(), rows.end(), [&](const stored_row &row) { return row.table == table; }));
+    }
+
+    boost::asio::io_context loop;
+    entry_state entry;
+    cell::queue_policy queue;
+    std::vector<table_write> writes;
+    std::vector<std::string> reads;
+    std::vector<store_completion> completions;
+    std::map<std::string, answer_kind> answers;
+    std::int64_t version = 40;
+};
+
+/// Rows that one transaction of the users' store holds.
+constexpr std::size_t rowsPerTransaction = 100;
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(a_caller_hears_of_acceptance_only_after_the_write, writing_fixture)
+{
+    submit("a");
+    write();
+    BOOST_REQUIRE(writes.size() == 1U);
+    BOOST_TEST(answers.count("a") == 0U);
+    answerDone();
+    BOOST_TEST((answers.at("a") == answer_kind::accepted));
+}
+
+// Load pattern: a burst that one write does not hold.
+BOOST_FIXTURE_TEST_CASE(no_write_holds_more_rows_than_a_transaction, writing_fixture)
+{
+    for (int number = 0; number < 300; ++number) {
+        submit(nameOf(number));
+    }
+    std::size_t stored = 0;
+    while (stored < 300) {
+        write();
+        BOOST_TEST(rowsOfLastWrite() <= rowsPerTransaction);
+        BOOST_REQUIRE(puts(jobTable) > 0U);
+        stored += puts(jobTable);
+        answerDone();
+    }
+    BOOST_TEST(answers.size() == 300U);
+}
+
+// Load pattern: a slow store, trouble-2 of csuc-programari, where 54 of 113 requests failed.
+BOOST_FIXTURE_TEST_CASE(an_end_takes_one_row_while_changes_do_not_fit, writing_fixture)
+{
+    for (int number = 0; number < 40; ++number) {
+        submit(nameOf(number));
+    }
+    write();
+    answerDone();
+    write();
+    answerDone();
+    for (int number = 0; number < 40; ++number) {
+        cancel(nameOf(number));
+    }
+    write(); // 40 ends of three rows each do not fit
+    BOOST_TEST(puts(jobTable) == 40U);
+    BOOST_TEST(writes.back().removals.empty());
+    answerDone();
+    BOOST_TEST((cell::visiblePhase(*cell::findJob(entry.lead->cell, nameOf(0)))
+                == cell::job_phase::cancelled));
+    entry.lead->writtenAt = distantPast;
+    write(); // the rows are moved later
+    BOOST_TEST(puts(endedTable) > 0U);
+    BOOST_TEST(writes.back().removals.size() == 2 * puts(endedTable));
+}
+
+BOOST_FIXTURE_TEST_CASE(an_end_moves_its_rows_at_once_where_all_fits, writing_fixture)
+{
+    submit("a");
+    write();
+    answerDone();
+    cancel("a");
+    write();
+    BOOST_TEST(puts(endedTable) == 1U);
+    BOOST_TEST(writes.back().removals.size() == 2U);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_write_without_answer_is_sent_again_unchanged, writing_fixture)
+{
+    submit("a");
+    write();
+    answer({});
+    submit("b");
+    write();
+    BOOST_REQUIRE(writes.size() == 2U);
+    BOOST_TEST(writes[1].puts.size() == writes[0].puts.size());
+    BOOST_TEST(writes[1].puts.front().value == writes[0].puts.front().value);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_write_that_was_refused_takes_newer_changes_along, writing_fixture)
+{
+    submit("a");
+    write();
+    store_result refused;
+    refused.outcome = store_outcome::refused;
+    submit("b");
+    answer(refused);
+    write();
+    BOOST_TEST(puts(jobTable) == 2U);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_conflict_with_the_own_sequence_shows_that_an_earlier_try_had_effect,
+                        writing_fixture)
+{
+    submit("a");
+    write();
+    answer({});
+    write();
+    answer(conflictWith(
+        {headTable, headKey, encodeHead({3, 8, "entry-1", "10.0.0.1:1", "life-1"}), 41, false}));
+    BOOST_TEST((answers.at("a") == answer_kind::accepted));
+    BOOST_TEST(entry.lead->headVersion == 41);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_conflict_with_another_scheduler_ends_the_epoch, writing_fixture)
+{
+    submit("a");
+    write();
+    answer(conflictWith(
+        {headTable, headKey, encodeHead({4, 1, "entry-2", "10.0.0.2:1", "life-2"}), 42, false}));
+    BOOST_TEST(!entry.lead);
+    BOOST_TEST(entry.epoch == 4);
+    BOOST_TEST(entry.scheduler.name == "entry-2");
+    BOOST_TEST((answers.count("a") == 0U || answers.at("a") != answer_kind::accepted));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_job_that_ended_under_an_earlier_scheduler_runs_no_more, writing_fixture)
+{
+    submit("a");
+    submit("b");
+    write();
+    answer(
+        conflictWith({endedTable, "a", encodeEnded({cell::job_phase::completed, 1}), 30, false}));
+    BOOST_TEST((answers.at("a") == answer_kind::accepted)); // it is known
+    BOOST_TEST(!cell::findJob(entry.lead->cell, "a"));
+    write();
+    answerDone();
+    BOOST_TEST((answers.at("b") == answer_kind::accepted));
+}
+
+// Load pattern: the store takes seconds for each write.
+BOOST_FIXTURE_TEST_CASE(what_cannot_be_stored_in_time_is_refused_at_once, writing_fixture)
+{
+    entry.lead->writeTook = 700 * millisecond;
+    submit("a", 3 * second);
+    BOOST_TEST(answers.count("a") == 0U);
+    submit("b", 500 * millisecond);
+    BOOST_TEST((answers.at("b") == answer_kind::refused));
+    BOOST_TEST(!cell::findJob(entry.lead->cell, "b")); // it never runs
+    for (int number = 0; number < 200; ++number) {
+        submit(nameOf(number), 3 * second);
+    }
+    BOOST_TEST((answers.at(nameOf(199)) == answer_kind::refused)); // too many writes ahead
+}
+
+BOOST_FIXTURE_TEST_CASE(a_refusal_is_told_only_of_what_no_write_holds, writing_fixture)
+{
+    submit("a", second);
+    write();
+    submit("b", second);
+    expireWaiters(entry, steadyNow() + 2 * second);
+    BOOST_TEST((answers.at("a") == answer_kind::unknown)); // its write may have had effect
+    BOOST_TEST((answers.at("b") == answer_kind::refused));
+    BOOST_TEST(!cell::findJob(entry.lead->cell, "b"));
+}
--- a/testing/cell/cell_history.cpp
+++ b/testing/cell/cell_history.cpp
@@ -16,7 +16,9 @@
 constexpr microseconds lookWait = 200 * millisecond;
 /// Time for all jobs to end after the trouble.
 constexpr microseconds calmLimit = 60 * second;
-constexpr std::size_t jobsPerWrite = 30;
+constexpr std::size_t rowsPerWrite = 30;
+/// Share of the jobs whose end is first written in place of the job's row.
+constexpr double endedInPlaceShare = 0.5;
 
 } // namespace
 
@@ -83,6 +85,10 @@
     config.queues.push_back(makePolicy(1));
     cell::changeConfig(made->cell, config);
     for (const auto &[id, value] : store.jobs) {
+        if (const auto ended = entry::decodeEnded(value)) {
+            cell::inheritEnded(made->cell, id, ended->phase, now);
+            continue;
+        }
         std::int64_t accepted = 0;
         auto job = entry::decodeJob(id, value, accepted);
         const auto progress = store.progress.find(id);
@@ -217,12 +223,20 @@
         return;
     }
     store_double change;
-    for (const std::string &id : cell::beginWrite(cell, jobsPerWrite)) {
+    for (const std::string &id :
+         cell::beginWrite(cell, rowsPerWrite, [](const std::string &) { return 1U; })) {
         if (id == cell::workerListChange) {
             change.workers = entry::encodeWorkers(cell.workers);
             continue;
         }
         const cell::job_state *job = cell::findJob(cell, id);
+        if (job == nullptr) {
+            continue; // forgotten before its rows were removed
+        }
+        if (job->finalPhase && job->stored && !job->finalStored && chance(endedInPlaceShare)) {
+            change.endedInPlace[id] = entry::encodeEnded({*job->finalPhase, 0});
+            continue;
+        }
         if (job->finalPhase) {
             change.ended[id] = *job->finalPhase;
             continue;
@@ -251,6 +265,10 @@
             store.progress.erase(id);
         }
         cell::onWritten(scheduler->cell, now);
+        for (const auto &[id, value] : change.endedInPlace) {
+            store.jobs[id] = value;
+            cell::noteChange(scheduler->cell, id, false);
+        }
         for (const auto &[id, value] : change.jobs) {
             accepted.insert(id);
         }
--- a/testing/cell/cell_history.h
+++ b/testing/cell/cell_history.h
@@ -36,6 +36,8 @@
     std::map<std::string, std::string> jobs;
     std::map<std::string, std::string> progress;
     std::map<std::string, cell::job_phase> ended;
+    /// Rows that stand in place of the jobs' own.
+    std::map<std::string, std::string> endedInPlace;
     /// Workers in use.
     std::string workers = "{}";
     bool up = true;
