A silent scheduler is looked for after 450 ms, and all are asked at once

Ruled out: loading and settling (0.05 s).

Change: signs of life every 150 ms, three missing ones (450 ms) start a look; the greeting and the questions to the others go out together and get 200 ms; a sign of life that comes meanwhile ends the look. Reading the rows is tried again after a pause, and a new scheduler that cannot read them for 3 s hands over. Calls that wait for a scheduler are bounded (2,000 an entry), the rest is refused at once.

Tests: three entries on loopback over a table in memory (cell_cluster). Mutations that make it fail: no hand-over at the stop, none while loading, writes without the condition on the head row, claims without it, no forwarding.

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -74,6 +74,11 @@
     add_test(NAME cell_${unit} COMMAND cell_${unit}_test)
 endforeach()
 
+add_executable(cell_cluster_test test/cell/cluster_test.cpp testing/cell/memory_table.cpp)
+target_include_directories(cell_cluster_test PRIVATE ${CMAKE_SOURCE_DIR} ${CMAKE_SOURCE_DIR}/test/cell)
+target_link_libraries(cell_cluster_test PRIVATE bramleygrade_platform Boost::headers)
+add_test(NAME cell_cluster COMMAND cell_cluster_test)
+
 add_executable(platform_formats_test platform/test/formats_test.cpp)
 target_link_libraries(platform_formats_test PRIVATE bramleygrade_platform Boost::headers)
 add_test(NAME platform_formats COMMAND platform_formats_test)
--- a/src/entry/callers.cpp
+++ b/src/entry/callers.cpp
@@ -21,6 +21,10 @@
 constexpr microseconds pendingAge = 1 * second;
 constexpr microseconds schedulerSilence = 1'200 * millisecond;
 
+/// Calls that one entry has under way: three seconds of the users' target of 180 starts a second,
+/// several times over, as each holds a connection.
+constexpr std::size_t mostForwarded = 2'000;
+
 using call_pointer = std::shared_ptr<forwarded_call>;
 
 void conclude(entry_state &entry, const call_pointer &call, caller_answer answer)
@@ -178,6 +182,14 @@
     if (answerPending(entry, decoded.call, answer)) {
         return;
     }
+    if (entry.forwarded.size() >= mostForwarded) {
+        caller_answer full;
+        full.kind = answer_kind::refused;
+        full.retryAfter = retryAfter;
+        full.reason = "too many calls wait for the scheduler";
+        answer(full);
+        return;
+    }
     const auto call = std::make_shared<forwarded_call>();
     call->call = decoded.call;
     const microseconds patience = decoded.patience > 0 ? decoded.patience : defaultPatience;
--- a/src/entry/calls.cpp
+++ b/src/entry/calls.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+/// Calls that wait while the rows are loaded: those of some ten seconds (200 a second at most in
+/// the users' target).
+constexpr std::size_t mostEarlyCalls = 2'000;
 constexpr microseconds lookupPatience = 800 * millisecond;
 /// Time after which a refused caller may come back, while the store is in trouble.
 constexpr microseconds storeRetryAfter = 2 * second;
@@ -25,12 +28,13 @@
     answer(reply);
 }
 
-void refuse(entry_state &entry, const caller_call &call, const answer_function &answer)
+void refuse(entry_state &entry, const caller_call &call, const answer_function &answer,
+            const char *reason)
 {
     caller_answer reply;
     reply.kind = answer_kind::refused;
     reply.retryAfter = storeRetryAfter;
-    reply.reason = "the table service does not answer in time";
+    reply.reason = reason;
     const timestamp now = steadyNow();
     logEvent(entry, "call_refused",
              {{"job", call.job},
@@ -97,7 +101,7 @@
         return;
     }
     if (isStoreInTrouble(lead, now) || expectedStoredAt(lead, now) > deadline) {
-        refuse(entry, call, answer);
+        refuse(entry, call, answer, "the table service does not answer in time");
         return;
     }
     cell::job_spec spec = call.spec;
@@ -150,6 +154,10 @@
         return;
     }
     if (entry.role == entry_role::loading) {
+        if (entry.lead->early.size() >= mostEarlyCalls) {
+            refuse(entry, call, answer, "too many calls wait for the scheduler to start");
+            return;
+        }
         entry.lead->early.emplace_back(
             [&entry, call, deadline, answer] { handleCall(entry, call, deadline, answer); });
         return;
--- a/src/entry/daemon.cpp
+++ b/src/entry/daemon.cpp
@@ -112,6 +112,8 @@
     handOver(entry, [](bool) {}); // if it is refused, `continueStop` asks again
 }
 
+} // namespace
+
 void beginStop(entry_state &entry)
 {
     if (entry.stopping) {
@@ -128,6 +130,8 @@
     giveLeadAway(entry);
 }
 
+namespace {
+
 void continueStop(entry_state &entry, timestamp now)
 {
     const timestamp rotated =
@@ -245,6 +249,21 @@
 
 } // namespace
 
+std::string startEntry(entry_state &entry)
+{
+    std::string error = listenAll(entry);
+    if (error.empty()) {
+        logEvent(entry, "started",
+                 {{"incarnation", entry.incarnation},
+                  {"domain", entry.settings.failureDomain},
+                  {"callers", entry.settings.callerAddress},
+                  {"store", entry.settings.storeAddress}});
+        watchConfig(entry);
+        runTicks(entry);
+    }
+    return error;
+}
+
 timestamp steadyNow()
 {
     return readClock(CLOCK_BOOTTIME);
@@ -278,22 +297,15 @@
     boost::asio::io_context loop(1);
     entry_state entry(loop, *settings);
     entry.ports = connect(entry.settings, entry.client);
-    const std::string error = listenAll(entry);
+    const std::string error = startEntry(entry);
     if (!error.empty()) {
         std::cerr << settingsPath << ": " << error << std::endl;
         return 2;
     }
-    logEvent(entry, "started",
-             {{"incarnation", entry.incarnation},
-              {"domain", entry.settings.failureDomain},
-              {"callers", entry.settings.callerAddress},
-              {"store", entry.settings.storeAddress}});
     settings_watch watch {settingsPath, readAll(settingsPath), boost::asio::steady_timer(loop)};
     boost::asio::signal_set signals(loop, SIGTERM, SIGINT, SIGHUP);
     handleSignals(entry, signals, watch);
     watchSettings(entry, watch);
-    watchConfig(entry);
-    runTicks(entry);
     loop.run();
     return 0;
 }
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -164,6 +164,13 @@
 
 member self(const entry_state &entry);
 
+// daemon.cpp
+/// Listens, follows the configuration and the scheduler. Returns an empty text, or what keeps the
+/// entry from starting and what to do.
+std::string startEntry(entry_state &entry);
+/// Takes no new connections, hands a lead over, and ends once what is in progress is answered.
+void beginStop(entry_state &entry);
+
 // callers.cpp
 void serveCaller(entry_state &entry, const net::http_request &request,
                  const net::http_server::responder &respond);
@@ -216,6 +223,8 @@
                 const answer_function &answer);
 
 // watches.cpp
+/// Runs `run` on the entry's loop after the pause, unless the loop has ended.
+void later(entry_state &entry, microseconds pause, const std::function<void()> &run);
 void watchConfig(entry_state &entry);
 void watchWorkers(entry_state &entry, std::int64_t epoch);
 
--- a/src/entry/leading.cpp
+++ b/src/entry/leading.cpp
@@ -13,10 +13,13 @@
 /// The same beyond the time that a look may wait.
 constexpr microseconds lookPatience = 600 * millisecond;
 constexpr microseconds loadPatience = 1'500 * millisecond;
+constexpr microseconds loadRetryPause = 100 * millisecond;
 /// Without proof for this long that nobody else is the scheduler, nothing more is ordered.
 constexpr microseconds unconfirmedLimit = 2'500 * millisecond;
 /// Store trouble of this length makes the scheduler look for an entry that reaches the store.
 constexpr microseconds storeTroubleLimit = 900 * millisecond;
+/// The same while the rows are loaded: a slow store takes a second or two for that.
+constexpr microseconds loadTroubleLimit = 3 * second;
 constexpr microseconds handoverPause = 1 * second;
 
 /// Rows of one table, read page by page.
@@ -36,7 +39,11 @@
                 return;
             }
             if (result.outcome != store_outcome::done) {
-                loadTable(entry, epoch, load, from, done);
+                later(entry, loadRetryPause, [&entry, epoch, load, from, done] {
+                    if (entry.lead && entry.epoch == epoch) {
+                        loadTable(entry, epoch, load, from, done);
+                    }
+                });
                 return;
             }
             load->rows.insert(load->rows.end(), result.rows.begin(), result.rows.end());
@@ -262,16 +269,17 @@
 void checkStore(entry_state &entry, timestamp now)
 {
     scheduler_side &lead = *entry.lead;
-    const bool trouble = lead.write && now > lead.writeStartedAt + storeTroubleLimit;
-    if (!trouble || now < lead.nextHandoverAt) {
-        return;
-    }
-    if (lead.handoverInFlight) {
+    const bool loading = entry.role == entry_role::loading;
+    const timestamp since = loading ? lead.cell.tookOverAt : lead.writeStartedAt;
+    const microseconds limit = loading ? loadTroubleLimit : storeTroubleLimit;
+    const bool trouble = (loading || lead.write) && now > since + limit;
+    if (!trouble || now < lead.nextHandoverAt || lead.handoverInFlight) {
         return;
     }
     lead.nextHandoverAt = now + handoverPause;
     logEvent(entry, "store_lost",
-             {{"write_age_ms", std::to_string((now - lead.writeStartedAt) / millisecond)}});
+             {{"loading", loading ? "yes" : "no"},
+              {"call_age_ms", std::to_string((now - since) / millisecond)}});
     handOver(entry, [](bool) {});
 }
 
@@ -353,18 +361,14 @@
     if (now >= entry.lead->nextBeatAt) {
         sendBeats(entry, now);
     }
+    checkStore(entry, now);
     if (entry.role != entry_role::scheduler) {
         return;
     }
     checkConfirmation(entry, now);
-    checkStore(entry, now);
-    if (entry.lead) {
-        pumpAdvice(entry);
-    }
-    if (entry.lead) {
-        expireWaiters(entry, now);
-        pumpWrites(entry);
-    }
+    pumpAdvice(entry);
+    expireWaiters(entry, now);
+    pumpWrites(entry);
 }
 
 } // namespace bramleygrade::entry
--- a/src/entry/membership.cpp
+++ b/src/entry/membership.cpp
@@ -8,16 +8,16 @@
 namespace {
 
 /// Silence after which a scheduler is looked for; three signs of life are missing by then.
-constexpr microseconds silenceLimit = 700 * millisecond;
+constexpr microseconds silenceLimit = 450 * millisecond;
 /// Pause between two looks for the scheduler.
 constexpr microseconds probePause = 150 * millisecond;
 /// Time that another entry gets to answer.
-constexpr microseconds peerPatience = 350 * millisecond;
+constexpr microseconds peerPatience = 200 * millisecond;
 constexpr microseconds storePatience = 700 * millisecond;
 /// A sign of life that another entry heard within this counts as ours.
-constexpr microseconds freshHearing = 500 * millisecond;
+constexpr microseconds freshHearing = 350 * millisecond;
 /// Claims are spread over this much time, so that one of many claimants is first.
-constexpr microseconds claimSpread = 160 * millisecond;
+constexpr microseconds claimSpread = 100 * millisecond;
 
 microseconds claimDelay(const entry_state &entry)
 {
@@ -36,73 +36,92 @@
     claimHead(entry, version, epoch, [&entry](bool) { endProbe(entry); });
 }
 
-/// Asks the other entries whether they hear the scheduler; claims the head if none does.
-void askOpinions(entry_state &entry, std::int64_t version, std::int64_t epoch)
+/// One look for the scheduler: what it and the other entries answer.
+struct scheduler_look
 {
-    struct poll
-    {
-        std::size_t open = 0;
-        std::size_t answers = 0;
-        bool heard = false;
-    };
-    const auto asked = std::make_shared<poll>();
-    std::vector<std::string> addresses;
-    for (const auto &[name, address] : entry.members) {
-        if (name != entry.settings.name && name != entry.scheduler.name) {
-            addresses.push_back(address);
-        }
-    }
-    if (addresses.empty()) {
-        claimAfterProbe(entry, version, epoch);
+    std::int64_t version = 0;
+    std::int64_t epoch = 0;
+    timestamp startedAt = distantPast;
+    std::size_t open = 0;
+    bool heard = false;
+    bool ended = false;
+};
+
+using look_pointer = std::shared_ptr<scheduler_look>;
+
+void endLook(entry_state &entry, const look_pointer &look)
+{
+    look->ended = true;
+    endProbe(entry);
+}
+
+/// Takes one answer into account; after the last one claims the head, if nobody hears the
+/// scheduler.
+void settleLook(entry_state &entry, const look_pointer &look)
+{
+    if (look->ended || --look->open > 0) {
         return;
     }
-    asked->open = addresses.size();
-    for (const std::string &address : addresses) {
-        sendPeer(entry, address, "/word", "{}", peerPatience, true,
-                 [&entry, asked, version, epoch](const net::call_result &result) {
-                     const auto word = decodeWord(result.body);
-                     if (result.status == 200 && word) {
-                         ++asked->answers;
-                         asked->heard = asked->heard
-                             || (word->epoch >= epoch && word->heardAgo >= 0
-                                 && word->heardAgo < freshHearing);
-                     }
-                     if (--asked->open > 0) {
-                         return;
-                     }
-                     if (asked->heard) {
-                         endProbe(entry);
-                         return;
-                     }
-                     claimAfterProbe(entry, version, epoch);
-                 });
+    look->ended = true;
+    if (look->heard || entry.heardAt > look->startedAt) {
+        endProbe(entry);
+    } else {
+        claimAfterProbe(entry, look->version, look->epoch);
     }
 }
 
-/// Joins the scheduler that the head row names. One that was not known before gets some time to
-/// start, unless it says that it does not act.
-void greetScheduler(entry_state &entry, const head_row &head, std::int64_t version, bool isNew)
+/// Asks another entry whether it hears the scheduler.
+void askOpinion(entry_state &entry, const std::string &address, const look_pointer &look)
 {
+    sendPeer(entry, address, "/word", "{}", peerPatience, true,
+             [&entry, look](const net::call_result &result) {
+                 const auto word = decodeWord(result.body);
+                 const bool hears = result.status == 200 && word && word->epoch >= look->epoch
+                     && word->heardAgo >= 0 && word->heardAgo < freshHearing;
+                 look->heard = look->heard || hears;
+                 settleLook(entry, look);
+             });
+}
+
+/// Joins the scheduler that the head row names, and asks the other entries at the same time
+/// whether they hear it. A scheduler that was not known before gets some time to start, unless
+/// it says that it does not act.
+void lookForScheduler(entry_state &entry, const head_row &head, std::int64_t version, bool isNew)
+{
+    const auto look = std::make_shared<scheduler_look>();
+    look->version = version;
+    look->epoch = head.epoch;
+    look->startedAt = steadyNow();
+    std::vector<std::string> others;
+    for (const auto &[name, address] : entry.members) {
+        if (name != entry.settings.name && address != head.address) {
+            others.push_back(address);
+        }
+    }
+    look->open = others.size() + 1;
     member_word word;
     word.sender = self(entry);
     word.epoch = head.epoch;
     sendPeer(entry, head.address, "/hello", encodeWord(word), peerPatience, true,
-             [&entry, head, version, isNew](const net::call_result &result) {
+             [&entry, look, isNew](const net::call_result &result) {
                  const auto answer = decodeWord(result.body);
                  const bool answered = result.status == 200 && answer;
                  const bool firstTry = isNew && entry.heardAt != distantPast;
-                 if (firstTry && !answered && result.outcome == net::call_outcome::unanswered) {
+                 if (answered && answer->isScheduler) {
+                     noteScheduler(entry, answer->epoch, answer->sender, steadyNow());
+                 } else if (firstTry && result.outcome == net::call_outcome::unanswered) {
                      entry.heardAt = steadyNow();
-                     endProbe(entry);
+                 } else {
+                     settleLook(entry, look);
                      return;
                  }
-                 if (result.status == 200 && answer && answer->isScheduler) {
-                     noteScheduler(entry, answer->epoch, answer->sender, steadyNow());
-                     endProbe(entry);
-                     return;
+                 if (!look->ended) {
+                     endLook(entry, look);
                  }
-                 askOpinions(entry, version, head.epoch);
              });
+    for (const std::string &address : others) {
+        askOpinion(entry, address, look);
+    }
 }
 
 void probeScheduler(entry_state &entry)
@@ -127,7 +146,7 @@
                      claimAfterProbe(entry, version, head->epoch);
                      return;
                  }
-                 greetScheduler(entry, *head, version, false);
+                 lookForScheduler(entry, *head, version, false);
              });
 }
 
--- a/src/entry/peers.cpp
+++ b/src/entry/peers.cpp
@@ -6,12 +6,12 @@
 
 namespace {
 
-constexpr microseconds beatInterval = 250 * millisecond;
+constexpr microseconds beatInterval = 150 * millisecond;
 constexpr microseconds beatPatience = 400 * millisecond;
 /// Longest time that a call of another entry may wait here (the longest that callers may wait).
 constexpr microseconds longestCallWait = 10 * second;
-/// Beats that a member may miss before it is forgotten.
-constexpr int membersForgottenAfter = 40;
+/// Beats that a member may miss before it is forgotten: those of ten seconds.
+constexpr int membersForgottenAfter = static_cast<int>(10 * second / beatInterval);
 
 void answerWith(const net::http_server::responder &respond, int status, std::string body)
 {
--- a/src/entry/watches.cpp
+++ b/src/entry/watches.cpp
@@ -14,17 +14,6 @@
 constexpr microseconds readPatience = 800 * millisecond;
 constexpr microseconds retryPause = 150 * millisecond;
 
-void later(entry_state &entry, microseconds pause, const std::function<void()> &run)
-{
-    const auto timer = std::make_shared<boost::asio::steady_timer>(entry.loop);
-    timer->expires_after(std::chrono::microseconds(pause));
-    timer->async_wait([timer, run](boost::system::error_code error) {
-        if (!error) {
-            run();
-        }
-    });
-}
-
 void noteStore(entry_state &entry, bool reachable)
 {
     if (entry.storeReachable != reachable) {
@@ -233,6 +222,17 @@
 
 } // namespace
 
+void later(entry_state &entry, microseconds pause, const std::function<void()> &run)
+{
+    const auto timer = std::make_shared<boost::asio::steady_timer>(entry.loop);
+    timer->expires_after(std::chrono::microseconds(pause));
+    timer->async_wait([timer, run](boost::system::error_code error) {
+        if (!error) {
+            run();
+        }
+    });
+}
+
 void watchConfig(entry_state &entry)
 {
     if (entry.configWatchVersion == 0) {
--- /dev/null
+++ b/test/cell/cluster_fixture.h
@@ -0,0 +1,193 @@
+#pragma once
+
+#include <chrono>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <unistd.h>
+
+#include "entry/entry.h"
+#include "testing/cell/memory_table.h"
+
+namespace bramleygrade::testing {
+
+/// Answers of the entries to callers, as status codes.
+inline net::http_response encodePlain(const entry::caller_answer &answer)
+{
+    net::http_response response;
+    switch (answer.kind) {
+    case entry::answer_kind::accepted:
+    case entry::answer_kind::state:
+        response.status = 200;
+        break;
+    case entry::answer_kind::refused:
+        response.status = 503;
+        break;
+    case entry::answer_kind::no_such_job:
+        response.status = 410;
+        break;
+    default:
+        response.status = 504;
+    }
+    return response;
+}
+
+/// POST /ID submits a job of one task, GET /ID asks for its state.
+inline entry::decoded_request decodePlain(const net::http_request &request)
+{
+    entry::decoded_request decoded;
+    decoded.isCall = true;
+    decoded.call.queue = "queue";
+    decoded.call.job = request.target.substr(1);
+    decoded.call.kind =
+        request.method == "POST" ? entry::call_kind::submit : entry::call_kind::state;
+    cell::step_spec step;
+    step.demand = {1'000, 100, 0};
+    step.estimate = second;
+    decoded.call.spec.steps.push_back(step);
+    return decoded;
+}
+
+/// An entry on an event loop of its own, so that a test can freeze it.
+struct cluster_member
+{
+    boost::asio::io_context loop;
+    std::unique_ptr<entry::entry_state> entry;
+    bool frozen = false;
+};
+
+/// Some entries on loopback that share a table in memory. There are no workers: jobs stay queued.
+class cluster_fixture
+{
+public:
+    cluster_fixture()
+    {
+        for (int index = 0; index < 3; ++index) {
+            add("entry-" + std::to_string(index + 1));
+        }
+    }
+
+    cluster_member &add(const std::string &name)
+    {
+        members.push_back(std::make_unique<cluster_member>());
+        cluster_member &made = *members.back();
+        entry::cell_settings settings;
+        settings.name = name;
+        settings.callerAddress = nextAddress();
+        settings.readyAddress = nextAddress();
+        settings.peerAddress = nextAddress();
+        settings.logLinesPerSecond = 0;
+        settings.shutdownGrace = 6 * second;
+        made.entry = std::make_unique<entry::entry_state>(made.loop, settings);
+        entry::entry_state &entry = *made.entry;
+        entry.ports.store = table.portFor(name, made.loop);
+        entry.ports.translate.decode = [](const net::http_request &request,
+                                          const cell::cell_config &) {
+            return decodePlain(request);
+        };
+        entry.ports.translate.encode = encodePlain;
+        entry.ports.translate.workerTable = "registry";
+        entry.ports.translate.configTable = "configuration";
+        entry.config.version = 1;
+        cell::queue_policy queue;
+        queue.name = "queue";
+        entry.config.queues.push_back(queue);
+        const std::string error = entry::startEntry(entry);
+        startError = startError.empty() ? error : startError;
+        return made;
+    }
+
+    /// Runs the loops of all entries that are not frozen until the condition holds; returns false
+    /// if it does not within 20 s.
+    template <typename Condition>
+    bool runUntil(Condition holds)
+    {
+        const auto giveUpAt = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+        while (!holds()) {
+            if (std::chrono::steady_clock::now() > giveUpAt) {
+                return false;
+            }
+            for (const auto &member : members) {
+                if (!member->frozen) {
+                    member->loop.restart();
+                    member->loop.poll();
+                }
+            }
+            clientLoop.restart();
+            clientLoop.run_for(std::chrono::milliseconds(1));
+        }
+        return true;
+    }
+
+    /// The member that leads and is not frozen; null if there is none.
+    cluster_member *leader()
+    {
+        for (const auto &member : members) {
+            if (!member->frozen && member->entry->role == entry::entry_role::scheduler) {
+                return member.get();
+            }
+        }
+        return nullptr;
+    }
+
+    /// Whether one member leads and all others that run follow it.
+    bool agree()
+    {
+        const cluster_member *lead = leader();
+        if (lead == nullptr) {
+            return false;
+        }
+        for (const auto &member : members) {
+            const entry::entry_state &entry = *member->entry;
+            if (!member->frozen && !entry.stopping
+                && (entry.epoch != lead->entry->epoch
+                    || entry.scheduler.name != lead->entry->settings.name)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /// Sends a call of a caller; its status is written to `status` once it has come.
+    void call(const cluster_member &to, const char *method, const std::string &job, int &status)
+    {
+        net::http_call request;
+        request.address = to.entry->settings.callerAddress;
+        request.method = method;
+        request.target = "/" + job;
+        request.deadline = entry::steadyNow() + 10 * second;
+        client.send(std::move(request),
+                    [&status](const net::call_result &result) { status = result.status; });
+    }
+
+    /// The same, and waits for the answer.
+    int statusOf(const cluster_member &to, const char *method, const std::string &job)
+    {
+        int status = -1;
+        call(to, method, job, status);
+        runUntil([&] { return status != -1; });
+        return status;
+    }
+
+    memory_table table;
+    std::vector<std::unique_ptr<cluster_member>> members;
+    std::string startError;
+
+private:
+    /// Ports differ between processes that run at the same time.
+    std::string nextAddress()
+    {
+        constexpr int firstPort = 20'000;
+        constexpr int portsPerProcess = 200;
+        constexpr int processes = 60;
+        static int used = 0;
+        return "127.0.0.1:"
+            + std::to_string(firstPort + (getpid() % processes) * portsPerProcess + used++);
+    }
+
+    boost::asio::io_context clientLoop;
+    net::http_client client {clientLoop, entry::steadyNow};
+};
+
+} // namespace bramleygrade::testing
--- /dev/null
+++ b/test/cell/cluster_test.cpp
@@ -0,0 +1,138 @@
+#define BOOST_TEST_MODULE cluster
+#include <boost/test/included/unit_test.hpp>
+
+#include "cluster_fixture.h"
+
+using namespace bramleygrade;
+using namespace bramleygrade::entry;
+using bramleygrade::testing::cluster_fixture;
+using bramleygrade::testing::cluster_member;
+
+namespace {
+
+/// A member that does not lead.
+cluster_member &follower(cluster_fixture &cluster)
+{
+    for (const auto &member : cluster.members) {
+        if (!member->frozen && member.get() != cluster.leader()) {
+            return *member;
+        }
+    }
+    return *cluster.members.front();
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(one_entry_leads_and_the_others_follow_it, cluster_fixture)
+{
+    BOOST_REQUIRE(startError.empty());
+    BOOST_REQUIRE(runUntil([this] { return agree(); }));
+    std::size_t leads = 0;
+    for (const auto &member : members) {
+        leads += member->entry->lead ? 1U : 0U;
+    }
+    BOOST_TEST(leads == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_job_handed_in_at_every_entry_is_one_job, cluster_fixture)
+{
+    BOOST_REQUIRE_MESSAGE(startError.empty(), startError);
+    BOOST_REQUIRE(runUntil([this] { return agree(); }));
+    for (const auto &member : members) {
+        BOOST_TEST(statusOf(*member, "POST", "a") == 200);
+    }
+    BOOST_TEST(table.rowsIn(jobTable) == 1U);
+    for (const auto &member : members) {
+        BOOST_TEST(statusOf(*member, "GET", "a") == 200);
+        BOOST_TEST(statusOf(*member, "GET", "b") == 410);
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(another_entry_leads_after_the_scheduler_has_frozen, cluster_fixture)
+{
+    BOOST_REQUIRE_MESSAGE(startError.empty(), startError);
+    BOOST_REQUIRE(runUntil([this] { return agree(); }));
+    cluster_member &first = *leader();
+    BOOST_TEST(statusOf(first, "POST", "a") == 200);
+    const std::int64_t epoch = first.entry->epoch;
+    first.frozen = true;
+    BOOST_REQUIRE(runUntil([this] { return agree(); }));
+    BOOST_TEST(leader()->entry->epoch > epoch);
+    BOOST_TEST(statusOf(follower(*this), "GET", "a") == 200); // nothing accepted is lost
+}
+
+BOOST_FIXTURE_TEST_CASE(a_scheduler_that_wakes_accepts_nothing_under_its_old_epoch, cluster_fixture)
+{
+    BOOST_REQUIRE_MESSAGE(startError.empty(), startError);
+    BOOST_REQUIRE(runUntil([this] { return agree(); }));
+    cluster_member &first = *leader();
+    first.frozen = true;
+    int status = -1;
+    call(first, "POST", "a", status); // waits in its socket
+    BOOST_REQUIRE(runUntil([this] { return agree(); }));
+    const std::int64_t epoch = leader()->entry->epoch;
+    first.frozen = false;
+    BOOST_REQUIRE(runUntil([&] { return status != -1 && !first.entry->lead; }));
+    BOOST_REQUIRE(runUntil([this] { return agree(); }));
+    BOOST_TEST(leader()->entry->epoch == epoch);
+    // What a caller was told holds at the new scheduler.
+    BOOST_TEST(statusOf(*leader(), "GET", "a") == (status == 200 ? 200 : 410));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_scheduler_that_stops_hands_over_before_it_ends, cluster_fixture)
+{
+    BOOST_REQUIRE_MESSAGE(startError.empty(), startError);
+    BOOST_REQUIRE(runUntil([this] { return agree(); }));
+    cluster_member &first = *leader();
+    const std::int64_t epoch = first.entry->epoch;
+    BOOST_TEST(statusOf(first, "POST", "a") == 200);
+    beginStop(*first.entry);
+    BOOST_REQUIRE(runUntil([&] { return leader() != nullptr && leader() != &first; }));
+    BOOST_TEST(!first.entry->finished);
+    BOOST_TEST(leader()->entry->epoch == epoch + 1);
+    BOOST_REQUIRE(runUntil([this] { return agree(); }));
+    BOOST_TEST(statusOf(first, "GET", "a") == 200); // it still answers its callers
+}
+
+BOOST_FIXTURE_TEST_CASE(a_scheduler_cut_off_from_the_store_hands_over, cluster_fixture)
+{
+    BOOST_REQUIRE_MESSAGE(startError.empty(), startError);
+    BOOST_REQUIRE(runUntil([this] { return agree(); }));
+    cluster_member &first = *leader();
+    table.cut.insert(first.entry->settings.name);
+    int status = -1;
+    call(first, "POST", "a", status);
+    BOOST_REQUIRE(runUntil([&] { return leader() != nullptr && leader() != &first; }));
+    BOOST_REQUIRE(runUntil([&] { return status != -1 && agree(); }));
+    BOOST_TEST(statusOf(follower(*this), "POST", "b") == 200);
+    // What was told of the call during the change is true.
+    BOOST_TEST((status != 200 || table.rowsIn(jobTable) == 2U));
+}
+
+BOOST_FIXTURE_TEST_CASE(an_entry_that_cannot_load_the_rows_hands_over, cluster_fixture)
+{
+    BOOST_REQUIRE_MESSAGE(startError.empty(), startError);
+    BOOST_REQUIRE(runUntil([this] { return agree(); }));
+    leader()->frozen = true;
+    table.cutNextWriter = true; // the claimant, before it reads the rows
+    BOOST_REQUIRE(runUntil([this] { return !table.cut.empty(); }));
+    BOOST_REQUIRE(runUntil([this] { return leader() != nullptr && agree(); }));
+    BOOST_TEST(table.cut.count(leader()->entry->settings.name) == 0U);
+    BOOST_TEST(statusOf(*leader(), "POST", "a") == 200);
+}
+
+BOOST_FIXTURE_TEST_CASE(jobs_outlive_all_entries, cluster_fixture)
+{
+    BOOST_REQUIRE_MESSAGE(startError.empty(), startError);
+    BOOST_REQUIRE(runUntil([this] { return agree(); }));
+    BOOST_TEST(statusOf(*leader(), "POST", "a") == 200);
+    for (const auto &member : members) {
+        member->frozen = true;
+    }
+    add("entry-4");
+    add("entry-5");
+    BOOST_REQUIRE(runUntil([this] { return agree(); }));
+    BOOST_TEST(statusOf(*members.back(), "GET", "a") == 200);
+    BOOST_TEST(statusOf(*members.back(), "POST", "a") == 200); // known: still one job
+    BOOST_TEST(table.rowsIn(jobTable) == 1U);
+}
--- /dev/null
+++ b/testing/cell/memory_table.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+
+#include "entry/ports.h"
+
+namespace bramleygrade::testing {
+
+/// A table service in memory: conditional writes, reads of ranges, no changes to watch. Every
+/// call takes effect at once and is answered by the caller's event loop.
+///
+///     memory_table table;
+///     entry.ports.store = table.portFor("entry-1", loop);
+///     table.cut.insert("entry-1"); // its calls get no answer and have no effect
+///
+/// Writes are atomic and versions rise with each one, as in the users' store.
+struct memory_table
+{
+    /// The port of one entry; the table must outlive it.
+    entry::store_port portFor(const std::string &entry, boost::asio::io_context &loop);
+
+    /// Number of rows in the table of this name.
+    std::size_t rowsIn(const std::string &table) const;
+
+    std::map<std::pair<std::string, std::string>, entry::stored_row> rows;
+    std::int64_t version = 0;
+    /// Entries whose calls fail.
+    std::set<std::string> cut;
+    /// The entry whose write takes effect next is cut off right after it.
+    bool cutNextWriter = false;
+    /// Watches that wait for changes which never come.
+    std::vector<entry::store_completion> watches;
+};
+
+} // namespace bramleygrade::testing
