A step that fits on no worker is skipped; the cost of a round is measured

Change: what a task needs is compared with the most that any worker of the service has free before the workers are gone through, and room before names.

--- /dev/null
+++ b/bench/cell_decision_cost.cpp
@@ -0,0 +1,131 @@
+// Cost of one round of placement by the number of workers and of steps that wait.
+
+#include <benchmark/benchmark.h>
+
+#include "cell/scheduler.h"
+
+using namespace bramleygrade;
+
+namespace {
+
+constexpr std::int64_t workerCpu = 32'000;
+
+cell::worker_entry makeWorker(int number)
+{
+    cell::worker_entry entry;
+    entry.id = "worker-" + std::to_string(number);
+    entry.service = "booking";
+    entry.address = "10.0.0.1:80";
+    entry.rack = "rack-" + std::to_string(number / 8);
+    entry.capacity = {workerCpu, 128'000, 0};
+    return entry;
+}
+
+cell::job_spec makeJob(const std::string &id, const std::string &queue, int count, std::int64_t cpu,
+                       bool gang)
+{
+    cell::step_spec step;
+    step.count = count;
+    step.demand = {cpu, 100, 0};
+    step.estimate = 4 * second;
+    step.gang = gang;
+    cell::job_spec spec;
+    spec.id = id;
+    spec.queue = queue;
+    spec.steps.push_back(step);
+    return spec;
+}
+
+/// A cell whose workers are full, with steps that wait for room.
+struct full_cell
+{
+    full_cell(int workers, int waiting)
+    {
+        cell::cell_config config;
+        config.version = 1;
+        for (int number = 0; number < 2; ++number) {
+            cell::queue_policy policy;
+            policy.name = number == 0 ? "lookups" : "plans";
+            policy.service = "booking";
+            policy.priority = number;
+            policy.slackFactor = 2;
+            policy.latencyTarget = second;
+            config.queues.push_back(policy);
+        }
+        cell::beginEpoch(cell, 1, now);
+        cell::changeConfig(cell, config);
+        std::vector<cell::worker_entry> entries;
+        for (int number = 0; number < workers; ++number) {
+            entries.push_back(makeWorker(number));
+        }
+        cell::changeWorkers(cell, entries, now);
+        store();
+        decide();
+        for (const cell::worker_entry &entry : entries) {
+            cell::worker_report report;
+            report.workerClock = now;
+            cell::orders out;
+            cell::onReport(cell, {entry.id, cell::fencingToken(cell, cell.workers.at(entry.id))},
+                           report, now, now, out);
+        }
+        for (int number = 0; number < workers; ++number) {
+            submit("filler-" + std::to_string(number), 0, 1, workerCpu - 500);
+        }
+        store();
+        decide();
+        for (int number = 0; number < waiting; ++number) {
+            submit("waiting-" + std::to_string(number), number % 8 == 0 ? 1 : 0,
+                   number % 8 == 0 ? 20 : 3, 5'000);
+        }
+        store();
+    }
+
+    void submit(const std::string &id, int queue, int count, std::int64_t cpu)
+    {
+        const cell::queue_policy &policy = cell.config.queues[static_cast<std::size_t>(queue)];
+        cell::acceptJob(cell, makeJob(id, policy.name, count, cpu, queue == 1), policy, now);
+    }
+
+    void store()
+    {
+        while (!cell.unsaved.empty()) {
+            cell::beginWrite(cell, 10'000, [](const std::string &) { return 1U; });
+            cell::onWritten(cell, now);
+        }
+    }
+
+    cell::orders decide()
+    {
+        cell::orders out;
+        cell.placeWanted = true;
+        cell::decide(cell, now, out);
+        return out;
+    }
+
+    timestamp now = 1'000 * second;
+    cell::scheduler cell;
+};
+
+void roundWithoutRoom(benchmark::State &state)
+{
+    full_cell fixture(static_cast<int>(state.range(0)), static_cast<int>(state.range(1)));
+    for (auto step : state) {
+        (void)step;
+        benchmark::DoNotOptimize(fixture.decide());
+    }
+}
+
+} // namespace
+
+BENCHMARK(roundWithoutRoom)
+    ->ArgNames({"workers", "waiting"})
+    ->Args({48, 0})
+    ->Args({48, 100})
+    ->Args({350, 0})
+    ->Args({350, 100})
+    ->Args({350, 400})
+    ->Args({680, 100})
+    ->Args({680, 400})
+    ->Unit(benchmark::kMicrosecond);
+
+BENCHMARK_MAIN();
--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -55,6 +55,8 @@
 add_executable(decision_cost bench/decision_cost.cpp)
 target_include_directories(decision_cost PRIVATE ${CMAKE_SOURCE_DIR}/src)
 target_link_libraries(decision_cost PRIVATE bramleygrade_core benchmark::benchmark)
+add_executable(cell_decision_cost bench/cell_decision_cost.cpp)
+target_link_libraries(cell_decision_cost PRIVATE bramleygrade_cell benchmark::benchmark)
 add_executable(control_cost bench/control_cost.cpp)
 target_link_libraries(control_cost PRIVATE bramleygrade_fakes)
 
--- a/src/cell/advice.cpp
+++ b/src/cell/advice.cpp
@@ -47,8 +47,10 @@
     const step_spec &spec = stepSpec(waiting);
     const step_state &step = stepState(waiting);
     std::vector<std::pair<std::int64_t, std::string>> found;
+    const resources demand = reservedDemand(spec);
     for (const auto &[id, room] : rooms) {
-        if (!isEligible(*waiting.job, spec, *room.worker) || step.advice.count(id) > 0
+        if ((!spec.gang && !fits(demand, room.free))
+            || !isEligible(*waiting.job, spec, *room.worker) || step.advice.count(id) > 0
             || !fits(spec.demand, room.worker->entry.capacity)) {
             continue;
         }
--- a/src/cell/placement.cpp
+++ b/src/cell/placement.cpp
@@ -43,7 +43,7 @@
 /// One worker that may take tasks of the step, with the number it may take.
 struct candidate
 {
-    std::string id;
+    const std::string *id = nullptr;
     const worker_room *room = nullptr;
     std::int64_t places = 0;
     double cost = 0;
@@ -56,9 +56,11 @@
     const step_spec &spec = stepSpec(waiting);
     const step_state &step = stepState(waiting);
     const task_state *first = &step.tasks[static_cast<std::size_t>(waiting.tasks.front())];
+    const resources demand = reservedDemand(spec);
     std::vector<candidate> found;
     for (const auto &[id, room] : rooms) {
-        if (!isEligible(*waiting.job, spec, *room.worker) || !isAllowed(waiting, step, id)) {
+        if (!fits(demand, room.free) || !isEligible(*waiting.job, spec, *room.worker)
+            || !isAllowed(waiting, step, id)) {
             continue;
         }
         std::int64_t places = tasksThatFit(spec, room.free);
@@ -66,12 +68,12 @@
             places = std::min(places, spec.maxPerWorker - runsOfStep(step, id));
         }
         if (places > 0) {
-            found.push_back({id, &room, places, placementCost(spec, first, room),
+            found.push_back({&id, &room, places, placementCost(spec, first, room),
                              hasTicket(waiting, step, id, now)});
         }
     }
     std::sort(found.begin(), found.end(), [](const candidate &a, const candidate &b) {
-        return std::tie(b.ticket, a.cost, a.id) < std::tie(a.ticket, b.cost, b.id);
+        return std::tie(b.ticket, a.cost, *a.id) < std::tie(a.ticket, b.cost, *b.id);
     });
     return found;
 }
@@ -115,6 +117,18 @@
 
 } // namespace
 
+room_limits limitsOf(const room_map &rooms)
+{
+    room_limits limits;
+    for (const auto &[id, room] : rooms) {
+        resources &most = limits[room.worker->entry.service];
+        most.cpuMilli = std::max(most.cpuMilli, room.free.cpuMilli);
+        most.memoryMb = std::max(most.memoryMb, room.free.memoryMb);
+        most.accelerators = std::max(most.accelerators, room.free.accelerators);
+    }
+    return limits;
+}
+
 bool isEligible(const job_state &job, const step_spec &step, const worker_state &worker)
 {
     const auto &labels = worker.entry.labels;
@@ -174,7 +188,7 @@
             break;
         }
         --place->places;
-        plan.workers.push_back(place->id);
+        plan.workers.push_back(*place->id);
         plan.ticketsValid = plan.ticketsValid && place->ticket;
     }
     plan.unplaced = waiting.tasks.size() - plan.workers.size();
--- a/src/cell/placement.h
+++ b/src/cell/placement.h
@@ -18,6 +18,12 @@
 /// Rooms by worker id, for the workers that may take work now.
 using room_map = std::map<std::string, worker_room>;
 
+/// The most that any worker of a service has free of each resource; no task that needs more can
+/// be placed. Stays valid as rooms shrink.
+using room_limits = std::map<std::string, resources>;
+
+room_limits limitsOf(const room_map &rooms);
+
 /// One ready step with tasks that wait.
 struct waiting_step
 {
--- a/src/cell/scheduler_decide.cpp
+++ b/src/cell/scheduler_decide.cpp
@@ -323,6 +323,15 @@
     }
 }
 
+/// Whether no worker has room for one task of the step. Gangs are never hopeless: they may keep
+/// room or have others stopped.
+bool isHopeless(const waiting_step &waiting, const room_limits &limits)
+{
+    const step_spec &spec = stepSpec(waiting);
+    const auto most = limits.find(waiting.job->policy.service);
+    return !spec.gang && (most == limits.end() || !fits(reservedDemand(spec), most->second));
+}
+
 } // namespace
 
 void placeWaiting(scheduler &cell, timestamp now, orders &out)
@@ -337,13 +346,17 @@
     }
     room_map rooms = roomsNow(cell, now);
     keepClaims(waiting, rooms, now);
+    room_limits limits = limitsOf(rooms);
     bool urgentShareKept = false;
     for (const waiting_step &step : waiting) {
         if (!urgentShareKept && (step.late || step.priority > 0)) {
             keepUrgentShare(rooms);
+            limits = limitsOf(rooms);
             urgentShareKept = true;
         }
-        placeStep(cell, step, rooms, now, out);
+        if (!isHopeless(step, limits)) {
+            placeStep(cell, step, rooms, now, out);
+        }
     }
 }
 
