A scheduler that stops leaves the head row alone while it hands over

Ruled out: pacing of decisions (the gap is between stop and claim).

Change: after the write under way none is begun before another entry was asked, and the request carries the row's version; an entry whose claim is under way says so, and is waited for. Also: an entry tells its processor share, a scheduler with less than half of another's hands over to it, and decisions that take over 0.5 ms are spaced by twice their length.

Tests (three entries on loopback): a_scheduler_that_writes_all_the_time_can_hand_over and the_entry_with_the_much_larger_processor_comes_to_lead fail on the code before. A mutation of the first that only lets writes go on during the call is not caught: the version in the request alone suffices there.

--- a/src/entry/daemon.cpp
+++ b/src/entry/daemon.cpp
@@ -104,12 +104,16 @@
     return error;
 }
 
+/// Has another entry take the lead; asked again by `continueStop` until one has.
 void giveLeadAway(entry_state &entry)
 {
     if (!entry.lead || entry.members.size() < 2) {
         return;
     }
-    handOver(entry, [](bool) {}); // if it is refused, `continueStop` asks again
+    entry.lead->handoverWanted = true;
+    if (!entry.lead->write) {
+        handOver(entry, [](bool) {});
+    }
 }
 
 } // namespace
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -78,13 +78,22 @@
     std::map<std::string, cell::worker_entry> registry;
     std::int64_t registryVersion = 0;
     bool decidePosted = false;
+    /// Decisions that take long are spaced, so that events, answers and signs of life come between.
+    timestamp decideNotBefore = distantPast;
+    timestamp decideWantedAt = distantFuture;
     timestamp timerAt = distantFuture;
     /// The newest proof that nobody else is the scheduler.
     timestamp confirmedAt = distantPast;
     bool suspended = false;
     timestamp nextBeatAt = distantPast;
+    timestamp nextMembersBeatAt = distantPast;
     timestamp nextHandoverAt = distantPast;
     bool handoverInFlight = false;
+    /// The lead is to be given away: once the write under way has ended, none is begun before
+    /// another entry was asked, so that its claim does not find a newer head row.
+    bool handoverWanted = false;
+    /// The last entry that was asked did not take over: what waits is written first.
+    bool writeBeforeHandover = false;
     std::map<std::string, int> missedBeats;
     /// The row of members in the store is out of date.
     bool membersChanged = true;
@@ -138,6 +147,8 @@
     std::map<std::string, std::int64_t> pending;
     timestamp pendingAt = distantPast;
     std::map<std::string, std::string> members;
+    /// Processor shares of the members that have told them, thousandths.
+    std::map<std::string, std::int64_t> processors;
     /// Where the scheduler's signs of life come from, HOST:PORT.
     std::string beatPeer;
     bool probing = false;
@@ -194,6 +205,10 @@
 void followScheduler(entry_state &entry, timestamp now);
 /// The scheduler may be gone: the next look for it does not wait for more silence.
 void expectScheduler(entry_state &entry);
+void noteProcessor(entry_state &entry, const member &other);
+/// Hands the lead over if another entry has a much larger processor share; the work of the
+/// scheduler grows with the cell, that of the others does not.
+void giveToLarger(entry_state &entry, timestamp now);
 void noteScheduler(entry_state &entry, std::int64_t epoch, const member &scheduler, timestamp now);
 void readHead(
     entry_state &entry,
--- a/src/entry/entry_settings.cpp
+++ b/src/entry/entry_settings.cpp
@@ -48,6 +48,7 @@
     {"stop_timeout_ms", &cell_settings::stopTimeout, millisecond, 1, 600'000},
     {"ended_kept_s", &cell_settings::endedKept, second, 1, 864'000},
     {"shutdown_grace_s", &cell_settings::shutdownGrace, second, 1, 3'600},
+    {"processor_share", &cell_settings::processorMilli, 1'000, 0.001, 1'024},
     {"log_lines_per_second", &cell_settings::logLinesPerSecond, 1, 1, 1'000'000},
 };
 
--- a/src/entry/entry_settings.h
+++ b/src/entry/entry_settings.h
@@ -29,6 +29,9 @@
     /// Time between SIGTERM and the end of the process at the latest.
     microseconds shutdownGrace = 6 * second;
     std::int64_t logLinesPerSecond = 4'000;
+    /// Share of a processor that this instance has, thousandths; a scheduler hands over to an
+    /// instance with a much larger one.
+    std::int64_t processorMilli = 1'000;
 };
 
 /// The settings cannot be used; the message names the line or field and the remedy.
--- a/src/entry/leading.cpp
+++ b/src/entry/leading.cpp
@@ -13,6 +13,9 @@
 /// The same beyond the time that a look may wait.
 constexpr microseconds lookPatience = 600 * millisecond;
 constexpr microseconds loadPatience = 1'500 * millisecond;
+/// A decision that takes longer is followed by a pause of `pausePerDecision` times its length.
+constexpr microseconds cheapDecision = 500;
+constexpr microseconds pausePerDecision = 2;
 constexpr microseconds loadRetryPause = 100 * millisecond;
 /// Without proof for this long that nobody else is the scheduler, nothing more is ordered.
 constexpr microseconds unconfirmedLimit = 2'500 * millisecond;
@@ -215,8 +218,8 @@
 
 void armDecideTimer(entry_state &entry, timestamp now)
 {
-    const timestamp next =
-        std::min(cell::nextDeadline(entry.lead->cell), entry.lead->writeWantedAt);
+    const timestamp next = std::min({cell::nextDeadline(entry.lead->cell),
+                                     entry.lead->writeWantedAt, entry.lead->decideWantedAt});
     if (entry.lead->timerAt > now && entry.lead->timerAt <= next) {
         return;
     }
@@ -252,6 +255,7 @@
 {
     const timestamp now = steadyNow();
     entry.lead->decidePosted = false;
+    entry.lead->decideWantedAt = distantFuture;
     checkConfirmation(entry, now); // a paused scheduler must not act on old beliefs
     if (entry.lead->suspended) {
         return;
@@ -263,7 +267,11 @@
         pumpWrites(entry);
         armDecideTimer(entry, now);
     }
-    observeLatency(entry.metrics, "decision_seconds", steadyNow() - now);
+    const timestamp ended = steadyNow();
+    observeLatency(entry.metrics, "decision_seconds", ended - now);
+    if (entry.lead && ended - now > cheapDecision) {
+        entry.lead->decideNotBefore = ended + (ended - now) * pausePerDecision;
+    }
 }
 
 void checkStore(entry_state &entry, timestamp now)
@@ -314,6 +322,12 @@
     if (entry.role != entry_role::scheduler || !entry.lead || entry.lead->decidePosted) {
         return;
     }
+    const timestamp now = steadyNow();
+    if (now < entry.lead->decideNotBefore) {
+        entry.lead->decideWantedAt = entry.lead->decideNotBefore;
+        armDecideTimer(entry, now);
+        return;
+    }
     entry.lead->decidePosted = true;
     boost::asio::post(entry.loop, [&entry, epoch = entry.epoch] {
         if (leads(entry, epoch)) {
@@ -369,6 +383,7 @@
     pumpAdvice(entry);
     expireWaiters(entry, now);
     pumpWrites(entry);
+    giveToLarger(entry, now);
 }
 
 } // namespace bramleygrade::entry
--- a/src/entry/membership.cpp
+++ b/src/entry/membership.cpp
@@ -18,11 +18,46 @@
 constexpr microseconds freshHearing = 350 * millisecond;
 /// Claims are spread over this much time, so that one of many claimants is first.
 constexpr microseconds claimSpread = 100 * millisecond;
+/// A processor share this many times one's own counts as much larger.
+constexpr std::int64_t muchLarger = 2;
+/// Time that a scheduler acts before it hands over to an entry with a larger processor share.
+constexpr microseconds calmBeforeHandover = 2 * second;
+
+/// Whether another member, the scheduler of now aside, has a much larger processor share.
+bool isOutmatched(const entry_state &entry)
+{
+    return std::any_of(entry.processors.begin(), entry.processors.end(), [&](const auto &other) {
+        const bool silent = entry.lead && entry.lead->missedBeats.count(other.first) > 0
+            && entry.lead->missedBeats.at(other.first) > 0;
+        return other.first != entry.scheduler.name && !silent
+            && entry.settings.processorMilli * muchLarger < other.second;
+    });
+}
 
 microseconds claimDelay(const entry_state &entry)
 {
     const auto mixed = std::hash<std::string> {}(entry.settings.name + entry.incarnation);
-    return static_cast<microseconds>(mixed % static_cast<std::size_t>(claimSpread));
+    const auto spread = static_cast<microseconds>(mixed % static_cast<std::size_t>(claimSpread));
+    return spread + (isOutmatched(entry) ? claimSpread : 0);
+}
+
+/// The addresses of the other members, those with the largest processor share first.
+std::vector<std::string> successors(const entry_state &entry)
+{
+    std::vector<std::pair<std::int64_t, std::string>> others;
+    for (const auto &[name, address] : entry.members) {
+        if (name != entry.settings.name) {
+            const auto share = entry.processors.find(name);
+            others.emplace_back(share == entry.processors.end() ? 0 : -share->second, address);
+        }
+    }
+    std::stable_sort(others.begin(), others.end(),
+                     [](const auto &a, const auto &b) { return a.first < b.first; });
+    std::vector<std::string> addresses;
+    for (const auto &[share, address] : others) {
+        addresses.push_back(address);
+    }
+    return addresses;
 }
 
 void endProbe(entry_state &entry)
@@ -76,9 +111,10 @@
     sendPeer(entry, address, "/word", "{}", peerPatience, true,
              [&entry, look](const net::call_result &result) {
                  const auto word = decodeWord(result.body);
-                 const bool hears = result.status == 200 && word && word->epoch >= look->epoch
-                     && word->heardAgo >= 0 && word->heardAgo < freshHearing;
-                 look->heard = look->heard || hears;
+                 const bool answered = result.status == 200 && word;
+                 const bool hears = answered && word->epoch >= look->epoch && word->heardAgo >= 0
+                     && word->heardAgo < freshHearing;
+                 look->heard = look->heard || hears || (answered && word->isClaiming);
                  settleLook(entry, look);
              });
 }
@@ -112,6 +148,7 @@
                  } else if (firstTry && result.outcome == net::call_outcome::unanswered) {
                      entry.heardAt = steadyNow();
                  } else {
+                     look->heard = look->heard || (answered && answer->isClaiming);
                      settleLook(entry, look);
                      return;
                  }
@@ -152,9 +189,29 @@
 
 } // namespace
 
+void noteProcessor(entry_state &entry, const member &other)
+{
+    if (other.processorMilli > 0) {
+        entry.processors[other.name] = other.processorMilli;
+    }
+}
+
+void giveToLarger(entry_state &entry, timestamp now)
+{
+    scheduler_side &lead = *entry.lead;
+    if (lead.write || lead.handoverInFlight || now < lead.nextHandoverAt
+        || now < lead.cell.tookOverAt + calmBeforeHandover || !isOutmatched(entry)) {
+        return;
+    }
+    lead.nextHandoverAt = now + calmBeforeHandover;
+    logEvent(entry, "handover_to_larger",
+             {{"own_processor_milli", std::to_string(entry.settings.processorMilli)}});
+    handOver(entry, [](bool) {});
+}
+
 member self(const entry_state &entry)
 {
-    return {entry.settings.name, entry.settings.peerAddress};
+    return {entry.settings.name, entry.settings.peerAddress, entry.settings.processorMilli};
 }
 
 void noteScheduler(entry_state &entry, std::int64_t epoch, const member &scheduler, timestamp now)
@@ -171,6 +228,7 @@
     entry.scheduler = scheduler;
     entry.heardAt = now;
     entry.members[scheduler.name] = scheduler.address;
+    noteProcessor(entry, scheduler);
     if (changed) {
         logEvent(entry, "scheduler_known",
                  {{"scheduler", scheduler.name}, {"epoch", std::to_string(epoch)}});
@@ -299,12 +357,7 @@
     if (entry.lead->handoverInFlight) {
         return;
     }
-    std::vector<std::string> addresses;
-    for (const auto &[name, address] : entry.members) {
-        if (name != entry.settings.name) {
-            addresses.push_back(address);
-        }
-    }
+    const std::vector<std::string> addresses = successors(entry);
     if (addresses.empty()) {
         done(false);
         return;
@@ -315,11 +368,14 @@
     member_word word;
     word.sender = self(entry);
     word.epoch = entry.epoch;
+    // With a write under way the row's version is not known.
+    word.headVersion = entry.lead->write ? 0 : entry.lead->headVersion;
     sendPeer(entry, addresses[turn % addresses.size()], "/handover", encodeWord(word),
              2 * storePatience, false, [&entry, done](const net::call_result &result) {
                  const bool taken = result.status == 200;
                  if (entry.lead) {
                      entry.lead->handoverInFlight = false;
+                     entry.lead->writeBeforeHandover = true;
                  }
                  if (taken && entry.lead) {
                      stepDown(entry, "handed over");
--- a/src/entry/messages.cpp
+++ b/src/entry/messages.cpp
@@ -10,6 +10,7 @@
     out.StartArray();
     putText(out, value.name);
     putText(out, value.address);
+    out.Int64(value.processorMilli);
     out.EndArray();
 }
 
@@ -18,7 +19,7 @@
     if (!value.IsArray() || value.Size() < 2) {
         return {};
     }
-    return {textOf(value[0]), textOf(value[1])};
+    return {textOf(value[0]), textOf(value[1]), value.Size() > 2 ? integerOf(value[2]) : 0};
 }
 
 } // namespace
@@ -165,7 +166,7 @@
     std::vector<member> members;
     if (parseObject(value, document)) {
         for (const auto &entry : document.GetObject()) {
-            members.push_back({entry.name.GetString(), textOf(entry.value)});
+            members.push_back({entry.name.GetString(), textOf(entry.value), 0});
         }
     }
     return members;
@@ -225,6 +226,8 @@
         put(out, "epoch", word.epoch);
         put(out, "heard", word.heardAgo);
         put(out, "scheduler", word.isScheduler);
+        put(out, "claiming", word.isClaiming);
+        put(out, "version", word.headVersion);
     });
 }
 
@@ -241,6 +244,8 @@
     word.epoch = integerField(document, "epoch");
     word.heardAgo = integerField(document, "heard", -1);
     word.isScheduler = truthField(document, "scheduler");
+    word.isClaiming = truthField(document, "claiming");
+    word.headVersion = integerField(document, "version");
     return word;
 }
 
--- a/src/entry/peers.cpp
+++ b/src/entry/peers.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr microseconds beatInterval = 150 * millisecond;
+/// How often the members are told with a sign of life; it grows with their number.
+constexpr microseconds membersInterval = 1 * second;
 constexpr microseconds beatPatience = 400 * millisecond;
 /// Longest time that a call of another entry may wait here (the longest that callers may wait).
 constexpr microseconds longestCallWait = 10 * second;
@@ -24,6 +26,7 @@
     word.sender = self(entry);
     word.epoch = entry.epoch;
     word.isScheduler = entry.lead != nullptr;
+    word.isClaiming = entry.role == entry_role::claiming;
     word.heardAgo = entry.lead         ? 0
         : entry.heardAt == distantPast ? -1
                                        : steadyNow() - entry.heardAt;
@@ -39,6 +42,7 @@
         entry.beatPeer = peer;
         for (const member &other : beat.members) {
             entry.members[other.name] = other.address;
+            noteProcessor(entry, other);
         }
         if (!beat.pending.empty()) {
             entry.pending.clear();
@@ -56,8 +60,10 @@
         std::string &address = entry.members[word.sender.name];
         const bool added = address != word.sender.address;
         address = word.sender.address;
+        noteProcessor(entry, word.sender);
         if (added) {
             entry.lead->membersChanged = true;
+            entry.lead->nextMembersBeatAt = distantPast;
             logEvent(entry, "member_joined", {{"member", word.sender.name}});
         }
     }
@@ -71,6 +77,11 @@
         answerWith(respond, 409, "{}");
         return;
     }
+    if (word.headVersion > 0) {
+        claimHead(entry, word.headVersion, word.epoch,
+                  [respond](bool claimed) { answerWith(respond, claimed ? 200 : 503, "{}"); });
+        return;
+    }
     readHead(entry,
              [&entry, word, respond](const store_result &result,
                                      const std::optional<head_row> &head, std::int64_t version) {
@@ -129,6 +140,7 @@
                      }
                      if (missed > membersForgottenAfter) {
                          entry.members.erase(name);
+                         entry.processors.erase(name);
                          entry.lead->membersChanged = true;
                          logEvent(entry, "member_forgotten", {{"member", name}});
                      }
@@ -167,8 +179,12 @@
     beat_message beat;
     beat.epoch = entry.epoch;
     beat.sender = self(entry);
-    for (const auto &[name, address] : entry.members) {
-        beat.members.push_back({name, address});
+    if (entry.lead && steadyNow() >= entry.lead->nextMembersBeatAt) {
+        for (const auto &[name, address] : entry.members) {
+            const auto share = entry.processors.find(name);
+            beat.members.push_back(
+                {name, address, share == entry.processors.end() ? 0 : share->second});
+        }
     }
     // Before the rows are loaded nothing is known of the jobs that wait.
     if (entry.role == entry_role::scheduler) {
@@ -183,6 +199,9 @@
 {
     entry.lead->nextBeatAt = now + beatInterval;
     const std::string body = encodeBeat(makeBeat(entry));
+    if (now >= entry.lead->nextMembersBeatAt) {
+        entry.lead->nextMembersBeatAt = now + membersInterval;
+    }
     const auto members = entry.members;
     for (const auto &[name, address] : members) {
         if (name != entry.settings.name) {
--- a/src/entry/rows.h
+++ b/src/entry/rows.h
@@ -82,6 +82,8 @@
 {
     std::string name;
     std::string address;
+    /// Share of a processor, thousandths; 0: not known.
+    std::int64_t processorMilli = 0;
 };
 
 /// The workers in use: what a successor needs to ask each what runs there.
@@ -112,6 +114,11 @@
     /// Age of the newest sign of life, microseconds; -1: none yet.
     microseconds heardAgo = -1;
     bool isScheduler = false;
+    /// A claim of the head row is under way.
+    bool isClaiming = false;
+    /// In a request to take over: version of the head row, which its sender leaves alone
+    /// meanwhile; 0: not known.
+    std::int64_t headVersion = 0;
 };
 
 std::string encodeWord(const member_word &word);
--- a/src/entry/writes.cpp
+++ b/src/entry/writes.cpp
@@ -290,7 +290,15 @@
         return;
     }
     lead.writeWantedAt = distantFuture;
+    if (!lead.write && lead.handoverInFlight) {
+        return;
+    }
+    if (!lead.write && lead.handoverWanted && !lead.writeBeforeHandover) {
+        handOver(entry, [](bool) {});
+        return;
+    }
     if (!lead.write) {
+        lead.writeBeforeHandover = false;
         buildWrite(entry);
     }
     lead.writeInFlight = true;
--- a/test/cell/cluster_fixture.h
+++ b/test/cell/cluster_fixture.h
@@ -68,7 +68,7 @@
         }
     }
 
-    cluster_member &add(const std::string &name)
+    cluster_member &add(const std::string &name, std::int64_t processorMilli = 250)
     {
         members.push_back(std::make_unique<cluster_member>());
         cluster_member &made = *members.back();
@@ -79,6 +79,8 @@
         settings.peerAddress = nextAddress();
         settings.logLinesPerSecond = 0;
         settings.shutdownGrace = 6 * second;
+        settings.processorMilli = processorMilli;
+
         made.entry = std::make_unique<entry::entry_state>(made.loop, settings);
         entry::entry_state &entry = *made.entry;
         entry.ports.store = table.portFor(name, made.loop);
--- a/test/cell/cluster_test.cpp
+++ b/test/cell/cluster_test.cpp
@@ -1,6 +1,8 @@
 #define BOOST_TEST_MODULE cluster
 #include <boost/test/included/unit_test.hpp>
 
+#include <list>
+
 #include "cluster_fixture.h"
 
 using namespace bramleygrade;
@@ -94,6 +96,40 @@
     BOOST_TEST(statusOf(first, "GET", "a") == 200); // it still answers its callers
 }
 
+// trouble-2 of csuc-programari, seed 2: a scheduler that was told to stop while the store was slow
+// wrote without a pause, so that every claim of its successors found a newer head row.
+BOOST_FIXTURE_TEST_CASE(a_scheduler_that_writes_all_the_time_can_hand_over, cluster_fixture)
+{
+    BOOST_REQUIRE_MESSAGE(startError.empty(), startError);
+    BOOST_REQUIRE(runUntil([this] { return agree(); }));
+    table.writeDelay = 250 * millisecond;
+    cluster_member &first = *leader();
+    const std::int64_t epoch = first.entry->epoch;
+    int number = 0;
+    std::list<int> statuses;
+    const auto press = [&] {
+        if (statuses.empty() || statuses.back() != -1) {
+            call(first, "POST", "job-" + std::to_string(++number), statuses.emplace_back(-1));
+        }
+        if (first.entry->lead && !first.entry->lead->write) {
+            cell::noteChange(first.entry->lead->cell, cell::workerListChange, true);
+            first.entry->lead->nextWriteAt = distantPast;
+            pumpWrites(*first.entry);
+        }
+    };
+    BOOST_REQUIRE(runUntil([&] {
+        press();
+        return number > 2;
+    }));
+    beginStop(*first.entry);
+    BOOST_REQUIRE(runUntil([&] {
+        press();
+        return first.entry->finished || (leader() != nullptr && leader() != &first);
+    }));
+    BOOST_TEST(!first.entry->finished);
+    BOOST_TEST(leader()->entry->epoch == epoch + 1);
+}
+
 BOOST_FIXTURE_TEST_CASE(a_scheduler_cut_off_from_the_store_hands_over, cluster_fixture)
 {
     BOOST_REQUIRE_MESSAGE(startError.empty(), startError);
@@ -136,3 +172,15 @@
     BOOST_TEST(statusOf(*members.back(), "POST", "a") == 200); // known: still one job
     BOOST_TEST(table.rowsIn(jobTable) == 1U);
 }
+
+// Load pattern: 392 workers at a scheduler with an eighth of a processor (grown scale-1).
+BOOST_FIXTURE_TEST_CASE(the_entry_with_the_much_larger_processor_comes_to_lead, cluster_fixture)
+{
+    BOOST_REQUIRE_MESSAGE(startError.empty(), startError);
+    BOOST_REQUIRE(runUntil([this] { return agree(); }));
+    BOOST_TEST(statusOf(*leader(), "POST", "a") == 200);
+    const cluster_member &larger = add("entry-large", 1'000);
+    add("entry-little-larger", 400);
+    BOOST_REQUIRE(runUntil([&] { return leader() == &larger && agree(); }));
+    BOOST_TEST(statusOf(*members.front(), "GET", "a") == 200);
+}
--- a/testing/cell/memory_table.cpp
+++ b/testing/cell/memory_table.cpp
@@ -1,8 +1,10 @@
 #include "testing/cell/memory_table.h"
 
 #include <algorithm>
+#include <memory>
 
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 namespace bramleygrade::testing {
 
@@ -47,6 +49,18 @@
     return result;
 }
 
+/// Carries the write out and cuts its writer off, if that is wanted.
+store_result writeFor(memory_table &table, const std::string &entry,
+                      const entry::table_write &write)
+{
+    const store_result result = applyWrite(table, write);
+    if (table.cutNextWriter && result.outcome == store_outcome::done) {
+        table.cutNextWriter = false;
+        table.cut.insert(entry);
+    }
+    return result;
+}
+
 store_result readRange(const memory_table &table, const entry::row_range &range)
 {
     store_result result;
@@ -69,18 +83,13 @@
         boost::asio::post(loop, [done, result] { done(result); });
     };
     entry::store_port port;
-    port.write = [this, entry, answer](const entry::table_write &write, timestamp,
-                                       const entry::store_completion &done) {
-        if (cut.count(entry) > 0) {
-            answer(done, {});
-            return;
-        }
-        const store_result result = applyWrite(*this, write);
-        if (cutNextWriter && result.outcome == store_outcome::done) {
-            cutNextWriter = false;
-            cut.insert(entry);
-        }
-        answer(done, result);
+    port.write = [this, entry, &loop](const entry::table_write &write, timestamp,
+                                      const entry::store_completion &done) {
+        const auto timer = std::make_shared<boost::asio::steady_timer>(loop);
+        timer->expires_after(std::chrono::microseconds(writeDelay));
+        timer->async_wait([this, timer, entry, write, done](boost::system::error_code) {
+            done(cut.count(entry) > 0 ? store_result {} : writeFor(*this, entry, write));
+        });
     };
     port.read = [this, entry, answer](const entry::row_range &range, timestamp,
                                       const entry::store_completion &done) {
--- a/testing/cell/memory_table.h
+++ b/testing/cell/memory_table.h
@@ -12,8 +12,8 @@
 
 namespace bramleygrade::testing {
 
-/// A table service in memory: conditional writes, reads of ranges, no changes to watch. Every
-/// call takes effect at once and is answered by the caller's event loop.
+/// A table service in memory: conditional writes, reads of ranges, no changes to watch. Calls
+/// are answered by the caller's event loop.
 ///
 ///     memory_table table;
 ///     entry.ports.store = table.portFor("entry-1", loop);
@@ -34,6 +34,8 @@
     std::set<std::string> cut;
     /// The entry whose write takes effect next is cut off right after it.
     bool cutNextWriter = false;
+    /// How long after its call a write takes effect and is answered.
+    microseconds writeDelay = 0;
     /// Watches that wait for changes which never come.
     std::vector<entry::store_completion> watches;
 };
