explain: the story of a job from the entries' logs, and what is missing

An operator gets from an id to its cause with one command: the job's lines of all files by time, what the entries believed in between, and which stage of the story no line tells. Tests: explain (sorting across files, only the job's workers, gaps named).

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -76,6 +76,10 @@
     add_test(NAME cell_${unit} COMMAND cell_${unit}_test)
 endforeach()
 
+add_executable(explain_test test/cell/explain_test.cpp src/tools/explain.cpp)
+target_link_libraries(explain_test PRIVATE bramleygrade_platform Boost::headers)
+add_test(NAME explain COMMAND explain_test)
+
 add_executable(cell_cluster_test test/cell/cluster_test.cpp testing/cell/memory_table.cpp)
 target_include_directories(cell_cluster_test PRIVATE ${CMAKE_SOURCE_DIR} ${CMAKE_SOURCE_DIR}/test/cell)
 target_link_libraries(cell_cluster_test PRIVATE bramleygrade_platform Boost::headers)
--- a/src/tools/main.cpp
+++ b/src/tools/main.cpp
@@ -8,6 +8,7 @@
 #include "daemon/settings.h"
 #include "entry/daemon.h"
 #include "platform.h"
+#include "tools/explain.h"
 #include "tools/operator_tools.h"
 
 ABSL_FLAG(std::string, settings, "", "settings file of the entry");
@@ -51,6 +52,9 @@
         {"dump", {": prints the whole state of one entry as JSON", showDump}},
         {"check",
          {"FILE...: checks settings, documents or jobs without applying them", checkFiles}},
+        {"explain",
+         {"ID FILE...: tells the story of a job from the entries' logs, and what is missing",
+          explainFiles}},
         {"drain", {": hands everything over and ends one entry", drainEntry}},
         {"version", {": prints the version", printVersion}},
     };
