--- a/bench/cell_decision_cost.cpp
+++ b/bench/cell_decision_cost.cpp
@@ -55,6 +55,7 @@
         cell::beginEpoch(cell, 1, now);
         cell::changeConfig(cell, config);
         std::vector<cell::worker_entry> entries;
+        entries.reserve(static_cast<std::size_t>(workers));
         for (int number = 0; number < workers; ++number) {
             entries.push_back(makeWorker(number));
         }
--- a/src/entry/membership.cpp
+++ b/src/entry/membership.cpp
@@ -54,6 +54,7 @@
     std::stable_sort(others.begin(), others.end(),
                      [](const auto &a, const auto &b) { return a.first < b.first; });
     std::vector<std::string> addresses;
+    addresses.reserve(others.size());
     for (const auto &[share, address] : others) {
         addresses.push_back(address);
     }
--- a/src/tools/explain.cpp
+++ b/src/tools/explain.cpp
@@ -62,7 +62,7 @@
         } else if (name == "job") {
             line.job = value;
         } else if (!value.empty()) {
-            line.rest += " " + name + "=" + value;
+            line.rest.append(" ").append(name).append("=").append(value);
         }
     }
     return true;
--- a/testing/cell/memory_table.cpp
+++ b/testing/cell/memory_table.cpp
@@ -53,7 +53,7 @@
 store_result writeFor(memory_table &table, const std::string &entry,
                       const entry::table_write &write)
 {
-    const store_result result = applyWrite(table, write);
+    store_result result = applyWrite(table, write);
     if (table.cutNextWriter && result.outcome == store_outcome::done) {
         table.cutNextWriter = false;
         table.cut.insert(entry);
