One driver of the cell scheduler for its tests and its benchmark

Cause: bench/cell_decision_cost repeated store and decide of the test fixture (10 lines alike), with a storing loop of its own.

Ruled out: the benchmark on the fixture itself; its three workers and its settling are not what is measured.

Before and after: no product code; cell_scheduler 24 of 24 and the other cell units pass. The benchmark was built, its figures were not taken again.

Conclusion: the pair is gone.

--- a/bench/cell_decision_cost.cpp
+++ b/bench/cell_decision_cost.cpp
@@ -2,7 +2,7 @@
 
 #include <benchmark/benchmark.h>
 
-#include "cell/scheduler.h"
+#include "testing/cell/cell_driver.h"
 
 using namespace bramleygrade;
 
@@ -37,7 +37,7 @@
 }
 
 /// A cell whose workers are full, with steps that wait for room.
-struct full_cell
+struct full_cell : testing::cell_driver
 {
     full_cell(int workers, int waiting)
     {
@@ -86,25 +86,6 @@
         const cell::queue_policy &policy = cell.config.queues[static_cast<std::size_t>(queue)];
         cell::acceptJob(cell, makeJob(id, policy.name, count, cpu, queue == 1), policy, now);
     }
-
-    void store()
-    {
-        while (!cell.unsaved.empty()) {
-            cell::beginWrite(cell, 10'000, [](const std::string &) { return 1U; });
-            cell::onWritten(cell, now);
-        }
-    }
-
-    cell::orders decide()
-    {
-        cell::orders out;
-        cell.placeWanted = true;
-        cell::decide(cell, now, out);
-        return out;
-    }
-
-    timestamp now = 1'000 * second;
-    cell::scheduler cell;
 };
 
 void roundWithoutRoom(benchmark::State &state)
--- a/test/cell/cell_fixture.h
+++ b/test/cell/cell_fixture.h
@@ -3,18 +3,12 @@
 #include <string>
 #include <vector>
 
-#include "cell/scheduler.h"
+#include "testing/cell/cell_driver.h"
 
 namespace bramleygrade::testing {
 
-/// Each change takes one row.
-inline std::size_t oneRow(const std::string &)
-{
-    return 1;
-}
-
 /// A scheduler with three workers of eight processors, all of them looked at, and one queue.
-struct cell_fixture
+struct cell_fixture : cell_driver
 {
     explicit cell_fixture(std::int64_t epoch = 1, bool settle = true)
     {
@@ -67,21 +61,6 @@
         return spec;
     }
 
-    /// Every change that is open reaches the store.
-    void store()
-    {
-        cell::beginWrite(cell, 100, oneRow);
-        cell::onWritten(cell, now);
-    }
-
-    cell::orders decide()
-    {
-        cell::orders out;
-        cell.placeWanted = true;
-        cell::decide(cell, now, out);
-        return out;
-    }
-
     cell::look_order lookFor(const std::string &worker)
     {
         const auto found = cell.workers.find(worker);
@@ -129,10 +108,8 @@
         cell::onStartOutcome(cell, order, cell::order_outcome::accepted, now, out);
     }
 
-    timestamp now = 1'000 * second;
     cell::queue_policy policy;
     std::vector<cell::worker_entry> entries;
-    cell::scheduler cell;
 };
 
 } // namespace bramleygrade::testing
