--- a/test/cell/scheduler_test.cpp
+++ b/test/cell/scheduler_test.cpp
@@ -8,7 +8,6 @@
 using cell_report = bramleygrade::cell::worker_report;
 using cell_phase = bramleygrade::cell::job_phase;
 using bramleygrade::testing::cell_fixture;
-using bramleygrade::testing::oneRow;
 
 namespace {
 
@@ -120,87 +119,6 @@
     BOOST_TEST(usedOf(fixture, start.worker) == 1'000);
 }
 
-// Load pattern: a slow store, with more changes than its writes take in. Names are random, so
-// that an order by name would keep some jobs out for as long as the load lasts.
-BOOST_AUTO_TEST_CASE(a_full_write_takes_what_callers_wait_for_and_the_oldest_first)
-{
-    struct row
-    {
-        const char *name;
-        std::vector<std::string> urgent;
-        std::vector<std::string> others;
-        std::size_t rows;
-        std::vector<std::string> taken;
-    };
-    const row rows[] = {
-        {"oldest first", {"f", "a", "c"}, {}, 2, {"f", "a"}},
-        {"callers first", {"f", "a", "c"}, {"z", "b"}, 4, {"f", "a", "c", "z"}},
-        {"a quarter for the others", {"f", "a", "c", "d"}, {"z", "b"}, 4, {"f", "a", "c", "z"}},
-        {"room that nobody else takes", {"f"}, {"z", "b", "a"}, 4, {"f", "z", "b", "a"}},
-    };
-    for (const row &entry : rows) {
-        cell_fixture fixture;
-        for (const std::string &id : entry.others) {
-            noteChange(fixture.cell, id, false);
-        }
-        for (const std::string &id : entry.urgent) {
-            noteChange(fixture.cell, id, true);
-        }
-        const auto taken = beginWrite(fixture.cell, entry.rows, oneRow);
-        BOOST_TEST(taken == entry.taken, entry.name << boost::test_tools::per_element());
-        BOOST_TEST(fixture.cell.writeUrgent
-                   == (taken.size() < entry.urgent.size() + entry.others.size()
-                       && fixture.cell.unsaved.count(entry.urgent.back()) > 0));
-    }
-}
-
-// Hunted day fresh-f00f: progress made under a predecessor was acknowledged but not stored.
-BOOST_AUTO_TEST_CASE(ends_of_runs_that_a_predecessor_started_are_stored)
-{
-    cell_fixture fixture(2, false);
-    job_state job;
-    job.spec = cell_fixture::makeJob("a", {cell_fixture::makeStep(2, 1'000)});
-    job.policy = fixture.policy;
-    job.acceptedEpoch = 1;
-    inheritJob(fixture.cell, job, fixture.now);
-    fixture.end("worker-1", 1, {"a", 0, 0, 0}, 1, end_kind::done);
-    BOOST_TEST(fixture.cell.workers.at("worker-1").acknowledgedEnd == 0);
-    BOOST_TEST(beginWrite(fixture.cell, 10, oneRow).size() == 1U);
-    BOOST_TEST(findJob(fixture.cell, "a")->startedAny); // so that the progress row is written
-    onWritten(fixture.cell, fixture.now);
-    BOOST_TEST(fixture.cell.workers.at("worker-1").acknowledgedEnd == 1);
-}
-
-BOOST_AUTO_TEST_CASE(inherited_tasks_wait_until_every_worker_is_settled)
-{
-    cell_fixture fixture(2, false);
-    inheritWorker(fixture.cell, cell_fixture::makeWorker("worker-9"), fixture.now);
-    job_state job;
-    job.spec = cell_fixture::makeJob("a", {cell_fixture::makeStep(1, 1'000)});
-    job.policy = fixture.policy;
-    job.acceptedEpoch = 1;
-    inheritJob(fixture.cell, job, fixture.now);
-    fixture.settleAll();
-    // Hunted day hunt-ed18-15: the registry did not name a worker that had run the task.
-    BOOST_TEST((findTask(*findJob(fixture.cell, "a"), {"a", 0, 0, 0})->phase == run_phase::none));
-    fixture.end("worker-9", 1, {"a", 0, 0, 0}, 1, end_kind::done);
-    BOOST_TEST(fixture.decide().starts.empty());
-    BOOST_TEST(findJob(fixture.cell, "a")->finalPhase.has_value());
-}
-
-BOOST_AUTO_TEST_CASE(attempts_of_a_later_epoch_are_higher)
-{
-    cell_fixture fixture(3, false);
-    job_state job;
-    job.spec = cell_fixture::makeJob("a", {cell_fixture::makeStep(1, 1'000)});
-    job.policy = fixture.policy;
-    job.acceptedEpoch = 1;
-    inheritJob(fixture.cell, job, fixture.now);
-    fixture.settleAll();
-    const auto &task = *findTask(*findJob(fixture.cell, "a"), {"a", 0, 0, 0});
-    BOOST_TEST(task.attempt == 2 * attemptsPerEpoch + 1);
-}
-
 // Hunted day fresh-f00f: a run of a job that had ended was stopped, but its room was given away.
 BOOST_AUTO_TEST_CASE(a_worker_with_a_run_of_an_unknown_job_takes_no_work_until_it_is_gone)
 {
@@ -253,35 +171,6 @@
     BOOST_TEST((findJob(fixture.cell, "a")->finalPhase == cell_phase::failed));
 }
 
-// History 35: the successor ran tasks of a cancelled job again.
-BOOST_AUTO_TEST_CASE(ends_of_a_job_are_acknowledged_only_when_its_cancellation_is_stored)
-{
-    cell_fixture fixture;
-    const auto out = fixture.run(cell_fixture::makeJob("a", {cell_fixture::makeStep(1, 1'000)}));
-    fixture.confirm(out.starts.at(0));
-    orders ignored;
-    cancelJob(fixture.cell, "a", fixture.now, ignored);
-    fixture.end(out.starts[0].worker, 1, out.starts[0].task, 1, end_kind::done);
-    BOOST_TEST(fixture.cell.workers.at(out.starts[0].worker).acknowledgedEnd == 0);
-    fixture.store();
-    BOOST_TEST(fixture.cell.workers.at(out.starts[0].worker).acknowledgedEnd == 1);
-}
-
-// History 325: a forgotten worker that came back refused the lower fence for good.
-BOOST_AUTO_TEST_CASE(a_worker_that_comes_back_is_fenced_no_lower_than_before)
-{
-    cell_fixture fixture;
-    const auto out = fixture.run(cell_fixture::makeJob("a", {cell_fixture::makeStep(1, 1'000)}));
-    const std::string worker = out.starts.at(0).worker;
-    orders ignored;
-    onStartOutcome(fixture.cell, out.starts[0], order_outcome::unanswered, fixture.now, ignored);
-    fixture.decide();
-    const std::int64_t before = fencingToken(fixture.cell, fixture.cell.workers.at(worker));
-    fixture.cell.workers.erase(worker);
-    changeWorkers(fixture.cell, fixture.entries, fixture.now);
-    BOOST_TEST(fencingToken(fixture.cell, fixture.cell.workers.at(worker)) >= before);
-}
-
 BOOST_AUTO_TEST_CASE(the_lease_of_a_silent_worker_runs_out_and_its_tasks_start_elsewhere)
 {
     cell_fixture fixture;
@@ -384,20 +273,6 @@
     BOOST_TEST(again.starts[0].worker != out.starts[0].worker);
 }
 
-BOOST_AUTO_TEST_CASE(a_submission_can_be_withdrawn_only_while_no_write_holds_it)
-{
-    cell_fixture fixture;
-    const auto spec = cell_fixture::makeJob("a", {cell_fixture::makeStep(1, 1'000)});
-    acceptJob(fixture.cell, spec, fixture.policy, fixture.now);
-    BOOST_TEST(withdrawJob(fixture.cell, "a"));
-    BOOST_TEST((findJob(fixture.cell, "a") == nullptr));
-    acceptJob(fixture.cell, spec, fixture.policy, fixture.now);
-    beginWrite(fixture.cell, 10, oneRow);
-    BOOST_TEST(!withdrawJob(fixture.cell, "a"));
-    onWriteRefused(fixture.cell);
-    BOOST_TEST(withdrawJob(fixture.cell, "a"));
-}
-
 BOOST_AUTO_TEST_CASE(long_running_tasks_are_started_again_however_they_end)
 {
     const end_kind kinds[] = {end_kind::done, end_kind::failed, end_kind::stopped,
