A hand-over to the larger processor asks that one, and an old answer ends no new lead

Cause, read in the diff: the turn of hand-overs was taken from a metrics counter that other hand-overs raise, so that a smaller entry could be asked; a silent one could be asked for ever; and an answer to a request of an earlier epoch made an entry step down that led again in a later one.

Ruled out: a fault of the claim itself; the head row kept two schedulers apart.

Change: the largest that is heard is asked by name, silent ones come last, the turn is a field of the lead, and the answer counts only in the epoch of its request.

Conclusion: mended; the answer of an earlier epoch has no test.

--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -89,6 +89,8 @@
     timestamp nextMembersBeatAt = distantPast;
     timestamp nextHandoverAt = distantPast;
     bool handoverInFlight = false;
+    /// Which of the other entries is asked next.
+    std::size_t handoverTurn = 0;
     /// The lead is to be given away: once the write under way has ended, none is begun before
     /// another entry was asked, so that its claim does not find a newer head row.
     bool handoverWanted = false;
@@ -215,7 +217,10 @@
     const std::function<void(store_result, std::optional<head_row>, std::int64_t version)> &done);
 void claimHead(entry_state &entry, std::int64_t version, std::int64_t epoch,
                const std::function<void(bool)> &done);
+/// Asks another entry to take over, each time the next one.
 void handOver(entry_state &entry, const std::function<void(bool)> &done);
+void handOverTo(entry_state &entry, const std::string &address,
+                const std::function<void(bool)> &done);
 void stepDown(entry_state &entry, const char *reason);
 
 // leading.cpp
--- a/src/entry/membership.cpp
+++ b/src/entry/membership.cpp
@@ -23,13 +23,21 @@
 /// Time that a scheduler acts before it hands over to an entry with a larger processor share.
 constexpr microseconds calmBeforeHandover = 2 * second;
 
+/// Whether the member left the last sign of life of this scheduler unanswered.
+bool isSilent(const entry_state &entry, const std::string &name)
+{
+    if (!entry.lead) {
+        return false;
+    }
+    const auto missed = entry.lead->missedBeats.find(name);
+    return missed != entry.lead->missedBeats.end() && missed->second > 0;
+}
+
 /// Whether another member, the scheduler of now aside, has a much larger processor share.
 bool isOutmatched(const entry_state &entry)
 {
     return std::any_of(entry.processors.begin(), entry.processors.end(), [&](const auto &other) {
-        const bool silent = entry.lead && entry.lead->missedBeats.count(other.first) > 0
-            && entry.lead->missedBeats.at(other.first) > 0;
-        return other.first != entry.scheduler.name && !silent
+        return other.first != entry.scheduler.name && !isSilent(entry, other.first)
             && entry.settings.processorMilli * muchLarger < other.second;
     });
 }
@@ -41,21 +49,23 @@
     return spread + (isOutmatched(entry) ? claimSpread : 0);
 }
 
-/// The addresses of the other members, those with the largest processor share first.
+/// The addresses of the other members: those that are heard first, and among these the ones with
+/// the largest processor share.
 std::vector<std::string> successors(const entry_state &entry)
 {
-    std::vector<std::pair<std::int64_t, std::string>> others;
+    std::vector<std::pair<std::pair<bool, std::int64_t>, std::string>> others;
     for (const auto &[name, address] : entry.members) {
         if (name != entry.settings.name) {
             const auto share = entry.processors.find(name);
-            others.emplace_back(share == entry.processors.end() ? 0 : -share->second, address);
+            const std::int64_t known = share == entry.processors.end() ? 0 : share->second;
+            others.emplace_back(std::make_pair(isSilent(entry, name), -known), address);
         }
     }
     std::stable_sort(others.begin(), others.end(),
                      [](const auto &a, const auto &b) { return a.first < b.first; });
     std::vector<std::string> addresses;
     addresses.reserve(others.size());
-    for (const auto &[share, address] : others) {
+    for (const auto &[rank, address] : others) {
         addresses.push_back(address);
     }
     return addresses;
@@ -207,7 +217,7 @@
     lead.nextHandoverAt = now + calmBeforeHandover;
     logEvent(entry, "handover_to_larger",
              {{"own_processor_milli", std::to_string(entry.settings.processorMilli)}});
-    handOver(entry, [](bool) {});
+    handOverTo(entry, successors(entry).front(), [](bool) {});
 }
 
 member self(const entry_state &entry)
@@ -364,22 +374,30 @@
         return;
     }
     // Another one is asked each time, in case the first cannot reach the store either.
-    const std::size_t turn = static_cast<std::size_t>(entry.metrics.counters["handovers_asked"]++);
+    const std::size_t turn = entry.lead->handoverTurn++ % addresses.size();
+    handOverTo(entry, addresses[turn], done);
+}
+
+void handOverTo(entry_state &entry, const std::string &address,
+                const std::function<void(bool)> &done)
+{
+    ++entry.metrics.counters["handovers_asked"];
     entry.lead->handoverInFlight = true;
     member_word word;
     word.sender = self(entry);
     word.epoch = entry.epoch;
     // With a write under way the row's version is not known.
     word.headVersion = entry.lead->write ? 0 : entry.lead->headVersion;
-    sendPeer(entry, addresses[turn % addresses.size()], "/handover", encodeWord(word),
-             2 * storePatience, false, [&entry, done](const net::call_result &result) {
+    sendPeer(entry, address, "/handover", encodeWord(word), 2 * storePatience, false,
+             [&entry, done, epoch = entry.epoch](const net::call_result &result) {
                  const bool taken = result.status == 200;
-                 if (entry.lead) {
+                 // This entry may have come to lead again meanwhile, in a later epoch.
+                 if (entry.lead && entry.epoch == epoch) {
                      entry.lead->handoverInFlight = false;
                      entry.lead->writeBeforeHandover = true;
-                 }
-                 if (taken && entry.lead) {
-                     stepDown(entry, "handed over");
+                     if (taken) {
+                         stepDown(entry, "handed over");
+                     }
                  }
                  done(taken);
              });
--- a/test/cell/cluster_test.cpp
+++ b/test/cell/cluster_test.cpp
@@ -179,8 +179,11 @@
     BOOST_REQUIRE_MESSAGE(startError.empty(), startError);
     BOOST_REQUIRE(runUntil([this] { return agree(); }));
     BOOST_TEST(statusOf(*leader(), "POST", "a") == 200);
+    const std::int64_t epoch = leader()->entry->epoch;
+    leader()->entry->lead->handoverTurn = 1; // others were asked before, for other reasons
     const cluster_member &larger = add("entry-large", 1'000);
     add("entry-little-larger", 400);
     BOOST_REQUIRE(runUntil([&] { return leader() == &larger && agree(); }));
+    BOOST_TEST(leader()->entry->epoch == epoch + 1); // not by way of a smaller one
     BOOST_TEST(statusOf(*members.front(), "GET", "a") == 200);
 }
