The time of acceptance is kept only until its job is stored or taken back

Ruled out: deriving it from receivedAt; the wall clock may step in between.

Change: erased when the job's row is stored, when the job is withdrawn, and when it had ended before; not filled for inherited jobs.

Conclusion: bounded by the jobs that wait for the store.

--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -51,7 +51,8 @@
     cell::scheduler cell;
     std::int64_t headVersion = 0;
     std::int64_t sequence = 0;
-    /// Wall-clock time at which each job was accepted, microseconds since 1970.
+    /// Wall-clock time at which each job that is not stored yet was accepted, microseconds since
+    /// 1970.
     std::map<std::string, std::int64_t> acceptedWall;
     /// Jobs of the write under way that must not have ended under an earlier scheduler.
     std::vector<std::string> newInWrite;
--- a/src/entry/leading.cpp
+++ b/src/entry/leading.cpp
@@ -94,7 +94,6 @@
         if (found != made.end() && !decodeProgress(found->second->value, *job)) {
             logEvent(entry, "row_unreadable", {{"table", progressTable}, {"key", row.key}});
         }
-        entry.lead->acceptedWall[row.key] = accepted;
         cell::inheritJob(entry.lead->cell, std::move(*job), now);
     }
 }
--- a/src/entry/writes.cpp
+++ b/src/entry/writes.cpp
@@ -168,6 +168,7 @@
     }
     answerStored(entry, ids);
     for (const std::string &id : lead.newInWrite) {
+        lead.acceptedWall.erase(id); // its row holds the time now
         logEvent(entry, "job_stored", {{"job", id}, {"version", std::to_string(version)}});
     }
     wantDecision(entry);
@@ -182,6 +183,7 @@
     lead.write.reset();
     for (const stored_row &row : rows) {
         if (row.table == endedTable && row.version != 0 && cell::withdrawJob(lead.cell, row.key)) {
+            lead.acceptedWall.erase(row.key);
             logEvent(entry, "job_ended_before", {{"job", row.key}});
             answerStored(entry, {row.key});
         }
@@ -323,6 +325,9 @@
             ++place;
             continue;
         }
+        if (untouched) {
+            lead.acceptedWall.erase(place->first);
+        }
         caller_answer answer;
         answer.kind = untouched ? answer_kind::refused : answer_kind::unknown;
         answer.retryAfter = refusedRetryAfter;
--- a/test/cell/writes_test.cpp
+++ b/test/cell/writes_test.cpp
@@ -269,6 +269,22 @@
     BOOST_TEST((answers.at(nameOf(199)) == answer_kind::refused)); // too many writes ahead
 }
 
+BOOST_FIXTURE_TEST_CASE(nothing_is_kept_of_the_acceptance_once_it_is_stored_or_taken_back,
+                        writing_fixture)
+{
+    submit("stored", 5 * second);
+    write();
+    submit("withdrawn", second);
+    submit("ended-before", 5 * second);
+    answerDone();
+    expireWaiters(entry, steadyNow() + 2 * second);
+    write();
+    answer(conflictWith(
+        {endedTable, "ended-before", encodeEnded({cell::job_phase::completed, 1}), 30, false}));
+    BOOST_TEST((answers.at("withdrawn") == answer_kind::refused));
+    BOOST_TEST(entry.lead->acceptedWall.size() == 0U);
+}
+
 BOOST_FIXTURE_TEST_CASE(a_refusal_is_told_only_of_what_no_write_holds, writing_fixture)
 {
     submit("a", second);
