A silent try of a write gets another one beside it

Ruled out: a shorter patience for every try; a slow store takes 0.55 s for a write.

Change: after 0.6 s of silence, and twice the time that writes take, the same write is sent once more; the first telling answer settles it, answers to tries of earlier writes are ignored by their number (the sequence does not tell a rebuilt write from the former one), and a refusal beside an open try does not rebuild it. One line when writes begin to fail, one when they are done again.

--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -66,6 +66,14 @@
     bool writeUnclear = false;
     bool writeInFlight = false;
     timestamp writeStartedAt = distantPast;
+    /// When the newest try of the write under way was sent; older ones may still be answered.
+    timestamp triedAt = distantPast;
+    /// Number of the newest try of any write.
+    std::int64_t tries = 0;
+    /// Number of the first try of the write under way.
+    std::int64_t firstTry = 0;
+    /// The write under way has failed at least once.
+    bool writeFailed = false;
     /// Time that a write takes, smoothed over the last few.
     microseconds writeTook = 0;
     timestamp nextWriteAt = distantPast;
--- a/src/entry/writes.cpp
+++ b/src/entry/writes.cpp
@@ -19,6 +19,9 @@
 constexpr microseconds lazyPause = 150 * millisecond;
 constexpr microseconds writePatience = 1'200 * millisecond;
 constexpr microseconds retryPause = 80 * millisecond;
+/// A try that is silent for this long, and twice as long as writes take, gets another one beside
+/// it, so that the return of a store that was away is seen. At most three are under way.
+constexpr microseconds secondTryAfter = 600 * millisecond;
 /// A write that takes longer than this shows a store that is down or slow: what would have to
 /// wait for it is refused at once.
 constexpr microseconds slowStore = 1'000 * millisecond;
@@ -120,6 +123,7 @@
         }
     }
     lead.write = std::move(write);
+    lead.firstTry = lead.tries + 1;
     lead.writeUnclear = false;
     lead.writeStartedAt = steadyNow();
 }
@@ -152,6 +156,12 @@
     const microseconds took = now - lead.writeStartedAt;
     observeLatency(entry.metrics, "store_write_seconds", took);
     lead.writeTook = (lead.writeTook + took) / 2;
+    if (lead.writeFailed) {
+        logEvent(entry, "store_write_done",
+                 {{"sequence", std::to_string(lead.writeSequence)},
+                  {"took_ms", std::to_string(took / millisecond)}});
+        lead.writeFailed = false;
+    }
     std::vector<std::string> ids;
     for (const auto &[id, change] : lead.cell.inWrite) {
         ids.push_back(id);
@@ -214,6 +224,15 @@
     forgetEndedBefore(entry, result.rows);
 }
 
+/// Whether the answer changes nothing any more: it is to a try of an earlier write, or it tells
+/// nothing of a try beside which a newer one is under way.
+bool isStale(const scheduler_side &lead, const store_result &result, std::int64_t tried)
+{
+    const bool telling =
+        result.outcome == store_outcome::done || result.outcome == store_outcome::conflict;
+    return !lead.write || tried < lead.firstTry || (!telling && tried != lead.tries);
+}
+
 void onWriteResult(entry_state &entry, const store_result &result)
 {
     scheduler_side &lead = *entry.lead;
@@ -226,9 +245,12 @@
         onConflict(entry, result);
     } else {
         const bool refused = result.outcome == store_outcome::refused;
-        logEvent(entry, "store_write_failed",
-                 {{"outcome", refused ? "refused" : "unanswered"},
-                  {"sequence", std::to_string(lead.writeSequence)}});
+        if (!lead.writeFailed) {
+            logEvent(entry, "store_write_failed",
+                     {{"outcome", refused ? "refused" : "unanswered"},
+                      {"sequence", std::to_string(lead.writeSequence)}});
+        }
+        lead.writeFailed = true;
         lead.writeUnclear = lead.writeUnclear || !refused;
         lead.nextWriteAt = steadyNow() + retryPause;
         if (!lead.writeUnclear) {
@@ -284,9 +306,12 @@
     }
     scheduler_side &lead = *entry.lead;
     const timestamp now = steadyNow();
-    if (lead.writeInFlight || !isWriteDue(lead, now)) {
+    const microseconds patience = std::max(secondTryAfter, 2 * lead.writeTook);
+    const bool silent = lead.writeInFlight && now > lead.triedAt + patience;
+    if ((lead.writeInFlight && !silent) || !isWriteDue(lead, now)) {
         return;
     }
+    lead.writeUnclear = lead.writeUnclear || silent;
     if (now < lead.nextWriteAt) {
         lead.writeWantedAt = lead.nextWriteAt;
         return;
@@ -304,13 +329,15 @@
         buildWrite(entry);
     }
     lead.writeInFlight = true;
-    entry.ports.store.write(*lead.write, now + writePatience,
-                            [&entry, epoch = entry.epoch](const store_result &result) {
-                                if (entry.lead && entry.epoch == epoch) {
-                                    onWriteResult(entry, result);
-                                    wantDecision(entry);
-                                }
-                            });
+    lead.triedAt = now;
+    entry.ports.store.write(
+        *lead.write, now + writePatience,
+        [&entry, epoch = entry.epoch, tried = ++lead.tries](const store_result &result) {
+            if (entry.lead && entry.epoch == epoch && !isStale(*entry.lead, result, tried)) {
+                onWriteResult(entry, result);
+                wantDecision(entry);
+            }
+        });
 }
 
 void expireWaiters(entry_state &entry, timestamp now)
--- a/test/cell/writes_test.cpp
+++ b/test/cell/writes_test.cpp
@@ -203,6 +203,86 @@
     BOOST_TEST(writes[1].puts.front().value == writes[0].puts.front().value);
 }
 
+// Incidents csuc inc-148b and sittnord inc-c93d: a try that was sent into an outage kept the
+// scheduler from seeing the store's return.
+BOOST_FIXTURE_TEST_CASE(a_silent_try_gets_another_one_beside_it, writing_fixture)
+{
+    submit("a");
+    write();
+    write();
+    BOOST_REQUIRE(writes.size() == 1U); // not at once
+    entry.lead->writeTook = second;
+    entry.lead->triedAt = steadyNow() - second;
+    write();
+    BOOST_REQUIRE(writes.size() == 1U); // a slow store is not asked more often
+    entry.lead->triedAt = distantPast;
+    write();
+    BOOST_REQUIRE(writes.size() == 2U);
+    BOOST_TEST(writes[1].puts.front().value == writes[0].puts.front().value);
+    completions[0]({}); // the first ends without an answer: the second is still under way
+    write();
+    BOOST_TEST(writes.size() == 2U);
+    answerDone();
+    BOOST_TEST((answers.at("a") == answer_kind::accepted));
+}
+
+BOOST_FIXTURE_TEST_CASE(either_of_two_tries_settles_the_write_once, writing_fixture)
+{
+    submit("a");
+    write();
+    entry.lead->triedAt = distantPast;
+    write();
+    store_result done;
+    done.outcome = store_outcome::done;
+    done.version = 41;
+    completions[0](done);
+    BOOST_TEST((answers.at("a") == answer_kind::accepted));
+    submit("b");
+    write();
+    completions[1](conflictWith(
+        {headTable, headKey, encodeHead({3, 8, "entry-1", "10.0.0.1:1", "life-1"}), 41, false}));
+    BOOST_REQUIRE(
+        entry.lead); // the answer to the second try is not taken for one to the next write
+    BOOST_TEST(answers.count("b") == 0U);
+    BOOST_TEST(entry.lead->writeInFlight);
+    answer({store_outcome::done, {}, 42, false});
+    BOOST_TEST((answers.at("b") == answer_kind::accepted));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_late_answer_to_a_write_that_was_built_anew_is_ignored, writing_fixture)
+{
+    const store_result ended = conflictWith(
+        {endedTable, "ended-before", encodeEnded({cell::job_phase::completed, 1}), 30, false});
+    submit("a");
+    submit("ended-before");
+    write();
+    entry.lead->triedAt = distantPast;
+    write();
+    completions[0](ended);
+    write(); // without the job that had ended
+    BOOST_REQUIRE(writes.size() == 3U);
+    completions[1](ended); // to the former content; both have the same sequence
+    BOOST_REQUIRE(entry.lead->write.has_value());
+    BOOST_TEST(entry.lead->writeInFlight);
+    answerDone();
+    BOOST_TEST((answers.at("a") == answer_kind::accepted));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_refused_second_try_does_not_change_the_write, writing_fixture)
+{
+    submit("a");
+    write();
+    entry.lead->triedAt = distantPast;
+    write();
+    submit("b");
+    store_result refused;
+    refused.outcome = store_outcome::refused;
+    completions[1](refused); // the first may still have effect
+    write();
+    BOOST_REQUIRE(writes.size() == 3U);
+    BOOST_TEST(writes[2].puts.size() == writes[0].puts.size());
+}
+
 BOOST_FIXTURE_TEST_CASE(a_write_that_was_refused_takes_newer_changes_along, writing_fixture)
 {
     submit("a");
