Event loop time by duty, loop delay, waiting jobs and takeovers in metrics and logs

The collected log of each scheduler held only its last four seconds, filled with one worker_settled line per worker.

Adds busy time, events and bytes by duty, the event loop's delay, gauges for workers not reconciled and restored jobs held back, and the lines event_loop_late, scheduler_load, probe_failed, scheduler_heard_again, workers_reconciled and job_waiting. The lines of a takeover carry the age of the last contact and the entry's own delay. Lines that each worker or member causes are limited by event and counted. No decision changes.

--- a/src/entry/daemon.cpp
+++ b/src/entry/daemon.cpp
@@ -92,6 +92,13 @@
         },
         limits);
     entry.peerServer->onClose([&entry](const std::string &peer) { onPeerClosed(entry, peer); });
+    entry.callerServer->measure(entry.meter,
+                                [](const net::http_request &) { return net::duty::caller; });
+    entry.readinessServer->measure(entry.meter,
+                                   [](const net::http_request &) { return net::duty::caller; });
+    entry.peerServer->measure(entry.meter, [](const net::http_request &request) {
+        return dutyOfPeerPath(request.target);
+    });
     std::string error = entry.callerServer->listen(entry.settings.callerAddress);
     error = error.empty() ? entry.readinessServer->listen(entry.settings.readyAddress) : error;
     error = error.empty() ? entry.peerServer->listen(entry.settings.peerAddress) : error;
@@ -168,17 +175,20 @@
                  {{"for_ms", std::to_string((now - entry.lastTickAt) / millisecond)}});
     }
     entry.lastTickAt = now;
+    observeTick(entry, now);
     monitorScheduler(entry, now);
     tickLeader(entry, now);
     expireForwarded(entry, now);
     if (entry.stopping) {
         continueStop(entry, now);
     }
+    const net::duty_scope scope(&entry.meter, net::duty::log);
     flushLog(entry.log);
 }
 
 void scheduleTick(entry_state &entry)
 {
+    entry.observed.tickDueAt = steadyNow() + tickInterval;
     entry.tickTimer.expires_after(std::chrono::microseconds(tickInterval));
     entry.tickTimer.async_wait([&entry](boost::system::error_code) {
         if (!entry.finished) {
@@ -260,6 +270,7 @@
 
 std::string startEntry(entry_state &entry)
 {
+    measurePorts(entry);
     std::string error = startServers(entry);
     if (error.empty()) {
         logEvent(entry, "started",
@@ -287,7 +298,8 @@
     : loop(context)
     , settings(std::move(given))
     , log(openLog(settings.name, settings.logLinesPerSecond))
-    , client(context, steadyNow)
+    , meter {steadyNow}
+    , client(context, steadyNow, &meter)
     , tickTimer(context)
     , decideTimer(context)
     , incarnation(makeIncarnation())
@@ -316,7 +328,7 @@
     boost::asio::signal_set signals(loop, SIGTERM, SIGINT, SIGHUP);
     handleSignals(entry, signals, watcher);
     watchSettings(entry, watcher);
-    loop.run();
+    net::runMetered(loop, entry.meter);
     return 0;
 }
 
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -15,6 +15,7 @@
 #include "entry/entry_settings.h"
 #include "entry/event_log.h"
 #include "entry/metrics.h"
+#include "entry/observation.h"
 #include "entry/ports.h"
 #include "entry/rows.h"
 #include "net/http_client.h"
@@ -145,6 +146,8 @@
     platform_ports ports;
     event_log log;
     entry_metrics metrics;
+    net::busy_meter meter;
+    entry_observation observed;
     net::http_client client;
     std::unique_ptr<net::http_server> callerServer;
     std::unique_ptr<net::http_server> readinessServer;
@@ -191,9 +194,9 @@
 /// Microseconds since 1970.
 std::int64_t wallNow();
 
-template <typename... Fields>
-void logEvent(entry_state &entry, const char *event, log_fields fields)
+inline void logEvent(entry_state &entry, const char *event, log_fields fields)
 {
+    const net::duty_scope scope(&entry.meter, net::duty::log);
     writeEvent(entry.log, wallNow(), event, fields);
 }
 
--- a/src/entry/event_log.cpp
+++ b/src/entry/event_log.cpp
@@ -12,6 +12,11 @@
 /// Maximum size of one write; the log of the users' platform keeps only 8 KB of each.
 constexpr std::size_t chunkBytes = 4U << 10U;
 
+/// Lines per second of events that a takeover or an outage causes for each worker or entry.
+const std::pair<const char *, std::int64_t> defaultLimits[] = {
+    {"worker_settled", 5}, {"worker_silent", 10}, {"worker_listed", 5}, {"worker_unlisted", 10},
+    {"member_joined", 5},  {"member_silent", 10}, {"member_back", 10}};
+
 void appendString(std::string &out, const std::string &text)
 {
     out += '"';
@@ -26,11 +31,32 @@
     out += '"';
 }
 
-bool admitLine(event_log &log, std::int64_t wall)
+void appendLine(event_log &log, std::int64_t wall, const char *event, log_fields fields);
+
+void startRateWindow(event_log &log, std::int64_t wall)
+{
+    log.rateWindowStart = wall;
+    log.linesInWindow = 0;
+    for (auto &[event, limit] : log.limits) {
+        if (limit.suppressedInWindow > 0) {
+            appendLine(log, wall, "lines_suppressed",
+                       {{"of_event", event}, {"lines", std::to_string(limit.suppressedInWindow)}});
+        }
+        limit.linesInWindow = 0;
+        limit.suppressedInWindow = 0;
+    }
+}
+
+bool admitLine(event_log &log, std::int64_t wall, const char *event)
 {
     if (wall >= log.rateWindowStart + second || wall < log.rateWindowStart) {
-        log.rateWindowStart = wall;
-        log.linesInWindow = 0;
+        startRateWindow(log, wall);
+    }
+    const auto limit = log.limits.find(event);
+    if (limit != log.limits.end() && ++limit->second.linesInWindow > limit->second.linesPerSecond) {
+        ++limit->second.suppressedInWindow;
+        ++log.suppressed;
+        return false;
     }
     if (++log.linesInWindow > log.linesPerSecond || log.pending.size() > maxPendingBytes) {
         ++log.dropped;
@@ -49,6 +75,9 @@
     out += R"(,"event":)";
     appendString(out, event);
     for (const auto &[name, value] : fields) {
+        if (value.empty()) {
+            continue;
+        }
         out += ',';
         appendString(out, name);
         out += ':';
@@ -69,12 +98,15 @@
     event_log log;
     log.instance = std::move(instance);
     log.linesPerSecond = linesPerSecond;
+    for (const auto &[event, lines] : defaultLimits) {
+        log.limits[event].linesPerSecond = lines;
+    }
     return log;
 }
 
 void writeEvent(event_log &log, std::int64_t wall, const char *event, log_fields fields)
 {
-    if (!admitLine(log, wall)) {
+    if (!admitLine(log, wall, event)) {
         return;
     }
     if (log.dropped != log.droppedReported) {
--- a/src/entry/event_log.h
+++ b/src/entry/event_log.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <initializer_list>
+#include <map>
 #include <string>
 #include <utility>
 
@@ -14,8 +15,17 @@
 ///     writeEvent(log, now, "job_accepted", {{"job", id}, {"epoch", "3"}});
 ///     flushLog(log);   // never blocks
 ///
-/// Lines that exceed the rate, or the buffer while standard output accepts no data, are dropped and
-/// counted; the count is logged before the next line that is accepted.
+/// Fields with an empty value are left out. Lines of an event with a limit of its own that exceed
+/// it are suppressed, and a line `lines_suppressed` tells how many. Lines that exceed the rate, or
+/// the buffer while standard output accepts no data, are dropped and counted; the count is logged
+/// before the next line that is accepted.
+struct event_limit
+{
+    std::int64_t linesPerSecond = 0;
+    std::int64_t linesInWindow = 0;
+    std::uint64_t suppressedInWindow = 0;
+};
+
 struct event_log
 {
     std::string instance;
@@ -26,6 +36,9 @@
     std::uint64_t dropped = 0;
     std::uint64_t droppedReported = 0;
     std::uint64_t written = 0;
+    /// Limits of events that many workers or entries can cause at the same time, by event.
+    std::map<std::string, event_limit, std::less<>> limits;
+    std::uint64_t suppressed = 0;
 };
 
 using log_fields = std::initializer_list<std::pair<const char *, std::string>>;
--- a/src/entry/leader.cpp
+++ b/src/entry/leader.cpp
@@ -109,6 +109,9 @@
         entry, "scheduler_started",
         {{"epoch", std::to_string(entry.epoch)},
          {"jobs", std::to_string(entry.leaderState->cell.jobs.size())},
+         {"claim_ms",
+          std::to_string((entry.leaderState->cell.tookOverAt - entry.observed.claimedAt)
+                         / millisecond)},
          {"load_ms", std::to_string((now - entry.leaderState->cell.tookOverAt) / millisecond)}});
     watchWorkers(entry, entry.epoch);
     const auto deferredCalls = std::move(entry.leaderState->deferredCalls);
@@ -258,6 +261,7 @@
 void decideNow(entry_state &entry)
 {
     const timestamp now = steadyNow();
+    net::setDuty(&entry.meter, net::duty::decide);
     entry.leaderState->isDecisionPosted = false;
     entry.leaderState->decideWakeAt = distantFuture;
     updateSuspension(entry, now); // a process resumed after a pause must not act on stale state
@@ -378,6 +382,7 @@
         return;
     }
     if (now >= entry.leaderState->nextHeartbeatAt) {
+        const net::duty_scope scope(&entry.meter, net::duty::peer_message);
         sendHeartbeats(entry, now);
     }
     handOverOnStoreTimeout(entry, now);
--- a/src/entry/membership.cpp
+++ b/src/entry/membership.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <functional>
+#include <utility>
 
 #include "entry/entry.h"
 
@@ -24,6 +25,12 @@
 /// Time that a scheduler leads before it hands over to an entry with a larger processor share.
 constexpr microseconds minLeadTime = 2 * second;
 
+/// Returns the milliseconds from `then` to `now`; an empty text if `then` is not known.
+std::string formatAge(timestamp then, timestamp now)
+{
+    return then == distantPast ? "" : std::to_string((now - then) / millisecond);
+}
+
 /// Returns true if the member has not answered this scheduler's last heartbeat.
 bool isUnresponsive(const entry_state &entry, const std::string &name)
 {
@@ -91,6 +98,10 @@
     std::int64_t epoch = 0;
     timestamp startedAt = distantPast;
     std::size_t openAnswers = 0;
+    std::size_t asked = 0;
+    std::size_t answered = 0;
+    /// Shortest time since another entry has seen the scheduler; -1: no answer tells.
+    microseconds newestContactAgo = -1;
     bool isAlive = false;
     bool isEnded = false;
 };
@@ -113,6 +124,15 @@
     if (probe->isAlive || entry.schedulerSeenAt > probe->startedAt) {
         endProbe(entry);
     } else {
+        logEvent(
+            entry, "probe_failed",
+            {{"epoch", std::to_string(probe->epoch)},
+             {"asked", std::to_string(probe->asked)},
+             {"answered", std::to_string(probe->answered)},
+             {"seen_by_others_ms_ago",
+              probe->newestContactAgo < 0 ? "never"
+                                          : std::to_string(probe->newestContactAgo / millisecond)},
+             {"took_ms", std::to_string((steadyNow() - probe->startedAt) / millisecond)}});
         claimAfterProbe(entry, probe->version, probe->epoch);
     }
 }
@@ -127,6 +147,13 @@
                  const bool seesScheduler = answered && memberStatus->epoch >= probe->epoch
                      && memberStatus->schedulerSeenAgo >= 0
                      && memberStatus->schedulerSeenAgo < recentContactLimit;
+                 probe->answered += answered ? 1 : 0;
+                 if (answered && memberStatus->epoch >= probe->epoch
+                     && memberStatus->schedulerSeenAgo >= 0
+                     && (probe->newestContactAgo < 0
+                         || memberStatus->schedulerSeenAgo < probe->newestContactAgo)) {
+                     probe->newestContactAgo = memberStatus->schedulerSeenAgo;
+                 }
                  probe->isAlive =
                      probe->isAlive || seesScheduler || (answered && memberStatus->isClaiming);
                  countProbeAnswer(entry, probe);
@@ -149,6 +176,7 @@
         }
     }
     probe->openAnswers = others.size() + 1;
+    probe->asked = others.size();
     member_status memberStatus;
     memberStatus.sender = self(entry);
     memberStatus.epoch = head.epoch;
@@ -238,15 +266,29 @@
     if (entry.role != entry_role::follower && epoch > entry.epoch) {
         stepDown(entry, "another entry leads in a higher epoch");
     }
+    const timestamp seenBefore = entry.schedulerSeenAt;
+    const int probes = std::exchange(entry.observed.probesSinceSeen, 0);
     entry.epoch = epoch;
     entry.scheduler = scheduler;
     entry.schedulerSeenAt = now;
     entry.members[scheduler.name] = scheduler.address;
     recordProcessorShare(entry, scheduler);
     if (changed) {
-        logEvent(entry, "scheduler_known",
-                 {{"scheduler", scheduler.name}, {"epoch", std::to_string(epoch)}});
+        logEvent(
+            entry, "scheduler_known",
+            {{"scheduler", scheduler.name},
+             {"epoch", std::to_string(epoch)},
+             {"silent_ms", formatAge(seenBefore, now)},
+             {"probes", std::to_string(probes)},
+             {"loop_delay_ms", std::to_string(recentDelay(entry.observed.delay) / millisecond)}});
         resendForwarded(entry);
+    } else if (probes > 0) {
+        logEvent(
+            entry, "scheduler_heard_again",
+            {{"epoch", std::to_string(epoch)},
+             {"silent_ms", formatAge(seenBefore, now)},
+             {"probes", std::to_string(probes)},
+             {"loop_delay_ms", std::to_string(recentDelay(entry.observed.delay) / millisecond)}});
     }
 }
 
@@ -265,11 +307,14 @@
     if (now < entry.schedulerSeenAt + limit + claimDelay(entry)) {
         return;
     }
-    if (entry.schedulerSeenAt != distantPast) {
-        logEvent(entry, "scheduler_silent",
-                 {{"scheduler", entry.scheduler.name},
-                  {"epoch", std::to_string(entry.epoch)},
-                  {"silent_ms", std::to_string((now - entry.schedulerSeenAt) / millisecond)}});
+    // The lines that follow the silence give the number of probes.
+    if (entry.schedulerSeenAt != distantPast && entry.observed.probesSinceSeen++ == 0) {
+        logEvent(
+            entry, "scheduler_silent",
+            {{"scheduler", entry.scheduler.name},
+             {"epoch", std::to_string(entry.epoch)},
+             {"silent_ms", formatAge(entry.schedulerSeenAt, now)},
+             {"loop_delay_ms", std::to_string(recentDelay(entry.observed.delay) / millisecond)}});
     }
     probeScheduler(entry);
 }
@@ -313,7 +358,12 @@
         {headTable, headKey,
          encodeHead({next, 0, entry.settings.name, entry.settings.peerAddress, entry.incarnation}),
          0, false});
-    logEvent(entry, "claim", {{"epoch", std::to_string(next)}});
+    entry.observed.claimedAt = steadyNow();
+    logEvent(entry, "claim",
+             {{"epoch", std::to_string(next)},
+              {"silent_ms", formatAge(entry.schedulerSeenAt, entry.observed.claimedAt)},
+              {"probes", std::to_string(entry.observed.probesSinceSeen)},
+              {"loop_delay_ms", std::to_string(recentDelay(entry.observed.delay) / millisecond)}});
     entry.ports.store.write(
         claim, steadyNow() + headTimeout, [&entry, next, done](const store_result &result) {
             entry.role = entry_role::follower;
@@ -348,7 +398,16 @@
     if (!entry.leaderState) {
         return;
     }
-    logEvent(entry, "stepped_down", {{"epoch", std::to_string(entry.epoch)}, {"reason", reason}});
+    const timestamp now = steadyNow();
+    logEvent(entry, "stepped_down",
+             {{"epoch", std::to_string(entry.epoch)},
+              {"reason", reason},
+              {"led_ms", formatAge(entry.leaderState->cell.tookOverAt, now)},
+              {"confirmed_ms_ago", formatAge(entry.leaderState->confirmedAt, now)},
+              {"workers_unreconciled",
+               std::to_string(countUnreconciledWorkers(entry.leaderState->cell))},
+              {"loop_delay_ms", std::to_string(recentDelay(entry.observed.delay) / millisecond)},
+              {"busy", recentShares(entry)}});
     ++entry.metrics.counters["stepped_down_total"];
     entry.role = entry_role::follower;
     const std::unique_ptr<leader_state> former = std::move(entry.leaderState);
--- a/src/entry/metrics.cpp
+++ b/src/entry/metrics.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <sstream>
+#include <vector>
 
 namespace bramleygrade::entry {
 
@@ -30,16 +31,98 @@
     return name.substr(0, brace) + suffix + name.substr(brace);
 }
 
+struct family_help
+{
+    const char *family;
+    const char *help;
+};
+
+/// Families in the order of their exposition.
+const family_help families[] = {
+    {"is_scheduler", "1 if this entry is the scheduler."},
+    {"epoch", "Highest epoch seen; each takeover raises it."},
+    {"takeovers_total", "Times this entry became the scheduler."},
+    {"busy_seconds_total", "Time the event loop was busy, by duty."},
+    {"event_loop_delay_ms", "Lateness of the event loop's timer, max of 1 to 2 s."},
+    {"jobs_open", "Jobs with tasks to start."},
+    {"jobs_waiting", "Jobs with tasks waiting for over 2 s, by reason of the newest report."},
+    {"workers", "Workers known."},
+    {"workers_unreconciled", "Workers that have not reported since the takeover."},
+    {"restored_jobs_held", "Restored jobs held back until all workers are reconciled."},
+    {"advice_queue", "Advice calls not sent yet."},
+    {"unsaved_changes", "Job changes not stored yet."},
+    {"calls_waiting", "Callers' calls without an answer."},
+    {"cpu_milli_promised", "Processor reserved for runs, 1/1000 core."},
+    {"cpu_milli_capacity", "Processor capacity of the workers, 1/1000 core."},
+    {"task_starts_total", "Start orders of this epoch."},
+    {"task_starts_refused_total", "Start orders refused by workers."},
+    {"orders_unanswered_total", "Orders to workers without an answer."},
+    {"task_ends_total", "Reported ends of runs, by outcome."},
+    {"caller_answers_total", "Answers to callers, by kind."},
+    {"jobs_total", "Jobs of this epoch, by state."},
+    {"events_total", "Handlers called by the event loop, by duty."},
+    {"body_bytes_total", "Bytes of HTTP bodies, by duty and direction."},
+    {"log_lines_dropped", "Log lines dropped over the rate of the settings."},
+    {"log_lines_suppressed", "Log lines over the limit of their event."},
+    {"log_lines_written", "Log lines written."},
+    {"scheduler_seen_ms_ago", "Time since the scheduler was last seen, -1: never."},
+    {"config_version", "Version of the configuration in force."},
+    {"members", "Entries known."},
+    {"stepped_down_total", "Times this entry lost leadership."},
+    {"handovers_asked", "Requests to other entries to take over."},
+    {"advice_calls_total", "Calls of the advisory service in this epoch."},
+    {"advice_failed_total", "Advice calls that failed."},
+    {"looks_total", "Polls of workers."},
+    {"workers_lapsed_total", "Workers whose runs were given up."},
+    {"runs_stalled_total", "Runs stopped for lack of progress."},
+    {"runs_preempted_total", "Runs stopped for a gang."},
+    {"jobs_in_memory", "Jobs in memory, ended ones included."},
+    {"connections_opened", "Outgoing connections opened."},
+    {"event_loop_delay_seconds", "Lateness of the event loop's timer."},
+    {"decision_seconds", "Duration of a decision."},
+    {"start_seconds", "Time to a worker's answer to a start order."},
+    {"advice_seconds", "Time to the answer to an advice call."},
+    {"caller_seconds", "Time to the answer to a caller."},
+};
+
+void exposeHeader(std::ostringstream &out, const std::string &family, const char *type)
+{
+    for (const family_help &known : families) {
+        if (family == known.family) {
+            out << "# HELP " << prefix << family << ' ' << known.help << '\n';
+        }
+    }
+    out << "# TYPE " << prefix << family << ' ' << type << '\n';
+}
+
+/// Calls `expose` for each value of the family, with a header before the first one.
+template <typename Values, typename Expose>
+void exposeFamily(std::ostringstream &out, const Values &values, const std::string &family,
+                  const char *type, Expose expose)
+{
+    bool isFirst = true;
+    for (auto it = values.lower_bound(family);
+         it != values.end() && it->first.compare(0, family.size(), family) == 0; ++it) {
+        if (familyOf(it->first) != family) {
+            continue;
+        }
+        if (isFirst) {
+            exposeHeader(out, family, type);
+        }
+        isFirst = false;
+        expose(it->first, it->second);
+    }
+}
+
+/// Adds the families of `values` that have no help text.
 template <typename Values>
-void exposeValues(std::ostringstream &out, const Values &values, const char *type)
+void addUnlisted(std::vector<std::string> &names, const Values &values)
 {
-    std::string family;
     for (const auto &[name, value] : values) {
-        if (familyOf(name) != family) {
-            family = familyOf(name);
-            out << "# TYPE " << prefix << family << ' ' << type << '\n';
+        const std::string family = familyOf(name);
+        if (!hasHelp(family) && (names.empty() || names.back() != family)) {
+            names.push_back(family);
         }
-        out << prefix << name << ' ' << value << '\n';
     }
 }
 
@@ -76,18 +159,39 @@
 
 std::string exposeMetrics(const entry_metrics &metrics)
 {
+    std::vector<std::string> names;
+    for (const family_help &known : families) {
+        names.emplace_back(known.family);
+    }
+    addUnlisted(names, metrics.counters);
+    addUnlisted(names, metrics.timeCounters);
+    addUnlisted(names, metrics.gauges);
+    addUnlisted(names, metrics.latencies);
     std::ostringstream out;
-    exposeValues(out, metrics.counters, "counter");
-    exposeValues(out, metrics.gauges, "gauge");
-    std::string family;
-    for (const auto &[name, histogram] : metrics.latencies) {
-        if (familyOf(name) != family) {
-            family = familyOf(name);
-            out << "# TYPE " << prefix << family << " histogram\n";
-        }
-        exposeHistogram(out, name, histogram);
+    const auto exposeValue = [&out](const std::string &name, auto value) {
+        out << prefix << name << ' ' << value << '\n';
+    };
+    for (const std::string &family : names) {
+        exposeFamily(out, metrics.counters, family, "counter", exposeValue);
+        exposeFamily(out, metrics.timeCounters, family, "counter",
+                     [&](const std::string &name, microseconds value) {
+                         exposeValue(name, static_cast<double>(value) / second);
+                     });
+        exposeFamily(out, metrics.gauges, family, "gauge", exposeValue);
+    }
+    for (const std::string &family : names) {
+        exposeFamily(out, metrics.latencies, family, "histogram",
+                     [&](const std::string &name, const latency_histogram &histogram) {
+                         exposeHistogram(out, name, histogram);
+                     });
     }
     return out.str();
 }
 
+bool hasHelp(const std::string &family)
+{
+    return std::any_of(std::begin(families), std::end(families),
+                       [&](const family_help &known) { return family == known.family; });
+}
+
 } // namespace bramleygrade::entry
--- a/src/entry/metrics.h
+++ b/src/entry/metrics.h
@@ -9,9 +9,8 @@
 
 namespace bramleygrade::entry {
 
-/// Upper bounds of the latency buckets, milliseconds.
-constexpr std::array<double, 12> latencyBoundsMs {1,   2,   5,   10,   20,   50,
-                                                  100, 250, 500, 1000, 2500, 5000};
+/// Upper bounds of the latency buckets, milliseconds. Few, as collectors cut long texts.
+constexpr std::array<double, 6> latencyBoundsMs {2, 10, 50, 200, 1000, 5000};
 
 struct latency_histogram
 {
@@ -24,13 +23,19 @@
 struct entry_metrics
 {
     std::map<std::string, std::uint64_t> counters;
+    /// Counters of time, microseconds; exposed in seconds.
+    std::map<std::string, microseconds> timeCounters;
     std::map<std::string, std::int64_t> gauges;
     std::map<std::string, latency_histogram> latencies;
 };
 
 void observeLatency(entry_metrics &metrics, const std::string &name, microseconds latency);
 
-/// Returns the metrics in the Prometheus text exposition format, version 0.0.4.
+/// Returns the metrics in the Prometheus text exposition format, version 0.0.4. What an on-call
+/// engineer needs first comes first, and histograms come last.
 std::string exposeMetrics(const entry_metrics &metrics);
 
+/// Returns whether the family, a metric's name without labels, has a help text.
+bool hasHelp(const std::string &family);
+
 } // namespace bramleygrade::entry
--- a/src/entry/peers.cpp
+++ b/src/entry/peers.cpp
@@ -166,6 +166,7 @@
               std::string body, microseconds timeout, bool idempotent,
               std::function<void(net::call_result)> done)
 {
+    const net::duty_scope scope(&entry.meter, dutyOfPeerPath(path));
     net::http_call call;
     call.address = address;
     call.method = "POST";
--- a/src/entry/state_dump.cpp
+++ b/src/entry/state_dump.cpp
@@ -55,6 +55,58 @@
     out.EndArray();
 }
 
+void refreshUsage(entry_state &entry)
+{
+    entry_metrics &metrics = entry.metrics;
+    for (std::size_t index = 0; index < net::dutyCount; ++index) {
+        const net::duty_usage &usage = entry.meter.usage[index];
+        const std::string label =
+            std::string("{duty=\"") + net::dutyName(static_cast<net::duty>(index)) + "\"";
+        metrics.timeCounters["busy_seconds_total" + label + "}"] = usage.busy;
+        metrics.counters["events_total" + label + "}"] = usage.events;
+        if (usage.bytesReceived + usage.bytesSent > 0) {
+            metrics.counters["body_bytes_total" + label + ",dir=\"in\"}"] = usage.bytesReceived;
+            metrics.counters["body_bytes_total" + label + ",dir=\"out\"}"] = usage.bytesSent;
+        }
+    }
+    metrics.gauges["event_loop_delay_ms"] = recentDelay(entry.observed.delay) / millisecond;
+}
+
+/// Removes the gauges of a scheduler, whose last values would look like current ones.
+void removeSchedulerGauges(entry_metrics &metrics)
+{
+    for (const char *name :
+         {"jobs_in_memory", "jobs_open", "workers", "workers_unreconciled", "restored_jobs_held",
+          "advice_queue", "unsaved_changes", "cpu_milli_promised", "cpu_milli_capacity"}) {
+        metrics.gauges.erase(name);
+    }
+}
+
+/// Removes the gauges whose names start with `family`, as labels of earlier values may be gone.
+void removeFamily(entry_metrics &metrics, const std::string &family)
+{
+    auto it = metrics.gauges.lower_bound(family);
+    while (it != metrics.gauges.end() && it->first.compare(0, family.size(), family) == 0) {
+        it = metrics.gauges.erase(it);
+    }
+}
+
+void refreshQueueGauges(entry_state &entry)
+{
+    auto &gauges = entry.metrics.gauges;
+    const leader_state &leaderState = *entry.leaderState;
+    gauges["workers_unreconciled"] = countUnreconciledWorkers(leaderState.cell);
+    gauges["restored_jobs_held"] = countHeldJobs(leaderState.cell);
+    gauges["advice_queue"] = static_cast<std::int64_t>(leaderState.adviceQueue.size());
+    gauges["unsaved_changes"] = static_cast<std::int64_t>(leaderState.cell.unstored.size());
+    for (const auto &[id, waiting] : entry.observed.waits) {
+        if (waiting.newest.tasks > 0) {
+            ++gauges[std::string("jobs_waiting{why=\"")
+                     + cell::waitReasonName(waiting.newest.reason) + "\"}"];
+        }
+    }
+}
+
 } // namespace
 
 std::string dumpState(const entry_state &entry)
@@ -90,6 +142,9 @@
 void refreshGauges(entry_state &entry)
 {
     auto &gauges = entry.metrics.gauges;
+    refreshUsage(entry);
+    removeFamily(entry.metrics, "jobs_waiting");
+    gauges["scheduler_seen_ms_ago"] = entry.leaderState ? 0 : ageMs(entry.schedulerSeenAt);
     gauges["epoch"] = entry.epoch;
     gauges["is_scheduler"] = entry.leaderState ? 1 : 0;
     gauges["config_version"] = entry.config.version;
@@ -98,9 +153,12 @@
     gauges["connections_opened"] = static_cast<std::int64_t>(entry.client.connectionsOpened());
     gauges["log_lines_written"] = static_cast<std::int64_t>(entry.log.written);
     gauges["log_lines_dropped"] = static_cast<std::int64_t>(entry.log.dropped);
+    gauges["log_lines_suppressed"] = static_cast<std::int64_t>(entry.log.suppressed);
     if (!entry.leaderState) {
+        removeSchedulerGauges(entry.metrics);
         return;
     }
+    refreshQueueGauges(entry);
     const cell::scheduler &cell = entry.leaderState->cell;
     gauges["jobs_in_memory"] = static_cast<std::int64_t>(cell.jobs.size());
     gauges["jobs_open"] = static_cast<std::int64_t>(cell.runnableJobs.size());
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -55,6 +55,7 @@
     clock_function now;
     std::map<std::string, std::vector<std::shared_ptr<connection>>> idle;
     std::uint64_t opened = 0;
+    busy_meter *meter = nullptr;
 };
 
 namespace {
@@ -69,6 +70,10 @@
         , done(std::move(whenDone))
         , timer(client->loop)
     {
+        if (client->meter != nullptr) {
+            callDuty = client->meter->current;
+            client->meter->of(callDuty).bytesSent += call.body.size();
+        }
     }
 
     void start()
@@ -104,6 +109,7 @@
         const microseconds left = std::max<microseconds>(call.deadline - client->now(), 1);
         timer.expires_after(std::chrono::microseconds(std::min(left, 3'600 * second)));
         timer.async_wait([self = shared_from_this()](error_code error) {
+            setDuty(self->client->meter, self->callDuty);
             if (!error) {
                 self->finish(
                     {self->sent ? call_outcome::unanswered : call_outcome::not_sent, 0, ""});
@@ -122,6 +128,7 @@
         reused = false;
         conn = std::make_shared<connection>(client->loop);
         conn->socket.async_connect(*endpoint, [self = shared_from_this()](error_code error) {
+            setDuty(self->client->meter, self->callDuty);
             if (self->finished) {
                 return;
             }
@@ -140,6 +147,7 @@
         sent = true;
         http::async_write(conn->socket, message,
                           [self = shared_from_this()](error_code error, std::size_t) {
+                              setDuty(self->client->meter, self->callDuty);
                               if (!self->finished) {
                                   error ? self->retryOrFail() : self->read();
                               }
@@ -152,6 +160,7 @@
         parser->body_limit(maxResponseBytes);
         http::async_read(conn->socket, conn->buffer, *parser,
                          [self = shared_from_this()](error_code error, std::size_t) {
+                             setDuty(self->client->meter, self->callDuty);
                              if (!self->finished) {
                                  error ? self->retryOrFail() : self->handleResponse();
                              }
@@ -177,6 +186,9 @@
             idleConnections.push_back(conn);
         }
         auto &response = parser->get();
+        if (client->meter != nullptr) {
+            client->meter->of(callDuty).bytesReceived += response.body().size();
+        }
         call_result result {call_outcome::answered, static_cast<int>(response.result_int()),
                             std::move(response.body())};
         conn.reset();
@@ -205,6 +217,7 @@
     std::shared_ptr<connection> conn;
     http::request<http::string_body> message;
     std::optional<http::response_parser<http::string_body>> parser;
+    duty callDuty = duty::other;
     bool reused = false;
     bool sent = false;
     bool finished = false;
@@ -222,8 +235,8 @@
     return "";
 }
 
-http_client::http_client(asio::io_context &loop, clock_function now)
-    : m_state(std::make_shared<state>(state {loop, now, {}, 0}))
+http_client::http_client(asio::io_context &loop, clock_function now, busy_meter *meter)
+    : m_state(std::make_shared<state>(state {loop, now, {}, 0, meter}))
 {
 }
 
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -5,6 +5,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include "net/busy_meter.h"
 #include "net/http_message.h"
 
 namespace bramleygrade::net {
@@ -22,7 +23,8 @@
     using clock_function = timestamp (*)();
     using completion = std::function<void(call_result)>;
 
-    http_client(boost::asio::io_context &loop, clock_function now);
+    /// With a meter, the events of a call are attributed to the duty that is current at its `send`.
+    http_client(boost::asio::io_context &loop, clock_function now, busy_meter *meter = nullptr);
     ~http_client();
 
     void send(http_call call, completion done);
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -27,6 +27,8 @@
     std::size_t inProgress = 0;
     bool draining = false;
     std::function<void(const std::string &)> closeHandler;
+    busy_meter *meter = nullptr;
+    std::function<duty(const http_request &)> dutyOf;
 };
 
 struct session : std::enable_shared_from_this<session>
@@ -49,12 +51,14 @@
         parser->header_limit(server->limits.maxHeaderBytes);
         idleTimer.expires_after(std::chrono::microseconds(server->limits.idleTimeout));
         idleTimer.async_wait([self = shared_from_this()](error_code error) {
+            setDuty(self->server->meter, self->requestDuty);
             if (!error && !self->answering) {
                 self->close();
             }
         });
         http::async_read(socket, buffer, *parser,
                          [self = shared_from_this()](error_code error, std::size_t) {
+                             setDuty(self->server->meter, self->requestDuty);
                              self->idleTimer.cancel();
                              error ? self->refuse(error) : self->handle();
                          });
@@ -98,6 +102,11 @@
             request.headers.emplace_back(std::string(field.name_string()),
                                          std::string(field.value()));
         }
+        if (server->meter != nullptr) {
+            requestDuty = server->dutyOf(request);
+            setDuty(server->meter, requestDuty);
+            server->meter->of(requestDuty).bytesReceived += request.body.size();
+        }
         server->handle(std::move(request), [weak = weak_from_this()](http_response response) {
             if (const auto self = weak.lock()) {
                 self->respond(std::move(response));
@@ -110,6 +119,10 @@
         if (!answering) {
             return;
         }
+        const duty_scope scope(server->meter, requestDuty);
+        if (server->meter != nullptr) {
+            server->meter->of(requestDuty).bytesSent += response.body.size();
+        }
         answering = false;
         --server->inProgress;
         closing = closing || server->draining;
@@ -125,6 +138,7 @@
         writing = true;
         http::async_write(socket, answer,
                           [self = shared_from_this()](error_code error, std::size_t) {
+                              setDuty(self->server->meter, self->requestDuty);
                               self->writing = false;
                               error || self->closing ? self->close() : self->read();
                           });
@@ -152,6 +166,8 @@
     std::optional<http::request_parser<http::string_body>> parser;
     http::response<http::string_body> answer;
     std::string peer;
+    /// Duty of the newest request.
+    duty requestDuty = duty::other;
     bool answering = false;
     bool writing = false;
     bool closing = false;
@@ -177,8 +193,8 @@
 } // namespace
 
 http_server::http_server(asio::io_context &loop, handler handle, server_limits limits)
-    : m_state(std::make_shared<state>(
-        state {loop, std::move(handle), limits, tcp::acceptor(loop), {}, 0, false, {}}))
+    : m_state(std::make_shared<state>(state {
+        loop, std::move(handle), limits, tcp::acceptor(loop), {}, 0, false, {}, nullptr, {}}))
 {
 }
 
@@ -189,6 +205,12 @@
     m_state->closeHandler = std::move(closeHandler);
 }
 
+void http_server::measure(busy_meter &meter, std::function<duty(const http_request &)> dutyOf)
+{
+    m_state->meter = &meter;
+    m_state->dutyOf = std::move(dutyOf);
+}
+
 std::string http_server::listen(const std::string &address)
 {
     const std::size_t colon = address.rfind(':');
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -5,6 +5,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include "net/busy_meter.h"
 #include "net/http_message.h"
 
 namespace bramleygrade::net {
@@ -37,6 +38,9 @@
     /// Sets the function that is called with IP:PORT of each caller whose connection has closed.
     void onClose(std::function<void(const std::string &)> closeHandler);
 
+    /// Attributes the events of each request to the duty that `dutyOf` returns for it.
+    void measure(busy_meter &meter, std::function<duty(const http_request &)> dutyOf);
+
     /// Starts to listen on IP:PORT. Returns an empty text, or why the address cannot be used and
     /// what to do.
     std::string listen(const std::string &address);
