--- a/src/entry/advice_dispatch.cpp
+++ b/src/entry/advice_dispatch.cpp
@@ -123,6 +123,7 @@
 
 void dispatchAdvice(entry_state &entry)
 {
+    const net::duty_scope scope(&entry.meter, net::duty::advice);
     const timestamp now = steadyNow();
     auto &queue = entry.leaderState->adviceQueue;
     for (std::size_t index = 0; index < queue.size();) {
--- a/src/entry/observation.cpp
+++ b/src/entry/observation.cpp
@@ -64,10 +64,17 @@
     const std::uint64_t newStarts =
         starts < observed.startsReported ? starts : starts - observed.startsReported;
     observed.startsReported = starts;
+    const latency_histogram &decisions = entry.metrics.latencies["decision_seconds"];
+    const std::uint64_t newDecisions = decisions.total - observed.decisionsReported;
+    const double decisionMs = decisions.sumMs - observed.decisionMsReported;
+    observed.decisionsReported = decisions.total;
+    observed.decisionMsReported = decisions.sumMs;
     logEvent(entry, "scheduler_load",
              {{"epoch", std::to_string(entry.epoch)},
               {"busy", recentShares(entry)},
               {"loop_delay_ms", toMs(recentDelay(observed.delay))},
+              {"decisions", std::to_string(newDecisions)},
+              {"decisions_ms", std::to_string(static_cast<std::int64_t>(decisionMs))},
               {"starts", std::to_string(newStarts)},
               {"jobs_open", std::to_string(leading.cell.runnableJobs.size())},
               {"jobs_waiting", std::to_string(observed.waits.size())},
--- a/src/entry/observation.h
+++ b/src/entry/observation.h
@@ -66,7 +66,10 @@
     /// Epoch of `waits`, and the epoch in which all workers were first reconciled.
     std::int64_t waitsEpoch = -1;
     std::int64_t reconciledEpoch = -1;
+    /// Values at the newest `scheduler_load` line, which reports the differences.
     std::uint64_t startsReported = 0;
+    std::uint64_t decisionsReported = 0;
+    double decisionMsReported = 0;
     cell::waiting_jobs waits;
 };
 
--- a/src/entry/writes.cpp
+++ b/src/entry/writes.cpp
@@ -311,6 +311,7 @@
     if (!entry.leaderState || entry.role != entry_role::scheduler) {
         return;
     }
+    const net::duty_scope scope(&entry.meter, net::duty::store);
     leader_state &leaderState = *entry.leaderState;
     const timestamp now = steadyNow();
     const microseconds hedgeDelay = std::max(minHedgeDelay, 2 * leaderState.averageWriteTime);
