--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -86,6 +86,17 @@
 target_link_libraries(cell_cluster_test PRIVATE bramleygrade_platform Boost::headers)
 add_test(NAME cell_cluster COMMAND cell_cluster_test)
 
+# A cell of production size under its peak load. Call counts decide; the load is paced in real time.
+add_executable(cell_overloaded_scheduler_test test/cell/overloaded_scheduler_test.cpp
+                                              testing/cell/memory_table.cpp
+                                              testing/cell/simulated_worker.cpp)
+target_include_directories(cell_overloaded_scheduler_test PRIVATE ${CMAKE_SOURCE_DIR}
+                                                                  ${CMAKE_SOURCE_DIR}/test/cell)
+target_link_libraries(cell_overloaded_scheduler_test PRIVATE bramleygrade_platform Boost::headers)
+add_test(NAME lost_overloaded_scheduler
+         COMMAND cell_overloaded_scheduler_test --run_test=lost_overloaded_scheduler)
+set_tests_properties(lost_overloaded_scheduler PROPERTIES RUN_SERIAL TRUE COST 1)
+
 add_executable(platform_formats_test platform/test/formats_test.cpp)
 target_link_libraries(platform_formats_test PRIVATE bramleygrade_platform Boost::headers)
 add_test(NAME platform_formats COMMAND platform_formats_test)
--- a/src/entry/daemon.cpp
+++ b/src/entry/daemon.cpp
@@ -68,6 +68,18 @@
     respond({200, {{"Content-Type", "text/plain; version=0.0.4"}}, exposeMetrics(entry.metrics)});
 }
 
+/// Serves a request of another entry and counts it.
+void countAndServePeer(entry_state &entry, const net::http_request &request,
+                       const net::http_server::responder &respond)
+{
+    ++entry.metrics.counters["peer_calls_total{side=\"server\"}"];
+    entry.metrics.counters["peer_bytes_total{direction=\"received\"}"] += request.body.size();
+    servePeer(entry, request, [&entry, respond](net::http_response response) {
+        entry.metrics.counters["peer_bytes_total{direction=\"sent\"}"] += response.body.size();
+        respond(std::move(response));
+    });
+}
+
 std::string startServers(entry_state &entry)
 {
     net::server_limits limits;
@@ -88,7 +100,7 @@
     entry.peerServer = std::make_unique<net::http_server>(
         entry.loop,
         [&entry](const net::http_request &request, const net::http_server::responder &respond) {
-            servePeer(entry, request, respond);
+            countAndServePeer(entry, request, respond);
         },
         limits);
     entry.peerServer->onClose([&entry](const std::string &peer) { onPeerClosed(entry, peer); });
--- a/src/entry/peers.cpp
+++ b/src/entry/peers.cpp
@@ -173,7 +173,14 @@
     call.body = std::move(body);
     call.deadline = steadyNow() + timeout;
     call.idempotent = idempotent;
-    entry.client.send(std::move(call), std::move(done));
+    ++entry.metrics.counters["peer_calls_total{side=\"client\"}"];
+    entry.metrics.counters["peer_bytes_total{direction=\"sent\"}"] += call.body.size();
+    entry.client.send(std::move(call),
+                      [&entry, done = std::move(done)](const net::call_result &result) {
+                          entry.metrics.counters["peer_bytes_total{direction=\"received\"}"] +=
+                              result.body.size();
+                          done(result);
+                      });
 }
 
 heartbeat_message makeHeartbeat(const entry_state &entry)
--- a/test/cell/cluster_fixture.h
+++ b/test/cell/cluster_fixture.h
@@ -62,9 +62,9 @@
 class cluster_fixture
 {
 public:
-    cluster_fixture()
+    explicit cluster_fixture(int entries = 3)
     {
-        for (int index = 0; index < 3; ++index) {
+        for (int index = 0; index < entries; ++index) {
             add("entry-" + std::to_string(index + 1));
         }
     }
