--- a/src/entry/metrics.h
+++ b/src/entry/metrics.h
@@ -10,7 +10,7 @@
 namespace bramleygrade::entry {
 
 /// Upper bounds of the latency buckets, milliseconds. Few, as collectors cut long texts.
-constexpr std::array<double, 6> latencyBoundsMs {2, 10, 50, 200, 1000, 5000};
+constexpr std::array<double, 6> latencyBoundsMs {1, 5, 20, 100, 500, 2500};
 
 struct latency_histogram
 {
--- a/src/entry/observation.cpp
+++ b/src/entry/observation.cpp
@@ -88,7 +88,7 @@
 void reportReconciliation(entry_state &entry, timestamp now)
 {
     const leader_state &leading = *entry.leaderState;
-    if (entry.observed.reconciledEpoch == entry.epoch || leading.registryVersion == 0
+    if (entry.observed.reconciledEpoch == entry.epoch || leading.registry.empty()
         || countUnreconciledWorkers(leading.cell) > 0) {
         return;
     }
--- a/src/tools/explain.cpp
+++ b/src/tools/explain.cpp
@@ -18,8 +18,9 @@
 
 /// Prefixes of the events that concern no single job but change an entry's view of the cell.
 const char *const stateEventPrefixes[] = {
-    "store_", "scheduler_", "claim",     "started", "stopping",   "stepped_down", "config_",
-    "paused", "stopped",    "handover_", "reload",  "log_lines_", "worker_",      "member_silent"};
+    "store_",  "scheduler_", "claim",       "started",   "stopping",     "stepped_down",
+    "config_", "paused",     "stopped",     "handover_", "reload",       "log_lines_",
+    "worker_", "workers_",   "event_loop_", "probe_",    "member_silent"};
 
 struct log_line
 {
