Queueing a call to the advisory service takes no pass over the queue

Cause: after a takeover all waiting steps ask for advice in one decision (queue of 968 seen in the log). Each queued call passed over the whole queue, copied every call in it with its list of workers, and built the list of entries for each: steps squared times entries, in one turn of the event loop. The same pass was made for each advice result and every 50 ms.

Ruled out: placement (1.1 ms a round with 1,500 waiting jobs), checkRuns, countPendingJobs, pollWorkers (3 to 105 us each at 350 workers), by a scratch program over the libraries.

Change: one queue per kind of call, ordered by priority, served from its front while an entry is free; the calls of one decision are queued together. Calls of ended jobs are dropped when they come to the front.

--- a/src/entry/advice_dispatch.cpp
+++ b/src/entry/advice_dispatch.cpp
@@ -21,38 +21,43 @@
     std::string address;
 };
 
-/// Returns the entries that make calls of this kind. The first half of the entries, by name, makes
+/// Returns the entry with the fewest open calls among those that make calls of this kind, or
+/// nothing if all are at their limit or in backoff. The first half of the entries, by name, makes
 /// the long calls and the other half the short ones, so that no short call waits for a long one.
-std::vector<advice_client> adviceClientsFor(const entry_state &entry, bool longCall)
-{
-    std::vector<advice_client> all;
-    for (const auto &[name, address] : entry.members) {
-        all.push_back({name, address});
-    }
-    if (all.size() < 2) {
-        return all;
-    }
-    const auto half = static_cast<std::ptrdiff_t>((all.size() + 1) / 2);
-    return longCall ? std::vector<advice_client>(all.begin(), all.begin() + half)
-                    : std::vector<advice_client>(all.begin() + half, all.end());
-}
-
-/// Returns the entry with the fewest open calls, or nothing if all are at their limit or in
-/// backoff.
 std::optional<advice_client> chooseAdviceClient(entry_state &entry, bool longCall, timestamp now)
 {
     std::optional<advice_client> best;
     int fewest = longCall ? maxOpenLongCalls : maxOpenShortCalls;
-    for (const advice_client &candidate : adviceClientsFor(entry, longCall)) {
-        const advice_client_state &state = entry.leaderState->adviceClients[candidate.name];
+    const std::size_t half = (entry.members.size() + 1) / 2;
+    std::size_t index = 0;
+    for (const auto &[name, address] : entry.members) {
+        const bool makesLongCalls = index++ < half;
+        if (entry.members.size() > 1 && makesLongCalls != longCall) {
+            continue;
+        }
+        const advice_client_state &state = entry.leaderState->adviceClients[name];
         if (now >= state.backoffUntil && state.inFlight < fewest) {
             fewest = state.inFlight;
-            best = candidate;
+            best = advice_client {name, address};
         }
     }
     return best;
 }
 
+/// Removes the most urgent call of a job that has not ended from the queue and returns it.
+std::optional<cell::advice_order> takeAdviceOrder(leader_state &leaderState, advice_queue &queue)
+{
+    while (!queue.empty()) {
+        cell::advice_order order = std::move(queue.begin()->second);
+        queue.erase(queue.begin());
+        const cell::job_state *job = cell::findJob(leaderState.cell, order.step.job);
+        if (job != nullptr && !job->finalPhase) {
+            return order;
+        }
+    }
+    return std::nullopt;
+}
+
 void onAdviceResult(entry_state &entry, const cell::advice_order &order,
                     const std::string &adviceClient, const advice_result &result, timestamp sentAt)
 {
@@ -86,7 +91,9 @@
               {"step", std::to_string(order.step.step)},
               {"workers", std::to_string(order.workers.size())},
               {"adviser", chosen.name},
-              {"queued", std::to_string(entry.leaderState->adviceQueue.size())}});
+              {"queued",
+               std::to_string(entry.leaderState->longAdviceQueue.size()
+                              + entry.leaderState->shortAdviceQueue.size())}});
     const auto isCurrent = [&entry, epoch = entry.epoch] {
         return entry.leaderState && entry.epoch == epoch && entry.role == entry_role::scheduler;
     };
@@ -110,36 +117,41 @@
              });
 }
 
+/// Sends queued calls of one kind while an entry is free to make them.
+void dispatchAdviceCalls(entry_state &entry, bool longCall)
+{
+    const timestamp now = steadyNow();
+    // A call may complete while it is sent, so nothing is kept across iterations.
+    while (entry.leaderState) {
+        advice_queue &queue =
+            longCall ? entry.leaderState->longAdviceQueue : entry.leaderState->shortAdviceQueue;
+        const auto chosen = queue.empty() ? std::nullopt : chooseAdviceClient(entry, longCall, now);
+        const auto order = chosen ? takeAdviceOrder(*entry.leaderState, queue) : std::nullopt;
+        if (!order) {
+            return;
+        }
+        sendAdviceCall(entry, *order, *chosen);
+    }
+}
+
 } // namespace
 
-void queueAdvice(entry_state &entry, const cell::advice_order &order)
+void queueAdvice(entry_state &entry, const std::vector<cell::advice_order> &orders)
 {
-    const auto place = std::upper_bound(
-        entry.leaderState->adviceQueue.begin(), entry.leaderState->adviceQueue.end(), order,
-        [](const auto &a, const auto &b) { return a.priority < b.priority; });
-    entry.leaderState->adviceQueue.insert(place, order);
-    dispatchAdvice(entry);
+    leader_state &leaderState = *entry.leaderState;
+    for (const cell::advice_order &order : orders) {
+        (order.longCall ? leaderState.longAdviceQueue : leaderState.shortAdviceQueue)
+            .emplace(order.priority, order);
+    }
+    if (!orders.empty()) {
+        dispatchAdvice(entry);
+    }
 }
 
 void dispatchAdvice(entry_state &entry)
 {
-    const timestamp now = steadyNow();
-    auto &queue = entry.leaderState->adviceQueue;
-    for (std::size_t index = 0; index < queue.size();) {
-        const cell::advice_order order = queue[index];
-        const cell::job_state *job = cell::findJob(entry.leaderState->cell, order.step.job);
-        if (job == nullptr || job->finalPhase) {
-            queue.erase(queue.begin() + static_cast<std::ptrdiff_t>(index));
-            continue;
-        }
-        const auto chosen = chooseAdviceClient(entry, order.longCall, now);
-        if (!chosen) {
-            ++index;
-            continue;
-        }
-        queue.erase(queue.begin() + static_cast<std::ptrdiff_t>(index));
-        sendAdviceCall(entry, order, *chosen);
-    }
+    dispatchAdviceCalls(entry, true);
+    dispatchAdviceCalls(entry, false);
 }
 
 } // namespace bramleygrade::entry
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -48,6 +48,9 @@
     timestamp backoffUntil = distantPast;
 };
 
+/// Calls to the advisory service that wait for a free entry, by priority.
+using advice_queue = std::multimap<int, cell::advice_order>;
+
 /// State that exists only while this entry is the scheduler or loads the rows to become it.
 struct leader_state
 {
@@ -116,7 +119,8 @@
     /// The members row in the store is out of date.
     bool membersChanged = true;
     std::map<std::string, advice_client_state> adviceClients;
-    std::vector<cell::advice_order> adviceQueue;
+    advice_queue longAdviceQueue;
+    advice_queue shortAdviceQueue;
 };
 
 /// A caller's call that waits for the scheduler's answer.
@@ -294,10 +298,9 @@
 void watchWorkers(entry_state &entry, std::int64_t epoch);
 
 // advice_dispatch.cpp
-/// Queues a call to the advisory service by priority, and sends it once an entry is free to make
-/// it.
-void queueAdvice(entry_state &entry, const cell::advice_order &order);
-/// Sends the queued calls for which an entry is free, and drops those of ended jobs.
+/// Queues calls to the advisory service by priority; each is sent once an entry is free to make it.
+void queueAdvice(entry_state &entry, const std::vector<cell::advice_order> &orders);
+/// Sends the queued calls for which an entry is free. Calls of ended jobs are dropped.
 void dispatchAdvice(entry_state &entry);
 
 } // namespace bramleygrade::entry
--- a/src/entry/leader.cpp
+++ b/src/entry/leader.cpp
@@ -367,9 +367,7 @@
     for (const cell::poll_order &order : orders.polls) {
         requestReport(entry, order);
     }
-    for (const cell::advice_order &order : orders.advice) {
-        queueAdvice(entry, order);
-    }
+    queueAdvice(entry, orders.advice);
 }
 
 void tickLeader(entry_state &entry, timestamp now)
