--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -241,9 +241,6 @@
 /// Treats the scheduler as timed out, so that the next probe starts without further delay.
 void suspectScheduler(entry_state &entry);
 void recordProcessorShare(entry_state &entry, const member &other);
-/// Hands over if another entry has a much larger processor share. The scheduler's load grows with
-/// the size of the cell, a follower's does not.
-void handOverToLarger(entry_state &entry, timestamp now);
 /// Follows the scheduler of this epoch; ignored if a higher epoch is known. An entry that leads in
 /// a lower epoch steps down.
 void recordScheduler(entry_state &entry, std::int64_t epoch, const member &scheduler,
@@ -257,13 +254,18 @@
 /// `version`. `done` tells whether the claim succeeded.
 void claimHead(entry_state &entry, std::int64_t version, std::int64_t epoch,
                const std::function<void(bool)> &done);
+/// Becomes a follower. Callers that wait for a write get the answer `unknown`.
+void stepDown(entry_state &entry, const char *reason);
+
+// handover.cpp
+/// Hands over if another entry has a much larger processor share. The scheduler's load grows with
+/// the size of the cell, a follower's does not.
+void handOverToLarger(entry_state &entry, timestamp now);
 /// Asks another entry to take over; successive calls ask the entries in turn. Does nothing while a
 /// handover request is under way.
 void handOver(entry_state &entry, const std::function<void(bool)> &done);
 void handOverTo(entry_state &entry, const std::string &address,
                 const std::function<void(bool)> &done);
-/// Becomes a follower. Callers that wait for a write get the answer `unknown`.
-void stepDown(entry_state &entry, const char *reason);
 
 // leader.cpp
 /// Loads the rows and starts to act as the scheduler of `entry.epoch`. `headVersion`: version of
--- /dev/null
+++ b/src/entry/scheduler_probe.cpp
@@ -0,0 +1,144 @@
+#include "entry/membership.h"
+
+namespace bramleygrade::entry {
+
+namespace {
+
+/// Pause between two probes of the scheduler.
+constexpr microseconds probeInterval = 150 * millisecond;
+/// Timeout for another entry's answer to a probe.
+constexpr microseconds probeTimeout = 200 * millisecond;
+/// A scheduler that another entry has seen within this time counts as alive.
+constexpr microseconds recentContactLimit = 350 * millisecond;
+
+void endProbe(entry_state &entry)
+{
+    entry.isProbing = false;
+    entry.nextProbeAt = steadyNow() + probeInterval;
+}
+
+void claimAfterProbe(entry_state &entry, std::int64_t version, std::int64_t epoch)
+{
+    claimHead(entry, version, epoch, [&entry](bool) { endProbe(entry); });
+}
+
+/// One probe: the answers of the scheduler and of the other entries.
+struct scheduler_probe
+{
+    std::int64_t version = 0;
+    std::int64_t epoch = 0;
+    timestamp startedAt = distantPast;
+    std::size_t openAnswers = 0;
+    bool isAlive = false;
+    bool isEnded = false;
+};
+
+using probe_pointer = std::shared_ptr<scheduler_probe>;
+
+void completeProbe(entry_state &entry, const probe_pointer &probe)
+{
+    probe->isEnded = true;
+    endProbe(entry);
+}
+
+/// Counts one answer. After the last one claims the head row, unless the scheduler is alive.
+void countProbeAnswer(entry_state &entry, const probe_pointer &probe)
+{
+    if (probe->isEnded || --probe->openAnswers > 0) {
+        return;
+    }
+    probe->isEnded = true;
+    if (probe->isAlive || entry.schedulerSeenAt > probe->startedAt) {
+        endProbe(entry);
+    } else {
+        claimAfterProbe(entry, probe->version, probe->epoch);
+    }
+}
+
+/// Asks another entry whether it has seen the scheduler recently.
+void askPeer(entry_state &entry, const std::string &address, const probe_pointer &probe)
+{
+    sendPeer(entry, address, "/word", "{}", probeTimeout, true,
+             [&entry, probe](const net::call_result &result) {
+                 const auto memberStatus = decodeMemberStatus(result.body);
+                 const bool answered = result.status == 200 && memberStatus;
+                 const bool seesScheduler = answered && memberStatus->epoch >= probe->epoch
+                     && memberStatus->schedulerSeenAgo >= 0
+                     && memberStatus->schedulerSeenAgo < recentContactLimit;
+                 probe->isAlive =
+                     probe->isAlive || seesScheduler || (answered && memberStatus->isClaiming);
+                 countProbeAnswer(entry, probe);
+             });
+}
+
+/// Sends a hello to the scheduler that the head row names, and asks the other entries whether they
+/// have seen it. A new scheduler gets time to start if it does not answer, but not if it answers
+/// that it does not lead.
+void contactScheduler(entry_state &entry, const head_row &head, std::int64_t version, bool isNew)
+{
+    const auto probe = std::make_shared<scheduler_probe>();
+    probe->version = version;
+    probe->epoch = head.epoch;
+    probe->startedAt = steadyNow();
+    std::vector<std::string> others;
+    for (const auto &[name, address] : entry.members) {
+        if (name != entry.settings.name && address != head.address) {
+            others.push_back(address);
+        }
+    }
+    probe->openAnswers = others.size() + 1;
+    member_status memberStatus;
+    memberStatus.sender = self(entry);
+    memberStatus.epoch = head.epoch;
+    sendPeer(entry, head.address, "/hello", encodeMemberStatus(memberStatus), probeTimeout, true,
+             [&entry, probe, isNew](const net::call_result &result) {
+                 const auto answer = decodeMemberStatus(result.body);
+                 const bool answered = result.status == 200 && answer;
+                 const bool mayBeStarting = isNew && entry.schedulerSeenAt != distantPast;
+                 if (answered && answer->isScheduler) {
+                     recordScheduler(entry, answer->epoch, answer->sender, steadyNow());
+                 } else if (mayBeStarting && result.outcome == net::call_outcome::unanswered) {
+                     entry.schedulerSeenAt = steadyNow();
+                 } else {
+                     probe->isAlive = probe->isAlive || (answered && answer->isClaiming);
+                     countProbeAnswer(entry, probe);
+                     return;
+                 }
+                 if (!probe->isEnded) {
+                     completeProbe(entry, probe);
+                 }
+             });
+    for (const std::string &address : others) {
+        askPeer(entry, address, probe);
+    }
+}
+
+} // namespace
+
+void probeScheduler(entry_state &entry)
+{
+    entry.isProbing = true;
+    readHead(entry,
+             [&entry](const store_result &result, const std::optional<head_row> &head,
+                      std::int64_t version) {
+                 if (result.outcome != store_outcome::done || entry.role != entry_role::follower) {
+                     endProbe(entry);
+                     return;
+                 }
+                 if (!head) {
+                     claimAfterProbe(entry, version, 0);
+                     return;
+                 }
+                 if (head->epoch > entry.epoch) {
+                     entry.epoch = head->epoch;
+                     entry.scheduler = {head->scheduler, head->address};
+                 }
+                 if (head->address == self(entry).address) {
+                     claimAfterProbe(entry, version, head->epoch);
+                     return;
+                 }
+                 contactScheduler(entry, *head, version, false);
+             });
+}
+
+} // namespace bramleygrade::entry
