A scheduler of which only the epoch is known is not recorded as a member

Cause: a scheduler whose heartbeat is answered with a higher epoch records a scheduler with an empty name and address. It was stored in the members row, passed on with the heartbeats, counted as an entry that may make advice calls, and was asked to take over.

Change: recordMember is the one place that adds a member and ignores empty names; rows that were stored with such a member are read without it.

--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -240,7 +240,9 @@
 void monitorScheduler(entry_state &entry, timestamp now);
 /// Treats the scheduler as timed out, so that the next probe starts without further delay.
 void suspectScheduler(entry_state &entry);
-void recordProcessorShare(entry_state &entry, const member &other);
+/// Records address and processor share of an entry. Returns true if the address is new. Does
+/// nothing if the name is empty, as that of a scheduler of which only the epoch is known.
+bool recordMember(entry_state &entry, const member &other);
 /// Follows the scheduler of this epoch; ignored if a higher epoch is known. An entry that leads in
 /// a lower epoch steps down.
 void recordScheduler(entry_state &entry, std::int64_t epoch, const member &scheduler,
--- a/src/entry/membership.cpp
+++ b/src/entry/membership.cpp
@@ -22,11 +22,18 @@
 
 } // namespace
 
-void recordProcessorShare(entry_state &entry, const member &other)
+bool recordMember(entry_state &entry, const member &other)
 {
+    if (other.name.empty()) {
+        return false;
+    }
     if (other.processorMilli > 0) {
         entry.processorShares[other.name] = other.processorMilli;
     }
+    std::string &address = entry.members[other.name];
+    const bool changed = address != other.address;
+    address = other.address;
+    return changed;
 }
 
 member self(const entry_state &entry)
@@ -47,8 +54,7 @@
     entry.epoch = epoch;
     entry.scheduler = scheduler;
     entry.schedulerSeenAt = now;
-    entry.members[scheduler.name] = scheduler.address;
-    recordProcessorShare(entry, scheduler);
+    recordMember(entry, scheduler);
     if (changed) {
         logEvent(entry, "scheduler_known",
                  {{"scheduler", scheduler.name}, {"epoch", std::to_string(epoch)}});
@@ -96,7 +102,9 @@
                                        version = row.version;
                                    } else if (row.key == membersKey) {
                                        for (const member &other : decodeMembers(row.value)) {
-                                           entry.members.emplace(other.name, other.address);
+                                           if (entry.members.count(other.name) == 0) {
+                                               recordMember(entry, other);
+                                           }
                                        }
                                    }
                                }
--- a/src/entry/peers.cpp
+++ b/src/entry/peers.cpp
@@ -42,8 +42,7 @@
         recordScheduler(entry, heartbeat.epoch, heartbeat.sender, now);
         entry.heartbeatPeer = peer;
         for (const member &other : heartbeat.members) {
-            entry.members[other.name] = other.address;
-            recordProcessorShare(entry, other);
+            recordMember(entry, other);
         }
         if (!heartbeat.pending.empty()) {
             entry.pending.clear();
@@ -58,11 +57,7 @@
              const net::http_server::responder &respond)
 {
     if (entry.leaderState) {
-        std::string &address = entry.members[memberStatus.sender.name];
-        const bool added = address != memberStatus.sender.address;
-        address = memberStatus.sender.address;
-        recordProcessorShare(entry, memberStatus.sender);
-        if (added) {
+        if (recordMember(entry, memberStatus.sender)) {
             entry.leaderState->membersChanged = true;
             entry.leaderState->nextMemberListAt = distantPast;
             logEvent(entry, "member_joined", {{"member", memberStatus.sender.name}});
--- /dev/null
+++ b/test/cell/membership_test.cpp
@@ -0,0 +1,68 @@
+#define BOOST_TEST_MODULE membership
+#include <boost/test/included/unit_test.hpp>
+
+#include "entry/entry.h"
+
+using namespace bramleygrade;
+using namespace bramleygrade::entry;
+
+namespace {
+
+/// A follower whose store calls are recorded and answered by the test.
+struct follower_fixture
+{
+    follower_fixture()
+        : entry(loop, makeSettings())
+    {
+        entry.epoch = 3;
+        entry.scheduler = {"entry-2", "127.0.0.1:2"};
+        entry.members["entry-2"] = "127.0.0.1:2";
+        entry.ports.store.write = [this](const table_write &, timestamp,
+                                         const store_completion &done) { writes.push_back(done); };
+        entry.ports.store.read = [this](const row_range &, timestamp,
+                                        const store_completion &done) { reads.push_back(done); };
+    }
+
+    static cell_settings makeSettings()
+    {
+        cell_settings settings;
+        settings.name = "entry-1";
+        settings.peerAddress = "127.0.0.1:1";
+        settings.logLinesPerSecond = 0;
+        return settings;
+    }
+
+    static stored_row makeHeadRow(std::int64_t epoch, const std::string &scheduler)
+    {
+        return {headTable, headKey, encodeHead({epoch, 0, scheduler, "127.0.0.1:9", "life"}), 50,
+                false};
+    }
+
+    boost::asio::io_context loop;
+    entry_state entry;
+    std::vector<store_completion> reads;
+    std::vector<store_completion> writes;
+};
+
+} // namespace
+
+// Guards against a member without a name: a scheduler that learned of a higher epoch from a
+// follower recorded an empty successor as a member, which then got advice calls and handover
+// requests and was stored in the members row (incident csuc-inc1).
+BOOST_FIXTURE_TEST_CASE(an_unknown_scheduler_is_not_recorded_as_a_member, follower_fixture)
+{
+    const std::size_t before = entry.members.size();
+    recordScheduler(entry, 5, {}, steadyNow());
+    BOOST_TEST(entry.epoch == 5);
+    BOOST_TEST(entry.members.size() == before);
+    // Members rows that were stored with such a member are read without it.
+    readHead(entry, [](const store_result &, const std::optional<head_row> &, std::int64_t) {});
+    BOOST_REQUIRE(reads.size() == 1U);
+    store_result result;
+    result.outcome = store_outcome::done;
+    result.rows = {
+        {headTable, membersKey, encodeMembers({{"", ""}, {"entry-4", "127.0.0.1:4"}}), 50, false}};
+    reads.front()(result);
+    BOOST_TEST(entry.members.count("") == 0U);
+    BOOST_TEST(entry.members.count("entry-4") == 1U);
+}
