A scheduler that is only busy is not deposed, nor by an entry that was late itself

Lateness was taken for death, and the takeover added load: rows to load, 350 polls, advice for all waiting steps.

What tells busy from dead: a closed connection (dead, as before). Answers at TCP level do not, as a frozen process has them too. Loop delay in heartbeats does not either, as a decision of a second comes without warning. So each entry answers datagrams at its peer address from a thread of its own, which says in which epoch the entry leads and how long its event loop has been blocked. A process that has ended, is frozen, cut off or without power does not answer, and is replaced as before. A probe that gets no other sign of life within 200 ms takes the scheduler for busy if it is blocked for less than 1.2 s and was heard within 2 s. No timeout was raised.

An entry that was late itself (a turn of its timer 150 ms late) waits for a heartbeat interval before it probes, and a probe in which it was late ends without a claim; after 2 s without contact it probes all the same.

Ruled out: heartbeats from the thread (they would keep a scheduler in place that decides nothing), longer timeouts. Not covered: a process whose processor quota is used up has no thread that could answer either; it is replaced as a frozen one is.

--- a/src/entry/daemon.cpp
+++ b/src/entry/daemon.cpp
@@ -6,6 +6,7 @@
 #include <iostream>
 #include <random>
 #include <sstream>
+#include <thread>
 
 #include <boost/asio/signal_set.hpp>
 #include <sys/stat.h>
@@ -17,7 +18,6 @@
 
 namespace {
 
-constexpr microseconds tickInterval = 50 * millisecond;
 /// Time after SIGTERM during which new connections still arrive: two readiness checks, one second
 /// apart (users' protocol), and one more.
 constexpr microseconds rotationDelay = 2'500 * millisecond;
@@ -167,7 +167,7 @@
         logEvent(entry, "paused",
                  {{"for_ms", std::to_string((now - entry.lastTickAt) / millisecond)}});
     }
-    entry.lastTickAt = now;
+    recordTurn(entry, now);
     monitorScheduler(entry, now);
     tickLeader(entry, now);
     expireForwarded(entry, now);
@@ -313,10 +313,20 @@
     }
     settings_watcher watcher {settingsPath, readFile(settingsPath),
                               boost::asio::steady_timer(loop)};
+    boost::asio::io_context livenessLoop(1);
+    liveness_responder responder(livenessLoop, entry.loopState);
+    const std::string livenessError = responder.listen(entry.settings.peerAddress);
+    if (!livenessError.empty()) {
+        // The entry works without; it is replaced sooner while it is busy.
+        logEvent(entry, "liveness_unavailable", {{"why", livenessError}});
+    }
+    std::thread livenessThread([&livenessLoop] { livenessLoop.run(); });
     boost::asio::signal_set signals(loop, SIGTERM, SIGINT, SIGHUP);
     handleSignals(entry, signals, watcher);
     watchSettings(entry, watcher);
     loop.run();
+    livenessLoop.stop();
+    livenessThread.join();
     return 0;
 }
 
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -14,6 +14,7 @@
 #include "cell/scheduler.h"
 #include "entry/entry_settings.h"
 #include "entry/event_log.h"
+#include "entry/liveness.h"
 #include "entry/metrics.h"
 #include "entry/ports.h"
 #include "entry/rows.h"
@@ -27,6 +28,9 @@
 
 namespace bramleygrade::entry {
 
+/// Interval of the event loop's timer.
+constexpr microseconds tickInterval = 50 * millisecond;
+
 /// `claiming`: a write of the head row is under way; `loading`: the claim has succeeded and the
 /// rows are being read; `scheduler`: the entry decides.
 enum class entry_role { follower, claiming, loading, scheduler };
@@ -188,6 +192,13 @@
     timestamp stopAt = distantFuture;
     bool finished = false;
     timestamp lastTickAt = distantPast;
+    /// Exponentially weighted average of the lateness of the event loop's timer; the newest turn
+    /// has weight 1/4.
+    microseconds loopDelay = 0;
+    /// When the event loop's timer last ran so late that heartbeats may wait unread.
+    timestamp lateAt = distantPast;
+    /// What the liveness responder tells other entries.
+    loop_state loopState;
 };
 
 /// Microseconds of a monotonic clock that keeps running while the instance is suspended.
@@ -235,6 +246,8 @@
               std::function<void(net::call_result)> done);
 
 // membership.cpp
+/// Records a turn of the event loop's timer and measures how late it is.
+void recordTurn(entry_state &entry, timestamp now);
 /// Probes the scheduler after too long a time without contact, and claims the head row if no other
 /// entry sees a live scheduler.
 void monitorScheduler(entry_state &entry, timestamp now);
--- a/src/entry/membership.cpp
+++ b/src/entry/membership.cpp
@@ -11,6 +11,13 @@
 constexpr microseconds schedulerTimeout = 450 * millisecond;
 /// Claims are delayed by a jitter of up to this much, so that they do not collide.
 constexpr microseconds maxClaimJitter = 100 * millisecond;
+/// A turn of the event loop that is later than one heartbeat interval counts as late.
+constexpr microseconds maxTurnDelay = 150 * millisecond;
+/// After a late turn, the scheduler has this long to be heard before it is probed: one heartbeat
+/// interval and a tick.
+constexpr microseconds freshContactTime = 200 * millisecond;
+/// An entry that is late all the time probes after this long without contact all the same.
+constexpr microseconds maxUnprobedSilence = 2 * second;
 
 /// Returns this entry's jitter, plus `maxClaimJitter` if a much larger member should claim first.
 microseconds claimDelay(const entry_state &entry)
@@ -22,6 +29,25 @@
 
 } // namespace
 
+void recordTurn(entry_state &entry, timestamp now)
+{
+    constexpr microseconds newestWeightDivisor = 4;
+    if (entry.lastTickAt != distantPast) {
+        const microseconds delay = std::max<microseconds>(now - entry.lastTickAt - tickInterval, 0);
+        entry.loopDelay += (delay - entry.loopDelay) / newestWeightDivisor;
+        entry.lateAt = delay > maxTurnDelay ? now : entry.lateAt;
+    }
+    entry.lastTickAt = now;
+    entry.loopState.turnedAt = now;
+}
+
+bool wasLate(const entry_state &entry, timestamp since, timestamp now)
+{
+    return entry.lateAt >= since
+        || (entry.lastTickAt != distantPast
+            && now > entry.lastTickAt + tickInterval + maxTurnDelay);
+}
+
 bool recordMember(entry_state &entry, const member &other)
 {
     if (other.name.empty()) {
@@ -77,6 +103,10 @@
     if (now < entry.schedulerSeenAt + limit + claimDelay(entry)) {
         return;
     }
+    if (now < entry.schedulerSeenAt + maxUnprobedSilence
+        && wasLate(entry, now - freshContactTime + 1, now)) {
+        return;
+    }
     if (entry.schedulerSeenAt != distantPast) {
         logEvent(entry, "scheduler_silent",
                  {{"scheduler", entry.scheduler.name},
@@ -133,6 +163,7 @@
             entry.role = entry_role::follower;
             if (result.outcome == store_outcome::done) {
                 entry.epoch = next;
+                entry.loopState.leadingEpoch = next;
                 startLeading(entry, result.version);
                 done(true);
                 return;
@@ -150,6 +181,7 @@
                              && entry.role == entry_role::follower;
                          if (hasClaimed) {
                              entry.epoch = next;
+                             entry.loopState.leadingEpoch = next;
                              startLeading(entry, currentVersion);
                          }
                          done(hasClaimed);
@@ -165,6 +197,7 @@
     logEvent(entry, "stepped_down", {{"epoch", std::to_string(entry.epoch)}, {"reason", reason}});
     ++entry.metrics.counters["stepped_down_total"];
     entry.role = entry_role::follower;
+    entry.loopState.leadingEpoch = 0;
     const std::unique_ptr<leader_state> former = std::move(entry.leaderState);
     entry.decideTimer.cancel();
     entry.scheduler = {};
--- a/src/entry/membership.h
+++ b/src/entry/membership.h
@@ -11,6 +11,11 @@
 /// Timeout of a read or write of the head row.
 constexpr microseconds headTimeout = 700 * millisecond;
 
+// membership.cpp
+/// Returns true if the event loop is late, or has been at `since` or later. Contact that is missed
+/// in that time says nothing about the scheduler.
+bool wasLate(const entry_state &entry, timestamp since, timestamp now);
+
 // scheduler_probe.cpp
 /// Reads the head row and asks its scheduler and other entries for a sign of life. Claims the head
 /// row if there is none.
--- a/src/entry/scheduler_probe.cpp
+++ b/src/entry/scheduler_probe.cpp
@@ -8,6 +8,11 @@
 constexpr microseconds probeInterval = 150 * millisecond;
 /// Timeout for another entry's answer to a probe.
 constexpr microseconds probeTimeout = 200 * millisecond;
+/// A scheduler whose event loop is blocked for less than this is busy, not dead.
+constexpr microseconds maxBlockedTime = 1'200 * millisecond;
+/// A scheduler that has not been heard for longer is replaced even if its event loop runs, as it
+/// cannot reach this entry.
+constexpr microseconds maxBusySilence = 2 * second;
 /// A scheduler that another entry has seen within this time counts as alive.
 constexpr microseconds recentContactLimit = 350 * millisecond;
 
@@ -28,6 +33,8 @@
     std::int64_t version = 0;
     std::int64_t epoch = 0;
     timestamp startedAt = distantPast;
+    /// When the scheduler had been seen last as the probe started.
+    timestamp schedulerSeenAt = distantPast;
     std::size_t openAnswers = 0;
     bool isAlive = false;
     bool isEnded = false;
@@ -48,7 +55,10 @@
         return;
     }
     probe->isEnded = true;
-    if (probe->isAlive || entry.schedulerSeenAt > probe->startedAt) {
+    const timestamp now = steadyNow();
+    const bool isUncertain =
+        now < probe->schedulerSeenAt + maxBusySilence && wasLate(entry, probe->startedAt, now);
+    if (probe->isAlive || isUncertain || entry.schedulerSeenAt > probe->startedAt) {
         endProbe(entry);
     } else {
         claimAfterProbe(entry, probe->version, probe->epoch);
@@ -71,6 +81,26 @@
              });
 }
 
+/// Asks the scheduler's process for the state of its event loop, which may be too busy to answer.
+void askLiveness(entry_state &entry, const std::string &address, const probe_pointer &probe)
+{
+    queryLiveness(entry.loop, address, probe->startedAt + probeTimeout,
+                  [&entry, probe](const std::optional<liveness_report> &report) {
+                      const bool isReachable = probe->schedulerSeenAt == distantPast
+                          || probe->startedAt < probe->schedulerSeenAt + maxBusySilence;
+                      const bool isBusy = report && report->leadingEpoch >= probe->epoch
+                          && report->blockedFor < maxBlockedTime && isReachable;
+                      if (isBusy && !probe->isEnded) {
+                          logEvent(
+                              entry, "scheduler_busy",
+                              {{"scheduler", entry.scheduler.name},
+                               {"blocked_ms", std::to_string(report->blockedFor / millisecond)}});
+                      }
+                      probe->isAlive = probe->isAlive || isBusy;
+                      countProbeAnswer(entry, probe);
+                  });
+}
+
 /// Sends a hello to the scheduler that the head row names, and asks the other entries whether they
 /// have seen it. A new scheduler gets time to start if it does not answer, but not if it answers
 /// that it does not lead.
@@ -80,13 +110,14 @@
     probe->version = version;
     probe->epoch = head.epoch;
     probe->startedAt = steadyNow();
+    probe->schedulerSeenAt = entry.schedulerSeenAt;
     std::vector<std::string> others;
     for (const auto &[name, address] : entry.members) {
         if (name != entry.settings.name && address != head.address) {
             others.push_back(address);
         }
     }
-    probe->openAnswers = others.size() + 1;
+    probe->openAnswers = others.size() + 2;
     member_status memberStatus;
     memberStatus.sender = self(entry);
     memberStatus.epoch = head.epoch;
@@ -108,6 +139,7 @@
                      completeProbe(entry, probe);
                  }
              });
+    askLiveness(entry, head.address, probe);
     for (const std::string &address : others) {
         askPeer(entry, address, probe);
     }
--- a/test/cell/cluster_fixture.h
+++ b/test/cell/cluster_fixture.h
@@ -8,6 +8,7 @@
 #include <unistd.h>
 
 #include "entry/entry.h"
+#include "entry/liveness.h"
 #include "testing/cell/memory_table.h"
 
 namespace bramleygrade::testing {
@@ -49,12 +50,18 @@
     return decoded;
 }
 
-/// An entry with its own event loop, which a test can stop running (`frozen`).
+/// An entry with its own event loops, which a test can stop running: that of the entry (`blocked`,
+/// as by long work) or all of them (`frozen`).
 struct cluster_member
 {
     boost::asio::io_context loop;
+    boost::asio::io_context livenessLoop;
     std::unique_ptr<entry::entry_state> entry;
+    std::unique_ptr<entry::liveness_responder> livenessResponder;
+    bool blocked = false;
     bool frozen = false;
+
+    bool runs() const { return !blocked && !frozen; }
 };
 
 /// Entries on the loopback interface that share a `memory_table`. There are no workers, so jobs
@@ -96,7 +103,10 @@
         cell::queue_policy queue;
         queue.name = "queue";
         entry.config.queues.push_back(queue);
-        const std::string error = entry::startEntry(entry);
+        added.livenessResponder =
+            std::make_unique<entry::liveness_responder>(added.livenessLoop, entry.loopState);
+        std::string error = entry::startEntry(entry);
+        error = error.empty() ? added.livenessResponder->listen(settings.peerAddress) : error;
         startError = startError.empty() ? error : startError;
         return added;
     }
@@ -112,10 +122,7 @@
                 return false;
             }
             for (const auto &member : members) {
-                if (!member->frozen) {
-                    member->loop.restart();
-                    member->loop.poll();
-                }
+                runOnce(*member);
             }
             clientLoop.restart();
             clientLoop.run_for(std::chrono::milliseconds(1));
@@ -123,11 +130,18 @@
         return true;
     }
 
-    /// Returns the scheduler among the entries that are not frozen; null if there is none.
+    /// Runs the event loops for this long.
+    void runFor(microseconds time)
+    {
+        const timestamp until = entry::steadyNow() + time;
+        runUntil([until] { return entry::steadyNow() >= until; });
+    }
+
+    /// Returns the scheduler among the entries whose event loop runs; null if there is none.
     cluster_member *leader()
     {
         for (const auto &member : members) {
-            if (!member->frozen && member->entry->role == entry::entry_role::scheduler) {
+            if (member->runs() && member->entry->role == entry::entry_role::scheduler) {
                 return member.get();
             }
         }
@@ -143,7 +157,7 @@
         }
         for (const auto &member : members) {
             const entry::entry_state &entry = *member->entry;
-            if (!member->frozen && !entry.stopping
+            if (member->runs() && !entry.stopping
                 && (entry.epoch != lead->entry->epoch
                     || entry.scheduler.name != lead->entry->settings.name)) {
                 return false;
@@ -178,6 +192,19 @@
     std::string startError;
 
 private:
+    static void runOnce(cluster_member &member)
+    {
+        if (member.frozen) {
+            return;
+        }
+        member.livenessLoop.restart();
+        member.livenessLoop.poll();
+        if (!member.blocked) {
+            member.loop.restart();
+            member.loop.poll();
+        }
+    }
+
     /// Returns an unused address. Concurrent test processes use different port ranges.
     std::string nextAddress()
     {
--- a/test/cell/cluster_test.cpp
+++ b/test/cell/cluster_test.cpp
@@ -194,3 +194,32 @@
     BOOST_TEST(leader()->entry->epoch == epoch + 1); // no smaller entry has led in between
     BOOST_TEST(callAndWait(*members.front(), "GET", "a") == 200);
 }
+
+// Guards against a takeover that adds load to an overloaded cell: the event loop of a scheduler was
+// blocked for more than half a second and each of its successors was blocked by the same work
+// (incident csuc-inc1).
+BOOST_FIXTURE_TEST_CASE(a_scheduler_that_is_only_busy_is_not_deposed, cluster_fixture)
+{
+    BOOST_REQUIRE_MESSAGE(startError.empty(), startError);
+    BOOST_REQUIRE(runUntil([this] { return hasAgreedLeader(); }));
+    cluster_member &first = *leader();
+    const std::int64_t epoch = first.entry->epoch;
+    for (int number = 0; number < 3; ++number) {
+        first.blocked = true;
+        runFor(900 * millisecond);
+        first.blocked = false;
+        runFor(500 * millisecond);
+    }
+    BOOST_REQUIRE(runUntil([this] { return hasAgreedLeader(); }));
+    BOOST_TEST(leader() == &first);
+    BOOST_TEST(first.entry->epoch == epoch);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_scheduler_that_stays_blocked_is_replaced, cluster_fixture)
+{
+    BOOST_REQUIRE_MESSAGE(startError.empty(), startError);
+    BOOST_REQUIRE(runUntil([this] { return hasAgreedLeader(); }));
+    cluster_member &first = *leader();
+    first.blocked = true;
+    BOOST_REQUIRE(runUntil([&] { return leader() != nullptr && leader() != &first; }));
+}
--- a/test/cell/membership_test.cpp
+++ b/test/cell/membership_test.cpp
@@ -38,14 +38,67 @@
                 false};
     }
 
+    /// Runs the event loop's timer at `now`; the scheduler was last seen at `seenAt`.
+    void turn(timestamp now, timestamp seenAt)
+    {
+        entry.schedulerSeenAt = seenAt;
+        recordTurn(entry, now);
+        monitorScheduler(entry, now);
+    }
+
     boost::asio::io_context loop;
     entry_state entry;
     std::vector<store_completion> reads;
     std::vector<store_completion> writes;
 };
 
+/// A time between two turns of the event loop, and how long the scheduler has been silent.
+struct late_turn_case
+{
+    const char *description;
+    microseconds sinceLastTurn = 0;
+    microseconds silentFor = 0;
+    bool probes = false;
+};
+
 } // namespace
 
+// Guards against a takeover by an entry that was late itself: it took the heartbeats that it had
+// not read yet for missing ones (incident csuc-inc1).
+BOOST_AUTO_TEST_CASE(an_entry_that_was_late_waits_for_a_heartbeat_before_it_probes)
+{
+    const std::vector<late_turn_case> cases {
+        {"on time, contact", 50 * millisecond, 100 * millisecond, false},
+        {"on time, silent", 50 * millisecond, 900 * millisecond, true},
+        {"slightly late, silent", 150 * millisecond, 900 * millisecond, true},
+        {"late, silent", 400 * millisecond, 900 * millisecond, false},
+        {"late, silent for very long", 400 * millisecond, 3 * second, true},
+    };
+    for (const late_turn_case &given : cases) {
+        BOOST_TEST_CONTEXT(given.description)
+        {
+            follower_fixture follower;
+            const timestamp now = steadyNow();
+            follower.turn(now - given.sinceLastTurn, now - given.sinceLastTurn);
+            follower.turn(now, now - given.silentFor);
+            BOOST_TEST(!follower.reads.empty() == given.probes);
+        }
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(an_entry_that_was_late_probes_after_a_silent_heartbeat_interval,
+                        follower_fixture)
+{
+    const timestamp lateAt = steadyNow();
+    turn(lateAt - 600 * millisecond, lateAt - 600 * millisecond);
+    for (microseconds after = 0; after <= 150 * millisecond; after += 50 * millisecond) {
+        turn(lateAt + after, lateAt - 600 * millisecond);
+        BOOST_TEST(reads.empty());
+    }
+    turn(lateAt + 200 * millisecond, lateAt - 600 * millisecond);
+    BOOST_TEST(reads.size() == 1U);
+}
+
 // Guards against a member without a name: a scheduler that learned of a higher epoch from a
 // follower recorded an empty successor as a member, which then got advice calls and handover
 // requests and was stored in the members row (incident csuc-inc1).
