Entries claim the head row one after another, and a probe asks five entries

Cause: a jitter of 100 ms against a probe of 200 ms and a claim; losers learned nothing from the conflict and probed again; the work of a probe grows with the cell.

Change: findClaimTurn, a pure function of what all entries know, ranks them by processor share and name. A claim is dropped if a scheduler was heard since its probe started; a conflict tells the loser whom to follow. A probe asks five other entries, different ones for each entry.

--- a/src/entry/daemon.cpp
+++ b/src/entry/daemon.cpp
@@ -293,6 +293,7 @@
     , incarnation(makeIncarnation())
 {
     members[settings.name] = settings.peerAddress;
+    processorShares[settings.name] = settings.processorMilli;
 }
 
 int runCellEntry(const std::string &settingsPath, const platform_connector &connect)
--- a/src/entry/handover.cpp
+++ b/src/entry/handover.cpp
@@ -21,6 +21,16 @@
     return missed != entry.leaderState->missedHeartbeats.end() && missed->second > 0;
 }
 
+/// Returns true if a responsive member has a much larger processor share.
+bool hasLargerMember(const entry_state &entry)
+{
+    return std::any_of(entry.processorShares.begin(), entry.processorShares.end(),
+                       [&](const auto &other) {
+                           return !isUnresponsive(entry, other.first)
+                               && entry.settings.processorMilli * largerShareFactor < other.second;
+                       });
+}
+
 /// Returns the other members' addresses: responsive members first, larger processor shares first.
 std::vector<std::string> successorAddresses(const entry_state &entry)
 {
@@ -44,15 +54,6 @@
 
 } // namespace
 
-bool hasLargerMember(const entry_state &entry)
-{
-    return std::any_of(
-        entry.processorShares.begin(), entry.processorShares.end(), [&](const auto &other) {
-            return other.first != entry.scheduler.name && !isUnresponsive(entry, other.first)
-                && entry.settings.processorMilli * largerShareFactor < other.second;
-        });
-}
-
 void handOverToLarger(entry_state &entry, timestamp now)
 {
     leader_state &leaderState = *entry.leaderState;
--- a/src/entry/membership.cpp
+++ b/src/entry/membership.cpp
@@ -9,7 +9,7 @@
 
 /// The scheduler is probed after this long without contact; three heartbeats are missing by then.
 constexpr microseconds schedulerTimeout = 450 * millisecond;
-/// Claims are delayed by a jitter of up to this much, so that they do not collide.
+/// Entries that have just started claim after a jitter of up to this much.
 constexpr microseconds maxClaimJitter = 100 * millisecond;
 /// A turn of the event loop that is later than one heartbeat interval counts as late.
 constexpr microseconds maxTurnDelay = 150 * millisecond;
@@ -19,12 +19,15 @@
 /// An entry that is late all the time probes after this long without contact all the same.
 constexpr microseconds maxUnprobedSilence = 2 * second;
 
-/// Returns this entry's jitter, plus `maxClaimJitter` if a much larger member should claim first.
-microseconds claimDelay(const entry_state &entry)
+/// Returns when this entry probes a silent scheduler, and when it claims the head row.
+claim_turn findOwnTurn(const entry_state &entry)
 {
     const auto seed = std::hash<std::string> {}(entry.settings.name + entry.incarnation);
-    const auto jitter = static_cast<microseconds>(seed % static_cast<std::size_t>(maxClaimJitter));
-    return jitter + (hasLargerMember(entry) ? maxClaimJitter : 0);
+    if (entry.schedulerSeenAt == distantPast) {
+        // The other entries are not known yet.
+        return {static_cast<microseconds>(seed % static_cast<std::size_t>(maxClaimJitter)), 0};
+    }
+    return findClaimTurn(entry.processorShares, entry.settings.name, entry.scheduler.name, seed);
 }
 
 } // namespace
@@ -100,7 +103,11 @@
         return;
     }
     const microseconds limit = entry.schedulerSeenAt == distantPast ? 0 : schedulerTimeout;
-    if (now < entry.schedulerSeenAt + limit + claimDelay(entry)) {
+    if (now < entry.schedulerSeenAt + limit) {
+        return;
+    }
+    const claim_turn turn = findOwnTurn(entry);
+    if (now < entry.schedulerSeenAt + limit + turn.probeDelay) {
         return;
     }
     if (now < entry.schedulerSeenAt + maxUnprobedSilence
@@ -113,7 +120,7 @@
                   {"epoch", std::to_string(entry.epoch)},
                   {"silent_ms", std::to_string((now - entry.schedulerSeenAt) / millisecond)}});
     }
-    probeScheduler(entry);
+    probeScheduler(entry, turn);
 }
 
 void readHead(
@@ -142,6 +149,22 @@
                            });
 }
 
+namespace {
+
+/// Follows the entry whose claim came first, if the conflict tells; it gets time to start.
+void followWinner(entry_state &entry, const store_result &conflict)
+{
+    for (const stored_row &row : conflict.rows) {
+        const auto head =
+            row.table == headTable && row.key == headKey ? decodeHead(row.value) : std::nullopt;
+        if (head && head->epoch > entry.epoch && head->address != self(entry).address) {
+            recordScheduler(entry, head->epoch, {head->scheduler, head->address}, steadyNow());
+        }
+    }
+}
+
+} // namespace
+
 void claimHead(entry_state &entry, std::int64_t version, std::int64_t epoch,
                const std::function<void(bool)> &done)
 {
@@ -158,6 +181,7 @@
          encodeHead({next, 0, entry.settings.name, entry.settings.peerAddress, entry.incarnation}),
          0, false});
     logEvent(entry, "claim", {{"epoch", std::to_string(next)}});
+    ++entry.metrics.counters["claims_total"];
     entry.ports.store.write(
         claim, steadyNow() + headTimeout, [&entry, next, done](const store_result &result) {
             entry.role = entry_role::follower;
@@ -169,6 +193,7 @@
                 return;
             }
             if (result.outcome != store_outcome::unanswered) {
+                followWinner(entry, result);
                 done(false);
                 return;
             }
--- a/src/entry/membership.h
+++ b/src/entry/membership.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "entry/claim_order.h"
 #include "entry/entry.h"
 
 /// \file
@@ -17,12 +18,8 @@
 bool wasLate(const entry_state &entry, timestamp since, timestamp now);
 
 // scheduler_probe.cpp
-/// Reads the head row and asks its scheduler and other entries for a sign of life. Claims the head
-/// row if there is none.
-void probeScheduler(entry_state &entry);
-
-// handover.cpp
-/// Returns true if a member, the current scheduler excepted, has a much larger processor share.
-bool hasLargerMember(const entry_state &entry);
+/// Reads the head row and asks its scheduler and some other entries for a sign of life. Claims the
+/// head row if there is none until the entry's turn to claim has come.
+void probeScheduler(entry_state &entry, const claim_turn &turn);
 
 } // namespace bramleygrade::entry
--- a/src/entry/scheduler_probe.cpp
+++ b/src/entry/scheduler_probe.cpp
@@ -1,3 +1,6 @@
+#include <algorithm>
+#include <functional>
+
 #include "entry/membership.h"
 
 namespace bramleygrade::entry {
@@ -8,6 +11,8 @@
 constexpr microseconds probeInterval = 150 * millisecond;
 /// Timeout for another entry's answer to a probe.
 constexpr microseconds probeTimeout = 200 * millisecond;
+/// Number of other entries that one probe asks, so that its cost does not grow with the cell.
+constexpr std::size_t maxAskedPeers = 5;
 /// A scheduler whose event loop is blocked for less than this is busy, not dead.
 constexpr microseconds maxBlockedTime = 1'200 * millisecond;
 /// A scheduler that has not been heard for longer is replaced even if its event loop runs, as it
@@ -32,6 +37,7 @@
 {
     std::int64_t version = 0;
     std::int64_t epoch = 0;
+    microseconds claimDelay = 0;
     timestamp startedAt = distantPast;
     /// When the scheduler had been seen last as the probe started.
     timestamp schedulerSeenAt = distantPast;
@@ -48,21 +54,54 @@
     endProbe(entry);
 }
 
-/// Counts one answer. After the last one claims the head row, unless the scheduler is alive.
+/// Claims the head row, unless a scheduler was heard since the probe started or the silence may be
+/// due to this entry's own lateness.
+void claimIfSilent(entry_state &entry, const probe_pointer &probe)
+{
+    const timestamp now = steadyNow();
+    const bool isUncertain =
+        now < probe->schedulerSeenAt + maxBusySilence && wasLate(entry, probe->startedAt, now);
+    if (isUncertain || entry.schedulerSeenAt > probe->startedAt) {
+        endProbe(entry);
+    } else {
+        claimAfterProbe(entry, probe->version, probe->epoch);
+    }
+}
+
+/// Counts one answer. After the last one waits for this entry's turn to claim, unless the scheduler
+/// is alive.
 void countProbeAnswer(entry_state &entry, const probe_pointer &probe)
 {
     if (probe->isEnded || --probe->openAnswers > 0) {
         return;
     }
     probe->isEnded = true;
-    const timestamp now = steadyNow();
-    const bool isUncertain =
-        now < probe->schedulerSeenAt + maxBusySilence && wasLate(entry, probe->startedAt, now);
-    if (probe->isAlive || isUncertain || entry.schedulerSeenAt > probe->startedAt) {
+    if (probe->isAlive) {
         endProbe(entry);
+    } else if (probe->claimDelay == 0) {
+        claimIfSilent(entry, probe);
     } else {
-        claimAfterProbe(entry, probe->version, probe->epoch);
+        runAfter(entry, probe->claimDelay, [&entry, probe] { claimIfSilent(entry, probe); });
+    }
+}
+
+/// Returns the addresses of the entries that this entry asks about the scheduler. Different entries
+/// ask different ones.
+std::vector<std::string> chooseAskedPeers(const entry_state &entry, const std::string &scheduler)
+{
+    std::vector<std::pair<std::size_t, std::string>> others;
+    for (const auto &[name, address] : entry.members) {
+        if (name != entry.settings.name && address != scheduler) {
+            others.emplace_back(std::hash<std::string> {}(entry.settings.name + '/' + name),
+                                address);
+        }
+    }
+    std::sort(others.begin(), others.end());
+    std::vector<std::string> addresses;
+    for (std::size_t index = 0; index < std::min(maxAskedPeers, others.size()); ++index) {
+        addresses.push_back(others[index].second);
     }
+    return addresses;
 }
 
 /// Asks another entry whether it has seen the scheduler recently.
@@ -101,23 +140,20 @@
                   });
 }
 
-/// Sends a hello to the scheduler that the head row names, and asks the other entries whether they
+/// Sends a hello to the scheduler that the head row names, and asks some other entries whether they
 /// have seen it. A new scheduler gets time to start if it does not answer, but not if it answers
 /// that it does not lead.
-void contactScheduler(entry_state &entry, const head_row &head, std::int64_t version, bool isNew)
+void contactScheduler(entry_state &entry, const head_row &head, std::int64_t version, bool isNew,
+                      const claim_turn &turn)
 {
     const auto probe = std::make_shared<scheduler_probe>();
     probe->version = version;
     probe->epoch = head.epoch;
+    probe->claimDelay = turn.claimDelay;
     probe->startedAt = steadyNow();
     probe->schedulerSeenAt = entry.schedulerSeenAt;
-    std::vector<std::string> others;
-    for (const auto &[name, address] : entry.members) {
-        if (name != entry.settings.name && address != head.address) {
-            others.push_back(address);
-        }
-    }
-    probe->openAnswers = others.size() + 2;
+    const std::vector<std::string> peers = chooseAskedPeers(entry, head.address);
+    probe->openAnswers = peers.size() + 2;
     member_status memberStatus;
     memberStatus.sender = self(entry);
     memberStatus.epoch = head.epoch;
@@ -140,19 +176,19 @@
                  }
              });
     askLiveness(entry, head.address, probe);
-    for (const std::string &address : others) {
+    for (const std::string &address : peers) {
         askPeer(entry, address, probe);
     }
 }
 
 } // namespace
 
-void probeScheduler(entry_state &entry)
+void probeScheduler(entry_state &entry, const claim_turn &turn)
 {
     entry.isProbing = true;
     readHead(entry,
-             [&entry](const store_result &result, const std::optional<head_row> &head,
-                      std::int64_t version) {
+             [&entry, turn](const store_result &result, const std::optional<head_row> &head,
+                            std::int64_t version) {
                  if (result.outcome != store_outcome::done || entry.role != entry_role::follower) {
                      endProbe(entry);
                      return;
@@ -161,7 +197,8 @@
                      claimAfterProbe(entry, version, 0);
                      return;
                  }
-                 if (head->epoch > entry.epoch) {
+                 const bool isNew = head->epoch > entry.epoch;
+                 if (isNew) {
                      entry.epoch = head->epoch;
                      entry.scheduler = {head->scheduler, head->address};
                  }
@@ -169,7 +206,7 @@
                      claimAfterProbe(entry, version, head->epoch);
                      return;
                  }
-                 contactScheduler(entry, *head, version, false);
+                 contactScheduler(entry, *head, version, isNew, turn);
              });
 }
 
--- a/test/cell/cluster_test.cpp
+++ b/test/cell/cluster_test.cpp
@@ -223,3 +223,27 @@
     first.blocked = true;
     BOOST_REQUIRE(runUntil([&] { return leader() != nullptr && leader() != &first; }));
 }
+
+// Guards against claims that collide: 8 entries claimed the head row within 30 ms and all but one
+// probed again (incident csuc-inc1).
+BOOST_FIXTURE_TEST_CASE(entries_claim_one_after_another, cluster_fixture)
+{
+    for (int number = 4; number <= 10; ++number) {
+        add("entry-" + std::to_string(number));
+    }
+    BOOST_REQUIRE_MESSAGE(startError.empty(), startError);
+    BOOST_REQUIRE(runUntil([this] { return hasAgreedLeader(); }));
+    runFor(1'500 * millisecond); // all entries learn each other's processor shares
+    const auto countClaims = [this] {
+        std::uint64_t claims = 0;
+        for (const auto &member : members) {
+            claims += member->entry->metrics.counters["claims_total"];
+        }
+        return claims;
+    };
+    const std::uint64_t before = countClaims();
+    table.writeDelay = 120 * millisecond;
+    leader()->frozen = true;
+    BOOST_REQUIRE(runUntil([this] { return hasAgreedLeader(); }));
+    BOOST_TEST(countClaims() - before <= 4U);
+}
--- a/test/cell/membership_test.cpp
+++ b/test/cell/membership_test.cpp
@@ -99,6 +99,42 @@
     BOOST_TEST(reads.size() == 1U);
 }
 
+BOOST_FIXTURE_TEST_CASE(a_claim_that_comes_too_late_follows_the_new_scheduler, follower_fixture)
+{
+    bool claimed = true;
+    claimHead(entry, 40, 3, [&](bool done) { claimed = done; });
+    BOOST_REQUIRE(writes.size() == 1U);
+    store_result result;
+    result.outcome = store_outcome::conflict;
+    result.rows = {makeHeadRow(4, "entry-3")};
+    writes.front()(result);
+    BOOST_TEST(!claimed);
+    BOOST_TEST(entry.epoch == 4);
+    BOOST_TEST(entry.scheduler.name == "entry-3");
+    // The new scheduler counts as seen, so that it gets time to start.
+    turn(steadyNow(), entry.schedulerSeenAt);
+    BOOST_TEST(reads.empty());
+}
+
+// Guards against a probe that costs as many calls as the cell has entries, made by all entries at
+// once (incident csuc-inc1: 24 entries asked 35 others each within 120 ms).
+BOOST_FIXTURE_TEST_CASE(a_probe_asks_a_bounded_number_of_entries, follower_fixture)
+{
+    for (int number = 3; number < 40; ++number) {
+        entry.members["entry-" + std::to_string(number)] = "127.0.0.1:" + std::to_string(number);
+    }
+    const timestamp now = steadyNow();
+    turn(now, now - 900 * millisecond);
+    BOOST_REQUIRE(reads.size() == 1U);
+    store_result result;
+    result.outcome = store_outcome::done;
+    result.rows = {makeHeadRow(3, "entry-2")};
+    reads.front()(result);
+    // One connection to the scheduler, the others to entries that are asked about it.
+    BOOST_TEST(entry.client.connectionsOpened() > 1U);
+    BOOST_TEST(entry.client.connectionsOpened() <= 7U);
+}
+
 // Guards against a member without a name: a scheduler that learned of a higher epoch from a
 // follower recorded an empty successor as a member, which then got advice calls and handover
 // requests and was stored in the members row (incident csuc-inc1).
