--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -14,6 +14,7 @@
 #include "cell/scheduler.h"
 #include "entry/entry_settings.h"
 #include "entry/event_log.h"
+#include "entry/liveness.h"
 #include "entry/metrics.h"
 #include "entry/observation.h"
 #include "entry/ports.h"
@@ -28,6 +29,9 @@
 
 namespace bramleygrade::entry {
 
+/// Interval of the event loop's timer.
+constexpr microseconds tickInterval = 50 * millisecond;
+
 /// `claiming`: a write of the head row is under way; `loading`: the claim has succeeded and the
 /// rows are being read; `scheduler`: the entry decides.
 enum class entry_role { follower, claiming, loading, scheduler };
@@ -49,6 +53,9 @@
     timestamp backoffUntil = distantPast;
 };
 
+/// Calls to the advisory service that wait for a free entry, by priority.
+using advice_queue = std::multimap<int, cell::advice_order>;
+
 /// State that exists only while this entry is the scheduler or loads the rows to become it.
 struct leader_state
 {
@@ -117,7 +124,8 @@
     /// The members row in the store is out of date.
     bool membersChanged = true;
     std::map<std::string, advice_client_state> adviceClients;
-    std::vector<cell::advice_order> adviceQueue;
+    advice_queue longAdviceQueue;
+    advice_queue shortAdviceQueue;
 };
 
 /// A caller's call that waits for the scheduler's answer.
@@ -187,6 +195,13 @@
     timestamp stopAt = distantFuture;
     bool finished = false;
     timestamp lastTickAt = distantPast;
+    /// Exponentially weighted average of the lateness of the event loop's timer; the newest turn
+    /// has weight 1/4.
+    microseconds loopDelay = 0;
+    /// When the event loop's timer last ran so late that heartbeats may wait unread.
+    timestamp lateAt = distantPast;
+    /// What the liveness responder tells other entries.
+    loop_state loopState;
 };
 
 /// Microseconds of a monotonic clock that keeps running while the instance is suspended.
@@ -234,15 +249,16 @@
               std::function<void(net::call_result)> done);
 
 // membership.cpp
+/// Records a turn of the event loop's timer and measures how late it is.
+void recordTurn(entry_state &entry, timestamp now);
 /// Probes the scheduler after too long a time without contact, and claims the head row if no other
 /// entry sees a live scheduler.
 void monitorScheduler(entry_state &entry, timestamp now);
 /// Treats the scheduler as timed out, so that the next probe starts without further delay.
 void suspectScheduler(entry_state &entry);
-void recordProcessorShare(entry_state &entry, const member &other);
-/// Hands over if another entry has a much larger processor share. The scheduler's load grows with
-/// the size of the cell, a follower's does not.
-void handOverToLarger(entry_state &entry, timestamp now);
+/// Records address and processor share of an entry. Returns true if the address is new. Does
+/// nothing if the name is empty, as that of a scheduler of which only the epoch is known.
+bool recordMember(entry_state &entry, const member &other);
 /// Follows the scheduler of this epoch; ignored if a higher epoch is known. An entry that leads in
 /// a lower epoch steps down.
 void recordScheduler(entry_state &entry, std::int64_t epoch, const member &scheduler,
@@ -256,13 +272,18 @@
 /// `version`. `done` tells whether the claim succeeded.
 void claimHead(entry_state &entry, std::int64_t version, std::int64_t epoch,
                const std::function<void(bool)> &done);
+/// Becomes a follower. Callers that wait for a write get the answer `unknown`.
+void stepDown(entry_state &entry, const char *reason);
+
+// handover.cpp
+/// Hands over if another entry has a much larger processor share. The scheduler's load grows with
+/// the size of the cell, a follower's does not.
+void handOverToLarger(entry_state &entry, timestamp now);
 /// Asks another entry to take over; successive calls ask the entries in turn. Does nothing while a
 /// handover request is under way.
 void handOver(entry_state &entry, const std::function<void(bool)> &done);
 void handOverTo(entry_state &entry, const std::string &address,
                 const std::function<void(bool)> &done);
-/// Becomes a follower. Callers that wait for a write get the answer `unknown`.
-void stepDown(entry_state &entry, const char *reason);
 
 // leader.cpp
 /// Loads the rows and starts to act as the scheduler of `entry.epoch`. `headVersion`: version of
@@ -297,10 +318,11 @@
 void watchWorkers(entry_state &entry, std::int64_t epoch);
 
 // advice_dispatch.cpp
-/// Queues a call to the advisory service by priority, and sends it once an entry is free to make
-/// it.
-void queueAdvice(entry_state &entry, const cell::advice_order &order);
-/// Sends the queued calls for which an entry is free, and drops those of ended jobs.
+/// Queues calls to the advisory service by priority; each is sent once an entry is free to make it.
+void queueAdvice(entry_state &entry, const std::vector<cell::advice_order> &orders);
+/// Sends the queued calls for which an entry is free. Calls of ended jobs are dropped.
 void dispatchAdvice(entry_state &entry);
+/// Returns the number of calls that wait for a free entry.
+std::size_t countQueuedAdvice(const leader_state &leaderState);
 
 } // namespace bramleygrade::entry
--- a/src/entry/observation.cpp
+++ b/src/entry/observation.cpp
@@ -49,7 +49,7 @@
               {"calls_waiting", size(entry.forwardedCalls.size())},
               {"jobs_open", leading == nullptr ? "" : size(leading->cell.runnableJobs.size())},
               {"unsaved_changes", leading == nullptr ? "" : size(leading->cell.unstored.size())},
-              {"advice_queue", leading == nullptr ? "" : size(leading->adviceQueue.size())}});
+              {"advice_queue", leading == nullptr ? "" : size(countQueuedAdvice(*leading))}});
 }
 
 void reportLoad(entry_state &entry, timestamp now)
@@ -78,7 +78,7 @@
               {"starts", std::to_string(newStarts)},
               {"jobs_open", std::to_string(leading.cell.runnableJobs.size())},
               {"jobs_waiting", std::to_string(observed.waits.size())},
-              {"advice_queue", std::to_string(leading.adviceQueue.size())},
+              {"advice_queue", std::to_string(countQueuedAdvice(leading))},
               {"unsaved_changes", std::to_string(leading.cell.unstored.size())},
               {"workers_unreconciled", std::to_string(countUnreconciledWorkers(leading.cell))},
               {"calls_waiting", std::to_string(entry.forwardedCalls.size())}});
--- a/src/entry/state_dump.cpp
+++ b/src/entry/state_dump.cpp
@@ -97,7 +97,7 @@
     const leader_state &leaderState = *entry.leaderState;
     gauges["workers_unreconciled"] = countUnreconciledWorkers(leaderState.cell);
     gauges["restored_jobs_held"] = countHeldJobs(leaderState.cell);
-    gauges["advice_queue"] = static_cast<std::int64_t>(leaderState.adviceQueue.size());
+    gauges["advice_queue"] = static_cast<std::int64_t>(countQueuedAdvice(leaderState));
     gauges["unsaved_changes"] = static_cast<std::int64_t>(leaderState.cell.unstored.size());
     for (const auto &[id, waiting] : entry.observed.waits) {
         if (waiting.newest.tasks > 0) {
