short_wide_steps: wide gangs and batches in virtual time

Callers of the grown sites saw steps of 20 to 150 tasks served late or not at all, with processors free.

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -99,3 +99,10 @@
     add_test(NAME cell_histories_from_${first} COMMAND cell_histories ${first} 500)
     set_tests_properties(cell_histories_from_${first} PROPERTIES COST 500)
 endforeach()
+
+# Wide gangs on a deployment of 350 workers, in virtual time.
+add_executable(short_wide_steps_test test/cell/short_wide_steps_test.cpp
+                                     testing/cell/load_simulation.cpp)
+target_include_directories(short_wide_steps_test PRIVATE ${CMAKE_SOURCE_DIR})
+target_link_libraries(short_wide_steps_test PRIVATE bramleygrade_cell Boost::headers)
+add_test(NAME short_wide_steps COMMAND short_wide_steps_test)
--- /dev/null
+++ b/testing/cell/load_simulation.h
@@ -0,0 +1,104 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "cell/scheduler.h"
+
+namespace bramleygrade::testing {
+
+/// A truncated log-normal distribution; `spread` is the coefficient of variation.
+struct load_distribution
+{
+    double mean = 1;
+    double spread = 0;
+    double maximum = 1;
+};
+
+/// Jobs of one queue: their arrival rate, worth and shape. Shares are fractions from 0 to 1.
+struct load_class
+{
+    cell::queue_policy policy;
+    double jobsPerSecond = 1;
+    /// Jobs that are submitted before the load begins.
+    int initialJobs = 0;
+    /// Worth of a job of mean size that completes by its objective, and of a late one.
+    double worth = 1;
+    double lateWorth = 0.2;
+    load_distribution runSeconds;
+    load_distribution steps;
+    load_distribution tasks;
+    load_distribution cpuMilli;
+    load_distribution memoryMb;
+    /// Variation of run time between the tasks of a step.
+    double unevenness = 0;
+    /// Largest relative error of the declared run time.
+    double estimateError = 0;
+    double gangShare = 0;
+    double checkpointingShare = 0;
+    /// Share of the steps that limit the tasks per worker.
+    double spreadShare = 0;
+    /// Share of the runs that fail; of a gang, the share of the gang's runs.
+    double failingShare = 0;
+    /// Share of the workers that the advisory service allows for a step.
+    double allowedShare = 1;
+};
+
+/// Raises the arrival rate of one class for some time.
+struct load_burst
+{
+    std::size_t classIndex = 0;
+    microseconds startsAfter = 0;
+    microseconds length = 0;
+    double factor = 1;
+};
+
+struct load_settings
+{
+    int workers = 1;
+    int workersPerRack = 1;
+    cell::resources capacity;
+    /// Speeds of the workers, in turn.
+    std::vector<double> speeds = {1.0};
+    /// Entries that call the advisory service; the service answers the calls of each in turn.
+    int entries = 1;
+    std::vector<load_class> classes;
+    std::vector<load_burst> bursts;
+    microseconds length = 0;
+    microseconds checkpointInterval = second;
+    microseconds restoreTime = 0;
+    microseconds stopTimeout = 0;
+    microseconds gangTimeout = 4 * second;
+};
+
+/// What the jobs of one class have earned. The worth of a job grows with its work.
+struct load_class_outcome
+{
+    int jobs = 0;
+    int completedOnTime = 0;
+    int completedLate = 0;
+    double worthOwed = 0;
+    double worthEarned = 0;
+    /// Core-seconds of work that was stopped or broken off and not saved.
+    double wastedCoreSeconds = 0;
+};
+
+struct load_outcome
+{
+    std::vector<load_class_outcome> classes;
+    cell::scheduler_counters counters;
+    double refusedTickets = 0;
+    /// Mean share of the workers' processors with a run or a reservation.
+    double meanUsedShare = 0;
+};
+
+/// Offers a load of jobs to the cell scheduler in virtual time, with workers, a store and an
+/// advisory service that take time but do not fail, and returns what was earned. Jobs have
+/// `drainTime` after the load to end.
+///
+/// A gang works from the moment when all its members are present; one end of a member counts for
+/// all. The advisory service allows a fixed random subset of the workers for each step.
+load_outcome simulateLoad(const load_settings &settings, std::uint64_t seed);
+
+} // namespace bramleygrade::testing
