Advice calls of gangs no longer occupy every entry

Callers of the grown sites saw batches of 25 tasks wait for 24 s without a call to the advisory service, and gangs start after 7 to 19 s.

No call of a queue of lower priority left, while the other half of the entries was 7 % busy.

Change: a fifth of the entries is kept for short calls, the others make both kinds; a call of the job queue with the fewest open calls goes first; a call asks about up to 100 workers, the protocol's limit, so that a gang needs few calls. The choice of entry and call moves to src/cell/advice_clients.*.

The dispatch test of four entries now expects three of them to make long calls; its limits per entry are the same.

--- a/src/cell/advice.cpp
+++ b/src/cell/advice.cpp
@@ -9,8 +9,8 @@
 /// Slots asked about as a multiple of the slots needed, as the share of workers that will be
 /// allowed is only estimated.
 constexpr double askedSlotsFactor = 1.5;
-/// Bounds the duration of a call (the users' rules assume 30 workers).
-constexpr std::size_t maxWorkersPerCall = 32;
+/// Maximum number of workers in one call (worker protocol).
+constexpr std::size_t maxWorkersPerCall = 100;
 /// Calls expected to take longer go to instances that do not serve the short calls.
 constexpr microseconds longCallThreshold = 100 * millisecond;
 /// Pause before a failed call is retried.
@@ -145,6 +145,8 @@
     order.step = {waiting.job->spec.id, waiting.occurrence, waiting.step, 0};
     order.expected = timing.base + timing.perWorker * static_cast<microseconds>(workers.size());
     order.priority = waiting.priority + (waiting.late ? latePriorityOffset : 0);
+    order.late = waiting.late;
+    order.queue = waiting.job->spec.queue;
     order.longCall = order.expected > longCallThreshold;
     order.workers = std::move(workers);
     return order;
--- a/src/cell/scheduler.h
+++ b/src/cell/scheduler.h
@@ -76,6 +76,10 @@
     bool longCall = false;
     /// Lower is asked first: jobs on time before late ones, then by the queue's priority.
     int priority = 0;
+    /// The job has missed its objective.
+    bool late = false;
+    /// Name of the job's queue.
+    std::string queue;
 };
 
 /// A decision to be logged: event name, job id (may be empty) and details as `key=value`.
--- a/src/entry/advice_dispatch.cpp
+++ b/src/entry/advice_dispatch.cpp
@@ -10,10 +10,6 @@
 constexpr microseconds adviceMargin = 700 * millisecond;
 /// An entry whose call has failed gets no calls for this long.
 constexpr microseconds adviceBackoff = 1 * second;
-/// Limits of concurrent calls per entry. The service processes an entry's calls one after another;
-/// a second short call hides the network round trip.
-constexpr int maxOpenLongCalls = 1;
-constexpr int maxOpenShortCalls = 2;
 
 struct advice_client
 {
@@ -21,35 +17,31 @@
     std::string address;
 };
 
-/// Returns the entry with the fewest open calls among those that make calls of this kind, or
-/// nothing if all are at their limit or in backoff. The first half of the entries, by name, makes
-/// the long calls and the other half the short ones, so that no short call waits for a long one.
+/// Returns the entry that makes the call, or nothing if all that may make it are busy or in
+/// backoff.
 std::optional<advice_client> chooseAdviceClient(entry_state &entry, bool longCall, timestamp now)
 {
-    std::optional<advice_client> best;
-    int fewest = longCall ? maxOpenLongCalls : maxOpenShortCalls;
-    const std::size_t half = (entry.members.size() + 1) / 2;
-    std::size_t index = 0;
+    std::vector<cell::advice_client_load> loads;
     for (const auto &[name, address] : entry.members) {
-        const bool makesLongCalls = index++ < half;
-        if (entry.members.size() > 1 && makesLongCalls != longCall) {
-            continue;
-        }
         const advice_client_state &state = entry.leaderState->adviceClients[name];
-        if (now >= state.backoffUntil && state.inFlight < fewest) {
-            fewest = state.inFlight;
-            best = advice_client {name, address};
-        }
+        loads.push_back({state.inFlight, now < state.backoffUntil});
+    }
+    const auto chosen = cell::chooseAdviceClient(loads, longCall);
+    if (!chosen) {
+        return std::nullopt;
     }
-    return best;
+    const auto member = std::next(entry.members.begin(), static_cast<std::ptrdiff_t>(*chosen));
+    return advice_client {member->first, member->second};
 }
 
-/// Removes the most urgent call of a job that has not ended from the queue and returns it.
-std::optional<cell::advice_order> takeAdviceOrder(leader_state &leaderState, advice_queue &queue)
+/// Removes the next call of a job that has not ended from the queue and returns it.
+std::optional<cell::advice_order> takeAdviceOrder(leader_state &leaderState,
+                                                  cell::advice_queue &queue)
 {
     while (!queue.empty()) {
-        cell::advice_order order = std::move(queue.begin()->second);
-        queue.erase(queue.begin());
+        const auto next = cell::findNextAdvice(queue, leaderState.openAdviceCalls);
+        cell::advice_order order = std::move(next->second);
+        queue.erase(next);
         const cell::job_state *job = cell::findJob(leaderState.cell, order.step.job);
         if (job != nullptr && !job->finalPhase) {
             return order;
@@ -65,6 +57,7 @@
     observeLatency(entry.metrics, "advice_seconds", now - sentAt);
     advice_client_state &state = entry.leaderState->adviceClients[adviceClient];
     --state.inFlight;
+    --entry.leaderState->openAdviceCalls[order.queue];
     if (result.answered) {
         cell::onAdvice(entry.leaderState->cell, order, result.allowed, result.validFor, now);
     } else {
@@ -85,6 +78,7 @@
 {
     const timestamp now = steadyNow();
     const int ahead = entry.leaderState->adviceClients[chosen.name].inFlight++;
+    ++entry.leaderState->openAdviceCalls[order.queue];
     const microseconds timeout = order.expected * (ahead + 1) + adviceMargin;
     logEvent(entry, "advice_asked",
              {{"job", order.step.job},
@@ -123,7 +117,7 @@
     const timestamp now = steadyNow();
     // A call may complete while it is sent, so nothing is kept across iterations.
     while (entry.leaderState) {
-        advice_queue &queue =
+        cell::advice_queue &queue =
             longCall ? entry.leaderState->longAdviceQueue : entry.leaderState->shortAdviceQueue;
         const auto chosen = queue.empty() ? std::nullopt : chooseAdviceClient(entry, longCall, now);
         const auto order = chosen ? takeAdviceOrder(*entry.leaderState, queue) : std::nullopt;
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -11,6 +11,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "cell/advice_clients.h"
 #include "cell/scheduler.h"
 #include "entry/entry_settings.h"
 #include "entry/event_log.h"
@@ -48,9 +49,6 @@
     timestamp backoffUntil = distantPast;
 };
 
-/// Calls to the advisory service that wait for a free entry, by priority.
-using advice_queue = std::multimap<int, cell::advice_order>;
-
 /// State that exists only while this entry is the scheduler or loads the rows to become it.
 struct leader_state
 {
@@ -119,8 +117,10 @@
     /// The members row in the store is out of date.
     bool membersChanged = true;
     std::map<std::string, advice_client_state> adviceClients;
-    advice_queue longAdviceQueue;
-    advice_queue shortAdviceQueue;
+    cell::advice_queue longAdviceQueue;
+    cell::advice_queue shortAdviceQueue;
+    /// Open calls to the advisory service by job queue.
+    std::map<std::string, int> openAdviceCalls;
 };
 
 /// A caller's call that waits for the scheduler's answer.
--- a/test/cell/advice_dispatch_test.cpp
+++ b/test/cell/advice_dispatch_test.cpp
@@ -88,7 +88,7 @@
     queue(20);
     BOOST_TEST(callsInFlight("entry-00") == 1);
     BOOST_TEST(callsInFlight("entry-01") == 1);
-    BOOST_TEST(callsInFlight("entry-02") == 2);
+    BOOST_TEST(callsInFlight("entry-02") == 1);
     BOOST_TEST(callsInFlight("entry-03") == 2);
 }
 
--- a/test/cell/short_wide_steps_test.cpp
+++ b/test/cell/short_wide_steps_test.cpp
@@ -115,7 +115,7 @@
     constexpr double totalFloor = 0.456;
     constexpr double classFloor = 0.42;
     const load_settings settings = makeWideSteps();
-    for (const std::uint64_t seed : {1}) {
+    for (const std::uint64_t seed : {1, 2}) {
         BOOST_TEST_CONTEXT("seed " << seed)
         {
             const load_outcome outcome = bramleygrade::testing::simulateLoad(settings, seed);
--- a/testing/cell/load_simulation.cpp
+++ b/testing/cell/load_simulation.cpp
@@ -5,6 +5,7 @@
 #include <functional>
 #include <random>
 
+#include "cell/advice_clients.h"
 #include "testing/cell/cell_driver.h"
 
 namespace bramleygrade::testing {
@@ -31,9 +32,6 @@
 constexpr double maxWorthFactor = 4;
 /// Workers in the advice call that a job's objective allows for each step.
 constexpr int adviceWorkersInObjective = 30;
-/// Open calls of the advisory service per entry, as in entry/advice_dispatch.cpp.
-constexpr int maxOpenLongCalls = 1;
-constexpr int maxOpenShortCalls = 2;
 
 double drawUniform(std::mt19937_64 &random, double minimum, double maximum)
 {
@@ -169,6 +167,7 @@
     double savedShareOf(const load_run &run) const;
 
     bool isAllowed(const cell::task_id &step, const std::string &worker) const;
+    void dispatchAdvice(bool longCalls);
     void dispatchAdvice();
     void callAdvice(const cell::advice_order &order, advice_client &client);
 
@@ -182,7 +181,9 @@
     /// Workers of the present members of each gang, by job, step and attempt.
     std::map<std::tuple<std::string, int, int>, std::map<int, std::string>> m_gangs;
     std::vector<advice_client> m_clients;
-    std::vector<cell::advice_order> m_adviceQueue;
+    cell::advice_queue m_longAdviceQueue;
+    cell::advice_queue m_shortAdviceQueue;
+    std::map<std::string, int> m_openAdviceCalls;
     std::map<std::string, timestamp> m_ticketsValidUntil;
     load_outcome m_outcome;
     std::uint64_t m_runNumber = 0;
@@ -362,10 +363,7 @@
         sendPoll(order);
     }
     for (const auto &order : out.advice) {
-        const auto place =
-            std::upper_bound(m_adviceQueue.begin(), m_adviceQueue.end(), order,
-                             [](const auto &a, const auto &b) { return a.priority < b.priority; });
-        m_adviceQueue.insert(place, order);
+        (order.longCall ? m_longAdviceQueue : m_shortAdviceQueue).emplace(order.priority, order);
     }
     dispatchAdvice();
 }
@@ -690,38 +688,38 @@
     return drawUniform(random, 0, 1) < share;
 }
 
-void load_simulation::dispatchAdvice()
+void load_simulation::dispatchAdvice(bool longCalls)
 {
-    for (std::size_t index = 0; index < m_adviceQueue.size();) {
-        const cell::advice_order order = m_adviceQueue[index];
-        const cell::job_state *job = cell::findJob(m_driver.cell, order.step.job);
-        if (job == nullptr || job->finalPhase) {
-            m_adviceQueue.erase(m_adviceQueue.begin() + static_cast<std::ptrdiff_t>(index));
-            continue;
+    cell::advice_queue &queue = longCalls ? m_longAdviceQueue : m_shortAdviceQueue;
+    while (!queue.empty()) {
+        std::vector<cell::advice_client_load> loads;
+        for (const advice_client &client : m_clients) {
+            loads.push_back({client.open, false});
         }
-        const std::size_t half = (m_clients.size() + 1) / 2;
-        const std::size_t first = order.longCall ? 0 : half;
-        const std::size_t last = order.longCall ? half : m_clients.size();
-        advice_client *best = nullptr;
-        int fewest = order.longCall ? maxOpenLongCalls : maxOpenShortCalls;
-        for (std::size_t client = first; client < last; ++client) {
-            if (m_clients[client].open < fewest) {
-                fewest = m_clients[client].open;
-                best = &m_clients[client];
-            }
+        const auto chosen = cell::chooseAdviceClient(loads, longCalls);
+        if (!chosen) {
+            return;
         }
-        if (best == nullptr) {
-            ++index;
-            continue;
+        const auto next = cell::findNextAdvice(queue, m_openAdviceCalls);
+        cell::advice_order order = std::move(next->second);
+        queue.erase(next);
+        const cell::job_state *job = cell::findJob(m_driver.cell, order.step.job);
+        if (job != nullptr && !job->finalPhase) {
+            callAdvice(order, m_clients[*chosen]);
         }
-        m_adviceQueue.erase(m_adviceQueue.begin() + static_cast<std::ptrdiff_t>(index));
-        callAdvice(order, *best);
     }
 }
 
+void load_simulation::dispatchAdvice()
+{
+    dispatchAdvice(true);
+    dispatchAdvice(false);
+}
+
 void load_simulation::callAdvice(const cell::advice_order &order, advice_client &client)
 {
     ++client.open;
+    ++m_openAdviceCalls[order.queue];
     const timestamp arrivesAt = m_driver.now + messageDelay;
     const cell::advice_timing &timing =
         m_settings.classes[m_jobs.at(order.step.job).classIndex].policy.advice;
@@ -738,6 +736,7 @@
         }
         schedule(m_driver.now + messageDelay, [this, order, &client, allowed, valid] {
             --client.open;
+            --m_openAdviceCalls[order.queue];
             cell::onAdvice(m_driver.cell, order, allowed, valid, m_driver.now);
             dispatchAdvice();
             requestDecision();
