The answer to an earlier poll no longer replaces a fence

The answer to a poll that had been sent before arrived next, with the token in force, and cleared the need. No fence followed, and the task stayed unconfirmed, since only an answer with a higher token than the start's tells what became of it. The pause between decisions widens the gap, so load makes it likelier.

Change: only the answer to a fence ends the need for one.

--- a/src/cell/scheduler_workers.cpp
+++ b/src/cell/scheduler_workers.cpp
@@ -240,7 +240,8 @@
     worker.clock = report.workerClock;
     worker.clockReadAt = now;
     if (order.fencingToken == fencingToken(cell, worker)) {
-        if (!worker.reconciled || worker.needsFence) {
+        const bool isFenceAnswered = worker.needsFence && order.fence;
+        if (!worker.reconciled || isFenceAnswered) {
             cell.needsPlacement = true;
             out.events.push_back({"worker_settled", "",
                                   "worker=" + worker.entry.id
@@ -249,7 +250,8 @@
         }
         worker.fenced = true;
         worker.reconciled = true;
-        worker.needsFence = false;
+        // An answer to a poll sent before the fence proves nothing about the unanswered order.
+        worker.needsFence = worker.needsFence && !order.fence;
     }
     for (const reported_end &end : report.ended) {
         if (end.sequence > worker.lastEnd) {
--- a/test/cell/scheduler_test.cpp
+++ b/test/cell/scheduler_test.cpp
@@ -105,6 +105,30 @@
     BOOST_TEST(again.starts[0].attempt > start.attempt);
 }
 
+// Guards against a task that never starts again: the answer to a poll sent before the fence was
+// taken for the fence's answer, so that no fence followed (sittnord-prod, mix 673309860375).
+BOOST_AUTO_TEST_CASE(an_answer_to_an_earlier_poll_does_not_replace_the_fence)
+{
+    cell_fixture fixture;
+    const auto out = fixture.run(cell_fixture::makeJob("a", {cell_fixture::makeStep(1, 1'000)}));
+    const start_order start = out.starts.at(0);
+    const poll_order earlier = fixture.makePoll(start.worker);
+    orders ignored;
+    onStartOutcome(fixture.cell, start, order_outcome::unanswered, fixture.now, ignored);
+    cell_report empty;
+    empty.workerClock = fixture.now;
+    onReport(fixture.cell, earlier, empty, fixture.now, fixture.now, ignored);
+    const auto next = fixture.decide();
+    const auto fence = std::find_if(next.polls.begin(), next.polls.end(),
+                                    [](const poll_order &order) { return order.fence; });
+    BOOST_REQUIRE((fence != next.polls.end()));
+    BOOST_TEST(fence->fencingToken > start.fencingToken);
+    onReport(fixture.cell, *fence, empty, fixture.now, fixture.now, ignored);
+    const auto again = fixture.decide();
+    BOOST_REQUIRE(again.starts.size() == 1U);
+    BOOST_TEST(again.starts[0].attempt > start.attempt);
+}
+
 BOOST_AUTO_TEST_CASE(a_start_that_had_effect_is_kept_after_the_fence)
 {
     cell_fixture fixture;
