A sixth of the entries, at least two of seven, is kept for short advice calls

A sixth, rounded up, keeps two.

Calls for which a gang's capacity is withheld from others now go first, as the capacity is idle until the answer.

--- a/src/cell/advice_clients.cpp
+++ b/src/cell/advice_clients.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-/// One of this many clients, at least one, is kept for short calls.
-constexpr std::size_t shortClientDivisor = 5;
+/// One of this many clients, rounded up, is kept for short calls.
+constexpr std::size_t shortClientDivisor = 6;
 /// Limit of concurrent short calls per client; a second one hides the network round trip.
 constexpr int maxOpenShortCalls = 2;
 
@@ -31,7 +31,7 @@
                                               bool longCall)
 {
     const std::size_t count = clients.size();
-    const std::size_t kept = count < 2 ? 0 : std::max<std::size_t>(count / shortClientDivisor, 1);
+    const std::size_t kept = count < 2 ? 0 : (count + shortClientDivisor - 1) / shortClientDivisor;
     if (longCall) {
         return findLeastBusy(clients, 0, count - kept, 1);
     }
@@ -44,7 +44,8 @@
 {
     const auto rankOf = [&](const advice_order &order) {
         const auto open = openCalls.find(order.queue);
-        return std::pair(order.late, open == openCalls.end() ? 0 : open->second);
+        return std::tuple(order.late, !order.holdsCapacity,
+                          open == openCalls.end() ? 0 : open->second);
     };
     return std::min_element(waiting.begin(), waiting.end(), [&](const auto &a, const auto &b) {
         return rankOf(a.second) < rankOf(b.second);
--- a/src/cell/advice_clients.h
+++ b/src/cell/advice_clients.h
@@ -28,9 +28,10 @@
 /// Calls to the advisory service that wait for a client, by priority.
 using advice_queue = std::multimap<int, advice_order>;
 
-/// Returns the call to be made next: those of jobs on time before those of late ones, then those of
-/// the job queue with the fewest open calls, so that no job queue occupies all clients, then by
-/// priority. `openCalls` counts the open calls by job queue. `waiting` must not be empty.
+/// Returns the call to be made next: those of jobs on time before those of late ones, then those
+/// for which capacity is held, then those of the job queue with the fewest open calls, so that no
+/// job queue occupies all clients, then by priority. `openCalls` counts the open calls by job
+/// queue. `waiting` must not be empty.
 advice_queue::iterator findNextAdvice(advice_queue &waiting,
                                       const std::map<std::string, int> &openCalls);
 
--- a/src/cell/scheduler.h
+++ b/src/cell/scheduler.h
@@ -78,6 +78,8 @@
     int priority = 0;
     /// The job has missed its objective.
     bool late = false;
+    /// Capacity is withheld from other steps until the answer arrives.
+    bool holdsCapacity = false;
     /// Name of the job's queue.
     std::string queue;
 };
--- a/src/cell/scheduler_decide.cpp
+++ b/src/cell/scheduler_decide.cpp
@@ -300,6 +300,7 @@
         step.advicePending = true;
         ++cell.counters.adviceCalls;
         out.advice.push_back(makeAdviceOrder(waiting, chosen));
+        out.advice.back().holdsCapacity = true;
     }
 }
 
@@ -314,6 +315,7 @@
         stepState(waiting).advicePending = true;
         ++cell.counters.adviceCalls;
         out.advice.push_back(makeAdviceOrder(waiting, std::move(toAsk)));
+        out.advice.back().holdsCapacity = gang && plan.unplaced == 0;
     }
     if (!waiting.job->stored) {
         return;
