A single entry has two short advice calls open, as before

Seen: queued_calls_are_sent_by_priority_and_not_for_ended_jobs failed after the merge of the advice clients: one entry alone made one short call at a time instead of two. Cause: with a single client no entry is kept for short calls, so the limit of the shared ones applied. The test is unchanged and passes.

--- a/src/cell/advice_clients.cpp
+++ b/src/cell/advice_clients.cpp
@@ -31,7 +31,10 @@
                                               bool longCall)
 {
     const std::size_t count = clients.size();
-    const std::size_t kept = count < 2 ? 0 : (count + shortClientDivisor - 1) / shortClientDivisor;
+    if (count < 2) {
+        return findLeastBusy(clients, 0, count, longCall ? 1 : maxOpenShortCalls);
+    }
+    const std::size_t kept = (count + shortClientDivisor - 1) / shortClientDivisor;
     if (longCall) {
         return findLeastBusy(clients, 0, count - kept, 1);
     }
