Histories of repeated takeovers in a large cell

350 workers, steps of up to 50 tasks in chains of up to three, advice that allows a fifth of the workers, failing schedulers every 1.5 s and paused ones every 4 s in the mean; preemption as in the other histories. From 3 s after the last takeover no accepted job may have nothing running for 3 s while a task's turn has come, the allowed workers have room for it twice over and under half of the processors are in use (the users' rule).

Looks for a fault of takeover or placement that leaves tasks unstarted.

Not covered: workers that crash or are cut off (a takeover waits for the leases of each silent worker before it restarts restored jobs), and limits on concurrent advice calls.

--- a/testing/cell/cell_history.cpp
+++ b/testing/cell/cell_history.cpp
@@ -84,8 +84,9 @@
     cell::beginEpoch(successor->cell, ++store.epoch, now);
     cell::cell_config config;
     config.version = 1;
-    config.queues.push_back(makePolicy(0));
-    config.queues.push_back(makePolicy(1));
+    const bool needsAdvice = injectedFaults.allowedWorkerShare > 0;
+    config.queues.push_back(makePolicy(0, needsAdvice));
+    config.queues.push_back(makePolicy(1, needsAdvice));
     cell::changeConfig(successor->cell, config);
     for (const auto &[id, value] : store.jobs) {
         if (const auto ended = entry::decodeEnded(value)) {
@@ -106,6 +107,7 @@
     cell::changeWorkers(successor->cell, readRegistry(successor->cell), now);
     schedulers.push_back(successor);
     ++counts.takeovers;
+    lastTakeoverAt = now;
     tick(successor);
 }
 
@@ -135,6 +137,31 @@
     for (const auto &order : orders.polls) {
         sendPoll(scheduler, order);
     }
+    for (const auto &order : orders.advice) {
+        sendAdvice(scheduler, order);
+    }
+}
+
+void cell_history::state::sendAdvice(const scheduler_pointer &scheduler,
+                                     const cell::advice_order &order)
+{
+    scheduleAt(now + order.expected, [this, scheduler, order] {
+        if (!scheduler->alive) {
+            return;
+        }
+        const microseconds valid =
+            cell::findQueue(scheduler->cell.config, record.jobs.at(order.step.job).queue)
+                ->advice.valid;
+        std::vector<std::pair<std::string, std::string>> allowed;
+        for (const std::string &worker : order.workers) {
+            if (isAllowed(order.step, worker)) {
+                const std::string ticket = std::to_string(record.tickets.size() + 1);
+                record.tickets[ticket] = now + valid;
+                allowed.emplace_back(worker, ticket);
+            }
+        }
+        cell::onAdvice(scheduler->cell, order, allowed, valid, now);
+    });
 }
 
 namespace {
@@ -208,7 +235,22 @@
 void cell_history::state::sendPoll(const scheduler_pointer &scheduler,
                                    const cell::poll_order &order)
 {
-    const timestamp sentAt = now;
+    const auto worker = workers.find(order.worker);
+    if (!injectedFaults.isLargeCell || order.wait == 0 || worker == workers.end()) {
+        sendPollNow(scheduler, order, now);
+        return;
+    }
+    timestamp heldUntil = now + order.wait;
+    for (const auto &[task, run] : worker->second.runs) {
+        heldUntil = std::min(heldUntil, run.endsAt);
+    }
+    scheduleAt(heldUntil,
+               [this, scheduler, order, sentAt = now] { sendPollNow(scheduler, order, sentAt); });
+}
+
+void cell_history::state::sendPollNow(const scheduler_pointer &scheduler,
+                                      const cell::poll_order &order, timestamp sentAt)
+{
     const auto report = std::make_shared<cell::worker_report>();
     sendOrder(
         *this, scheduler, order,
@@ -303,7 +345,11 @@
     state &history = *m_state;
     history.takeOver();
     history.scheduleFaults();
-    history.scheduleRecurring(250 * millisecond, [&history] { history.submitJob(); });
+    history.scheduleRecurring(history.injectedFaults.submitInterval,
+                              [&history] { history.submitJob(); });
+    if (history.injectedFaults.isLargeCell) {
+        history.checkWaitingJobs();
+    }
     const timestamp faultsEndAt = history.now + length;
     const timestamp endAt = faultsEndAt + drainTimeout;
     history.scheduleAt(faultsEndAt, [&history] {
--- a/testing/cell/cell_history.h
+++ b/testing/cell/cell_history.h
@@ -30,6 +30,13 @@
     double checkpointingStepShare = 0.5;
     /// Share of the workers whose registry entries lapse in an outage of the store.
     double lapsedEntryShare = 0.5;
+    microseconds submitInterval = 250 * millisecond;
+    int maxTasksPerStep = 5;
+    /// Share of the workers that the advisory service allows for a step; 0: no queue needs advice.
+    double allowedWorkerShare = 0;
+    /// Workers hold polls, and every job that could run is checked to do so once the faults have
+    /// stopped.
+    bool isLargeCell = false;
 };
 
 /// Stored rows, which persist when a scheduler ends; also holds the rows of one write.
--- a/testing/cell/histories_main.cpp
+++ b/testing/cell/histories_main.cpp
@@ -1,10 +1,12 @@
 #include <cstdlib>
 #include <iostream>
+#include <string>
 
 #include "testing/cell/cell_history.h"
 
-/// Runs randomised histories of the cell scheduler: cell_histories FIRST_SEED COUNT. The defaults
-/// are 1 and 100. Exit code 1 if a history violates a rule.
+/// Runs randomised histories of the cell scheduler: cell_histories FIRST_SEED COUNT [takeovers].
+/// The defaults are 1 and 100. With `takeovers` the cell has 350 workers and wide steps, and
+/// schedulers replace one another every second or two. Exit code 1 if a history violates a rule.
 int main(int argc, char **argv)
 {
     using namespace bramleygrade;
@@ -18,10 +20,22 @@
     faults.workerCrashInterval = 5 * second;
     faults.workerPartitionInterval = 6 * second;
     faults.storeOutageInterval = 9 * second;
+    int workers = 8;
+    if (argc > 3 && argv[3] == std::string("takeovers")) {
+        faults = {};
+        faults.schedulerCrashInterval = 1'500 * millisecond;
+        faults.schedulerPauseInterval = 4 * second;
+        faults.submitInterval = 80 * millisecond;
+        faults.failingTaskShare = 0.002;
+        faults.maxTasksPerStep = 50;
+        faults.allowedWorkerShare = 0.2;
+        faults.isLargeCell = true;
+        workers = 350;
+    }
     int failed = 0;
     testing::history_counts total;
     for (std::uint64_t seed = first; seed < first + count; ++seed) {
-        testing::cell_history history(seed, faults);
+        testing::cell_history history(seed, faults, workers);
         history.run(20 * second);
         const testing::history_counts counts = history.counts();
         total.jobs += counts.jobs;
--- a/testing/cell/history_events.cpp
+++ b/testing/cell/history_events.cpp
@@ -4,7 +4,7 @@
 
 namespace bramleygrade::testing {
 
-cell::queue_policy makePolicy(int priority)
+cell::queue_policy makePolicy(int priority, bool needsAdvice)
 {
     cell::queue_policy policy;
     policy.name = "queue-" + std::to_string(priority);
@@ -13,6 +13,8 @@
     policy.maxAttempts = 3;
     policy.slackFactor = 2;
     policy.latencyTarget = second;
+    policy.needsAdvice = needsAdvice;
+    policy.advice = {5 * millisecond, millisecond, 500 * millisecond};
     return policy;
 }
 
@@ -25,12 +27,13 @@
     }
     cell::job_spec spec;
     spec.id = "job" + std::to_string(++jobCount);
-    const cell::queue_policy policy = makePolicy(static_cast<int>(drawBetween(0, 1)));
+    const cell::queue_policy policy =
+        makePolicy(static_cast<int>(drawBetween(0, 1)), injectedFaults.allowedWorkerShare > 0);
     spec.queue = policy.name;
     const int steps = static_cast<int>(drawBetween(1, 3));
     for (int index = 0; index < steps; ++index) {
         cell::step_spec step;
-        step.count = static_cast<int>(drawBetween(1, 5));
+        step.count = static_cast<int>(drawBetween(1, injectedFaults.maxTasksPerStep));
         step.demand = {drawBetween(500, 4'000), drawBetween(100, 5'000), 0};
         step.estimate = second;
         step.gang = drawBool(injectedFaults.gangStepShare);
@@ -50,11 +53,15 @@
     }
     record.jobs[spec.id] = spec;
     record.maxAttempts[spec.id] = policy.maxAttempts;
+    if (policy.needsAdvice) {
+        record.jobsWithAdvice.insert(spec.id);
+    }
     cell::acceptJob((*leader)->cell, spec, policy, now);
     ++counts.jobs;
     if (drawBool(injectedFaults.cancelledJobShare)) {
         const std::string id = spec.id;
         scheduleAt(now + drawBetween(0, 3 * second), [this, id] {
+            record.cancelledAt[id] = now;
             for (const auto &scheduler : schedulers) {
                 cell::orders out;
                 if (scheduler->alive && cell::cancelJob(scheduler->cell, id, now, out)) {
@@ -106,6 +113,101 @@
     });
 }
 
+bool cell_history::state::isAllowed(const cell::task_id &step, const std::string &worker) const
+{
+    if (injectedFaults.allowedWorkerShare == 0) {
+        return true;
+    }
+    constexpr std::size_t parts = 1'000;
+    const std::string text = step.job + "." + std::to_string(step.step) + "@" + worker;
+    return std::hash<std::string> {}(text) % parts
+        < static_cast<std::size_t>(injectedFaults.allowedWorkerShare * parts);
+}
+
+std::int64_t cell_history::state::countFreeSlots(const cell::task_id &task) const
+{
+    const cell::resources demand =
+        record.jobs.at(task.job).steps[static_cast<std::size_t>(task.step)].demand;
+    std::int64_t slots = 0;
+    for (const auto &[id, worker] : workers) {
+        if (!worker.up || !isAllowed(task, id)) {
+            continue;
+        }
+        cell::resources free = worker.entry.capacity;
+        for (const auto &[running, run] : worker.runs) {
+            free = free - run.demand;
+        }
+        slots += std::min(free.cpuMilli / demand.cpuMilli, free.memoryMb / demand.memoryMb);
+    }
+    return slots;
+}
+
+bool cell_history::state::isHalfIdle() const
+{
+    std::int64_t used = 0;
+    std::int64_t capacity = 0;
+    for (const auto &[id, worker] : workers) {
+        capacity += worker.up ? worker.entry.capacity.cpuMilli : 0;
+        for (const auto &[running, run] : worker.runs) {
+            used += run.demand.cpuMilli;
+        }
+    }
+    return 2 * used < capacity;
+}
+
+bool cell_history::state::isLeftWaiting(const std::string &job) const
+{
+    const std::vector<cell::step_spec> &steps = record.jobs.at(job).steps;
+    std::optional<cell::task_id> next;
+    bool isPrecedingDone = true;
+    for (int step = 0; step < static_cast<int>(steps.size()) && isPrecedingDone; ++step) {
+        for (int index = 0; index < steps[static_cast<std::size_t>(step)].count; ++index) {
+            const cell::task_id task {job, 0, step, index};
+            const auto running = record.runningOn.find(task);
+            if (running != record.runningOn.end() && !running->second.empty()) {
+                return false;
+            }
+            if (record.doneTasks.count(task) == 0) {
+                isPrecedingDone = false;
+                next = next ? next : task;
+            }
+        }
+    }
+    if (!next) {
+        return false;
+    }
+    const cell::step_spec &step = steps[static_cast<std::size_t>(next->step)];
+    return countFreeSlots(*next) >= 2 * (step.gang ? step.count : 1);
+}
+
+void cell_history::state::checkWaitingJobs()
+{
+    constexpr microseconds checkInterval = 100 * millisecond;
+    constexpr microseconds settleTime = 3 * second;
+    constexpr microseconds maxWaiting = 3 * second;
+    scheduleAt(now + checkInterval, [this] { checkWaitingJobs(); });
+    if (!faultsStopped || now < lastTakeoverAt + settleTime) {
+        waitingSince.clear();
+        return;
+    }
+    const bool isIdle = isHalfIdle();
+    for (const std::string &id : accepted) {
+        const bool isLeft = isIdle && store.ended.count(id) == 0
+            && record.cancelledAt.count(id) == 0 && isLeftWaiting(id);
+        if (!isLeft) {
+            waitingSince.erase(id);
+            continue;
+        }
+        const timestamp since = waitingSince.emplace(id, now).first->second;
+        if (now >= since + maxWaiting) {
+            record.violations.push_back("accepted job " + id + " has nothing running for 3 s, "
+                                        + std::to_string((now - lastTakeoverAt) / millisecond)
+                                        + " ms after the last takeover");
+            waitingSince.erase(id);
+        }
+    }
+}
+
 void cell_history::state::checkFinalState()
 {
     for (const std::string &id : accepted) {
--- a/testing/cell/history_state.h
+++ b/testing/cell/history_state.h
@@ -5,7 +5,7 @@
 namespace bramleygrade::testing {
 
 /// Returns the policy of the queue with this priority.
-cell::queue_policy makePolicy(int priority);
+cell::queue_policy makePolicy(int priority, bool needsAdvice = false);
 
 /// One scheduler process in virtual time.
 struct simulated_scheduler
@@ -39,6 +39,9 @@
     std::vector<scheduler_pointer> schedulers;
     std::set<std::string> accepted;
     bool faultsStopped = false;
+    timestamp lastTakeoverAt = 0;
+    /// Jobs that are left waiting, and since when.
+    std::map<std::string, timestamp> waitingSince;
     int workerCount = 0;
     int jobCount = 0;
     history_counts counts;
@@ -63,10 +66,27 @@
     void sendStart(const scheduler_pointer &scheduler, const cell::start_order &order);
     void sendStop(const scheduler_pointer &scheduler, const cell::stop_order &order);
     void sendPoll(const scheduler_pointer &scheduler, const cell::poll_order &order);
+    /// Delivers a poll that was sent at `sentAt` and whose worker holds it no longer.
+    void sendPollNow(const scheduler_pointer &scheduler, const cell::poll_order &order,
+                     timestamp sentAt);
     void writeChanges(const scheduler_pointer &scheduler);
     /// Submits a random job to the newest live scheduler.
     void submitJob();
     void scheduleFaults();
+    /// Answers a call of the advisory service.
+    void sendAdvice(const scheduler_pointer &scheduler, const cell::advice_order &order);
+    /// Returns true if the advisory service allows the worker for the step.
+    bool isAllowed(const cell::task_id &step, const std::string &worker) const;
+    /// Returns the free capacity of the workers allowed for the task, in tasks of its step.
+    std::int64_t countFreeSlots(const cell::task_id &task) const;
+    /// Returns true if under half of the workers' processors are in use.
+    bool isHalfIdle() const;
+    /// Returns true if nothing of the job runs although a task's turn has come and there is
+    /// capacity for it twice over.
+    bool isLeftWaiting(const std::string &job) const;
+    /// Adds a violation for each accepted job that is left waiting for `maxWaiting`, from
+    /// `settleTime` after the last takeover on.
+    void checkWaitingJobs();
     /// Checks that every accepted job has ended and that completed jobs have run all their tasks.
     void checkFinalState();
 };
--- a/testing/cell/simulated_worker.cpp
+++ b/testing/cell/simulated_worker.cpp
@@ -123,6 +123,12 @@
 
 void advanceWorker(simulated_worker &worker, execution_record &record, timestamp now)
 {
+    const auto isDue = [&](const auto &entry) {
+        return std::min(entry.second.endsAt, worker.leaseUntil) <= now;
+    };
+    if (std::none_of(worker.runs.begin(), worker.runs.end(), isDue)) {
+        return;
+    }
     std::vector<std::pair<timestamp, cell::task_id>> dueRuns;
     for (const auto &[task, run] : worker.runs) {
         dueRuns.emplace_back(std::min(run.endsAt, worker.leaseUntil), task);
@@ -164,6 +170,12 @@
             && order.attempt <= closedAttempt->second)) {
         return order_outcome::refused_stale;
     }
+    if (record.jobsWithAdvice.count(order.task.job) > 0) {
+        const auto ticket = record.tickets.find(order.ticket);
+        if (ticket == record.tickets.end() || ticket->second < now) {
+            return order_outcome::refused_ticket;
+        }
+    }
     checkStart(worker, record, order, now);
     ++record.starts;
     const task_behaviour &behaviour = record.behaviour[order.task];
--- a/testing/cell/simulated_worker.h
+++ b/testing/cell/simulated_worker.h
@@ -65,6 +65,10 @@
     std::map<cell::task_id, int> runCount;
     std::map<std::string, cell::job_spec> jobs;
     std::map<std::string, int> maxAttempts;
+    /// Jobs whose tasks start only with a ticket of the advisory service.
+    std::set<std::string> jobsWithAdvice;
+    /// When each ticket expires, by ticket.
+    std::map<std::string, timestamp> tickets;
     std::uint64_t starts = 0;
     violation_list violations;
 };
