--- a/testing/cell/histories_main.cpp
+++ b/testing/cell/histories_main.cpp
@@ -4,9 +4,10 @@
 
 #include "testing/cell/cell_history.h"
 
-/// Runs randomised histories of the cell scheduler: cell_histories FIRST_SEED COUNT [takeovers].
-/// The defaults are 1 and 100. With `takeovers` the cell has 350 workers and wide steps, and
-/// schedulers replace one another every second or two. Exit code 1 if a history violates a rule.
+/// Runs randomised histories of the cell scheduler: cell_histories FIRST_SEED COUNT [takeovers
+/// [crashes]]. The defaults are 1 and 100. With `takeovers` the cell has 350 workers and wide
+/// steps, and schedulers replace one another every second or two; with `crashes` workers crash as
+/// well. Exit code 1 if a history violates a rule.
 int main(int argc, char **argv)
 {
     using namespace bramleygrade;
@@ -23,6 +24,7 @@
     int workers = 8;
     if (argc > 3 && argv[3] == std::string("takeovers")) {
         faults = {};
+        faults.workerCrashInterval = argc > 4 && argv[4] == std::string("crashes") ? 3 * second : 0;
         faults.schedulerCrashInterval = 1'500 * millisecond;
         faults.schedulerPauseInterval = 4 * second;
         faults.submitInterval = 80 * millisecond;
--- a/testing/cell/history_events.cpp
+++ b/testing/cell/history_events.cpp
@@ -177,7 +177,8 @@
         return false;
     }
     const cell::step_spec &step = steps[static_cast<std::size_t>(next->step)];
-    return countFreeSlots(*next) >= 2 * (step.gang ? step.count : 1);
+    const std::int64_t needed = step.gang ? step.count : 1;
+    return countFreeSlots(*next) >= 2 * needed;
 }
 
 void cell_history::state::checkWaitingJobs()
