--- a/test/cell/overloaded_scheduler_test.cpp
+++ b/test/cell/overloaded_scheduler_test.cpp
@@ -23,6 +23,9 @@
 /// Followers suspect a scheduler after this long without a heartbeat.
 constexpr microseconds schedulerTimeout = 450 * millisecond;
 
+/// Passes over the queue of advice calls a second: one for each tick and each answer.
+constexpr int dispatchesPerSecond = 50 + 40;
+
 /// A loaded cell whose queue needs advice. The advisory service does not answer.
 class advised_cluster : public loaded_cluster
 {
@@ -119,6 +122,19 @@
     BOOST_TEST(longest < limit,
                "one event takes " << longest / millisecond << " ms of processor time; "
                                   << limit / millisecond << " ms are left between heartbeats");
+
+    constexpr int passes = 100;
+    const microseconds began = processorTimeOfThread();
+    for (int pass = 0; pass < passes; ++pass) {
+        dispatchAdvice(*scheduler.entry);
+    }
+    const microseconds perPass = (processorTimeOfThread() - began) / passes;
+    const double cores = static_cast<double>(perPass * dispatchesPerSecond) / second;
+    const double usable = usableShare * static_cast<double>(largeProcessorMilli) / 1'000;
+    BOOST_TEST(cores < usable,
+               "passes over " << scheduler.entry->leaderState->adviceQueue.size()
+                              << " queued calls of " << perPass << " us take " << cores
+                              << " cores of " << usable);
 }
 
 // Guards against a member without a name, which every entry learns by heartbeat and then asks for
