--- /dev/null
+++ b/test/cell/advice_clients_test.cpp
@@ -0,0 +1,111 @@
+#define BOOST_TEST_MODULE advice_clients
+#include <boost/test/included/unit_test.hpp>
+
+#include <numeric>
+
+#include "cell/advice_clients.h"
+
+using namespace bramleygrade::cell;
+
+namespace {
+
+/// Makes calls of one kind until no client is free, and returns the open calls of each client.
+std::vector<int> fillClients(std::size_t count, bool longCalls)
+{
+    std::vector<advice_client_load> clients(count);
+    while (const auto chosen = chooseAdviceClient(clients, longCalls)) {
+        ++clients[*chosen].openCalls;
+    }
+    std::vector<int> open;
+    for (const advice_client_load &client : clients) {
+        open.push_back(client.openCalls);
+    }
+    return open;
+}
+
+advice_order makeOrder(const char *queue, bool late, bool holdsCapacity)
+{
+    advice_order order;
+    order.queue = queue;
+    order.late = late;
+    order.holdsCapacity = holdsCapacity;
+    return order;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_sixth_of_the_clients_is_kept_for_short_calls)
+{
+    struct row
+    {
+        std::size_t clients;
+        int longCalls;
+        int shortCalls;
+    };
+    const row rows[] = {
+        {0, 0, 0}, {1, 1, 1}, {2, 1, 3}, {6, 5, 7}, {7, 5, 9}, {37, 30, 44},
+    };
+    for (const row &row : rows) {
+        BOOST_TEST_CONTEXT(row.clients << " clients")
+        {
+            const std::vector<int> longCalls = fillClients(row.clients, true);
+            const std::vector<int> shortCalls = fillClients(row.clients, false);
+            BOOST_TEST(std::accumulate(longCalls.begin(), longCalls.end(), 0) == row.longCalls);
+            BOOST_TEST(std::accumulate(shortCalls.begin(), shortCalls.end(), 0) == row.shortCalls);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(no_short_call_waits_for_a_long_one)
+{
+    std::vector<advice_client_load> clients(7);
+    while (const auto chosen = chooseAdviceClient(clients, true)) {
+        ++clients[*chosen].openCalls;
+    }
+    const auto chosen = chooseAdviceClient(clients, false);
+    BOOST_REQUIRE(chosen.has_value());
+    BOOST_TEST(clients[*chosen].openCalls == 0);
+}
+
+BOOST_AUTO_TEST_CASE(a_client_in_backoff_makes_no_call)
+{
+    BOOST_TEST(!chooseAdviceClient({{0, true}, {0, true}}, false).has_value());
+    BOOST_TEST((chooseAdviceClient({{0, true}, {0, false}}, false) == std::size_t {1}));
+}
+
+// Issue 19: the calls of one queue occupied all clients, and another queue made none for 24 s.
+BOOST_AUTO_TEST_CASE(the_job_queue_with_the_fewest_open_calls_goes_first)
+{
+    struct row
+    {
+        const char *name;
+        std::vector<std::pair<int, advice_order>> waiting;
+        std::map<std::string, int> openCalls;
+        const char *next;
+    };
+    const row rows[] = {
+        {"priority",
+         {{2, makeOrder("b", false, false)}, {1, makeOrder("a", false, false)}},
+         {},
+         "a"},
+        {"fewest open calls before priority",
+         {{2, makeOrder("b", false, false)}, {1, makeOrder("a", false, false)}},
+         {{"a", 2}, {"b", 1}},
+         "b"},
+        {"held capacity before fewest open calls",
+         {{2, makeOrder("b", false, false)}, {1, makeOrder("a", false, true)}},
+         {{"a", 2}, {"b", 1}},
+         "a"},
+        {"on time before late",
+         {{1'002, makeOrder("b", true, true)}, {1, makeOrder("a", false, false)}},
+         {{"a", 2}},
+         "a"},
+    };
+    for (const row &row : rows) {
+        BOOST_TEST_CONTEXT(row.name)
+        {
+            advice_queue waiting(row.waiting.begin(), row.waiting.end());
+            BOOST_TEST(findNextAdvice(waiting, row.openCalls)->second.queue == row.next);
+        }
+    }
+}
