--- a/src/cell/advice_clients.cpp
+++ b/src/cell/advice_clients.cpp
@@ -31,9 +31,11 @@
                                               bool longCall)
 {
     const std::size_t count = clients.size();
-    const std::size_t kept = count < 2 ? 0 : (count + shortClientDivisor - 1) / shortClientDivisor;
+    const std::size_t kept = (count + shortClientDivisor - 1) / shortClientDivisor;
+    // A single client makes both kinds.
+    const std::size_t longCallClients = count < 2 ? count : count - kept;
     if (longCall) {
-        return findLeastBusy(clients, 0, count - kept, 1);
+        return findLeastBusy(clients, 0, longCallClients, 1);
     }
     const auto keptClient = findLeastBusy(clients, count - kept, count, maxOpenShortCalls);
     return keptClient ? keptClient : findLeastBusy(clients, 0, count - kept, 1);
--- a/src/entry/advice_dispatch.cpp
+++ b/src/entry/advice_dispatch.cpp
@@ -39,7 +39,10 @@
                                                   cell::advice_queue &queue)
 {
     while (!queue.empty()) {
-        const auto next = cell::findNextAdvice(queue, leaderState.openAdviceCalls);
+        // Short calls go by priority alone, as the most urgent jobs make the shortest ones.
+        const bool longCalls = &queue == &leaderState.longAdviceQueue;
+        const auto next =
+            longCalls ? cell::findNextAdvice(queue, leaderState.openAdviceCalls) : queue.begin();
         cell::advice_order order = std::move(next->second);
         queue.erase(next);
         const cell::job_state *job = cell::findJob(leaderState.cell, order.step.job);
--- a/test/cell/advice_clients_test.cpp
+++ b/test/cell/advice_clients_test.cpp
@@ -43,7 +43,7 @@
         int shortCalls;
     };
     const row rows[] = {
-        {0, 0, 0}, {1, 1, 1}, {2, 1, 3}, {6, 5, 7}, {7, 5, 9}, {37, 30, 44},
+        {0, 0, 0}, {1, 1, 2}, {2, 1, 3}, {6, 5, 7}, {7, 5, 9}, {37, 30, 44},
     };
     for (const row &row : rows) {
         BOOST_TEST_CONTEXT(row.clients << " clients")
--- a/testing/cell/load_simulation.cpp
+++ b/testing/cell/load_simulation.cpp
@@ -700,7 +700,8 @@
         if (!chosen) {
             return;
         }
-        const auto next = cell::findNextAdvice(queue, m_openAdviceCalls);
+        const auto next =
+            longCalls ? cell::findNextAdvice(queue, m_openAdviceCalls) : queue.begin();
         cell::advice_order order = std::move(next->second);
         queue.erase(next);
         const cell::job_state *job = cell::findJob(m_driver.cell, order.step.job);
