--- a/test/cell/advice_clients_test.cpp
+++ b/test/cell/advice_clients_test.cpp
@@ -17,6 +17,7 @@
         ++clients[*chosen].openCalls;
     }
     std::vector<int> open;
+    open.reserve(count);
     for (const advice_client_load &client : clients) {
         open.push_back(client.openCalls);
     }
--- a/testing/cell/load_simulation.cpp
+++ b/testing/cell/load_simulation.cpp
@@ -160,7 +160,7 @@
     void answerPoll(load_worker &worker);
     void beginWork(load_worker &worker, load_run &run, microseconds duration);
     void beginGang(const cell::task_id &task, int attempt);
-    void endRun(load_worker &worker, cell::task_id task, end_kind how);
+    void endRun(load_worker &worker, const cell::task_id &task, end_kind how);
     void breakGang(const cell::task_id &task, int attempt, end_kind how);
     void finishRun(load_worker &worker, const cell::task_id &task, std::uint64_t number);
     double progressOf(const load_run &run) const;
@@ -546,7 +546,7 @@
     }
 }
 
-void load_simulation::endRun(load_worker &worker, cell::task_id task, end_kind how)
+void load_simulation::endRun(load_worker &worker, const cell::task_id &task, end_kind how)
 {
     const auto found = worker.runs.find(task);
     if (found == worker.runs.end()) {
