--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -119,12 +119,9 @@
 target_include_directories(short_wide_steps_test PRIVATE ${CMAKE_SOURCE_DIR})
 target_link_libraries(short_wide_steps_test PRIVATE bramleygrade_cell Boost::headers)
 add_test(NAME short_wide_steps COMMAND short_wide_steps_test)
-<<<<<<< HEAD
 add_test(NAME cell_histories_of_takeovers COMMAND cell_histories 1 8 takeovers)
 set_tests_properties(cell_histories_of_takeovers PROPERTIES COST 500)
-=======
 
 add_executable(cell_advice_clients_test test/cell/advice_clients_test.cpp)
 target_link_libraries(cell_advice_clients_test PRIVATE bramleygrade_cell Boost::headers)
 add_test(NAME cell_advice_clients COMMAND cell_advice_clients_test)
->>>>>>> h/short
