Gangs start on the workers reserved for them, and preempt less and less often

Change: while capacity is reserved, a gang is placed on those workers only and asks for their tickets; the pause before the next preemption doubles from 0.4 to 12.8 s until the gang starts.

Test: lost_gang_that_preempts_without_starting. cell_scheduler and short_wide_steps pass.

--- a/src/cell/advice.cpp
+++ b/src/cell/advice.cpp
@@ -22,17 +22,17 @@
 /// Factor applied to the counts of asked and allowed workers before each answer is added.
 constexpr double shareDecay = 0.97;
 
-/// Returns the workers of the plan without a ticket or with one that expires before a new answer
-/// could arrive.
-std::vector<std::string> findExpiredTickets(const waiting_step &waiting, const placement_plan &plan,
-                                            timestamp now)
+/// Returns those of `workers` without a ticket or with one that expires before a new answer could
+/// arrive.
+std::vector<std::string> findExpiredTickets(const waiting_step &waiting,
+                                            const std::vector<std::string> &workers, timestamp now)
 {
     const step_state &step = stepState(waiting);
     const advice_timing &timing = waiting.job->policy.advice;
     const timestamp answeredAt = now + timing.base
-        + timing.perWorker * static_cast<microseconds>(plan.workers.size()) + 2 * ticketMargin;
+        + timing.perWorker * static_cast<microseconds>(workers.size()) + 2 * ticketMargin;
     std::vector<std::string> expired;
-    for (const std::string &id : plan.workers) {
+    for (const std::string &id : workers) {
         const auto adviceIt = step.advice.find(id);
         if ((adviceIt == step.advice.end() || adviceIt->second.validUntil <= answeredAt)
             && std::find(expired.begin(), expired.end(), id) == expired.end()) {
@@ -42,6 +42,15 @@
     return expired;
 }
 
+std::vector<std::string> reservedWorkers(const step_state &step)
+{
+    std::vector<std::string> workers;
+    for (const auto &[id, reservation] : step.reservations) {
+        workers.push_back(id);
+    }
+    return workers;
+}
+
 /// Returns the workers never asked about for the step, with their negated free slots, those with
 /// the most slots first.
 std::vector<std::pair<std::int64_t, std::string>> findUnaskedWorkers(const waiting_step &waiting,
@@ -79,10 +88,15 @@
     if (!waiting.job->policy.needsAdvice || step.advicePending || now < step.adviceNotBefore) {
         return {};
     }
+    if (stepSpec(waiting).gang && holdsReservation(step, now)) {
+        return plan.unplaced == 0 && plan.ticketsValid
+            ? std::vector<std::string> {}
+            : findExpiredTickets(waiting, reservedWorkers(step), now);
+    }
     std::vector<std::string> toAsk;
     const bool isFullyPlaced = !stepSpec(waiting).gang || plan.unplaced == 0;
     if (isFullyPlaced && !plan.ticketsValid) {
-        toAsk = findExpiredTickets(waiting, plan, now);
+        toAsk = findExpiredTickets(waiting, plan.workers, now);
     }
     if (plan.unplaced == 0) {
         return toAsk;
--- a/src/cell/job_state.h
+++ b/src/cell/job_state.h
@@ -67,6 +67,8 @@
     std::map<std::string, resources> reservations;
     timestamp reservedUntil = distantPast;
     timestamp preemptNotBefore = distantPast;
+    /// Number of preemptions for the gang since it last started.
+    int preemptions = 0;
     /// Attempt number that all members of the gang's newest run share.
     int gangAttempt = 0;
     /// A member of the newest run has ended or was lost; all members restart once none is active.
@@ -110,6 +112,12 @@
 /// Number of attempt numbers per epoch; attempts of a later epoch are always higher.
 constexpr int attemptsPerEpoch = 1000;
 
+/// Whether capacity is reserved for the gang, so that it starts on the reserved workers only.
+inline bool holdsReservation(const step_state &step, timestamp now)
+{
+    return now < step.reservedUntil;
+}
+
 /// Returns the occurrence; creates it with its steps and tasks on first use.
 occurrence_state &ensureOccurrence(job_state &job, int index);
 
--- a/src/cell/placement.cpp
+++ b/src/cell/placement.cpp
@@ -52,9 +52,11 @@
     const task_state *first = &step.tasks[static_cast<std::size_t>(waiting.tasks.front())];
     const resources demand = reservedDemand(spec);
     const bool needsAdvice = waiting.job->policy.needsAdvice;
+    const bool onReservedOnly = spec.gang && holdsReservation(step, now);
     std::vector<candidate> found;
     for (const auto &[id, headroom] : headrooms) {
-        if (!fits(demand, headroom.free) || !isEligible(*waiting.job, spec, *headroom.worker)) {
+        if (!fits(demand, headroom.free) || !isEligible(*waiting.job, spec, *headroom.worker)
+            || (onReservedOnly && step.reservations.count(id) == 0)) {
             continue;
         }
         const auto advice = needsAdvice ? step.advice.find(id) : step.advice.end();
--- a/src/cell/preemption.cpp
+++ b/src/cell/preemption.cpp
@@ -9,8 +9,10 @@
 /// Time for which the capacity of preempted runs is reserved: the longest stop by the users' rules,
 /// during which advice is requested as well.
 constexpr microseconds reservationDuration = 2'500 * millisecond;
-/// Pause between two preemptions for the same step.
+/// Pause before the next preemption for the same step. It doubles with each one that did not let
+/// the gang start, up to the given number of times.
 constexpr microseconds preemptRetryInterval = 400 * millisecond;
+constexpr int maxPauseDoublings = 5;
 /// Runs with at least this progress are not preempted.
 constexpr int nearlyDonePercent = 80;
 
@@ -106,7 +108,7 @@
 {
     step_state &step = stepState(waiting);
     const step_spec &spec = stepSpec(waiting);
-    if (now < step.preemptNotBefore || now < step.reservedUntil) {
+    if (now < step.preemptNotBefore || holdsReservation(step, now)) {
         return {};
     }
     step.preemptNotBefore = now + preemptRetryInterval;
@@ -133,6 +135,8 @@
     std::vector<std::string> plan;
     step.reservations.clear();
     step.reservedUntil = now + reservationDuration;
+    step.preemptNotBefore = step.reservedUntil
+        + (preemptRetryInterval << std::min(step.preemptions++, maxPauseDoublings));
     for (const preemption_target &chosen : targets) {
         const std::int64_t taken = std::min(missing, chosen.slots);
         if (taken == 0) {
--- a/src/cell/scheduler_decide.cpp
+++ b/src/cell/scheduler_decide.cpp
@@ -242,6 +242,7 @@
         step.gangAttempt = attempt;
         step.gangBroken = false;
         step.gangStartedAt = now;
+        step.preemptions = 0;
     }
     for (std::size_t index = 0; index < waiting.tasks.size(); ++index) {
         startTask(cell, waiting, waiting.tasks[index], step.gangAttempt,
--- a/test/cell/scheduler_test.cpp
+++ b/test/cell/scheduler_test.cpp
@@ -1,6 +1,8 @@
 #define BOOST_TEST_MODULE scheduler
 #include <boost/test/included/unit_test.hpp>
 
+#include <map>
+
 #include "cell_fixture.h"
 
 using namespace bramleygrade;
@@ -332,3 +334,46 @@
     BOOST_REQUIRE(!secondStart.starts.empty());
     BOOST_TEST(secondStart.starts.back().task.occurrence == 1);
 }
+
+// Guards against gangs that stop other runs again and again without ever starting, as their tickets
+// arrive after the reservation has ended (csuc-programari-grown, quiet-1, seed 12).
+BOOST_AUTO_TEST_CASE(lost_gang_that_preempts_without_starting)
+{
+    cell_fixture fixture;
+    cell::step_spec batch = cell_fixture::makeStep(3, 4'000);
+    batch.checkpointing = true;
+    batch.estimate = 1'000 * second;
+    fixture.policy.priority = 2;
+    for (const start_order &start : fixture.run(cell_fixture::makeJob("batch", {batch})).starts) {
+        fixture.confirm(start);
+    }
+    fixture.policy.priority = 1;
+    fixture.policy.needsAdvice = true;
+    fixture.policy.advice = {second, 0, 2 * second};
+    cell::step_spec gang = cell_fixture::makeStep(2, 4'000);
+    gang.gang = true;
+    cell::acceptJob(fixture.cell, cell_fixture::makeJob("gang", {gang}), fixture.policy,
+                    fixture.now);
+    fixture.store();
+    // The workers are allowed, but no ticket is renewed in time.
+    const cell::advice_order asked {{"gang", 0, 0, 0}, {"worker-1", "worker-2", "worker-3"}, 0};
+    cell::onAdvice(fixture.cell, asked, {{"worker-1", "t"}, {"worker-2", "t"}, {"worker-3", "t"}},
+                   0, fixture.now);
+    std::map<std::string, std::int64_t> sequences;
+    constexpr int seconds = 60;
+    for (int step = 0; step < seconds * 10; ++step) {
+        fixture.now += 100 * millisecond;
+        cell::orders out = fixture.decide();
+        for (const start_order &start : out.starts) {
+            fixture.confirm(start);
+        }
+        for (const stop_order &stop : out.stops) {
+            fixture.end(stop.worker, ++sequences[stop.worker], stop.task, stop.attempt,
+                        end_kind::stopped);
+        }
+        fixture.store();
+    }
+    // Two runs each time; the pauses between the preemptions double from 0.4 to 12.8 s.
+    BOOST_TEST(fixture.cell.counters.preemptedRuns > 0U);
+    BOOST_TEST(fixture.cell.counters.preemptedRuns <= 2U * 10U);
+}
