cell_loads offers a load to the cell scheduler in virtual time

The experiment program prints what each class earned, starts, preempted runs and advice calls. The test is the same, checks and bounds unchanged.

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -114,10 +114,13 @@
 endforeach()
 
 # Wide gangs on a deployment of 350 workers, in virtual time.
-add_executable(short_wide_steps_test test/cell/short_wide_steps_test.cpp
-                                     testing/cell/load_simulation.cpp)
-target_include_directories(short_wide_steps_test PRIVATE ${CMAKE_SOURCE_DIR})
-target_link_libraries(short_wide_steps_test PRIVATE bramleygrade_cell Boost::headers)
+add_library(cell_load_simulation STATIC testing/cell/load_presets.cpp testing/cell/load_simulation.cpp)
+target_include_directories(cell_load_simulation PUBLIC ${CMAKE_SOURCE_DIR})
+target_link_libraries(cell_load_simulation PUBLIC bramleygrade_cell)
+add_executable(cell_loads testing/cell/loads_main.cpp)
+target_link_libraries(cell_loads PRIVATE cell_load_simulation)
+add_executable(short_wide_steps_test test/cell/short_wide_steps_test.cpp)
+target_link_libraries(short_wide_steps_test PRIVATE cell_load_simulation Boost::headers)
 add_test(NAME short_wide_steps COMMAND short_wide_steps_test)
 add_test(NAME cell_histories_of_takeovers COMMAND cell_histories 1 8 takeovers)
 set_tests_properties(cell_histories_of_takeovers PROPERTIES COST 500)
--- /dev/null
+++ b/testing/cell/loads_main.cpp
@@ -0,0 +1,37 @@
+#include <cstdlib>
+#include <iostream>
+#include <string>
+
+#include "testing/cell/load_presets.h"
+
+/// Offers a load to the cell scheduler in virtual time and prints what each class earned:
+/// cell_loads wide|large [FIRST_SEED [COUNT]]. The defaults are 1 and 1.
+int main(int argc, char **argv)
+{
+    using namespace bramleygrade;
+    const std::string preset = argc > 1 ? argv[1] : "";
+    if (preset != "wide" && preset != "large") {
+        std::cerr << "usage: cell_loads wide|large [FIRST_SEED [COUNT]]" << std::endl;
+        return 2;
+    }
+    const std::uint64_t first = argc > 2 ? std::strtoull(argv[2], nullptr, 10) : 1;
+    const std::uint64_t count = argc > 3 ? std::strtoull(argv[3], nullptr, 10) : 1;
+    const testing::load_settings settings =
+        preset == "wide" ? testing::makeWideSteps() : testing::makeLargeCell();
+    for (std::uint64_t seed = first; seed < first + count; ++seed) {
+        const testing::load_outcome outcome = testing::simulateLoad(settings, seed);
+        std::cout << "seed " << seed;
+        for (std::size_t index = 0; index < settings.classes.size(); ++index) {
+            const testing::load_class_outcome &served = outcome.classes[index];
+            std::cout << ", " << settings.classes[index].policy.name << " "
+                      << testing::earnedShare(served) << " (" << served.completedOnTime << "+"
+                      << served.completedLate << " of " << served.jobs << ", wasted "
+                      << static_cast<int>(served.wastedCoreSeconds) << ")";
+        }
+        std::cout << "; total " << testing::earnedShare(testing::sumOutcomes(outcome)) << ", used "
+                  << outcome.meanUsedShare << ", starts " << outcome.counters.starts
+                  << ", preempted " << outcome.counters.preemptedRuns << ", advice calls "
+                  << outcome.counters.adviceCalls << std::endl;
+    }
+    return 0;
+}
