Gangs hold an eighth of the workers, advice is chosen when it is sent, rounds are bounded

Gangs now share a budget, most urgent first, and one that has its capacity keeps it until its tickets come. - A call for advice named its workers when it was queued; seconds later, when it was sent, these were full. 23 calls a batch job. The workers are now chosen when the call is sent, from what the newest round left, less what open calls are expected to use. A batch no longer holds capacity while its call waits. - Gangs with seconds to spare preempted batches (15 % of all runs). They now do so once the time left is below 1.5 times what they need. - Objectives came from declared run times, off by up to nine tenths: half of the jobs counted as late and went last. A round now plans at most 100 steps; a step whose tickets have expired is not planned, it only asks; at most 150 long calls are queued.

The histories prepare their calls for advice as the entries do. Tests: short_idle_capacity_held_for_many_gangs, lost_round_that_plans_every_waiting_step and others in placement_round_test, run_times_test. lost_gang_that_preempts_without_starting uses batches of six processors, as its gang fitted beside those of four without the urgent share; bounds unchanged.

--- a/src/cell/job_state.cpp
+++ b/src/cell/job_state.cpp
@@ -72,22 +72,31 @@
     return false;
 }
 
-microseconds estimateCriticalPath(const job_state &job)
+std::vector<microseconds> expectTimesToEnd(const job_state &job, const run_time_record &runTimes)
 {
     const microseconds advice = job.policy.needsAdvice
         ? job.policy.advice.base + adviceWorkersInObjective * job.policy.advice.perWorker
         : 0;
-    std::vector<microseconds> pathTimes;
-    microseconds longest = 0;
-    for (const step_spec &step : job.spec.steps) {
-        microseconds before = 0;
-        for (const int index : step.after) {
-            before = std::max(before, pathTimes[static_cast<std::size_t>(index)]);
+    std::vector<microseconds> times(job.spec.steps.size(), 0);
+    // Steps depend on steps with lower indices only.
+    for (std::size_t index = job.spec.steps.size(); index-- > 0;) {
+        const step_spec &step = job.spec.steps[index];
+        times[index] += expectRunTime(runTimes, step.estimate) + advice;
+        for (const int before : step.after) {
+            microseconds &following = times[static_cast<std::size_t>(before)];
+            following = std::max(following, times[index]);
         }
-        pathTimes.push_back(before + step.estimate + advice);
-        longest = std::max(longest, pathTimes.back());
     }
-    return longest;
+    return times;
+}
+
+timestamp objectiveOf(const job_state &job, const std::vector<microseconds> &timesToEnd)
+{
+    const microseconds path =
+        timesToEnd.empty() ? 0 : *std::max_element(timesToEnd.begin(), timesToEnd.end());
+    return job.receivedAt
+        + static_cast<microseconds>(job.policy.slackFactor * static_cast<double>(path))
+        + job.policy.latencyTarget;
 }
 
 } // namespace bramleygrade::cell
--- a/src/cell/job_state.h
+++ b/src/cell/job_state.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <set>
 
+#include "cell/run_times.h"
 #include "cell/types.h"
 
 namespace bramleygrade::cell {
@@ -39,6 +40,9 @@
     /// Time at which `percent` last changed.
     timestamp progressAt = distantPast;
     std::string checkpoint;
+    /// The newest run did not work from its beginning, as it resumed from a checkpoint or was
+    /// adopted.
+    bool resumed = false;
     /// Workers on which the task has failed.
     std::set<std::string> failedOn;
 };
@@ -56,10 +60,18 @@
 {
     std::vector<task_state> tasks;
     int doneCount = 0;
+    /// Longest successful run that did not resume from a checkpoint; 0: there is none.
+    microseconds longestRun = 0;
     /// Attempts of the gang in which at least one member ended `failed`.
     std::set<int> gangFailedAttempts;
     std::map<std::string, worker_advice> advice;
+    /// Time until which at least one ticket is valid.
+    timestamp ticketsValidUntil = distantPast;
+    /// Time before which the step is not planned again.
+    timestamp planNotBefore = distantPast;
     bool advicePending = false;
+    /// The gang was within the budget for held capacity in an earlier placement round.
+    bool holdsCapacity = false;
     timestamp adviceNotBefore = distantPast;
     /// Time of the first start order of the gang's newest run.
     timestamp gangStartedAt = distantPast;
@@ -93,6 +105,8 @@
     timestamp receivedAt = distantPast;
     /// Time by which the job should complete.
     timestamp objectiveAt = distantFuture;
+    /// Expected time from the start of each step to the end of the job.
+    std::vector<microseconds> expectedToEnd;
     /// The job is in the store; no task starts before.
     bool stored = false;
     bool cancelled = false;
@@ -133,8 +147,13 @@
 /// Whether any run of the job may still exist on a worker.
 bool hasRuns(const job_state &job);
 
-/// Returns the length of the job's critical path: estimated run times of dependent steps, each
-/// with the time of an advice call if the queue needs advice.
-microseconds estimateCriticalPath(const job_state &job);
+/// Returns, for each step, the expected time from its start to the end of the job: run times of the
+/// step and of the longest chain of steps that depend on it, each with the time of an advice call
+/// if the queue needs advice. The maximum is the length of the job's critical path.
+std::vector<microseconds> expectTimesToEnd(const job_state &job, const run_time_record &runTimes);
+
+/// Returns the job's objective: its critical path times the queue's slack factor, and the queue's
+/// latency target.
+timestamp objectiveOf(const job_state &job, const std::vector<microseconds> &timesToEnd);
 
 } // namespace bramleygrade::cell
--- a/src/cell/placement.cpp
+++ b/src/cell/placement.cpp
@@ -15,6 +15,8 @@
 constexpr double failedOnWorkerCost = 8.0;
 /// Cost per point of the worker's failure score.
 constexpr double failureScoreCost = 1.0;
+/// A step is late if this share of its expected time to the end of the job exceeds the time left.
+constexpr double latenessShare = 0.5;
 /// Cost per multiple of the mean run time above one.
 constexpr double slownessCost = 1.0;
 
@@ -51,25 +53,34 @@
     const step_state &step = stepState(waiting);
     const task_state *first = &step.tasks[static_cast<std::size_t>(waiting.tasks.front())];
     const resources demand = reservedDemand(spec);
-    const bool needsAdvice = waiting.job->policy.needsAdvice;
     const bool onReservedOnly = spec.gang && holdsReservation(step, now);
     std::vector<candidate> found;
-    for (const auto &[id, headroom] : headrooms) {
+    const auto consider = [&](const std::string &id, const worker_headroom &headroom,
+                              bool ticketValid) {
         if (!fits(demand, headroom.free) || !isEligible(*waiting.job, spec, *headroom.worker)
             || (onReservedOnly && step.reservations.count(id) == 0)) {
-            continue;
-        }
-        const auto advice = needsAdvice ? step.advice.find(id) : step.advice.end();
-        if (needsAdvice && (advice == step.advice.end() || !advice->second.allowed)) {
-            continue;
+            return;
         }
         std::int64_t slots = tasksThatFit(spec, headroom.free);
         if (spec.maxPerWorker > 0) {
             slots = std::min(slots, spec.maxPerWorker - countRuns(step, id));
         }
         if (slots > 0) {
-            found.push_back({&id, &headroom, slots, placementCost(spec, first, headroom),
-                             !needsAdvice || advice->second.validUntil > now + ticketMargin});
+            found.push_back(
+                {&id, &headroom, slots, placementCost(spec, first, headroom), ticketValid});
+        }
+    };
+    const bool needsAdvice = waiting.job->policy.needsAdvice;
+    static const std::map<std::string, worker_advice> noAdvice;
+    if (!needsAdvice) {
+        for (const auto &[id, headroom] : headrooms) {
+            consider(id, headroom, true);
+        }
+    }
+    for (const auto &[id, advice] : needsAdvice ? step.advice : noAdvice) {
+        const auto headroom = advice.allowed ? headrooms.find(id) : headrooms.end();
+        if (headroom != headrooms.end()) {
+            consider(headroom->first, headroom->second, advice.validUntil > now + ticketMargin);
         }
     }
     std::sort(found.begin(), found.end(), [](const candidate &a, const candidate &b) {
@@ -118,8 +129,50 @@
                      [](const candidate &a, const candidate &b) { return a.slots > b.slots; });
 }
 
+/// Returns the tasks of the step that may be started now; none while members of a broken gang are
+/// still active.
+std::vector<int> findWaitingTasks(const step_spec &spec, const step_state &step)
+{
+    std::vector<int> tasks;
+    bool active = false;
+    for (std::size_t index = 0; index < step.tasks.size(); ++index) {
+        const task_state &task = step.tasks[index];
+        if (!task.done && task.phase == run_phase::none) {
+            tasks.push_back(static_cast<int>(index));
+        }
+        active = active || task.phase != run_phase::none;
+    }
+    if (spec.gang && active && step.gangBroken) {
+        tasks.clear();
+    }
+    return tasks;
+}
+
 } // namespace
 
+std::optional<waiting_step> makeWaitingStep(job_state &job, int number, int index, timestamp now)
+{
+    const occurrence_state &occurrence = job.occurrences.at(number);
+    waiting_step waiting;
+    waiting.tasks =
+        findWaitingTasks(stepOf(job, index), occurrence.steps[static_cast<std::size_t>(index)]);
+    if (waiting.tasks.empty()) {
+        return std::nullopt;
+    }
+    waiting.objectiveAt = occurrence.dueAt == distantPast
+        ? job.objectiveAt
+        : occurrence.dueAt + (job.objectiveAt - job.receivedAt);
+    const microseconds remaining = job.expectedToEnd[static_cast<std::size_t>(index)];
+    waiting.late = now + static_cast<microseconds>(latenessShare * static_cast<double>(remaining))
+        > waiting.objectiveAt;
+    waiting.holdsCapacity = occurrence.steps[static_cast<std::size_t>(index)].holdsCapacity;
+    waiting.priority = job.policy.priority;
+    waiting.job = &job;
+    waiting.occurrence = number;
+    waiting.step = index;
+    return waiting;
+}
+
 headroom_limits maxHeadroomByService(const headroom_map &headrooms)
 {
     headroom_limits limits;
@@ -199,7 +252,8 @@
     return plan;
 }
 
-void withholdForGang(const waiting_step &waiting, std::size_t missing, headroom_map &headrooms)
+std::int64_t withholdForGang(const waiting_step &waiting, std::size_t missing,
+                             headroom_map &headrooms)
 {
     const step_spec &spec = stepSpec(waiting);
     const step_state &step = stepState(waiting);
@@ -214,21 +268,25 @@
               [](const worker_headroom *a, const worker_headroom *b) {
                   return a->free.cpuMilli > b->free.cpuMilli;
               });
+    std::int64_t withheld = 0;
     for (worker_headroom *headroom : partial) {
         if (missing == 0) {
-            return;
+            break;
         }
         --missing;
         // Headroom is negative where capacity is withheld already, for example for another gang; it
         // must stay negative.
         const resources demand = reservedDemand(spec);
+        const std::int64_t before = headroom->free.cpuMilli;
         headroom->free.cpuMilli =
             std::min(headroom->free.cpuMilli,
                      std::max<std::int64_t>(0, headroom->free.cpuMilli - demand.cpuMilli));
         headroom->free.memoryMb =
             std::min(headroom->free.memoryMb,
                      std::max<std::int64_t>(0, headroom->free.memoryMb - demand.memoryMb));
+        withheld += before - headroom->free.cpuMilli;
     }
+    return withheld;
 }
 
 } // namespace bramleygrade::cell
--- a/src/cell/placement.h
+++ b/src/cell/placement.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -26,11 +27,14 @@
 headroom_limits maxHeadroomByService(const headroom_map &headrooms);
 
 /// A ready step with tasks to be placed. Sorts steps on time before late ones, then by `priority`,
-/// `objectiveAt`, job id, occurrence and step, ascending.
+/// gangs that hold capacity before others, then by `objectiveAt`, job id, occurrence and step,
+/// ascending.
 struct waiting_step
 {
+    /// The step has missed its objective or is not expected to meet it.
     bool late = false;
     int priority = 0;
+    bool holdsCapacity = false;
     timestamp objectiveAt = distantFuture;
     job_state *job = nullptr;
     int occurrence = 0;
@@ -39,8 +43,10 @@
 
     friend bool operator<(const waiting_step &a, const waiting_step &b)
     {
-        return std::tie(a.late, a.priority, a.objectiveAt, a.job->spec.id, a.occurrence, a.step)
-            < std::tie(b.late, b.priority, b.objectiveAt, b.job->spec.id, b.occurrence, b.step);
+        return std::tie(a.late, a.priority, b.holdsCapacity, a.objectiveAt, a.job->spec.id,
+                        a.occurrence, a.step)
+            < std::tie(b.late, b.priority, a.holdsCapacity, b.objectiveAt, b.job->spec.id,
+                       b.occurrence, b.step);
     }
 };
 
@@ -54,6 +60,16 @@
     bool ticketsValid = true;
 };
 
+/// Returns the step if it has tasks that may be started now; none while members of a broken gang
+/// are still active. The occurrence must exist.
+std::optional<waiting_step> makeWaitingStep(job_state &job, int number, int index, timestamp now);
+
+/// Whether the step is of the highest priority and on time; it is placed before all others.
+inline bool isUrgent(const waiting_step &waiting)
+{
+    return !waiting.late && waiting.priority == 0;
+}
+
 /// Whether service and label of the worker match the step; ignores capacity and advice.
 bool isEligible(const job_state &job, const step_spec &step, const worker_state &worker);
 
@@ -71,14 +87,15 @@
 placement_plan planStep(const waiting_step &waiting, const headroom_map &headrooms, timestamp now);
 
 /// Frees and reserves capacity for a gang on few workers by stopping runs of less urgent jobs that
-/// can resume from a checkpoint. Returns the chosen workers; empty if too little can be freed or
-/// an earlier preemption for the step is recent.
+/// can resume from a checkpoint. Returns the chosen workers; empty if the gang can still wait, too
+/// little can be freed, or an earlier preemption for the step is recent.
 std::vector<std::string> preemptForGang(scheduler &cell, const waiting_step &waiting,
                                         const headroom_map &headrooms, timestamp now, orders &out);
 
 /// Withholds capacity of up to `missing` workers from later steps of the round, for a gang that
-/// does not fit yet.
-void withholdForGang(const waiting_step &waiting, std::size_t missing, headroom_map &headrooms);
+/// does not fit yet. Returns the processor time withheld, in thousandths of a processor.
+std::int64_t withholdForGang(const waiting_step &waiting, std::size_t missing,
+                             headroom_map &headrooms);
 
 /// Returns the workers to ask the advisory service about; empty if no call is due.
 std::vector<std::string> selectWorkersToAsk(const scheduler &cell, const waiting_step &waiting,
--- a/src/cell/preemption.cpp
+++ b/src/cell/preemption.cpp
@@ -16,6 +16,10 @@
 /// Runs with at least this progress are not preempted.
 constexpr int nearlyDonePercent = 80;
 
+/// Runs are preempted for a gang once the time left until its objective is below this multiple of
+/// its expected time to the end.
+constexpr double urgencyFactor = 1.5;
+
 /// A run that may be preempted for the gang.
 struct victim
 {
@@ -111,6 +115,12 @@
     if (now < step.preemptNotBefore || holdsReservation(step, now)) {
         return {};
     }
+    const microseconds expected =
+        waiting.job->expectedToEnd[static_cast<std::size_t>(waiting.step)];
+    if (now + static_cast<microseconds>(urgencyFactor * static_cast<double>(expected))
+        < waiting.objectiveAt) {
+        return {};
+    }
     step.preemptNotBefore = now + preemptRetryInterval;
     std::vector<preemption_target> targets;
     std::int64_t slots = 0;
--- a/src/cell/scheduler.h
+++ b/src/cell/scheduler.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "cell/job_state.h"
+#include "cell/run_times.h"
 #include "cell/worker_state.h"
 
 /// \file
@@ -82,6 +83,8 @@
     bool holdsCapacity = false;
     /// Name of the job's queue.
     std::string queue;
+    /// Demand that the step is expected to place on each of `workers`.
+    std::vector<resources> expectedDemands;
 };
 
 /// A decision to be logged: event name, job id (may be empty) and details as `key=value`.
@@ -154,6 +157,7 @@
     std::uint64_t jobsCancelled = 0;
     std::uint64_t stalledRuns = 0;
     std::uint64_t preemptedRuns = 0;
+    std::uint64_t plannedSteps = 0;
 };
 
 /// A change that is not in the store yet.
@@ -191,10 +195,18 @@
     std::multimap<timestamp, std::string> jobExpiries;
     /// Results of the advice calls, by queue name.
     std::map<std::string, advice_counts> adviceCounts;
+    /// Observed run times, by queue name.
+    std::map<std::string, run_time_record> runTimes;
     scheduler_counters counters;
     timestamp nextCheckAt = distantPast;
+    timestamp nextObjectiveUpdateAt = distantPast;
     /// State that affects placement has changed since the last placement round.
     bool needsPlacement = false;
+    /// The newest placement round ended at the limit of planned steps.
+    bool isRoundLimited = false;
+    /// Calls for advice that were ordered and not yet prepared to be sent.
+    std::size_t queuedLongCalls = 0;
+    std::size_t queuedShortCalls = 0;
 };
 
 /// Starts acting under `epoch`, which must be higher than that of any earlier scheduler.
@@ -266,6 +278,9 @@
 /// Handles a poll that was refused or got no answer.
 void onPollFailed(scheduler &cell, const poll_order &order, order_outcome outcome, timestamp now,
                   orders &out);
+/// Chooses the workers of a queued call anew when it is about to be sent. Returns false, and drops
+/// the call, if the step has nothing to ask any more.
+bool prepareAdvice(scheduler &cell, advice_order &order, timestamp now);
 /// Handles the advisory service's answer: `allowed` lists worker and ticket, `valid` is the
 /// tickets' validity. Workers that were asked about and are absent from `allowed` are not
 /// allowed.
@@ -285,6 +300,9 @@
 
 /// Returns the current fencing token for the worker: epoch and number of the worker's fence.
 std::int64_t fencingToken(const scheduler &cell, const worker_state &worker);
+/// Computes the job's objective, and the expected times to its end, from the run times observed in
+/// its queue so far.
+void updateObjective(const scheduler &cell, job_state &job);
 /// Marks the job's stored rows as out of date; `urgent`: a caller is waiting. Returns the number of
 /// the change.
 std::uint64_t recordChange(scheduler &cell, const std::string &job, bool urgent);
--- a/src/cell/scheduler_ends.cpp
+++ b/src/cell/scheduler_ends.cpp
@@ -13,6 +13,7 @@
 /// An incomplete gang is stopped after the gang timeout over this divisor.
 constexpr int gangTimeoutDivisor = 2;
 constexpr microseconds checkInterval = 200 * millisecond;
+constexpr microseconds objectiveUpdateInterval = 1 * second;
 /// Time without new tasks for a worker that refused a start; equals the registry lag in the users'
 /// rules.
 constexpr microseconds refusalPause = 800 * millisecond;
@@ -38,6 +39,8 @@
     if (step.doneCount < static_cast<int>(step.tasks.size())) {
         return;
     }
+    recordRunTime(cell.runTimes[job.spec.queue], stepOf(job, end.task.step).estimate,
+                  step.longestRun);
     markRunnable(cell, job);
     if (++occurrence.stepsDone < static_cast<int>(occurrence.steps.size())) {
         return;
@@ -236,6 +239,10 @@
         step.gangBroken = true;
     }
     recordCheckpoint(*job, end, *task);
+    if (end.how == end_kind::done && task->phase == run_phase::running
+        && task->attempt == end.attempt && !task->resumed && task->confirmedAt != distantPast) {
+        step.longestRun = std::max(step.longestRun, now - task->confirmedAt);
+    }
     if (task->phase != run_phase::none && task->worker == worker.entry.id
         && task->attempt == end.attempt) {
         releaseRun(cell, end.task, *job, *task);
@@ -337,6 +344,14 @@
             checkJob(cell, job, now, out);
         }
     }
+    if (now >= cell.nextObjectiveUpdateAt) {
+        cell.nextObjectiveUpdateAt = now + objectiveUpdateInterval;
+        for (auto &[id, job] : cell.jobs) {
+            if (!job.finalPhase) {
+                updateObjective(cell, job);
+            }
+        }
+    }
     eraseExpiredJobs(cell, now);
     // Due occurrences, expired tickets and workers whose avoidance period is over allow new
     // placements without any event.
--- a/src/cell/scheduler_jobs.cpp
+++ b/src/cell/scheduler_jobs.cpp
@@ -59,6 +59,14 @@
     return number;
 }
 
+void updateObjective(const scheduler &cell, job_state &job)
+{
+    const auto found = cell.runTimes.find(job.spec.queue);
+    job.expectedToEnd =
+        expectTimesToEnd(job, found == cell.runTimes.end() ? run_time_record {} : found->second);
+    job.objectiveAt = objectiveOf(job, job.expectedToEnd);
+}
+
 void markRunnable(scheduler &cell, const job_state &job)
 {
     if (!job.finalPhase) {
@@ -77,8 +85,7 @@
     job.policy = policy;
     job.acceptedEpoch = cell.epoch;
     job.receivedAt = now;
-    const auto slack = policy.slackFactor * static_cast<double>(estimateCriticalPath(job));
-    job.objectiveAt = now + static_cast<microseconds>(slack) + policy.latencyTarget;
+    updateObjective(cell, job);
     const auto [it, inserted] = cell.jobs.emplace(spec.id, std::move(job));
     recordChange(cell, spec.id, true);
     markRunnable(cell, it->second);
@@ -111,6 +118,7 @@
     if (const queue_policy *policy = findQueue(cell.config, job.spec.queue)) {
         job.policy = *policy;
     }
+    updateObjective(cell, job);
     const std::string id = job.spec.id;
     const auto [it, inserted] = cell.jobs.emplace(id, std::move(job));
     if (inserted) {
--- a/src/cell/scheduler_workers.cpp
+++ b/src/cell/scheduler_workers.cpp
@@ -31,6 +31,7 @@
     task.phase = run_phase::running;
     task.worker = worker.entry.id;
     task.attempt = std::max(task.attempt, run.attempt);
+    task.resumed = true; // its start is not known
     task.confirmedAt = sentAt;
     task.progressAt = sentAt;
     task.token = fencingToken(cell, worker);
--- a/src/cell/worker_state.h
+++ b/src/cell/worker_state.h
@@ -28,6 +28,12 @@
     /// Sum of the reserved demands of all runs that may exist on the worker.
     resources used;
     std::set<task_id> runs;
+    /// Demand expected of the steps whose calls for advice are open.
+    resources expectedDemand;
+    /// Capacity that the newest placement round left after the steps of the highest priority, and
+    /// after all steps.
+    resources headroomOfUrgent;
+    resources headroomOfOthers;
     /// The worker's clock in its newest answer, and the local time at which it arrived.
     std::int64_t clock = 0;
     timestamp clockReadAt = distantPast;
--- a/src/entry/advice_dispatch.cpp
+++ b/src/entry/advice_dispatch.cpp
@@ -34,9 +34,9 @@
     return advice_client {member->first, member->second};
 }
 
-/// Removes the next call of a job that has not ended from the queue and returns it.
+/// Removes the next call that is still needed from the queue and returns it.
 std::optional<cell::advice_order> takeAdviceOrder(leader_state &leaderState,
-                                                  cell::advice_queue &queue)
+                                                  cell::advice_queue &queue, timestamp now)
 {
     while (!queue.empty()) {
         // Short calls go by priority alone, as the most urgent jobs make the shortest ones.
@@ -45,8 +45,7 @@
             longCalls ? cell::findNextAdvice(queue, leaderState.openAdviceCalls) : queue.begin();
         cell::advice_order order = std::move(next->second);
         queue.erase(next);
-        const cell::job_state *job = cell::findJob(leaderState.cell, order.step.job);
-        if (job != nullptr && !job->finalPhase) {
+        if (cell::prepareAdvice(leaderState.cell, order, now)) {
             return order;
         }
     }
@@ -121,7 +120,7 @@
         cell::advice_queue &queue =
             longCall ? entry.leaderState->longAdviceQueue : entry.leaderState->shortAdviceQueue;
         const auto chosen = queue.empty() ? std::nullopt : chooseAdviceClient(entry, longCall, now);
-        const auto order = chosen ? takeAdviceOrder(*entry.leaderState, queue) : std::nullopt;
+        const auto order = chosen ? takeAdviceOrder(*entry.leaderState, queue, now) : std::nullopt;
         if (!order) {
             return;
         }
--- a/src/entry/leader.cpp
+++ b/src/entry/leader.cpp
@@ -87,10 +87,6 @@
             continue;
         }
         job->receivedAt = now - std::max<std::int64_t>(wall - accepted, 0);
-        const auto slack =
-            job->policy.slackFactor * static_cast<double>(cell::estimateCriticalPath(*job));
-        job->objectiveAt =
-            job->receivedAt + static_cast<microseconds>(slack) + job->policy.latencyTarget;
         job->firstDueAt = now + (job->spec.firstDueWall - wall);
         const auto found = progressByJob.find(row.key);
         if (found != progressByJob.end() && !decodeProgress(found->second->value, *job)) {
--- a/test/cell/advice_dispatch_test.cpp
+++ b/test/cell/advice_dispatch_test.cpp
@@ -18,6 +18,9 @@
     {
         entry.role = entry_role::scheduler;
         entry.leaderState = std::make_unique<leader_state>();
+        for (int number = 0; number < 30; ++number) {
+            addWorker("worker-" + std::to_string(number));
+        }
         entry.ports.advice = [this](const cell::advice_order &order, timestamp,
                                     const std::function<void(advice_result)> &) {
             ownCalls.push_back(order.step.job);
@@ -33,6 +36,19 @@
         return settings;
     }
 
+    /// Adds a worker without runs that may take tasks.
+    void addWorker(const std::string &id)
+    {
+        cell::worker_state &worker = entry.leaderState->cell.workers[id];
+        worker.entry.id = id;
+        worker.entry.capacity = {1'000'000, 1'000'000, 0};
+        worker.recorded = true;
+        worker.fenced = true;
+        worker.clock = 1;
+        worker.headroomOfUrgent = worker.entry.capacity;
+        worker.headroomOfOthers = worker.entry.capacity;
+    }
+
     /// Adds entries until there are `count`.
     void addMembers(int count)
     {
@@ -48,7 +64,10 @@
         cell::job_spec spec;
         spec.id = id;
         spec.steps.emplace_back();
-        cell::acceptJob(entry.leaderState->cell, spec, {}, steadyNow());
+        cell::queue_policy policy;
+        policy.needsAdvice = true;
+        policy.latencyTarget = 60 * second;
+        cell::acceptJob(entry.leaderState->cell, spec, policy, steadyNow());
         cell::advice_order order;
         order.step.job = id;
         order.longCall = longCall;
--- /dev/null
+++ b/test/cell/run_times_test.cpp
@@ -0,0 +1,77 @@
+#define BOOST_TEST_MODULE run_times
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/included/unit_test.hpp>
+
+#include "cell/run_times.h"
+
+using namespace bramleygrade;
+using namespace bramleygrade::cell;
+
+namespace {
+
+/// Steps that declared and took these times alternately, and what is expected of a new one.
+struct run_time_case
+{
+    const char *name;
+    microseconds declared[2];
+    microseconds observed[2];
+    microseconds newDeclared;
+    microseconds expected;
+};
+
+const run_time_case runTimeCases[] = {
+    {"declared times are exact",
+     {second, 4 * second},
+     {second, 4 * second},
+     2 * second,
+     2 * second},
+    {"declared times are half of the true ones",
+     {second, 4 * second},
+     {2 * second, 8 * second},
+     3 * second,
+     6 * second},
+    {"all runs are alike and declared times are far off",
+     {100 * millisecond, 10 * second},
+     {3 * second, 3 * second},
+     20 * second,
+     3 * second},
+};
+
+std::ostream &operator<<(std::ostream &out, const run_time_case &given)
+{
+    return out << given.name;
+}
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(expectation_weighs_declared_and_observed_times,
+                     boost::unit_test::data::make(runTimeCases), given)
+{
+    run_time_record record;
+    for (int step = 0; step < 200; ++step) {
+        recordRunTime(record, given.declared[step % 2], given.observed[step % 2]);
+    }
+    const microseconds expected = expectRunTime(record, given.newDeclared);
+    BOOST_TEST(static_cast<double>(expected) == static_cast<double>(given.expected),
+               boost::test_tools::tolerance(0.05));
+}
+
+BOOST_AUTO_TEST_CASE(declared_time_is_used_while_few_steps_have_completed)
+{
+    run_time_record record;
+    for (int step = 0; step < 5; ++step) {
+        recordRunTime(record, second, 5 * second);
+    }
+    BOOST_TEST(expectRunTime(record, 2 * second) == 2 * second);
+}
+
+BOOST_AUTO_TEST_CASE(times_that_are_not_positive_are_ignored)
+{
+    run_time_record record;
+    for (int step = 0; step < 20; ++step) {
+        recordRunTime(record, 0, second);
+        recordRunTime(record, second, 0);
+    }
+    BOOST_TEST(record.steps == 0);
+    BOOST_TEST(expectRunTime(record, 0) == 0);
+}
--- a/test/cell/scheduler_test.cpp
+++ b/test/cell/scheduler_test.cpp
@@ -339,7 +339,7 @@
 BOOST_AUTO_TEST_CASE(lost_gang_that_preempts_without_starting)
 {
     cell_fixture fixture;
-    cell::step_spec batch = cell_fixture::makeStep(3, 4'000);
+    cell::step_spec batch = cell_fixture::makeStep(3, 6'000);
     batch.checkpointing = true;
     batch.estimate = 1'000 * second;
     fixture.policy.priority = 2;
@@ -349,7 +349,7 @@
     fixture.policy.priority = 1;
     fixture.policy.needsAdvice = true;
     fixture.policy.advice = {second, 0, 2 * second};
-    cell::step_spec gang = cell_fixture::makeStep(2, 4'000);
+    cell::step_spec gang = cell_fixture::makeStep(3, 4'000);
     gang.gang = true;
     cell::acceptJob(fixture.cell, cell_fixture::makeJob("gang", {gang}), fixture.policy,
                     fixture.now);
--- a/testing/cell/cell_history.cpp
+++ b/testing/cell/cell_history.cpp
@@ -143,8 +143,12 @@
 }
 
 void cell_history::state::sendAdvice(const scheduler_pointer &scheduler,
-                                     const cell::advice_order &order)
+                                     const cell::advice_order &queued)
 {
+    cell::advice_order order = queued;
+    if (!cell::prepareAdvice(scheduler->cell, order, now)) {
+        return;
+    }
     scheduleAt(now + order.expected, [this, scheduler, order] {
         if (!scheduler->alive) {
             return;
--- a/testing/cell/history_state.h
+++ b/testing/cell/history_state.h
@@ -74,7 +74,7 @@
     void submitJob();
     void scheduleFaults();
     /// Answers a call of the advisory service.
-    void sendAdvice(const scheduler_pointer &scheduler, const cell::advice_order &order);
+    void sendAdvice(const scheduler_pointer &scheduler, const cell::advice_order &queued);
     /// Returns true if the advisory service allows the worker for the step.
     bool isAllowed(const cell::task_id &step, const std::string &worker) const;
     /// Returns the free capacity of the workers allowed for the task, in tasks of its step.
--- a/testing/cell/load_simulation.cpp
+++ b/testing/cell/load_simulation.cpp
@@ -704,8 +704,7 @@
             longCalls ? cell::findNextAdvice(queue, m_openAdviceCalls) : queue.begin();
         cell::advice_order order = std::move(next->second);
         queue.erase(next);
-        const cell::job_state *job = cell::findJob(m_driver.cell, order.step.job);
-        if (job != nullptr && !job->finalPhase) {
+        if (cell::prepareAdvice(m_driver.cell, order, m_driver.now)) {
             callAdvice(order, m_clients[*chosen]);
         }
     }
