Workers' heartbeats cause no decision, and only decisions are paused after

Cause, from the log line scheduler_load: the store takes 20 % of the scheduler's time also before the first job, with 920 decisions in 2 s. 540 workers write to the registry every 1.5 s, so the watch answers 360 times a second; each answer copied the registry, compared it with the workers and caused a placement round. Now a row that changes nothing is skipped, and the watch pauses 50 ms, so one answer brings the changes of many workers.

Ruled out: the rounds themselves (decide 11 to 18 % of the time).

--- a/src/cell/placement.h
+++ b/src/cell/placement.h
@@ -105,6 +105,11 @@
 /// Builds the call of the advisory service for the step and these workers.
 advice_order makeAdviceOrder(const waiting_step &waiting, std::vector<std::string> workers);
 
+/// Limits of the calls for advice that wait to be sent. Other steps ask once there is room, so that
+/// the cost of the queue does not grow with the number of waiting steps.
+constexpr std::size_t maxQueuedLongCalls = 150;
+constexpr std::size_t maxQueuedShortCalls = 300;
+
 /// Minimum remaining validity of a ticket when the start order that carries it is sent.
 constexpr microseconds ticketMargin = 80 * millisecond;
 
--- a/src/cell/placement_round.cpp
+++ b/src/cell/placement_round.cpp
@@ -16,9 +16,6 @@
 constexpr int maxPlansPerRound = 100;
 /// Pause after a plan that started nothing, while more steps wait than a round can plan.
 constexpr microseconds fruitlessPlanPause = 50 * millisecond;
-/// Calls for advice that wait to be sent. Later steps ask once there is room.
-constexpr std::size_t maxQueuedLongCalls = 150;
-constexpr std::size_t maxQueuedShortCalls = 300;
 
 headroom_map collectHeadroom(scheduler &cell, timestamp now)
 {
--- a/src/entry/leader.cpp
+++ b/src/entry/leader.cpp
@@ -13,7 +13,8 @@
 /// Timeout of a worker report beyond the time that the worker may hold the request (long poll).
 constexpr microseconds reportTimeoutMargin = 600 * millisecond;
 constexpr microseconds loadTimeout = 1'500 * millisecond;
-/// A decision that takes longer is followed by a pause of `decisionPauseFactor` times its duration.
+/// A decision that takes longer is followed by a pause of `decisionPauseFactor` times its duration,
+/// in which answers are read. Sending its orders does not count: they are work to be done.
 constexpr microseconds shortDecisionLimit = 500;
 constexpr microseconds decisionPauseFactor = 2;
 constexpr microseconds loadRetryDelay = 100 * millisecond;
@@ -266,6 +267,7 @@
     }
     cell::orders out;
     cell::decide(entry.leaderState->cell, now, out);
+    const microseconds decideTime = steadyNow() - now;
     runOrders(entry, out);
     if (entry.leaderState) {
         advanceWrites(entry);
@@ -273,8 +275,8 @@
     }
     const timestamp ended = steadyNow();
     observeLatency(entry.metrics, "decision_seconds", ended - now);
-    if (entry.leaderState && ended - now > shortDecisionLimit) {
-        entry.leaderState->decideNotBefore = ended + (ended - now) * decisionPauseFactor;
+    if (entry.leaderState && decideTime > shortDecisionLimit) {
+        entry.leaderState->decideNotBefore = ended + decideTime * decisionPauseFactor;
     }
 }
 
--- a/src/entry/watches.cpp
+++ b/src/entry/watches.cpp
@@ -14,6 +14,9 @@
 constexpr microseconds watchTimeoutMargin = 700 * millisecond;
 constexpr microseconds readTimeout = 800 * millisecond;
 constexpr microseconds watchRetryDelay = 150 * millisecond;
+/// Pause between two reads of registry changes. Each worker's heartbeat is a change, so hundreds of
+/// workers would otherwise cause hundreds of answers a second.
+constexpr microseconds registryWatchPause = 50 * millisecond;
 
 void setStoreReachable(entry_state &entry, bool reachable)
 {
@@ -74,6 +77,7 @@
 void applyWorkerRows(entry_state &entry, const std::vector<stored_row> &rows)
 {
     leader_state &leaderState = *entry.leaderState;
+    bool changed = false;
     for (const stored_row &row : rows) {
         cell::worker_entry worker;
         const bool usable = !row.removed && entry.ports.codec.decodeWorker(row, worker);
@@ -83,15 +87,23 @@
                 logEvent(entry, "worker_unlisted",
                          {{"worker", row.key}, {"row", std::to_string(row.version)}});
                 leaderState.registry.erase(known);
+                changed = true;
             }
             continue;
         }
+        if (known != leaderState.registry.end() && known->second == worker) {
+            continue; // a heartbeat
+        }
+        changed = true;
         if (known == leaderState.registry.end() || known->second.draining != worker.draining) {
             logEvent(entry, worker.draining ? "worker_draining" : "worker_listed",
                      {{"worker", worker.id}, {"row", std::to_string(row.version)}});
         }
         leaderState.registry[row.key] = worker;
     }
+    if (!changed) {
+        return;
+    }
     std::vector<cell::worker_entry> workers;
     for (const auto &[key, worker] : leaderState.registry) {
         workers.push_back(worker);
@@ -151,6 +163,17 @@
         });
 }
 
+void watchRegistry(entry_state &entry, std::int64_t epoch);
+
+void watchRegistryAfterPause(entry_state &entry, std::int64_t epoch)
+{
+    runAfter(entry, registryWatchPause, [&entry, epoch] {
+        if (isLeaderInEpoch(entry, epoch)) {
+            watchRegistry(entry, epoch);
+        }
+    });
+}
+
 void watchRegistry(entry_state &entry, std::int64_t epoch)
 {
     entry.ports.store.watch(
@@ -163,8 +186,9 @@
             if (result.outcome == store_outcome::done) {
                 entry.leaderState->registryVersion =
                     std::max(entry.leaderState->registryVersion, result.version);
-                confirmLeadershipAndApplyRows(entry, epoch, result.rows,
-                                              [&entry, epoch] { watchRegistry(entry, epoch); });
+                confirmLeadershipAndApplyRows(entry, epoch, result.rows, [&entry, epoch] {
+                    watchRegistryAfterPause(entry, epoch);
+                });
                 return;
             }
             runAfter(entry, watchRetryDelay, [&entry, epoch] {
