A busy small scheduler hands over to a larger entry between two writes

Cause, from its log: the hand-over to a larger entry is due after 2 s, but was only tried at a tick at which no write was in progress. A loaded scheduler always has one. It is now tried as well when the next write would begin.

Test: short_small_scheduler_that_writes_continuously.

--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -276,8 +276,11 @@
 void stepDown(entry_state &entry, const char *reason);
 
 // handover.cpp
-/// Hands over if another entry has a much larger processor share. The scheduler's load grows with
-/// the size of the cell, a follower's does not.
+/// Returns true if another entry has a much larger processor share, this one has led for a while,
+/// and no write is in progress. The scheduler's load grows with the size of the cell, a follower's
+/// does not.
+bool isHandoverToLargerDue(const entry_state &entry, timestamp now);
+/// Hands over to the entry with the largest processor share.
 void handOverToLarger(entry_state &entry, timestamp now);
 /// Asks another entry to take over; successive calls ask the entries in turn. Does nothing while a
 /// handover request is under way.
--- a/src/entry/handover.cpp
+++ b/src/entry/handover.cpp
@@ -54,13 +54,16 @@
 
 } // namespace
 
+bool isHandoverToLargerDue(const entry_state &entry, timestamp now)
+{
+    const leader_state &leaderState = *entry.leaderState;
+    return !leaderState.write && !leaderState.handoverInFlight && now >= leaderState.nextHandoverAt
+        && now >= leaderState.cell.tookOverAt + minLeadTime && hasLargerMember(entry);
+}
+
 void handOverToLarger(entry_state &entry, timestamp now)
 {
     leader_state &leaderState = *entry.leaderState;
-    if (leaderState.write || leaderState.handoverInFlight || now < leaderState.nextHandoverAt
-        || now < leaderState.cell.tookOverAt + minLeadTime || !hasLargerMember(entry)) {
-        return;
-    }
     leaderState.nextHandoverAt = now + minLeadTime;
     logEvent(entry, "handover_to_larger",
              {{"own_processor_milli", std::to_string(entry.settings.processorMilli)}});
--- a/src/entry/leader.cpp
+++ b/src/entry/leader.cpp
@@ -389,7 +389,9 @@
     dispatchAdvice(entry);
     expireWaiters(entry, now);
     advanceWrites(entry);
-    handOverToLarger(entry, now);
+    if (isHandoverToLargerDue(entry, now)) {
+        handOverToLarger(entry, now);
+    }
 }
 
 } // namespace bramleygrade::entry
--- a/src/entry/writes.cpp
+++ b/src/entry/writes.cpp
@@ -328,6 +328,11 @@
     if (!leaderState.write && leaderState.handoverInFlight) {
         return;
     }
+    // A busy scheduler is never without a write for long, so the time between two is used.
+    if (isHandoverToLargerDue(entry, now)) {
+        handOverToLarger(entry, now);
+        return;
+    }
     if (!leaderState.write && leaderState.isHandoverRequested
         && !leaderState.mustWriteBeforeHandover) {
         handOver(entry, [](bool) {});
