A job whose steps are impossible is rejected by every decoder

What could happen: a forwarded call or a stored row with a step that waits for itself, a later step or one that does not exist made the scheduler read, and since the learned run times write, outside its memory; a negative count ended the process. Callers' bodies were checked at the entry that they reach, messages between entries and rows were not.

--- a/src/entry/rows.cpp
+++ b/src/entry/rows.cpp
@@ -102,8 +102,12 @@
     spec.occurrences = static_cast<int>(integerField(value, "occ"));
     spec.firstDueWall = integerField(value, "due");
     spec.interval = integerField(value, "every");
-    for (const auto &step : steps->GetArray()) {
-        spec.steps.push_back(readStep(step));
+    for (const auto &value : steps->GetArray()) {
+        const cell::step_spec step = readStep(value);
+        if (!isValidStep(step, static_cast<int>(spec.steps.size()))) {
+            return false;
+        }
+        spec.steps.push_back(step);
     }
     return true;
 }
@@ -207,6 +211,15 @@
 
 } // namespace
 
+bool isValidStep(const cell::step_spec &step, int index)
+{
+    constexpr int maxTasks = 100'000;
+    return step.count >= 1 && step.count <= maxTasks && step.demand.cpuMilli >= 0
+        && step.demand.memoryMb >= 0 && step.demand.accelerators >= 0
+        && std::all_of(step.after.begin(), step.after.end(),
+                       [&](int predecessor) { return predecessor >= 0 && predecessor < index; });
+}
+
 std::string encodeHead(const head_row &head)
 {
     return writeObject([&](json_writer &out) {
@@ -353,12 +366,14 @@
     call.kind = static_cast<call_kind>(integerField(document, "kind"));
     call.queue = textField(document, "queue");
     call.job = textField(document, "job");
-    if (const auto *spec = findField(document, "spec")) {
-        if (!readSpec(*spec, call.spec)) {
-            return std::nullopt;
-        }
-        call.spec.id = call.job;
+    const auto *spec = findField(document, "spec");
+    if (spec == nullptr) {
+        return call.kind == call_kind::submit ? std::nullopt : std::optional(message);
+    }
+    if (!readSpec(*spec, call.spec)) {
+        return std::nullopt;
     }
+    call.spec.id = call.job;
     return message;
 }
 
--- a/src/entry/rows.h
+++ b/src/entry/rows.h
@@ -38,6 +38,10 @@
 std::string encodeHead(const head_row &head);
 std::optional<head_row> decodeHead(const std::string &value);
 
+/// Returns whether the step at position `index` waits only for earlier steps, so that there are no
+/// cycles, and whether its count and resources are within their limits.
+bool isValidStep(const cell::step_spec &step, int index);
+
 /// Encodes the immutable part of an accepted job. `acceptedWall`: wall-clock time of acceptance,
 /// microseconds since 1970.
 std::string encodeJob(const cell::job_state &job, std::int64_t acceptedWall);
--- a/test/cell/rows_test.cpp
+++ b/test/cell/rows_test.cpp
@@ -75,6 +75,35 @@
     }
 }
 
+// A step that names a step that does not exist made the scheduler write outside its memory, and a
+// negative count ended the process.
+BOOST_AUTO_TEST_CASE(process_ended_by_an_impossible_step)
+{
+    const char *steps[] = {
+        R"([{"count":1,"after":[0]}])",
+        R"([{"count":1,"after":[1]},{"count":1}])",
+        R"([{"count":1,"after":[-1]}])",
+        R"([{"count":1,"after":[7000000]}])",
+        R"([{"count":-1}])",
+        R"([{"count":0}])",
+        R"([{"count":2000000000}])",
+        R"([{"count":1,"cpu":-5}])",
+        R"([])",
+    };
+    for (const char *text : steps) {
+        BOOST_TEST_CONTEXT(text)
+        {
+            const std::string spec = std::string(R"({"queue":"q","steps":)") + text + "}";
+            std::int64_t wall = 0;
+            BOOST_TEST(!entry::decodeJob("a", spec, wall).has_value());
+            const std::string call = R"({"kind":0,"queue":"q","job":"a","spec":)" + spec + "}";
+            BOOST_TEST(!entry::decodeCall(call).has_value());
+        }
+    }
+    const std::string withoutSpec = R"({"kind":0,"queue":"q","job":"a"})";
+    BOOST_TEST(!entry::decodeCall(withoutSpec).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(messages_are_unchanged_after_encoding_and_decoding)
 {
     entry::call_message message;
