Histories: a scheduler without confirmation gives no orders, as the real one

Cause, from a trace of the history: the scheduler of epoch 2 was superseded at 107.2 s and had nothing to write, so it never met the conflict that ends it in the model. It still gave orders at 115.4 s, 8.2 s after its successor took over, and started a task on a worker that had been cut off from everyone until then. The successor counts on a predecessor that orders nothing 2.5 s after its last confirmation (predecessorGrace); the entry keeps that rule (updateSuspension in src/entry/leader.cpp), the model did not.

Ruled out: a fault of the scheduler's wait for silent workers (its leases and the grace had run out), a delayed order (the start left at 115.452 s with a fresh lease).

Change: the simulated scheduler keeps the rule. An earlier scheduler is neither confirmed nor told of its successor, which is harsher than the entry, whose members tell it. No check of the histories is changed.

That the entry keeps the rule had no test: two cases in cell_cluster.

--- a/test/cell/cluster_test.cpp
+++ b/test/cell/cluster_test.cpp
@@ -23,6 +23,37 @@
     return *cluster.members.front();
 }
 
+/// Gives the scheduler one worker, which answers every poll, and counts the polls.
+void addPolledWorker(cluster_member &scheduler, int &polls)
+{
+    scheduler.entry->ports.workers.poll =
+        [&scheduler,
+         &polls](const std::string &, const cell::poll_order &, timestamp,
+                 const std::function<void(cell::order_outcome, cell::worker_report)> &done) {
+            ++polls;
+            const auto timer = std::make_shared<boost::asio::steady_timer>(scheduler.loop);
+            timer->expires_after(std::chrono::milliseconds(20));
+            timer->async_wait([timer, done](boost::system::error_code) {
+                cell::worker_report report;
+                report.workerClock = steadyNow();
+                done(cell::order_outcome::accepted, report);
+            });
+        };
+    cell::worker_entry worker;
+    worker.id = "worker";
+    worker.service = "service";
+    worker.address = "127.0.0.1:1";
+    cell::scheduler &cell = scheduler.entry->leaderState->cell;
+    cell::restoreWorker(cell, worker, steadyNow());
+    cell.workers.at(worker.id).listed = true;
+    requestDecision(*scheduler.entry);
+}
+
+/// Longer than a scheduler may give orders without a confirmation of its leadership.
+constexpr microseconds unconfirmedTime = 3 * second;
+/// Time in which a worker is polled several times.
+constexpr microseconds pollingTime = 500 * millisecond;
+
 } // namespace
 
 BOOST_FIXTURE_TEST_CASE(one_entry_leads_and_the_others_follow_it, cluster_fixture)
@@ -82,6 +113,49 @@
     BOOST_TEST(callAndWait(*leader(), "GET", "a") == (status == 200 ? 200 : 410));
 }
 
+// A successor counts on it: tasks that may run on a silent worker start elsewhere once the leases
+// that its predecessor could still grant have run out.
+BOOST_FIXTURE_TEST_CASE(a_scheduler_that_nobody_confirms_gives_no_orders, cluster_fixture)
+{
+    BOOST_REQUIRE_MESSAGE(startError.empty(), startError);
+    BOOST_REQUIRE(runUntil([this] { return hasAgreedLeader(); }));
+    cluster_member &lead = *leader();
+    int polls = 0;
+    addPolledWorker(lead, polls);
+    BOOST_REQUIRE(runUntil([&] { return polls > 3; }));
+    table.disconnectedEntries.insert(lead.entry->settings.name);
+    for (const auto &member : members) {
+        member->frozen = member.get() != &lead;
+    }
+    runFor(unconfirmedTime);
+    const int pollsBefore = polls;
+    runFor(pollingTime);
+    BOOST_TEST(polls == pollsBefore);
+    for (const auto &member : members) {
+        member->frozen = false;
+    }
+    table.disconnectedEntries.clear();
+    BOOST_REQUIRE(runUntil([&] { return polls > pollsBefore || leader() != &lead; }));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_resumed_scheduler_gives_no_orders_before_it_is_confirmed, cluster_fixture)
+{
+    BOOST_REQUIRE_MESSAGE(startError.empty(), startError);
+    BOOST_REQUIRE(runUntil([this] { return hasAgreedLeader(); }));
+    cluster_member &lead = *leader();
+    int polls = 0;
+    addPolledWorker(lead, polls);
+    BOOST_REQUIRE(runUntil([&] { return polls > 3; }));
+    for (const auto &member : members) {
+        member->frozen = true;
+    }
+    runFor(unconfirmedTime);
+    const int pollsBefore = polls;
+    lead.frozen = false;
+    runFor(pollingTime);
+    BOOST_TEST(polls == pollsBefore);
+}
+
 BOOST_FIXTURE_TEST_CASE(a_stopping_scheduler_hands_over_before_it_exits, cluster_fixture)
 {
     BOOST_REQUIRE_MESSAGE(startError.empty(), startError);
--- a/testing/cell/cell_history.cpp
+++ b/testing/cell/cell_history.cpp
@@ -14,6 +14,8 @@
 constexpr microseconds orderTimeout = 400 * millisecond;
 constexpr microseconds tickInterval = 20 * millisecond;
 constexpr microseconds pollWait = 200 * millisecond;
+/// A scheduler that is unconfirmed for this long gives no orders, as in `entry::tickLeader`.
+constexpr microseconds confirmationTimeout = 2'500 * millisecond;
 /// Time after the faults stop within which all jobs must end.
 constexpr microseconds drainTimeout = 60 * second;
 constexpr std::size_t maxRowsPerWrite = 30;
@@ -80,7 +82,7 @@
 {
     const auto successor = std::make_shared<simulated_scheduler>();
     successor->cell.settings.pollWait = pollWait;
-    successor->cell.settings.predecessorGrace = 2'500 * millisecond;
+    successor->cell.settings.predecessorGrace = confirmationTimeout;
     cell::beginEpoch(successor->cell, ++store.epoch, now);
     cell::cell_config config;
     config.version = 1;
@@ -105,18 +107,27 @@
         cell::restoreWorker(successor->cell, worker, now);
     }
     cell::changeWorkers(successor->cell, readRegistry(successor->cell), now);
+    successor->confirmedAt = now;
     schedulers.push_back(successor);
     ++counts.takeovers;
     lastTakeoverAt = now;
     tick(successor);
 }
 
+bool cell_history::state::isConfirmed(const scheduler_pointer &scheduler)
+{
+    if (scheduler == schedulers.back()) {
+        scheduler->confirmedAt = now;
+    }
+    return now <= scheduler->confirmedAt + confirmationTimeout;
+}
+
 void cell_history::state::tick(const scheduler_pointer &scheduler)
 {
     if (!scheduler->alive) {
         return;
     }
-    if (now >= scheduler->pausedUntil) {
+    if (now >= scheduler->pausedUntil && isConfirmed(scheduler)) {
         cell::orders out;
         cell::changeWorkers(scheduler->cell, readRegistry(scheduler->cell), now);
         cell::decide(scheduler->cell, now, out);
--- a/testing/cell/history_state.h
+++ b/testing/cell/history_state.h
@@ -13,6 +13,8 @@
     cell::scheduler cell;
     bool alive = true;
     timestamp pausedUntil = 0;
+    /// Time of the newest proof that there was no successor.
+    timestamp confirmedAt = distantPast;
     bool writeInFlight = false;
 };
 
@@ -62,6 +64,10 @@
     /// Starts a scheduler with the next epoch and the stored state.
     void takeOver();
     void tick(const scheduler_pointer &scheduler);
+    /// Whether the scheduler's leadership was confirmed less than `confirmationTimeout` ago. The
+    /// newest scheduler is confirmed by the other entries; an earlier one is neither confirmed nor
+    /// told of its successor.
+    bool isConfirmed(const scheduler_pointer &scheduler);
     void sendOrders(const scheduler_pointer &scheduler, const cell::orders &orders);
     void sendStart(const scheduler_pointer &scheduler, const cell::start_order &order);
     void sendStop(const scheduler_pointer &scheduler, const cell::stop_order &order);
