A scheduler's leadership counts as confirmed from when it asked, not from the answer

What was seen: a test of the entry failed (answers_from_before_a_pause_do_not_confirm_ the_scheduler): paused for 3 s, cut off from the store and from all members, the scheduler renewed a worker's leases 25 times within 0.5 s after it resumed.

Cause: an answer to a heartbeat or write set the time of confirmation to the time at which the answer was read. Answers that had come before the pause were read after it and confirmed the scheduler anew for 2.5 s, while a successor may have been at work for as long as the pause. The successor's wait for silent workers counts on 2.5 s after the last confirmation, so that a task could run twice on a worker that only the former scheduler reaches.

Ruled out: an unguarded path to the workers (polls come from decideNow only, which checks the suspension first); the store (disconnected in the test). An earlier form of the test left the store connected: there the polls were right, since a write had succeeded. It is replaced.

Change: confirmLeadership records when the heartbeat, write or claim was sent. Loading the rows confirms nothing.

--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -102,7 +102,8 @@
     /// When the timer wakes up for a decision that is held back until `decideNotBefore`.
     timestamp decideWakeAt = distantFuture;
     timestamp timerExpiresAt = distantFuture;
-    /// When leadership was last confirmed, by a store write or a follower's heartbeat answer.
+    /// When the newest store write or heartbeat that confirmed the leadership was sent. The time of
+    /// its answer proves nothing, as the answer may have waited while the process was paused.
     timestamp confirmedAt = distantPast;
     /// Leadership has been unconfirmed for too long; no decisions are made.
     bool suspended = false;
@@ -290,8 +291,10 @@
 
 // leader.cpp
 /// Loads the rows and starts to act as the scheduler of `entry.epoch`. `headVersion`: version of
-/// the head row written by the claim.
-void startLeading(entry_state &entry, std::int64_t headVersion);
+/// the head row written by the claim, which was sent at `claimedAt`.
+void startLeading(entry_state &entry, std::int64_t headVersion, timestamp claimedAt);
+/// Records that an answer to a message sent at `askedAt` showed no other scheduler.
+void confirmLeadership(leader_state &leaderState, timestamp askedAt);
 /// Runs a decision on the event loop as soon as the spacing of decisions allows.
 void requestDecision(entry_state &entry);
 void runOrders(entry_state &entry, const cell::orders &orders);
--- a/src/entry/leader.cpp
+++ b/src/entry/leader.cpp
@@ -101,7 +101,6 @@
 {
     entry.role = entry_role::scheduler;
     const timestamp now = steadyNow();
-    entry.leaderState->confirmedAt = now;
     logEvent(
         entry, "scheduler_started",
         {{"epoch", std::to_string(entry.epoch)},
@@ -299,7 +298,12 @@
 
 } // namespace
 
-void startLeading(entry_state &entry, std::int64_t headVersion)
+void confirmLeadership(leader_state &leaderState, timestamp askedAt)
+{
+    leaderState.confirmedAt = std::max(leaderState.confirmedAt, askedAt);
+}
+
+void startLeading(entry_state &entry, std::int64_t headVersion, timestamp claimedAt)
 {
     entry.role = entry_role::loading;
     entry.leaderState = std::make_unique<leader_state>();
@@ -314,7 +318,7 @@
     cell::beginEpoch(leaderState.cell, entry.epoch, now);
     cell::changeConfig(leaderState.cell, entry.config);
     leaderState.writtenAt = now;
-    leaderState.confirmedAt = now;
+    confirmLeadership(leaderState, claimedAt);
     entry.scheduler = self(entry);
     entry.schedulerSeenAt = now;
     ++entry.metrics.counters["takeovers_total"];
--- a/src/entry/membership.cpp
+++ b/src/entry/membership.cpp
@@ -204,20 +204,22 @@
         {headTable, headKey,
          encodeHead({next, 0, entry.settings.name, entry.settings.peerAddress, entry.incarnation}),
          0, false});
-    entry.observed.claimedAt = steadyNow();
+    const timestamp claimedAt = steadyNow();
+    entry.observed.claimedAt = claimedAt;
     logEvent(entry, "claim",
              {{"epoch", std::to_string(next)},
-              {"silent_ms", formatAge(entry.schedulerSeenAt, entry.observed.claimedAt)},
+              {"silent_ms", formatAge(entry.schedulerSeenAt, claimedAt)},
               {"probes", std::to_string(entry.observed.probesSinceSeen)},
               {"loop_delay_ms", std::to_string(recentDelay(entry.observed.delay) / millisecond)}});
     ++entry.metrics.counters["claims_total"];
     entry.ports.store.write(
-        claim, steadyNow() + headTimeout, [&entry, next, done](const store_result &result) {
+        claim, claimedAt + headTimeout,
+        [&entry, next, claimedAt, done](const store_result &result) {
             entry.role = entry_role::follower;
             if (result.outcome == store_outcome::done) {
                 entry.epoch = next;
                 entry.loopState.leadingEpoch = next;
-                startLeading(entry, result.version);
+                startLeading(entry, result.version, claimedAt);
                 done(true);
                 return;
             }
@@ -228,15 +230,16 @@
             }
             // The claim may have taken effect; the head row shows whether it did.
             readHead(entry,
-                     [&entry, next, done](const store_result &, const std::optional<head_row> &head,
-                                          std::int64_t currentVersion) {
+                     [&entry, next, claimedAt, done](const store_result &,
+                                                     const std::optional<head_row> &head,
+                                                     std::int64_t currentVersion) {
                          const bool hasClaimed = head && head->epoch == next && head->sequence == 0
                              && head->incarnation == entry.incarnation
                              && entry.role == entry_role::follower;
                          if (hasClaimed) {
                              entry.epoch = next;
                              entry.loopState.leadingEpoch = next;
-                             startLeading(entry, currentVersion);
+                             startLeading(entry, currentVersion, claimedAt);
                          }
                          done(hasClaimed);
                      });
--- a/src/entry/peers.cpp
+++ b/src/entry/peers.cpp
@@ -124,35 +124,36 @@
 void sendHeartbeat(entry_state &entry, const std::string &name, const std::string &address,
                    const std::string &body)
 {
-    sendPeer(entry, address, "/beat", body, heartbeatTimeout, true,
-             [&entry, name, epoch = entry.epoch](const net::call_result &result) {
-                 if (!entry.leaderState || entry.epoch != epoch) {
-                     return;
-                 }
-                 const auto memberStatus = decodeMemberStatus(result.body);
-                 int &missed = entry.leaderState->missedHeartbeats[name];
-                 if (result.status != 200 || !memberStatus) {
-                     if (++missed == 1) {
-                         logEvent(entry, "member_silent", {{"member", name}});
-                     }
-                     if (missed > maxMissedHeartbeats) {
-                         entry.members.erase(name);
-                         entry.processorShares.erase(name);
-                         entry.leaderState->membersChanged = true;
-                         logEvent(entry, "member_forgotten", {{"member", name}});
-                     }
-                     return;
-                 }
-                 if (missed > 0) {
-                     logEvent(entry, "member_back", {{"member", name}});
-                 }
-                 missed = 0;
-                 if (memberStatus->epoch > epoch) {
-                     recordScheduler(entry, memberStatus->epoch, {}, steadyNow());
-                 } else {
-                     entry.leaderState->confirmedAt = steadyNow();
-                 }
-             });
+    sendPeer(
+        entry, address, "/beat", body, heartbeatTimeout, true,
+        [&entry, name, epoch = entry.epoch, sentAt = steadyNow()](const net::call_result &result) {
+            if (!entry.leaderState || entry.epoch != epoch) {
+                return;
+            }
+            const auto memberStatus = decodeMemberStatus(result.body);
+            int &missed = entry.leaderState->missedHeartbeats[name];
+            if (result.status != 200 || !memberStatus) {
+                if (++missed == 1) {
+                    logEvent(entry, "member_silent", {{"member", name}});
+                }
+                if (missed > maxMissedHeartbeats) {
+                    entry.members.erase(name);
+                    entry.processorShares.erase(name);
+                    entry.leaderState->membersChanged = true;
+                    logEvent(entry, "member_forgotten", {{"member", name}});
+                }
+                return;
+            }
+            if (missed > 0) {
+                logEvent(entry, "member_back", {{"member", name}});
+            }
+            missed = 0;
+            if (memberStatus->epoch > epoch) {
+                recordScheduler(entry, memberStatus->epoch, {}, steadyNow());
+            } else {
+                confirmLeadership(*entry.leaderState, sentAt);
+            }
+        });
 }
 
 } // namespace
--- a/src/entry/writes.cpp
+++ b/src/entry/writes.cpp
@@ -173,7 +173,7 @@
     leaderState.sequence = leaderState.writeSequence;
     leaderState.write.reset();
     leaderState.writtenAt = now;
-    leaderState.confirmedAt = now;
+    confirmLeadership(leaderState, leaderState.writeStartedAt);
     leaderState.nextWriteAt = now + writeInterval;
     cell::onWritten(leaderState.cell, now);
     for (const std::string &id : leaderState.endedInPlace) {
--- a/test/cell/cluster_test.cpp
+++ b/test/cell/cluster_test.cpp
@@ -138,7 +138,8 @@
     BOOST_REQUIRE(runUntil([&] { return polls > pollsBefore || leader() != &lead; }));
 }
 
-BOOST_FIXTURE_TEST_CASE(a_resumed_scheduler_gives_no_orders_before_it_is_confirmed, cluster_fixture)
+// The answers to its last heartbeats wait in the socket buffers while the scheduler is paused.
+BOOST_FIXTURE_TEST_CASE(answers_from_before_a_pause_do_not_confirm_the_scheduler, cluster_fixture)
 {
     BOOST_REQUIRE_MESSAGE(startError.empty(), startError);
     BOOST_REQUIRE(runUntil([this] { return hasAgreedLeader(); }));
@@ -146,6 +147,13 @@
     int polls = 0;
     addPolledWorker(lead, polls);
     BOOST_REQUIRE(runUntil([&] { return polls > 3; }));
+    table.disconnectedEntries.insert(lead.entry->settings.name);
+    lead.entry->leaderState->nextHeartbeatAt = distantPast;
+    tickLeader(*lead.entry, steadyNow()); // sends heartbeats
+    lead.loop.restart();
+    lead.loop.poll(); // without waiting for the answers
+    lead.frozen = true;
+    runFor(100 * millisecond);
     for (const auto &member : members) {
         member->frozen = true;
     }
