--- a/src/cell/held_capacity.cpp
+++ b/src/cell/held_capacity.cpp
@@ -10,8 +10,7 @@
 /// Waiting gangs may hold the processors of a service's workers over this divisor, without the
 /// capacity that was freed for them by preemption.
 constexpr std::int64_t gangShareDivisor = 8;
-/// The processors of a service's workers over this divisor are left to urgent steps. A service with
-/// fewer workers leaves nothing, as a step may need all that is free on the only suitable one.
+/// The processors of a service's workers over this divisor are left to urgent steps.
 constexpr std::int64_t urgentShareDivisor = 64;
 
 processor_budgets shareOfProcessors(const scheduler &cell, std::int64_t divisor)
@@ -23,15 +22,6 @@
     return budgets;
 }
 
-std::map<std::string, std::int64_t> countWorkers(const scheduler &cell)
-{
-    std::map<std::string, std::int64_t> counts;
-    for (const auto &[id, worker] : cell.workers) {
-        ++counts[worker.entry.service];
-    }
-    return counts;
-}
-
 bool hasUrgentQueue(const cell_config &config, const std::string &service)
 {
     return std::any_of(config.queues.begin(), config.queues.end(), [&](const auto &queue) {
@@ -49,15 +39,9 @@
 void withholdForUrgent(const scheduler &cell, headroom_map &headrooms)
 {
     processor_budgets missing = shareOfProcessors(cell, urgentShareDivisor);
-    for (const auto &[service, workers] : countWorkers(cell)) {
-        if (workers < urgentShareDivisor || !hasUrgentQueue(cell.config, service)) {
-            missing[service] = 0;
-        }
-    }
-    // Idle workers are left out: a step that fits on nothing else must not wait for ever.
     std::vector<worker_headroom *> byRoom;
     for (auto &[id, headroom] : headrooms) {
-        if (headroom.free.cpuMilli > 0 && !headroom.worker->runs.empty()) {
+        if (headroom.free.cpuMilli > 0) {
             byRoom.push_back(&headroom);
         }
     }
@@ -65,6 +49,9 @@
                      [](const worker_headroom *a, const worker_headroom *b) {
                          return a->free.cpuMilli > b->free.cpuMilli;
                      });
+    for (auto &[service, amount] : missing) {
+        amount = hasUrgentQueue(cell.config, service) ? amount : 0;
+    }
     for (worker_headroom *headroom : byRoom) {
         std::int64_t &amount = missing[headroom->worker->entry.service];
         const std::int64_t withheld = std::min(amount, headroom->free.cpuMilli);
--- a/src/cell/held_capacity.h
+++ b/src/cell/held_capacity.h
@@ -18,8 +18,8 @@
 processor_budgets makeGangBudgets(const scheduler &cell);
 
 /// Withholds capacity from the later steps of the round, so that urgent steps find room when they
-/// arrive: on the workers in use that have the most room, for each service with many workers and a
-/// queue of the highest priority.
+/// arrive: on the workers with the most room, for each service with a queue of the highest
+/// priority.
 void withholdForUrgent(const scheduler &cell, headroom_map &headrooms);
 
 } // namespace bramleygrade::cell
