--- a/src/cell/placement_round.cpp
+++ b/src/cell/placement_round.cpp
@@ -1,6 +1,5 @@
 #include <algorithm>
 
-#include "cell/held_capacity.h"
 #include "cell/placement.h"
 #include "cell/scheduler.h"
 
@@ -8,6 +7,10 @@
 
 namespace {
 
+/// Waiting gangs may hold the processors of a service's workers over this divisor, without the
+/// capacity that was freed for them by preemption.
+constexpr std::int64_t heldShareDivisor = 8;
+
 /// Steps planned in one round. It bounds the duration of a round, during which no answer is read,
 /// however many steps wait; the next round follows at once.
 constexpr int maxPlansPerRound = 100;
@@ -338,6 +341,16 @@
     return !spec.gang && (largest == limits.end() || !fits(reservedDemand(spec), largest->second));
 }
 
+/// Returns the processor time that waiting gangs may hold, by service.
+std::map<std::string, std::int64_t> makeGangBudgets(const scheduler &cell)
+{
+    std::map<std::string, std::int64_t> budgets;
+    for (const auto &[id, worker] : cell.workers) {
+        budgets[worker.entry.service] += worker.entry.capacity.cpuMilli / heldShareDivisor;
+    }
+    return budgets;
+}
+
 void recordHeadroom(const headroom_map &headrooms, resources worker_state::*field)
 {
     for (const auto &[id, headroom] : headrooms) {
@@ -358,7 +371,7 @@
         return;
     }
     headroom_map headrooms = collectHeadroom(cell, now);
-    processor_budgets gangBudgets = makeGangBudgets(cell);
+    std::map<std::string, std::int64_t> gangBudgets = makeGangBudgets(cell);
     deductReservations(waiting, headrooms, now);
     const headroom_limits limits = maxHeadroomByService(headrooms);
     bool urgentDone = false;
@@ -366,7 +379,6 @@
     for (const waiting_step &step : waiting) {
         if (!urgentDone && !isUrgent(step)) {
             recordHeadroom(headrooms, &worker_state::headroomOfUrgent);
-            withholdForUrgent(cell, headrooms);
             urgentDone = true;
         }
         if (isUnplaceable(step, limits) || now < stepState(step).planNotBefore) {
