Revert "A gang withholds nothing while its call for advice is open"

A step that finds no worker to ask about is prepared again after 50 ms, each time over all workers, and in a fuller cell more steps find none. It has to be mended first; then the rule is worth another try.

--- a/src/cell/placement_round.cpp
+++ b/src/cell/placement_round.cpp
@@ -234,17 +234,16 @@
     out.advice.push_back(std::move(order));
 }
 
-/// Handles a gang that does not fit: reserves capacity by preempting other runs, or else, unless
-/// a call for advice is open, withholds free capacity of some workers from later steps. Returns the
-/// processor time withheld, in thousandths of a processor, without reservations.
+/// Handles a gang that does not fit: reserves capacity by preempting other runs, or else withholds
+/// free capacity of some workers from later steps. Returns the processor time withheld, in
+/// thousandths of a processor, without reservations.
 std::int64_t deferGang(scheduler &cell, const waiting_step &waiting, headroom_map &headrooms,
                        timestamp now, orders &out)
 {
     step_state &step = stepState(waiting);
     std::vector<std::string> chosen = preemptForGang(cell, waiting, headrooms, now, out);
     if (!holdsReservation(step, now)) {
-        // The answer to an open call may name workers that suit the gang better.
-        return step.advicePending ? 0 : withholdForGang(waiting, waiting.tasks.size(), headrooms);
+        return withholdForGang(waiting, waiting.tasks.size(), headrooms);
     }
     for (const auto &[id, reservation] : step.reservations) {
         const auto headroom = headrooms.find(id);
