--- a/test/cell/cluster_test.cpp
+++ b/test/cell/cluster_test.cpp
@@ -49,6 +49,22 @@
     requestDecision(*scheduler.entry);
 }
 
+/// A cluster whose scheduler polls one worker.
+struct polling_cluster : cluster_fixture
+{
+    polling_cluster()
+    {
+        BOOST_REQUIRE_MESSAGE(startError.empty(), startError);
+        BOOST_REQUIRE(runUntil([this] { return hasAgreedLeader(); }));
+        lead = leader();
+        addPolledWorker(*lead, polls);
+        BOOST_REQUIRE(runUntil([this] { return polls > 3; }));
+    }
+
+    cluster_member *lead = nullptr;
+    int polls = 0;
+};
+
 /// Longer than a scheduler may give orders without a confirmation of its leadership.
 constexpr microseconds unconfirmedTime = 3 * second;
 /// Time in which a worker is polled several times.
@@ -115,17 +131,11 @@
 
 // A successor counts on it: tasks that may run on a silent worker start elsewhere once the leases
 // that its predecessor could still grant have run out.
-BOOST_FIXTURE_TEST_CASE(a_scheduler_that_nobody_confirms_gives_no_orders, cluster_fixture)
+BOOST_FIXTURE_TEST_CASE(a_scheduler_that_nobody_confirms_gives_no_orders, polling_cluster)
 {
-    BOOST_REQUIRE_MESSAGE(startError.empty(), startError);
-    BOOST_REQUIRE(runUntil([this] { return hasAgreedLeader(); }));
-    cluster_member &lead = *leader();
-    int polls = 0;
-    addPolledWorker(lead, polls);
-    BOOST_REQUIRE(runUntil([&] { return polls > 3; }));
-    table.disconnectedEntries.insert(lead.entry->settings.name);
+    table.disconnectedEntries.insert(lead->entry->settings.name);
     for (const auto &member : members) {
-        member->frozen = member.get() != &lead;
+        member->frozen = member.get() != lead;
     }
     runFor(unconfirmedTime);
     const int pollsBefore = polls;
@@ -135,31 +145,25 @@
         member->frozen = false;
     }
     table.disconnectedEntries.clear();
-    BOOST_REQUIRE(runUntil([&] { return polls > pollsBefore || leader() != &lead; }));
+    BOOST_REQUIRE(runUntil([&] { return polls > pollsBefore || leader() != lead; }));
 }
 
 // The answers to its last heartbeats wait in the socket buffers while the scheduler is paused.
-BOOST_FIXTURE_TEST_CASE(answers_from_before_a_pause_do_not_confirm_the_scheduler, cluster_fixture)
+BOOST_FIXTURE_TEST_CASE(answers_from_before_a_pause_do_not_confirm_the_scheduler, polling_cluster)
 {
-    BOOST_REQUIRE_MESSAGE(startError.empty(), startError);
-    BOOST_REQUIRE(runUntil([this] { return hasAgreedLeader(); }));
-    cluster_member &lead = *leader();
-    int polls = 0;
-    addPolledWorker(lead, polls);
-    BOOST_REQUIRE(runUntil([&] { return polls > 3; }));
-    table.disconnectedEntries.insert(lead.entry->settings.name);
-    lead.entry->leaderState->nextHeartbeatAt = distantPast;
-    tickLeader(*lead.entry, steadyNow()); // sends heartbeats
-    lead.loop.restart();
-    lead.loop.poll(); // without waiting for the answers
-    lead.frozen = true;
+    table.disconnectedEntries.insert(lead->entry->settings.name);
+    lead->entry->leaderState->nextHeartbeatAt = distantPast;
+    tickLeader(*lead->entry, steadyNow()); // sends heartbeats
+    lead->loop.restart();
+    lead->loop.poll(); // without waiting for the answers
+    lead->frozen = true;
     runFor(100 * millisecond);
     for (const auto &member : members) {
         member->frozen = true;
     }
     runFor(unconfirmedTime);
     const int pollsBefore = polls;
-    lead.frozen = false;
+    lead->frozen = false;
     runFor(pollingTime);
     BOOST_TEST(polls == pollsBefore);
 }
