Test: state calls on a silent connection get no answer

Each call of a caller is forwarded to the scheduler once and stays in flight until the caller's deadline. If the connection delivers nothing any more while new ones work, a GET is answered 504 after 2.94 s of 3 s.

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -99,6 +99,16 @@
     set_tests_properties(${failure} PROPERTIES RUN_SERIAL TRUE COST 1)
 endforeach()
 
+# Calls that one entry forwards to the scheduler; each failure is a test of its own.
+add_executable(cell_forwarding_test test/cell/forwarding_test.cpp testing/cell/memory_table.cpp)
+target_include_directories(cell_forwarding_test PRIVATE ${CMAKE_SOURCE_DIR}
+                                                        ${CMAKE_SOURCE_DIR}/test/cell)
+target_link_libraries(cell_forwarding_test PRIVATE bramleygrade_platform Boost::headers)
+add_test(NAME cell_forwarding COMMAND cell_forwarding_test "--run_test=!lost_*")
+foreach(failure lost_answer_on_a_silent_connection)
+    add_test(NAME ${failure} COMMAND cell_forwarding_test --run_test=${failure})
+endforeach()
+
 add_executable(platform_formats_test platform/test/formats_test.cpp)
 target_link_libraries(platform_formats_test PRIVATE bramleygrade_platform Boost::headers)
 add_test(NAME platform_formats COMMAND platform_formats_test)
--- /dev/null
+++ b/test/cell/forwarding_test.cpp
@@ -0,0 +1,132 @@
+#define BOOST_TEST_MODULE forwarding
+#include <boost/test/included/unit_test.hpp>
+
+#include <list>
+#include <set>
+
+#include "cluster_fixture.h"
+
+using namespace bramleygrade;
+using namespace bramleygrade::entry;
+
+namespace {
+
+/// An entry that forwards its callers' calls to a scheduler played by the test, which receives the
+/// calls on `schedulerServer` and answers each with the state `completed`.
+struct forwarding_fixture
+{
+    forwarding_fixture()
+        : entry(loop, makeSettings())
+        , schedulerServer(
+              loop,
+              [this](const net::http_request &request, const net::http_server::responder &respond) {
+                  serve(request, respond);
+              },
+              {64U << 10U, 8U << 10U, 60 * second})
+    {
+        entry.ports.store = table.makePort(entry.settings.name, loop);
+        entry.ports.codec.decode = [](const net::http_request &request, const cell::cell_config &) {
+            return testing::decodeTestRequest(request);
+        };
+        entry.ports.codec.encode = testing::encodeStatus;
+        entry.scheduler = {"scheduler", schedulerAddress()};
+        BOOST_REQUIRE_EQUAL(schedulerServer.listen(entry.scheduler.address), "");
+    }
+
+    static cell_settings makeSettings()
+    {
+        cell_settings settings;
+        settings.name = "entry-1";
+        settings.logLinesPerSecond = 0;
+        return settings;
+    }
+
+    /// Returns an unused address. Concurrent test processes use different port ranges.
+    static std::string schedulerAddress()
+    {
+        constexpr int firstPort = 22'000;
+        constexpr int portsPerProcess = 8;
+        constexpr int processes = 1'000;
+        static int used = 0;
+        return "127.0.0.1:"
+            + std::to_string(firstPort + (getpid() % processes) * portsPerProcess + used++);
+    }
+
+    void serve(const net::http_request &request, const net::http_server::responder &respond)
+    {
+        ++received;
+        if (isSilent || silentPeers.count(request.peer) > 0) {
+            return;
+        }
+        peers.insert(request.peer);
+        caller_answer answer;
+        answer.kind = answer_kind::state;
+        answer.phase = cell::job_phase::completed;
+        respond({200, {}, encodeAnswer(answer)});
+    }
+
+    /// Serves a caller's request; writes the status of the answer to `status` on arrival.
+    void call(const char *method, int &status)
+    {
+        net::http_request request;
+        request.method = method;
+        request.target = "/a";
+        serveCaller(entry, request,
+                    [&status](const net::http_response &response) { status = response.status; });
+    }
+
+    /// Serves calls that are in progress at the same time and returns the answers.
+    std::list<int> callAndWait(const char *method, int count = 1)
+    {
+        std::list<int> statuses(static_cast<std::size_t>(count), -1);
+        entry.schedulerSeenAt = isSchedulerKnown ? steadyNow() : distantPast;
+        for (int &status : statuses) {
+            call(method, status);
+        }
+        while (std::count(statuses.begin(), statuses.end(), -1) > 0) {
+            loop.restart();
+            loop.run_for(std::chrono::milliseconds(10));
+            entry.schedulerSeenAt = isSchedulerKnown ? steadyNow() : distantPast;
+            expireForwarded(entry, steadyNow());
+        }
+        return statuses;
+    }
+
+    boost::asio::io_context loop;
+    testing::memory_table table;
+    entry_state entry;
+    net::http_server schedulerServer;
+    /// Number of requests that the scheduler has received.
+    int received = 0;
+    /// Remote addresses of the connections on which the scheduler has answered.
+    std::set<std::string> peers;
+    /// Remote addresses of the connections on which the scheduler no longer answers.
+    std::set<std::string> silentPeers;
+    bool isSilent = false;
+    bool isSchedulerKnown = true;
+};
+
+using statuses = std::list<int>;
+
+} // namespace
+
+// Guards against calls that wait until the caller's deadline on a connection that delivers nothing
+// any more, although the scheduler answers on new connections.
+BOOST_FIXTURE_TEST_CASE(lost_answer_on_a_silent_connection, forwarding_fixture)
+{
+    constexpr int burst = 4;
+    BOOST_TEST(callAndWait("GET", burst) == statuses(burst, 200));
+    silentPeers = peers;
+    BOOST_REQUIRE(silentPeers.size() == std::size_t {burst});
+    received = 0;
+    BOOST_TEST(callAndWait("GET") == statuses {200});
+    BOOST_TEST(received <= 2);
+    BOOST_TEST(callAndWait("GET", burst) == statuses(burst, 200));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_call_that_changes_a_job_is_sent_once, forwarding_fixture)
+{
+    isSilent = true;
+    BOOST_TEST(callAndWait("POST") == statuses {504});
+    BOOST_TEST(received == 1);
+}
