State and pending calls are sent again when a connection is silent

Cause: a forwarded call was in flight until the caller's deadline, whatever happened to its connection. Idle connections to the scheduler are kept for an hour, so each one that a silent cut or a forgotten flow has made useless costs a call its whole time.

Change: after a third of the remaining time a state or pending call is sent once more. Idle connections that have carried no answer since the first attempt are not reused for it, so a burst of such connections costs one wait, not one each. Answers to the first attempt still count, since the scheduler may only be busy; submissions and cancellations are sent once as before. caller_calls_hedged_total counts the second attempts.

--- a/src/entry/callers.cpp
+++ b/src/entry/callers.cpp
@@ -24,6 +24,10 @@
 /// Time without a heartbeat after which no calls are forwarded to the scheduler.
 constexpr microseconds forwardingTimeout = 1'200 * millisecond;
 
+/// Share of a caller's remaining time after which an unanswered call that changes nothing is sent
+/// again, in parts per thousand.
+constexpr microseconds hedgeShareMilli = 333;
+
 /// Maximum number of calls in flight at one entry, as each holds a connection: several times what
 /// the users' target of 180 starts per second produces in 3 s.
 constexpr std::size_t maxForwardedCalls = 2'000;
@@ -67,26 +71,38 @@
     }
 }
 
-void sendToScheduler(entry_state &entry, const call_pointer &call, int attempt)
+bool changesNothing(const caller_call &call)
+{
+    return call.kind == call_kind::state || call.kind == call_kind::pending;
+}
+
+void sendToScheduler(entry_state &entry, const call_pointer &call,
+                     timestamp reuseConnectionsSince = distantPast)
 {
-    // Not idempotent: if the client resent the request to the same scheduler, a refusal of the
+    const timestamp now = steadyNow();
+    const int attempt = ++call->attempt;
+    call->inFlight = true;
+    call->attemptedAt = now;
+    net::http_call request;
+    request.address = entry.scheduler.address;
+    request.target = "/call";
+    request.body = encodeCall({call->call, call->deadline - now - forwardMargin});
+    request.deadline = call->deadline;
+    // If the client resent a submission or cancellation to the same scheduler, a refusal of the
     // second attempt would say nothing about the first.
-    const microseconds callTimeout = call->deadline - steadyNow();
-    sendPeer(entry, entry.scheduler.address, "/call",
-             encodeCall({call->call, callTimeout - forwardMargin}), callTimeout, false,
-             [&entry, call, attempt](const net::call_result &result) {
-                 const auto answer = decodeAnswer(result.body);
-                 if (result.outcome == net::call_outcome::answered && result.status == 200
-                     && answer) {
-                     handleAttemptResult(entry, call, attempt, *answer);
-                     return;
-                 }
-                 caller_answer failure;
-                 failure.kind = result.outcome == net::call_outcome::not_sent
-                     ? answer_kind::not_scheduler
-                     : answer_kind::unknown;
-                 handleAttemptResult(entry, call, attempt, failure);
-             });
+    request.idempotent = changesNothing(call->call);
+    request.reuseConnectionsSince = reuseConnectionsSince;
+    sendPeer(entry, std::move(request), [&entry, call, attempt](const net::call_result &result) {
+        const auto answer = decodeAnswer(result.body);
+        if (result.outcome == net::call_outcome::answered && result.status == 200 && answer) {
+            handleAttemptResult(entry, call, attempt, *answer);
+            return;
+        }
+        caller_answer failure;
+        failure.kind = result.outcome == net::call_outcome::not_sent ? answer_kind::not_scheduler
+                                                                     : answer_kind::unknown;
+        handleAttemptResult(entry, call, attempt, failure);
+    });
 }
 
 void attemptCall(entry_state &entry, const call_pointer &call)
@@ -106,8 +122,22 @@
     const bool isSchedulerKnown =
         !entry.scheduler.address.empty() && steadyNow() < entry.schedulerSeenAt + forwardingTimeout;
     if (isSchedulerKnown) {
-        call->inFlight = true;
-        sendToScheduler(entry, call, ++call->attempt);
+        if (changesNothing(call->call)) {
+            const timestamp now = steadyNow();
+            call->hedgeAt = now + (call->deadline - now) * hedgeShareMilli / 1'000;
+        }
+        sendToScheduler(entry, call);
+    }
+}
+
+/// Sends an unanswered call once more, on a connection that has been used since. Answers to the
+/// earlier attempt still count, as the scheduler may only be busy.
+void hedgeCall(entry_state &entry, const call_pointer &call)
+{
+    call->hedgeAt = distantFuture;
+    if (!entry.leaderState && !entry.scheduler.address.empty()) {
+        ++entry.metrics.counters["caller_calls_hedged_total"];
+        sendToScheduler(entry, call, call->attemptedAt);
     }
 }
 
@@ -237,6 +267,8 @@
             finishCall(entry, call, answer);
         } else if (!call->inFlight) {
             attemptCall(entry, call);
+        } else if (now >= call->hedgeAt) {
+            hedgeCall(entry, call);
         }
     }
 }
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -142,6 +142,10 @@
     bool inFlight = false;
     /// Number of the newest attempt; answers to earlier attempts are told apart by it.
     int attempt = 0;
+    /// When the newest attempt was sent.
+    timestamp attemptedAt = distantPast;
+    /// When a call that changes nothing is sent again beside an unanswered attempt.
+    timestamp hedgeAt = distantFuture;
     bool answered = false;
 };
 
@@ -248,6 +252,7 @@
 void sendPeer(entry_state &entry, const std::string &address, const std::string &path,
               std::string body, microseconds timeout, bool idempotent,
               std::function<void(net::call_result)> done);
+void sendPeer(entry_state &entry, net::http_call call, std::function<void(net::call_result)> done);
 
 // membership.cpp
 /// Records a turn of the event loop's timer and measures how late it is.
--- a/src/entry/peers.cpp
+++ b/src/entry/peers.cpp
@@ -162,14 +162,19 @@
               std::string body, microseconds timeout, bool idempotent,
               std::function<void(net::call_result)> done)
 {
-    const net::duty_scope scope(&entry.meter, dutyOfPeerPath(path));
     net::http_call call;
     call.address = address;
-    call.method = "POST";
     call.target = path;
     call.body = std::move(body);
     call.deadline = steadyNow() + timeout;
     call.idempotent = idempotent;
+    sendPeer(entry, std::move(call), std::move(done));
+}
+
+void sendPeer(entry_state &entry, net::http_call call, std::function<void(net::call_result)> done)
+{
+    const net::duty_scope scope(&entry.meter, dutyOfPeerPath(call.target));
+    call.method = "POST";
     ++entry.metrics.counters["peer_calls_total{side=\"client\"}"];
     entry.metrics.counters["peer_bytes_total{direction=\"sent\"}"] += call.body.size();
     entry.client.send(std::move(call),
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -47,6 +47,8 @@
     }
     tcp::socket socket;
     boost::beast::flat_buffer buffer;
+    /// When the newest response was read.
+    timestamp usedAt = distantPast;
 };
 
 struct http_client::state
@@ -81,6 +83,11 @@
         prepare();
         armTimer();
         auto &idleConnections = client->idle[call.address];
+        // The last one was used last.
+        if (!idleConnections.empty()
+            && idleConnections.back()->usedAt < call.reuseConnectionsSince) {
+            idleConnections.clear();
+        }
         if (!idleConnections.empty()) {
             conn = idleConnections.back();
             idleConnections.pop_back();
@@ -183,6 +190,7 @@
     {
         auto &idleConnections = client->idle[call.address];
         if (parser->get().keep_alive() && idleConnections.size() < maxIdlePerAddress) {
+            conn->usedAt = client->now();
             idleConnections.push_back(conn);
         }
         auto &response = parser->get();
--- a/src/net/http_message.h
+++ b/src/net/http_message.h
@@ -42,6 +42,8 @@
     timestamp deadline = distantFuture;
     /// Whether the request may be sent again if a reused connection turns out to be closed.
     bool idempotent = false;
+    /// Idle connections last used before this time are not reused.
+    timestamp reuseConnectionsSince = distantPast;
 };
 
 enum class call_outcome {
