Tests: state calls that only the scheduler can answer

A state call is answered by the scheduler alone, from its memory and the table of ended jobs.

- the scheduler is silent or not known: 504 at the deadline, or 503;
- the rows are being loaded: 504 at the deadline;
- a scheduler that was replaced unawares answers 410 about a job of its successor.

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -105,7 +105,8 @@
                                                         ${CMAKE_SOURCE_DIR}/test/cell)
 target_link_libraries(cell_forwarding_test PRIVATE bramleygrade_platform Boost::headers)
 add_test(NAME cell_forwarding COMMAND cell_forwarding_test "--run_test=!lost_*")
-foreach(failure lost_answer_on_a_silent_connection)
+foreach(failure lost_answer_on_a_silent_connection lost_answer_while_no_scheduler_answers
+                lost_answer_while_the_rows_are_loaded lost_job_accepted_by_a_successor)
     add_test(NAME ${failure} COMMAND cell_forwarding_test --run_test=${failure})
 endforeach()
 
--- a/test/cell/forwarding_test.cpp
+++ b/test/cell/forwarding_test.cpp
@@ -28,7 +28,10 @@
         entry.ports.codec.decode = [](const net::http_request &request, const cell::cell_config &) {
             return testing::decodeTestRequest(request);
         };
-        entry.ports.codec.encode = testing::encodeStatus;
+        entry.ports.codec.encode = [this](const caller_answer &answer) {
+            phase = answer.phase;
+            return testing::encodeStatus(answer);
+        };
         entry.scheduler = {"scheduler", schedulerAddress()};
         BOOST_REQUIRE_EQUAL(schedulerServer.listen(entry.scheduler.address), "");
     }
@@ -65,6 +68,26 @@
         respond({200, {}, encodeAnswer(answer)});
     }
 
+    /// Makes the entry the scheduler, or lets it load the rows to become it.
+    void lead(entry_role role)
+    {
+        entry.leaderState = std::make_unique<leader_state>();
+        entry.role = role;
+    }
+
+    void putEndedRow(const char *inTable)
+    {
+        const std::string value = encodeEnded({cell::job_phase::completed, 0});
+        table.rows[{inTable, "a"}] = {inTable, "a", value, ++table.version, false};
+    }
+
+    void putJobRow()
+    {
+        cell::job_state job;
+        job.spec.steps.emplace_back();
+        table.rows[{jobTable, "a"}] = {jobTable, "a", encodeJob(job, 0), ++table.version, false};
+    }
+
     /// Serves a caller's request; writes the status of the answer to `status` on arrival.
     void call(const char *method, int &status)
     {
@@ -98,6 +121,8 @@
     net::http_server schedulerServer;
     /// Number of requests that the scheduler has received.
     int received = 0;
+    /// Phase in the newest answer to a caller.
+    cell::job_phase phase = cell::job_phase::queued;
     /// Remote addresses of the connections on which the scheduler has answered.
     std::set<std::string> peers;
     /// Remote addresses of the connections on which the scheduler no longer answers.
@@ -124,6 +149,53 @@
     BOOST_TEST(callAndWait("GET", burst) == statuses(burst, 200));
 }
 
+// Guards against state calls that get no answer, or a refusal, while no scheduler answers, although
+// the rows show that the job was accepted.
+BOOST_FIXTURE_TEST_CASE(lost_answer_while_no_scheduler_answers, forwarding_fixture)
+{
+    isSilent = true;
+    for (const bool known : {true, false}) {
+        isSchedulerKnown = known;
+        table.rows.clear();
+        putEndedRow(endedTable);
+        BOOST_TEST(callAndWait("GET") == statuses {200});
+        BOOST_TEST((phase == cell::job_phase::completed));
+        table.rows.clear();
+        putEndedRow(jobTable); // ended in place
+        BOOST_TEST(callAndWait("GET") == statuses {200});
+        BOOST_TEST((phase == cell::job_phase::completed));
+        table.rows.clear();
+        putJobRow();
+        BOOST_TEST(callAndWait("GET") == statuses {200});
+        BOOST_TEST((phase == cell::job_phase::queued));
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(lost_answer_while_the_rows_are_loaded, forwarding_fixture)
+{
+    lead(entry_role::loading);
+    putEndedRow(endedTable);
+    BOOST_TEST(callAndWait("GET") == statuses {200});
+}
+
+// Guards against a scheduler that was replaced while it was paused and does not know the jobs that
+// its successor has accepted.
+BOOST_FIXTURE_TEST_CASE(lost_job_accepted_by_a_successor, forwarding_fixture)
+{
+    lead(entry_role::scheduler);
+    putJobRow();
+    BOOST_TEST(callAndWait("GET") == statuses {200});
+    BOOST_TEST((phase == cell::job_phase::queued));
+}
+
+BOOST_FIXTURE_TEST_CASE(only_the_scheduler_says_that_there_is_no_such_job, forwarding_fixture)
+{
+    isSilent = true;
+    BOOST_TEST(callAndWait("GET") == statuses {504});
+    lead(entry_role::scheduler);
+    BOOST_TEST(callAndWait("GET") == statuses {410});
+}
+
 BOOST_FIXTURE_TEST_CASE(a_call_that_changes_a_job_is_sent_once, forwarding_fixture)
 {
     isSilent = true;
