A scheduler looks for an unknown job in the table of jobs too

Callers could be told 410 about an accepted job: a scheduler that was replaced while it was paused, or cut off from the other entries, has not loaded the jobs that its successor has accepted, and looked only into the table of ended jobs.

Change: a job that the scheduler does not know is read from the table of jobs first and then from that of ended jobs. An ending job moves from the first to the second in one write, so this order misses it in neither. A cancellation of a job that lives in the rows only is answered 'unknown', not 410. An answer of 410 takes one more read of the table service.

--- a/src/entry/calls.cpp
+++ b/src/entry/calls.cpp
@@ -1,5 +1,3 @@
-#include <algorithm>
-
 #include "entry/entry.h"
 
 namespace bramleygrade::entry {
@@ -9,7 +7,6 @@
 /// Maximum number of calls queued while the rows are loaded: about 10 s of calls at the users'
 /// target of at most 200 per second.
 constexpr std::size_t maxDeferredCalls = 2'000;
-constexpr microseconds lookupTimeout = 800 * millisecond;
 /// Delay after which a refused caller may retry while the store is down or slow, or the rows are
 /// still being loaded.
 constexpr microseconds storeRetryAfter = 2 * second;
@@ -47,35 +44,20 @@
     answer(reply);
 }
 
-/// Reads one row of `table` and passes it to `found`, or null if it does not exist. If the read
-/// fails, answers `unknown` and does not call `found`.
-void readRow(entry_state &entry, const char *table, const std::string &key,
-             const answer_function &answer, const std::function<void(const stored_row *)> &found)
-{
-    entry.ports.store.read({table, key, key + "!", true}, steadyNow() + lookupTimeout,
-                           [key, answer, found](const store_result &result) {
-                               if (result.outcome != store_outcome::done) {
-                                   answerSimple(answer, answer_kind::unknown);
-                                   return;
-                               }
-                               const auto row = std::find_if(result.rows.begin(), result.rows.end(),
-                                                             [&](const stored_row &candidate) {
-                                                                 return candidate.key == key;
-                                                             });
-                               found(row == result.rows.end() ? nullptr : &*row);
-                           });
-}
-
 void answerFromStore(entry_state &entry, const caller_call &call, const answer_function &answer)
 {
-    readRow(entry, endedTable, call.job, answer, [call, answer](const stored_row *row) {
-        const auto ended = row == nullptr ? std::nullopt : decodeEnded(row->value);
-        if (!ended) {
+    lookUpJob(entry, call.job, [kind = call.kind, answer](const job_lookup &lookup) {
+        if (lookup.outcome == lookup_outcome::failed) {
+            answerSimple(answer, answer_kind::unknown);
+        } else if (lookup.outcome == lookup_outcome::no_such_job) {
             answerSimple(answer, answer_kind::no_such_job);
-        } else if (call.kind == call_kind::cancel) {
-            answerSimple(answer, answer_kind::accepted);
+        } else if (kind != call_kind::cancel) {
+            answerPhase(answer, lookup.phase);
         } else {
-            answerPhase(answer, ended->phase);
+            // A live job that this scheduler does not know was accepted by another one.
+            const bool isFinal =
+                lookup.phase != cell::job_phase::queued && lookup.phase != cell::job_phase::running;
+            answerSimple(answer, isFinal ? answer_kind::accepted : answer_kind::unknown);
         }
     });
 }
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -39,6 +39,21 @@
 
 using answer_function = std::function<void(caller_answer)>;
 
+enum class lookup_outcome {
+    failed, ///< the rows could not be read
+    found,
+    no_such_job, ///< no accepted job has this id
+};
+
+/// What the rows say about a job; `phase` is used if it was found.
+struct job_lookup
+{
+    lookup_outcome outcome = lookup_outcome::failed;
+    cell::job_phase phase = cell::job_phase::queued;
+};
+
+using lookup_completion = std::function<void(job_lookup)>;
+
 /// A call that is answered once its change is stored, or at `expiresAt`.
 struct write_waiter
 {
@@ -322,6 +337,10 @@
 void handleCall(entry_state &entry, const caller_call &call, timestamp deadline,
                 const answer_function &answer);
 
+// job_lookup.cpp
+/// Reads the job's phase from the rows, which every entry can do.
+void lookUpJob(entry_state &entry, const std::string &job, const lookup_completion &done);
+
 // watches.cpp
 /// Calls `run` on the entry's event loop after the pause, unless the loop has stopped.
 void runAfter(entry_state &entry, microseconds pause, const std::function<void()> &run);
--- /dev/null
+++ b/src/entry/job_lookup.cpp
@@ -0,0 +1,70 @@
+#include <algorithm>
+
+#include "entry/entry.h"
+
+namespace bramleygrade::entry {
+
+namespace {
+
+constexpr microseconds lookupTimeout = 800 * millisecond;
+
+/// Reads one row of `table` and passes it to `found`, or null if it does not exist. If the read
+/// fails, passes a failed lookup to `done` instead.
+void readRow(entry_state &entry, const char *table, const std::string &key,
+             const lookup_completion &done, const std::function<void(const stored_row *)> &found)
+{
+    entry.ports.store.read({table, key, key + "!", true}, steadyNow() + lookupTimeout,
+                           [key, done, found](const store_result &result) {
+                               if (result.outcome != store_outcome::done) {
+                                   done({});
+                                   return;
+                               }
+                               const auto row = std::find_if(result.rows.begin(), result.rows.end(),
+                                                             [&](const stored_row &candidate) {
+                                                                 return candidate.key == key;
+                                                             });
+                               found(row == result.rows.end() ? nullptr : &*row);
+                           });
+}
+
+job_lookup makeLookup(std::optional<cell::job_phase> phase)
+{
+    job_lookup lookup;
+    lookup.outcome = phase ? lookup_outcome::found : lookup_outcome::no_such_job;
+    lookup.phase = phase.value_or(cell::job_phase::queued);
+    return lookup;
+}
+
+void lookUpEndedJob(entry_state &entry, const std::string &job, const lookup_completion &done)
+{
+    readRow(entry, endedTable, job, done, [done](const stored_row *row) {
+        const auto ended = row == nullptr ? std::nullopt : decodeEnded(row->value);
+        done(makeLookup(ended ? std::optional(ended->phase) : std::nullopt));
+    });
+}
+
+void lookUpProgress(entry_state &entry, const std::string &job, const lookup_completion &done)
+{
+    readRow(entry, progressTable, job, done, [done](const stored_row *row) {
+        done(makeLookup(row == nullptr ? cell::job_phase::queued : cell::job_phase::running));
+    });
+}
+
+} // namespace
+
+void lookUpJob(entry_state &entry, const std::string &job, const lookup_completion &done)
+{
+    // An ending job moves from the table of jobs to that of ended jobs, so it is missed by neither
+    // read in this order.
+    readRow(entry, jobTable, job, done, [&entry, job, done](const stored_row *row) {
+        if (row == nullptr) {
+            lookUpEndedJob(entry, job, done);
+        } else if (const auto ended = decodeEnded(row->value)) {
+            done(makeLookup(ended->phase));
+        } else {
+            lookUpProgress(entry, job, done);
+        }
+    });
+}
+
+} // namespace bramleygrade::entry
