State calls are answered from the rows when no scheduler answers

Cause: only the scheduler answered state calls. While it was silent, a call got 504 at the caller's deadline; while none was known, 503 after 1.6 s; while the rows were being loaded, the call waited for all of them.

Change: after half of the caller's time, 1.5 s at most, an entry that is not the scheduler reads the job's rows itself; the reads are linearizable, so the answer is no older than one that a caller was given. At most one lookup begins in each turn of the timer (50 ms), so many calls at once leave the reads of the table service to a new scheduler. 410 is still answered by the scheduler alone. caller_lookups_total counts the lookups.

--- a/src/entry/callers.cpp
+++ b/src/entry/callers.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <utility>
 
 #include "entry/entry.h"
 
@@ -28,6 +29,11 @@
 /// again, in parts per thousand.
 constexpr microseconds hedgeShareMilli = 333;
 
+/// Time, and share of a caller's whole time, after which a state call without an answer is answered
+/// from the rows: before a call is refused for lack of a scheduler.
+constexpr microseconds maxLookupDelay = schedulerWaitLimit - 100 * millisecond;
+constexpr microseconds lookupShareMilli = 500;
+
 /// Maximum number of calls in flight at one entry, as each holds a connection: several times what
 /// the users' target of 180 starts per second produces in 3 s.
 constexpr std::size_t maxForwardedCalls = 2'000;
@@ -141,6 +147,25 @@
     }
 }
 
+/// Answers a state call from the rows if they show the job. Only the scheduler answers that there
+/// is no such job.
+void answerFromRows(entry_state &entry, const call_pointer &call)
+{
+    call->lookupAt = distantFuture;
+    // The call is not refused before the rows are read.
+    const timestamp holdUntil = std::exchange(call->holdUntil, call->deadline);
+    ++entry.metrics.counters["caller_lookups_total"];
+    lookUpJob(entry, call->call.job, [&entry, call, holdUntil](const job_lookup &lookup) {
+        call->holdUntil = holdUntil;
+        if (lookup.outcome == lookup_outcome::found) {
+            caller_answer answer;
+            answer.kind = answer_kind::state;
+            answer.phase = lookup.phase;
+            finishCall(entry, call, answer);
+        }
+    });
+}
+
 bool answerFromPendingCounts(entry_state &entry, const caller_call &call,
                              const answer_function &answer)
 {
@@ -234,6 +259,10 @@
         decoded.callTimeout > 0 ? decoded.callTimeout : defaultCallTimeout;
     call->deadline = now + std::min(callTimeout, maxCallTimeout);
     call->holdUntil = std::min(call->deadline - answerMargin, now + schedulerWaitLimit);
+    if (decoded.call.kind == call_kind::state) {
+        call->lookupAt =
+            now + std::min((call->deadline - now) * lookupShareMilli / 1'000, maxLookupDelay);
+    }
     call->answer = answer;
     entry.forwardedCalls.push_back(call);
     attemptCall(entry, call);
@@ -250,8 +279,15 @@
 
 void expireForwarded(entry_state &entry, timestamp now)
 {
+    // At most one lookup begins in each turn, so that many calls at once do not use up the reads of
+    // the table service, which a new scheduler needs to load the rows.
+    bool mayLookUp = entry.role != entry_role::scheduler;
     const auto calls = entry.forwardedCalls;
     for (const call_pointer &call : calls) {
+        if (mayLookUp && now >= call->lookupAt) {
+            answerFromRows(entry, call);
+            mayLookUp = false;
+        }
         if (now >= call->deadline - answerMargin / 2) {
             caller_answer answer;
             answer.kind = call->inFlight || call->mayHaveTakenEffect ? answer_kind::unknown
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -161,6 +161,8 @@
     timestamp attemptedAt = distantPast;
     /// When a call that changes nothing is sent again beside an unanswered attempt.
     timestamp hedgeAt = distantFuture;
+    /// When a state call is answered from the rows if the scheduler has not answered it.
+    timestamp lookupAt = distantFuture;
     bool answered = false;
 };
 
--- a/src/entry/metrics.cpp
+++ b/src/entry/metrics.cpp
@@ -60,6 +60,7 @@
     {"task_ends_total", "Reported ends of runs, by outcome."},
     {"caller_answers_total", "Answers to callers, by kind."},
     {"caller_calls_hedged_total", "State and pending calls sent again for lack of an answer."},
+    {"caller_lookups_total", "State calls answered from the rows for lack of another answer."},
     {"jobs_total", "Jobs of this epoch, by state."},
     {"events_total", "Handlers called by the event loop, by duty."},
     {"body_bytes_total", "Bytes of HTTP bodies, by duty and direction."},
