--- a/src/entry/callers.cpp
+++ b/src/entry/callers.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <utility>
 
 #include "entry/entry.h"
 
@@ -24,6 +25,15 @@
 /// Time without a heartbeat after which no calls are forwarded to the scheduler.
 constexpr microseconds forwardingTimeout = 1'200 * millisecond;
 
+/// Share of a caller's remaining time after which an unanswered call that changes nothing is sent
+/// again, in parts per thousand.
+constexpr microseconds hedgeShareMilli = 333;
+
+/// Time, and share of a caller's whole time, after which a state call without an answer is answered
+/// from the rows: before a call is refused for lack of a scheduler.
+constexpr microseconds maxLookupDelay = schedulerWaitLimit - 100 * millisecond;
+constexpr microseconds lookupShareMilli = 500;
+
 /// Maximum number of calls in flight at one entry, as each holds a connection: several times what
 /// the users' target of 180 starts per second produces in 3 s.
 constexpr std::size_t maxForwardedCalls = 2'000;
@@ -67,26 +77,38 @@
     }
 }
 
-void sendToScheduler(entry_state &entry, const call_pointer &call, int attempt)
+bool changesNothing(const caller_call &call)
+{
+    return call.kind == call_kind::state || call.kind == call_kind::pending;
+}
+
+void sendToScheduler(entry_state &entry, const call_pointer &call,
+                     timestamp reuseConnectionsSince = distantPast)
 {
-    // Not idempotent: if the client resent the request to the same scheduler, a refusal of the
+    const timestamp now = steadyNow();
+    const int attempt = ++call->attempt;
+    call->inFlight = true;
+    call->attemptedAt = now;
+    net::http_call request;
+    request.address = entry.scheduler.address;
+    request.target = "/call";
+    request.body = encodeCall({call->call, call->deadline - now - forwardMargin});
+    request.deadline = call->deadline;
+    // If the client resent a submission or cancellation to the same scheduler, a refusal of the
     // second attempt would say nothing about the first.
-    const microseconds callTimeout = call->deadline - steadyNow();
-    sendPeer(entry, entry.scheduler.address, "/call",
-             encodeCall({call->call, callTimeout - forwardMargin}), callTimeout, false,
-             [&entry, call, attempt](const net::call_result &result) {
-                 const auto answer = decodeAnswer(result.body);
-                 if (result.outcome == net::call_outcome::answered && result.status == 200
-                     && answer) {
-                     handleAttemptResult(entry, call, attempt, *answer);
-                     return;
-                 }
-                 caller_answer failure;
-                 failure.kind = result.outcome == net::call_outcome::not_sent
-                     ? answer_kind::not_scheduler
-                     : answer_kind::unknown;
-                 handleAttemptResult(entry, call, attempt, failure);
-             });
+    request.idempotent = changesNothing(call->call);
+    request.reuseConnectionsSince = reuseConnectionsSince;
+    sendPeer(entry, std::move(request), [&entry, call, attempt](const net::call_result &result) {
+        const auto answer = decodeAnswer(result.body);
+        if (result.outcome == net::call_outcome::answered && result.status == 200 && answer) {
+            handleAttemptResult(entry, call, attempt, *answer);
+            return;
+        }
+        caller_answer failure;
+        failure.kind = result.outcome == net::call_outcome::not_sent ? answer_kind::not_scheduler
+                                                                     : answer_kind::unknown;
+        handleAttemptResult(entry, call, attempt, failure);
+    });
 }
 
 void attemptCall(entry_state &entry, const call_pointer &call)
@@ -106,11 +128,44 @@
     const bool isSchedulerKnown =
         !entry.scheduler.address.empty() && steadyNow() < entry.schedulerSeenAt + forwardingTimeout;
     if (isSchedulerKnown) {
-        call->inFlight = true;
-        sendToScheduler(entry, call, ++call->attempt);
+        if (changesNothing(call->call)) {
+            const timestamp now = steadyNow();
+            call->hedgeAt = now + (call->deadline - now) * hedgeShareMilli / 1'000;
+        }
+        sendToScheduler(entry, call);
     }
 }
 
+/// Sends an unanswered call once more, on a connection that has been used since. Answers to the
+/// earlier attempt still count, as the scheduler may only be busy.
+void hedgeCall(entry_state &entry, const call_pointer &call)
+{
+    call->hedgeAt = distantFuture;
+    if (!entry.leaderState && !entry.scheduler.address.empty()) {
+        ++entry.metrics.counters["caller_calls_hedged_total"];
+        sendToScheduler(entry, call, call->attemptedAt);
+    }
+}
+
+/// Answers a state call from the rows if they show the job. Only the scheduler answers that there
+/// is no such job.
+void answerFromRows(entry_state &entry, const call_pointer &call)
+{
+    call->lookupAt = distantFuture;
+    // The call is not refused before the rows are read.
+    const timestamp holdUntil = std::exchange(call->holdUntil, call->deadline);
+    ++entry.metrics.counters["caller_lookups_total"];
+    lookUpJob(entry, call->call.job, [&entry, call, holdUntil](const job_lookup &lookup) {
+        call->holdUntil = holdUntil;
+        if (lookup.outcome == lookup_outcome::found) {
+            caller_answer answer;
+            answer.kind = answer_kind::state;
+            answer.phase = lookup.phase;
+            finishCall(entry, call, answer);
+        }
+    });
+}
+
 bool answerFromPendingCounts(entry_state &entry, const caller_call &call,
                              const answer_function &answer)
 {
@@ -204,6 +259,10 @@
         decoded.callTimeout > 0 ? decoded.callTimeout : defaultCallTimeout;
     call->deadline = now + std::min(callTimeout, maxCallTimeout);
     call->holdUntil = std::min(call->deadline - answerMargin, now + schedulerWaitLimit);
+    if (decoded.call.kind == call_kind::state) {
+        call->lookupAt =
+            now + std::min((call->deadline - now) * lookupShareMilli / 1'000, maxLookupDelay);
+    }
     call->answer = answer;
     entry.forwardedCalls.push_back(call);
     attemptCall(entry, call);
@@ -220,8 +279,15 @@
 
 void expireForwarded(entry_state &entry, timestamp now)
 {
+    // At most one lookup begins in each turn, so that many calls at once do not use up the reads of
+    // the table service, which a new scheduler needs to load the rows.
+    bool mayLookUp = entry.role != entry_role::scheduler;
     const auto calls = entry.forwardedCalls;
     for (const call_pointer &call : calls) {
+        if (mayLookUp && now >= call->lookupAt) {
+            answerFromRows(entry, call);
+            mayLookUp = false;
+        }
         if (now >= call->deadline - answerMargin / 2) {
             caller_answer answer;
             answer.kind = call->inFlight || call->mayHaveTakenEffect ? answer_kind::unknown
@@ -237,6 +303,8 @@
             finishCall(entry, call, answer);
         } else if (!call->inFlight) {
             attemptCall(entry, call);
+        } else if (now >= call->hedgeAt) {
+            hedgeCall(entry, call);
         }
     }
 }
