Histories and tests in which workers' capacities shrink and grow

Nothing showed what the scheduler does when a worker's capacity changes while it runs. cell_histories has a new kind, `capacity`: capacities shrink, at times to near nothing or below what is in use, and grow again; the registry shows a change with the next heartbeat, or after an outage of the store; every fourth worker guards its capacity and refuses what does not fit; some steps scavenge. The check "start exceeds the capacity" takes a shrunk capacity into account once contact time and a heartbeat interval have passed (after an outage of the store, contact time after its end), by the time at which the order was sent. Runs that are being stopped count. All jobs must end once the faults stop.

The unit tests cover each resource, runs that are being stopped, unanswered starts, runs of a previous scheduler, growth with and without advice, and a reservation for a gang on a worker that shrinks.

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -70,8 +70,8 @@
 
 
 # Unit tests of the cell scheduler and its formats, and randomised histories in virtual time.
-foreach(unit advice_dispatch claim_order entry membership observation placement_round run_times scheduler
-             storing rows waiting_jobs watches writes)
+foreach(unit advice_dispatch changing_capacity claim_order entry membership observation placement_round run_times
+             scheduler storing rows waiting_jobs watches writes)
     add_executable(cell_${unit}_test test/cell/${unit}_test.cpp)
     target_include_directories(cell_${unit}_test PRIVATE ${CMAKE_SOURCE_DIR} ${CMAKE_SOURCE_DIR}/test/cell)
     target_link_libraries(cell_${unit}_test PRIVATE bramleygrade_platform Boost::headers)
@@ -104,7 +104,8 @@
 add_test(NAME platform_formats COMMAND platform_formats_test)
 
 add_executable(cell_histories testing/cell/cell_history.cpp testing/cell/histories_main.cpp
-                              testing/cell/history_events.cpp testing/cell/simulated_worker.cpp)
+                              testing/cell/history_events.cpp testing/cell/history_workers.cpp
+                              testing/cell/simulated_worker.cpp)
 target_include_directories(cell_histories PRIVATE ${CMAKE_SOURCE_DIR})
 target_link_libraries(cell_histories PRIVATE bramleygrade_entry)
 foreach(part RANGE 0 3)
@@ -124,6 +125,8 @@
 add_test(NAME short_wide_steps COMMAND short_wide_steps_test)
 add_test(NAME cell_histories_of_takeovers COMMAND cell_histories 1 8 takeovers)
 set_tests_properties(cell_histories_of_takeovers PROPERTIES COST 500)
+add_test(NAME cell_histories_of_capacity_changes COMMAND cell_histories 1 200 capacity)
+set_tests_properties(cell_histories_of_capacity_changes PROPERTIES COST 500)
 add_test(NAME cell_histories_of_crashes_at_takeovers COMMAND cell_histories 1 1 takeovers crashes)
 
 add_executable(cell_advice_clients_test test/cell/advice_clients_test.cpp)
--- a/testing/cell/cell_history.cpp
+++ b/testing/cell/cell_history.cpp
@@ -54,30 +54,6 @@
                });
 }
 
-void cell_history::state::addWorker()
-{
-    simulated_worker worker;
-    worker.entry.id = "worker-" + std::to_string(++workerCount);
-    worker.entry.service = "booking";
-    worker.entry.address = worker.entry.id;
-    worker.entry.rack = "rack-" + std::to_string(workerCount % 2);
-    worker.entry.capacity = {8'000, 16'000, 0};
-    workers[worker.entry.id] = worker;
-}
-
-std::vector<cell::worker_entry> cell_history::state::readRegistry(const cell::scheduler &cell) const
-{
-    const bool holdsStoredEpoch = store.up && store.epoch == cell.epoch;
-    std::vector<cell::worker_entry> entries;
-    for (const auto &[id, worker] : workers) {
-        if (worker.up && unregisteredWorkers.count(id) == 0
-            && (holdsStoredEpoch || cell.workers.count(id) > 0)) {
-            entries.push_back(worker.entry);
-        }
-    }
-    return entries;
-}
-
 void cell_history::state::takeOver()
 {
     const auto successor = std::make_shared<simulated_scheduler>();
@@ -228,7 +204,9 @@
 {
     sendOrder(
         *this, scheduler, order,
-        [this, order] { return startRun(workers.at(order.worker), record, order, now); },
+        [this, order, sentAt = now] {
+            return startRun(workers.at(order.worker), record, order, now, sentAt);
+        },
         [this, scheduler, order](order_outcome outcome) {
             cell::orders out;
             cell::onStartOutcome(scheduler->cell, order, outcome, now, out);
@@ -372,6 +350,7 @@
         history.store.up = true;
         history.partitionedWorkers.clear();
         history.unregisteredWorkers.clear();
+        history.restoreCapacities();
     });
     while (!history.events.empty() && history.events.begin()->first < endAt) {
         const auto first = history.events.begin();
--- a/testing/cell/cell_history.h
+++ b/testing/cell/cell_history.h
@@ -22,6 +22,11 @@
     microseconds workerCrashInterval = 0;
     microseconds workerPartitionInterval = 0;
     microseconds storeOutageInterval = 0;
+    /// Workers' capacities shrink and grow again; some workers guard theirs. 0: no worker does
+    /// either.
+    microseconds capacityChangeInterval = 0;
+    /// Share of the steps that use only idle processor time.
+    double scavengingStepShare = 0;
     /// Share of tasks outside gangs whose first runs fail.
     double failingTaskShare = 0.1;
     double cancelledJobShare = 0.05;
@@ -61,6 +66,7 @@
     std::uint64_t takeovers = 0;
     std::uint64_t workerCrashes = 0;
     std::uint64_t starts = 0;
+    std::uint64_t startsRefusedForCapacity = 0;
 };
 
 /// Runs the cell scheduler in virtual time against simulated workers, a simulated store and random
--- a/testing/cell/history_events.cpp
+++ b/testing/cell/history_events.cpp
@@ -38,6 +38,9 @@
         step.estimate = second;
         step.gang = drawBool(injectedFaults.gangStepShare);
         step.checkpointing = drawBool(injectedFaults.checkpointingStepShare);
+        // Draws nothing where no step scavenges, so that the other histories stay as they are.
+        step.scavenging =
+            injectedFaults.scavengingStepShare > 0 && drawBool(injectedFaults.scavengingStepShare);
         if (index > 0) {
             step.after.push_back(index - 1);
         }
@@ -90,6 +93,7 @@
         ++counts.workerCrashes;
         scheduleAt(now + second, [this] { addWorker(); });
     });
+    scheduleRecurring(injectedFaults.capacityChangeInterval, [this] { changeRandomCapacity(); });
     scheduleRecurring(injectedFaults.workerPartitionInterval, [this] {
         auto victim = workers.begin();
         std::advance(victim, drawBetween(0, static_cast<microseconds>(workers.size()) - 1));
@@ -232,6 +236,7 @@
         }
     }
     counts.starts = record.starts;
+    counts.startsRefusedForCapacity = record.startsRefusedForCapacity;
 }
 
 } // namespace bramleygrade::testing
--- a/testing/cell/history_state.h
+++ b/testing/cell/history_state.h
@@ -58,6 +58,14 @@
     void scheduleRecurring(microseconds meanInterval, const std::function<void()> &run);
 
     void addWorker();
+    /// Changes the capacity of a random worker; the registry shows it with the worker's next
+    /// heartbeat.
+    void changeRandomCapacity();
+    void changeCapacity(const std::string &worker, const cell::resources &capacity);
+    /// Writes the worker's registry entry, as soon as the store is up.
+    void reportCapacity(const std::string &worker);
+    /// Gives all workers their full capacity.
+    void restoreCapacities();
     /// Returns the list of workers that the scheduler receives from the registry. Workers that it
     /// does not know yet are included only while the store is up and holds the scheduler's epoch.
     std::vector<cell::worker_entry> readRegistry(const cell::scheduler &cell) const;
--- a/testing/cell/simulated_worker.cpp
+++ b/testing/cell/simulated_worker.cpp
@@ -56,19 +56,40 @@
     return record.jobs.at(task.job).steps[static_cast<std::size_t>(task.step)];
 }
 
+/// Returns the largest amounts that an order sent at `sentAt` may rely on.
+cell::resources countedCapacity(const simulated_worker &worker, timestamp sentAt)
+{
+    cell::resources counted = capacityOf(worker);
+    for (const former_capacity &former : worker.formerCapacities) {
+        if (sentAt <= former.countsUntil) {
+            counted.cpuMilli = std::max(counted.cpuMilli, former.amount.cpuMilli);
+            counted.memoryMb = std::max(counted.memoryMb, former.amount.memoryMb);
+            counted.accelerators = std::max(counted.accelerators, former.amount.accelerators);
+        }
+    }
+    return counted;
+}
+
+/// Returns the demand of the worker's runs, including those that are being stopped, and of the
+/// task.
+cell::resources demandWith(const simulated_worker &worker, const cell::step_spec &step)
+{
+    cell::resources used = cell::reservedDemand(step);
+    for (const auto &[id, run] : worker.runs) {
+        used = used + run.demand;
+    }
+    return used;
+}
+
 void checkStart(const simulated_worker &worker, execution_record &record,
-                const cell::start_order &order, timestamp now)
+                const cell::start_order &order, timestamp now, timestamp sentAt)
 {
     const cell::task_id &task = order.task;
     if (record.jobs.count(task.job) == 0) {
         addViolation(record, "start of a task whose job was never submitted:", task, now);
         return;
     }
-    cell::resources used = findStep(record, task).demand;
-    for (const auto &[id, run] : worker.runs) {
-        used = used + run.demand;
-    }
-    if (!cell::fits(used, worker.entry.capacity)) {
+    if (!cell::fits(demandWith(worker, findStep(record, task)), countedCapacity(worker, sentAt))) {
         addViolation(record, "start exceeds the capacity of " + worker.entry.id + ":", task, now);
     }
     if (!record.runningOn[task].empty()) {
@@ -121,6 +142,11 @@
 
 } // namespace
 
+const cell::resources &capacityOf(const simulated_worker &worker)
+{
+    return worker.capacity ? *worker.capacity : worker.entry.capacity;
+}
+
 void advanceWorker(simulated_worker &worker, execution_record &record, timestamp now)
 {
     const auto isDue = [&](const auto &entry) {
@@ -145,7 +171,7 @@
 }
 
 order_outcome startRun(simulated_worker &worker, execution_record &record,
-                       const cell::start_order &order, timestamp now)
+                       const cell::start_order &order, timestamp now, timestamp sentAt)
 {
     if (!worker.up) {
         return order_outcome::unanswered;
@@ -176,14 +202,19 @@
             return order_outcome::refused_ticket;
         }
     }
-    checkStart(worker, record, order, now);
+    if (worker.guardsCapacity
+        && !cell::fits(demandWith(worker, findStep(record, order.task)), capacityOf(worker))) {
+        ++record.startsRefusedForCapacity;
+        return order_outcome::refused_capacity;
+    }
+    checkStart(worker, record, order, now, std::min(sentAt, now));
     ++record.starts;
     const task_behaviour &behaviour = record.behaviour[order.task];
     const bool fails = record.runCount[order.task]++ < behaviour.failingRuns;
     worker.leaseUntil = std::max(worker.leaseUntil, std::min(order.leaseUntil, now + maxLease));
     worker.runs[order.task] = {order.attempt, now, now + behaviour.duration,
                                fails ? end_kind::failed : end_kind::done,
-                               findStep(record, order.task).demand};
+                               cell::reservedDemand(findStep(record, order.task))};
     record.runningOn[order.task].insert(worker.entry.id);
     return order_outcome::accepted;
 }
--- a/testing/cell/simulated_worker.h
+++ b/testing/cell/simulated_worker.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -30,11 +31,24 @@
     cell::resources demand;
 };
 
+/// A capacity that a worker had until lately; the scheduler may still rely on it.
+struct former_capacity
+{
+    cell::resources amount;
+    timestamp countsUntil = 0;
+};
+
 /// A worker in virtual time. It refuses fencing tokens lower than the highest it has seen, ends all
 /// runs when its lease expires, and reports ended runs until they are acknowledged.
 struct simulated_worker
 {
+    /// `entry.capacity` is the capacity that the registry shows.
     cell::worker_entry entry;
+    /// The capacity in force, if it differs from what the registry shows.
+    std::optional<cell::resources> capacity;
+    std::vector<former_capacity> formerCapacities;
+    /// Refuses starts beyond its capacity.
+    bool guardsCapacity = false;
     bool up = true;
     std::int64_t token = 0;
     timestamp leaseUntil = 0;
@@ -70,6 +84,7 @@
     /// When each ticket expires, by ticket.
     std::map<std::string, timestamp> tickets;
     std::uint64_t starts = 0;
+    std::uint64_t startsRefusedForCapacity = 0;
     violation_list violations;
 };
 
@@ -77,10 +92,14 @@
 /// then.
 void advanceWorker(simulated_worker &worker, execution_record &record, timestamp now);
 
-/// Carries out a start order; repeating the order of a running attempt is accepted without effect.
-/// Adds a violation to the record if the start breaks a scheduling rule.
+/// Returns the worker's capacity in force.
+const cell::resources &capacityOf(const simulated_worker &worker);
+
+/// Carries out a start order that was sent at `sentAt`; repeating the order of a running attempt is
+/// accepted without effect. Adds a violation to the record if the start breaks a scheduling rule.
 cell::order_outcome startRun(simulated_worker &worker, execution_record &record,
-                             const cell::start_order &order, timestamp now);
+                             const cell::start_order &order, timestamp now,
+                             timestamp sentAt = distantFuture);
 /// Carries out a stop order; the end of the run follows in a report.
 cell::order_outcome stopRun(simulated_worker &worker, execution_record &record,
                             const cell::stop_order &order, timestamp now);
