An overcommitted worker has room for no task

Callers saw runs stopped for a gang that could not start there: a worker whose accelerators had shrunk below their use counted as room for gangs that need no accelerator, as the number of tasks that fit looked only at the resources that a task needs, while a start needs all of them to be in bounds. For the same reason a scavenging step (which needs no processor time) that waited for an overcommitted worker was reported as `startable`.

tasksThatFit now returns 0 where any resource is overcommitted. A start on such a worker could count as going over its capacity, so starts stay as strict as they were.

Both tests failed before: limit_runs_preempted_on_an_overcommitted_worker (a run was stopped), limit_waiting_task_explained_as_startable (startable instead of no_capacity).

--- a/src/cell/placement.cpp
+++ b/src/cell/placement.cpp
@@ -196,10 +196,13 @@
 std::int64_t tasksThatFit(const step_spec &step, const resources &headroom)
 {
     const resources demand = reservedDemand(step);
+    if (!fits(demand, headroom)) {
+        return 0; // also where a resource that the step does not need is overcommitted
+    }
     std::int64_t slots = step.count;
     const auto limit = [&](std::int64_t need, std::int64_t have) {
         if (need > 0) {
-            slots = std::min(slots, std::max<std::int64_t>(have, 0) / need);
+            slots = std::min(slots, have / need);
         }
     };
     limit(demand.cpuMilli, headroom.cpuMilli);
--- a/test/cell/changing_capacity_test.cpp
+++ b/test/cell/changing_capacity_test.cpp
@@ -212,3 +212,35 @@
     }
     BOOST_TEST(starts.size() == 2U);
 }
+// Workers whose accelerators were reduced below their use counted as room for gangs that need
+// none: other runs were preempted and the gang could not start there.
+BOOST_AUTO_TEST_CASE(limit_runs_preempted_on_an_overcommitted_worker)
+{
+    capacity_fixture fixture;
+    fixture.setCapacity(0, {8'000, 16'000, 2});
+    fixture.runConfirmed(makeSingleTask("accelerated", {1'000, 100, 2}));
+    step_spec batch = cell_fixture::makeStep(1, 6'000);
+    batch.checkpointing = true;
+    fixture.policy.priority = 2;
+    BOOST_REQUIRE(fixture.runConfirmed(cell_fixture::makeJob("batch", {batch})).size() == 1U);
+    fixture.setCapacity(0, {8'000, 16'000, 1});
+    fixture.policy.priority = 1;
+    fixture.policy.latencyTarget = 0;
+    fixture.policy.slackFactor = 1;
+    step_spec gang = cell_fixture::makeStep(1, 4'000);
+    gang.gang = true;
+    BOOST_TEST(fixture.run(cell_fixture::makeJob("gang", {gang})).stops.empty());
+}
+
+BOOST_AUTO_TEST_CASE(limit_waiting_task_explained_as_startable)
+{
+    capacity_fixture fixture;
+    fixture.runConfirmed(makeSingleTask("running", {4'000, 100, 0}));
+    fixture.setCapacity(0, {2'000, 16'000, 0});
+    job_spec scavenger = makeSingleTask("waiting", {1'000, 100, 0});
+    scavenger.steps[0].scavenging = true;
+    BOOST_TEST(fixture.run(scavenger).starts.empty());
+    const step_wait wait =
+        explainWait(fixture.cell, *findJob(fixture.cell, "waiting"), {}, fixture.now);
+    BOOST_TEST(waitReasonName(wait.reason) == std::string("no_capacity"));
+}
