Scavenging steps ask about workers of fewer processors

A task of a scavenging step reserves no processor time and may run on a worker whose capacity is below its declared processors. Without advice it was started there; in a queue that needs advice, a worker that had shrunk below the declared processors was never asked about, so the task waited until the worker grew, and a gang withheld nothing there. The check against the capacity used the declared demand instead of the reserved one.

limit_scavenging_task_that_asks_no_small_worker failed before: the call for advice was dropped for want of a worker.

--- a/src/cell/advice.cpp
+++ b/src/cell/advice.cpp
@@ -68,7 +68,7 @@
     for (const auto &[id, headroom] : headrooms) {
         if ((!spec.gang && !fits(demand, headroom.free))
             || !isEligible(*waiting.job, spec, *headroom.worker) || step.advice.count(id) > 0
-            || !fits(spec.demand, headroom.worker->entry.capacity)) {
+            || !fits(demand, headroom.worker->entry.capacity)) {
             continue;
         }
         std::int64_t slots = tasksThatFit(spec, headroom.free);
--- a/src/cell/placement.cpp
+++ b/src/cell/placement.cpp
@@ -260,9 +260,10 @@
 {
     const step_spec &spec = stepSpec(waiting);
     const step_state &step = stepState(waiting);
+    const resources demand = reservedDemand(spec);
     std::vector<worker_headroom *> partial;
     for (auto &[id, headroom] : headrooms) {
-        if (headroom.free.cpuMilli > 0 && fits(spec.demand, headroom.worker->entry.capacity)
+        if (headroom.free.cpuMilli > 0 && fits(demand, headroom.worker->entry.capacity)
             && isEligible(*waiting.job, spec, *headroom.worker) && isAllowed(waiting, step, id)) {
             partial.push_back(&headroom);
         }
@@ -279,7 +280,6 @@
         --missing;
         // Headroom is negative where capacity is withheld already, for example for another gang; it
         // must stay negative.
-        const resources demand = reservedDemand(spec);
         const std::int64_t before = headroom->free.cpuMilli;
         headroom->free.cpuMilli =
             std::min(headroom->free.cpuMilli,
--- a/test/cell/changing_capacity_test.cpp
+++ b/test/cell/changing_capacity_test.cpp
@@ -244,3 +244,16 @@
         explainWait(fixture.cell, *findJob(fixture.cell, "waiting"), {}, fixture.now);
     BOOST_TEST(waitReasonName(wait.reason) == std::string("no_capacity"));
 }
+// A scavenging task needs no free processor, so a worker with few of them may take it.
+BOOST_AUTO_TEST_CASE(limit_scavenging_task_that_asks_no_small_worker)
+{
+    capacity_fixture fixture;
+    fixture.policy.needsAdvice = true;
+    fixture.policy.advice = {20 * millisecond, millisecond, 2 * second};
+    fixture.setCapacity(0, {2'000, 16'000, 0});
+    job_spec scavenger = makeSingleTask("scavenger", {4'000, 100, 0});
+    scavenger.steps[0].scavenging = true;
+    std::vector<advice_order> calls = fixture.run(scavenger).advice;
+    BOOST_REQUIRE(calls.size() == 1U);
+    BOOST_TEST(prepareAdvice(fixture.cell, calls[0], fixture.now));
+}
