Scavenging steps do not prefer the workers with the fewest processors

A scavenging task uses the processor time that other tasks leave idle. The cost of a worker was its free processors less the task's declared ones, as a share of the worker's capacity. On a worker that has shrunk to a hundredth of the declared processors this is -39, below the cost of any other worker, also of one on which the task has failed (+8): the task went there, made no progress, was stopped as stalled and went there again.

The cost now takes the reserved processors, as the free capacity does, and adds up to 4 for the share of the declared processors that the worker lacks. Between workers of equal capacity the order is as before.

limit_scavenging_task_drawn_to_the_smallest_worker failed before: the task was started on the worker with a tenth of a processor.

--- a/src/cell/placement.cpp
+++ b/src/cell/placement.cpp
@@ -17,6 +17,8 @@
 constexpr double failureScoreCost = 1.0;
 /// A step is late if this share of its expected time to the end of the job exceeds the time left.
 constexpr double latenessShare = 0.5;
+/// Cost of a worker that has none of the processors that a scavenging task could use.
+constexpr double noProcessorCost = 4.0;
 /// Cost per multiple of the mean run time above one.
 constexpr double slownessCost = 1.0;
 
@@ -217,7 +219,10 @@
     const auto totalCpuMilli =
         static_cast<double>(std::max<std::int64_t>(worker.entry.capacity.cpuMilli, 1));
     double cost =
-        static_cast<double>(headroom.free.cpuMilli - step.demand.cpuMilli) / totalCpuMilli;
+        static_cast<double>(headroom.free.cpuMilli - reservedDemand(step).cpuMilli) / totalCpuMilli;
+    if (step.scavenging && step.demand.cpuMilli > worker.entry.capacity.cpuMilli) {
+        cost += noProcessorCost * (1.0 - totalCpuMilli / static_cast<double>(step.demand.cpuMilli));
+    }
     cost += failureScoreCost * worker.failureScore + slownessCost * (worker.slowness - 1.0);
     if (!step.preferredRack.empty() && step.preferredRack != worker.entry.rack) {
         cost += otherRackCost;
--- a/test/cell/changing_capacity_test.cpp
+++ b/test/cell/changing_capacity_test.cpp
@@ -257,3 +257,15 @@
     BOOST_REQUIRE(calls.size() == 1U);
     BOOST_TEST(prepareAdvice(fixture.cell, calls[0], fixture.now));
 }
+
+// The worker with the fewest processors had the lowest cost, also after the task had failed there.
+BOOST_AUTO_TEST_CASE(limit_scavenging_task_drawn_to_the_smallest_worker)
+{
+    capacity_fixture fixture(2);
+    fixture.setCapacity(0, {100, 16'000, 0});
+    job_spec scavenger = makeSingleTask("scavenger", {4'000, 100, 0});
+    scavenger.steps[0].scavenging = true;
+    const auto starts = fixture.run(scavenger).starts;
+    BOOST_REQUIRE(starts.size() == 1U);
+    BOOST_TEST(starts[0].worker == "worker-2");
+}
