The pause after a start refused for lack of capacity doubles

A worker that shrinks refuses starts beyond its capacity, while the scheduler relies on the capacity that the registry shows: until the next heartbeat, or for as long as the store is out of reach. It ordered as many starts as seemed to fit every 0.8 s, and each refused one is a wasted call.

The pause of such a worker is 0.8, 1.6 and then 3.2 s, until it accepts a start or its capacity in the registry changes, which ends the pause at once. Refusals of one round count once. Other refusals keep their pause.

--- a/src/cell/scheduler_ends.cpp
+++ b/src/cell/scheduler_ends.cpp
@@ -290,6 +290,7 @@
         return;
     }
     if (outcome == order_outcome::accepted) {
+        worker->second.capacityRefusals = 0;
         if (task->phase == run_phase::starting) {
             task->phase = run_phase::running;
         }
@@ -326,6 +327,9 @@
         if (order.fencingToken == fencingToken(cell, worker->second)) {
             out.events.push_back({"superseded", "", "worker=" + order.worker});
         }
+    } else if (outcome == order_outcome::refused_capacity) {
+        recordCapacityRefusal(worker->second, now);
+        worker->second.nextPollAt = std::min(worker->second.nextPollAt, now);
     } else {
         worker->second.avoidedUntil = now + refusalPause;
         worker->second.nextPollAt = std::min(worker->second.nextPollAt, now);
--- a/src/cell/scheduler_workers.cpp
+++ b/src/cell/scheduler_workers.cpp
@@ -166,7 +166,7 @@
         seen.insert(entry.id);
         const auto [it, inserted] = cell.workers.try_emplace(entry.id);
         worker_state &worker = it->second;
-        worker.entry = entry;
+        changeEntry(worker, entry);
         worker.listed = true;
         worker.unlistedAt = distantFuture;
         if (inserted) {
--- a/src/cell/worker_state.cpp
+++ b/src/cell/worker_state.cpp
@@ -14,6 +14,10 @@
 /// Time without new tasks for a worker with repeated failures; equals the contact time in
 /// the users' rules.
 constexpr microseconds avoidanceDuration = 3 * second;
+/// Pause after the first start that a worker refused for lack of capacity; equals the registry lag
+/// in the users' rules. It doubles up to the given number of times.
+constexpr microseconds capacityRefusalPause = 800 * millisecond;
+constexpr int maxPauseDoublings = 2;
 
 } // namespace
 
@@ -33,7 +37,7 @@
 {
     return worker.listed && worker.recorded && worker.fenced && !worker.entry.draining
         && !worker.needsFence && worker.unansweredPolls == 0 && worker.unexpectedRuns == 0
-        && now >= worker.avoidedUntil;
+        && now >= worker.avoidedUntil && now >= worker.fullUntil;
 }
 
 resources freeCapacity(const worker_state &worker)
@@ -67,6 +71,25 @@
     }
 }
 
+void recordCapacityRefusal(worker_state &worker, timestamp now)
+{
+    if (now < worker.fullUntil) {
+        return; // another start of the same round
+    }
+    worker.fullUntil =
+        now + (capacityRefusalPause << std::min(worker.capacityRefusals, maxPauseDoublings));
+    ++worker.capacityRefusals;
+}
+
+void changeEntry(worker_state &worker, const worker_entry &entry)
+{
+    if (!(worker.entry.capacity == entry.capacity)) {
+        worker.capacityRefusals = 0;
+        worker.fullUntil = distantPast;
+    }
+    worker.entry = entry;
+}
+
 void acknowledgeStored(worker_state &worker, std::uint64_t stored)
 {
     while (!worker.unstoredEnds.empty() && worker.unstoredEnds.begin()->second <= stored) {
--- a/src/cell/worker_state.h
+++ b/src/cell/worker_state.h
@@ -59,8 +59,13 @@
     int unexpectedRuns = 0;
     /// Increases with failed and stalled runs and shrinks with each successful one.
     double failureScore = 0;
-    /// Time until which the worker gets no new tasks, after failures or a refused start.
+    /// Time until which the worker gets no new tasks, after failures or a start refused for another
+    /// reason than capacity.
     timestamp avoidedUntil = distantPast;
+    /// Consecutive placement rounds of which the worker refused a start for lack of capacity.
+    int capacityRefusals = 0;
+    /// Time until which the worker gets no new tasks after such a refusal.
+    timestamp fullUntil = distantPast;
     /// Run time on this worker as a multiple of the mean for its service.
     double slowness = 1.0;
 };
@@ -97,6 +102,13 @@
 /// while; successes lower the score.
 void recordOutcome(worker_state &worker, bool succeeded, timestamp now);
 
+/// Updates the worker after a start that it refused for lack of capacity. It gets no new tasks for
+/// a pause that doubles with each such round, until it accepts a start or its capacity changes.
+void recordCapacityRefusal(worker_state &worker, timestamp now);
+
+/// Replaces the worker's registry entry.
+void changeEntry(worker_state &worker, const worker_entry &entry);
+
 /// Advances `acknowledgedEnd` over the ends whose effect is durable, that is stored by a change
 /// up to number `stored`.
 void acknowledgeStored(worker_state &worker, std::uint64_t stored);
--- a/test/cell/changing_capacity_test.cpp
+++ b/test/cell/changing_capacity_test.cpp
@@ -269,3 +269,28 @@
     BOOST_REQUIRE(starts.size() == 1U);
     BOOST_TEST(starts[0].worker == "worker-2");
 }
+
+// A worker that shrank while the registry is out of date refused as many starts as seemed to fit,
+// every 0.8 s.
+BOOST_AUTO_TEST_CASE(limit_starts_refused_again_and_again)
+{
+    capacity_fixture fixture;
+    std::map<timestamp, int> rounds;
+    orders out = fixture.run(cell_fixture::makeJob("refused", {cell_fixture::makeStep(8, 1'000)}));
+    const timestamp endsAt = fixture.now + 10 * second;
+    while (fixture.now < endsAt) {
+        for (const start_order &start : out.starts) {
+            ++rounds[fixture.now];
+            orders ignored;
+            onStartOutcome(fixture.cell, start, order_outcome::refused_capacity, fixture.now,
+                           ignored);
+        }
+        fixture.now += 100 * millisecond;
+        out = fixture.decide();
+    }
+    // Pauses of 0.8, 1.6 and then 3.2 s.
+    BOOST_TEST(rounds.size() <= 5U);
+    BOOST_TEST(rounds.size() >= 4U);
+    fixture.setCapacity(0, {9'000, 16'000, 0});
+    BOOST_TEST(fixture.decideIfNeeded().starts.size() == 8U); // the registry is up to date
+}
