Changes of known workers do not wait for the check of new ones

A worker that is new in the registry is used only after the head row was read again. All rows of the same answer waited for that read, so that a worker's smaller capacity (or its draining) was not seen while the head row could not be read, and starts went on by the old capacity.

Rows of known workers are now applied at once; only the others wait.

limit_shrunk_capacity_that_waits_for_a_new_worker failed before: with the head row out of reach the worker kept its 8,000 instead of 1,000.

--- a/src/entry/watches.cpp
+++ b/src/entry/watches.cpp
@@ -118,24 +118,33 @@
     return entry.leaderState && entry.epoch == epoch;
 }
 
-bool hasNewWorkers(const entry_state &entry, const std::vector<stored_row> &rows)
+/// Applies the rows of known workers. Returns the other rows; empty if they list no worker.
+std::vector<stored_row> applyKnownWorkerRows(entry_state &entry, std::vector<stored_row> rows)
 {
-    return std::any_of(rows.begin(), rows.end(), [&](const stored_row &row) {
-        return !row.removed && entry.leaderState->registry.count(row.key) == 0;
-    });
+    const auto firstNew =
+        std::stable_partition(rows.begin(), rows.end(), [&](const stored_row &row) {
+            return entry.leaderState->registry.count(row.key) > 0;
+        });
+    std::vector<stored_row> newRows(firstNew, rows.end());
+    rows.erase(firstNew, rows.end());
+    if (!rows.empty()) {
+        applyWorkerRows(entry, rows);
+    }
+    const bool isAnyListed = std::any_of(newRows.begin(), newRows.end(),
+                                         [](const stored_row &row) { return !row.removed; });
+    return isAnyListed ? newRows : std::vector<stored_row> {};
 }
 
 /// Applies the registry rows, then calls `next`. A new worker is used only if the head row, read
 /// after the worker was seen, still belongs to this entry: a successor then reads the registry
-/// later, so it knows the worker too and fences it before it relies on what runs there.
+/// later, so it knows the worker too and fences it before it relies on what runs there. Changes of
+/// known workers are applied at once.
 void confirmLeadershipAndApplyRows(entry_state &entry, std::int64_t epoch,
-                                   const std::vector<stored_row> &rows,
+                                   const std::vector<stored_row> &changes,
                                    const std::function<void()> &next)
 {
-    if (!hasNewWorkers(entry, rows)) {
-        if (!rows.empty()) {
-            applyWorkerRows(entry, rows);
-        }
+    const std::vector<stored_row> rows = applyKnownWorkerRows(entry, changes);
+    if (rows.empty()) {
         next();
         return;
     }
--- a/test/cell/watches_test.cpp
+++ b/test/cell/watches_test.cpp
@@ -20,7 +20,7 @@
         entry.leaderState->cell.epoch = 1;
         entry.ports.store.read = [this](const row_range &range, timestamp,
                                         const store_completion &done) {
-            done(range.table == headTable ? makeHead() : registry);
+            done(range.table == headTable ? head : registry);
         };
         entry.ports.store.watch = [this](const std::string &, std::int64_t, microseconds, timestamp,
                                          const store_completion &done) {
@@ -33,6 +33,7 @@
         entry.ports.codec.decodeWorker = [](const stored_row &row, cell::worker_entry &worker) {
             worker.id = row.key;
             worker.draining = row.value == "draining";
+            worker.capacity.cpuMilli = row.value == "small" ? 1'000 : 8'000;
             return true;
         };
         registry.outcome = store_outcome::done;
@@ -76,12 +77,17 @@
 
     /// Answers the watch with one row. Returns whether a decision was requested.
     bool change(const std::string &key, const std::string &value)
+    {
+        return change({makeRow(key, value)});
+    }
+
+    bool change(const std::vector<stored_row> &rows)
     {
         entry.leaderState->isDecisionPosted = false;
         store_result result;
         result.outcome = store_outcome::done;
         result.version = 7;
-        result.rows = {makeRow(key, value)};
+        result.rows = rows;
         const store_completion answer = answerWatch;
         answer(result);
         return entry.leaderState->isDecisionPosted;
@@ -90,6 +96,7 @@
     boost::asio::io_context loop;
     entry_state entry;
     store_result registry;
+    store_result head = makeHead();
     store_completion answerWatch;
     int watches = 0;
 };
@@ -129,3 +136,19 @@
     loop.run_for(std::chrono::milliseconds(200));
     BOOST_TEST(watches == 1);
 }
+
+// A new worker is used only once the head row was read again; a change of a known worker in the
+// same answer waited for that too.
+BOOST_FIXTURE_TEST_CASE(limit_shrunk_capacity_that_waits_for_a_new_worker, registry_fixture)
+{
+    watchWorkers(entry, 1);
+    runUntilWatched(1);
+    head.outcome = store_outcome::unanswered;
+    change({makeRow("worker-1", "small"), makeRow("worker-3", "ready")});
+    const cell::scheduler &cell = entry.leaderState->cell;
+    BOOST_TEST(cell.workers.at("worker-1").entry.capacity.cpuMilli == 1'000);
+    BOOST_TEST(cell.workers.count("worker-3") == 0U);
+    head = makeHead();
+    runUntilWatched(2);
+    BOOST_TEST(cell.workers.count("worker-3") == 1U);
+}
