--- a/src/cell/placement.cpp
+++ b/src/cell/placement.cpp
@@ -17,6 +17,8 @@
 constexpr double failureScoreCost = 1.0;
 /// A step is late if this share of its expected time to the end of the job exceeds the time left.
 constexpr double latenessShare = 0.5;
+/// Cost of a worker that has none of the processors that a scavenging task could use.
+constexpr double noProcessorCost = 4.0;
 /// Cost per multiple of the mean run time above one.
 constexpr double slownessCost = 1.0;
 
@@ -196,10 +198,13 @@
 std::int64_t tasksThatFit(const step_spec &step, const resources &headroom)
 {
     const resources demand = reservedDemand(step);
+    if (!fits(demand, headroom)) {
+        return 0; // also where a resource that the step does not need is overcommitted
+    }
     std::int64_t slots = step.count;
     const auto limit = [&](std::int64_t need, std::int64_t have) {
         if (need > 0) {
-            slots = std::min(slots, std::max<std::int64_t>(have, 0) / need);
+            slots = std::min(slots, have / need);
         }
     };
     limit(demand.cpuMilli, headroom.cpuMilli);
@@ -214,7 +219,10 @@
     const auto totalCpuMilli =
         static_cast<double>(std::max<std::int64_t>(worker.entry.capacity.cpuMilli, 1));
     double cost =
-        static_cast<double>(headroom.free.cpuMilli - step.demand.cpuMilli) / totalCpuMilli;
+        static_cast<double>(headroom.free.cpuMilli - reservedDemand(step).cpuMilli) / totalCpuMilli;
+    if (step.scavenging && step.demand.cpuMilli > worker.entry.capacity.cpuMilli) {
+        cost += noProcessorCost * (1.0 - totalCpuMilli / static_cast<double>(step.demand.cpuMilli));
+    }
     cost += failureScoreCost * worker.failureScore + slownessCost * (worker.slowness - 1.0);
     if (!step.preferredRack.empty() && step.preferredRack != worker.entry.rack) {
         cost += otherRackCost;
@@ -257,9 +265,10 @@
 {
     const step_spec &spec = stepSpec(waiting);
     const step_state &step = stepState(waiting);
+    const resources demand = reservedDemand(spec);
     std::vector<worker_headroom *> partial;
     for (auto &[id, headroom] : headrooms) {
-        if (headroom.free.cpuMilli > 0 && fits(spec.demand, headroom.worker->entry.capacity)
+        if (headroom.free.cpuMilli > 0 && fits(demand, headroom.worker->entry.capacity)
             && isEligible(*waiting.job, spec, *headroom.worker) && isAllowed(waiting, step, id)) {
             partial.push_back(&headroom);
         }
@@ -276,7 +285,6 @@
         --missing;
         // Headroom is negative where capacity is withheld already, for example for another gang; it
         // must stay negative.
-        const resources demand = reservedDemand(spec);
         const std::int64_t before = headroom->free.cpuMilli;
         headroom->free.cpuMilli =
             std::min(headroom->free.cpuMilli,
