Restored tasks wait only for leases granted before the takeover

What callers saw: after a takeover beside a silent worker nothing of the restored jobs ran for 8.8 s (leases of 6 s) or 13 s (10 s) from the end of the load.

Cause: a successor took every silent worker's leases for granted as late as 2.5 s after its load, since a scheduler that nobody confirmed could grant whole leases for that long.

Change: a scheduler grants leases from the time of its last confirmation on (the time of asking) instead of the present. A successor counts them from its takeover, plus 500 ms for entries that have not heard of it and may still confirm the predecessor, instead of 2.5 s from the end of the load.

The histories got stricter: a superseded scheduler is confirmed for up to 500 ms after its successor has taken over, a worker may be cut off from the successor only, and a tenth of the tasks outlast a lease. A run reports its real progress, since one that stays at 50 % for long counts as stalled.

Not covered, as before: a scheduler that is cut off together with an entry that goes on confirming it.

--- a/src/cell/placement_round.cpp
+++ b/src/cell/placement_round.cpp
@@ -140,13 +140,11 @@
     waiting.job->startedAny = true;
     addRun(worker, id, reservedDemand(stepSpec(waiting)));
     headroom.free = headroom.free - reservedDemand(stepSpec(waiting));
-    worker.leasesExpiredAt =
-        std::max(worker.leasesExpiredAt, latestLeaseExpiry(cell.settings.lease, now));
     ++cell.counters.starts;
     const auto advice = step.advice.find(worker.entry.id);
     out.starts.push_back({id, attempt, worker.entry.id, waiting.job->spec.payload,
                           advice == step.advice.end() ? "" : advice->second.ticket, task.checkpoint,
-                          workerClock(worker, now) + cell.settings.lease.longest, task.token});
+                          grantLease(cell, worker, now), task.token});
 }
 
 void startGang(scheduler &cell, const waiting_step &waiting, const placement_plan &plan,
--- a/src/cell/scheduler.h
+++ b/src/cell/scheduler.h
@@ -128,7 +128,8 @@
     microseconds stopTimeout = 900 * millisecond;
     /// Retention time of ended jobs.
     microseconds endedKept = 120 * second;
-    /// Time for which a previous scheduler may still send orders after this one took over.
+    /// Time after the takeover for which another process may still confirm the leadership of a
+    /// previous scheduler, as it has not heard of this one yet.
     microseconds predecessorGrace = 0;
 };
 
@@ -175,6 +176,10 @@
     scheduler_settings settings;
     std::int64_t epoch = 0;
     timestamp tookOverAt = distantPast;
+    /// Time of the newest proof that there was no successor. Leases are granted from this time on,
+    /// so that a successor knows when they have expired. A time in the future counts as the
+    /// present.
+    timestamp confirmedAt = distantFuture;
     cell_config config;
     std::map<std::string, worker_state> workers;
     /// Highest fence number issued so far. A worker that was erased and returns starts with this
@@ -300,6 +305,8 @@
 
 /// Returns the current fencing token for the worker: epoch and number of the worker's fence.
 std::int64_t fencingToken(const scheduler &cell, const worker_state &worker);
+/// Grants the longest lease allowed at `now` and returns its end on the worker's clock.
+std::int64_t grantLease(const scheduler &cell, worker_state &worker, timestamp now);
 /// Computes the job's objective, and the expected times to its end, from the run times observed in
 /// its queue so far.
 void updateObjective(const scheduler &cell, job_state &job);
--- a/src/cell/scheduler_decide.cpp
+++ b/src/cell/scheduler_decide.cpp
@@ -16,17 +16,13 @@
     // Leases are not renewed while polls go unanswered, so that they expire and the runs can be
     // restarted elsewhere.
     if (worker.clock != 0 && worker.unansweredPolls == 0) {
-        poll.leaseUntil = workerClock(worker, now) + cell.settings.lease.longest;
+        poll.leaseUntil = grantLease(cell, worker, now);
     }
     // Neither a fence nor the first poll may wait, and a worker with unacknowledged ends answers at
     // once anyway.
     if (!fence && worker.fenced && worker.unansweredPolls == 0 && worker.unstoredEnds.empty()) {
         poll.wait = cell.settings.pollWait;
     }
-    if (poll.leaseUntil != 0) {
-        worker.leasesExpiredAt =
-            std::max(worker.leasesExpiredAt, latestLeaseExpiry(cell.settings.lease, now));
-    }
     (fence ? worker.fenceInFlight : worker.pollInFlight) = true;
     out.polls.push_back(poll);
 }
--- a/src/cell/scheduler_workers.cpp
+++ b/src/cell/scheduler_workers.cpp
@@ -98,6 +98,13 @@
     recordCheckpoint(*job, run, *task);
 }
 
+/// Returns the time after which every lease granted by previous schedulers has expired. The newest
+/// of them was last confirmed `predecessorGrace` after the takeover at the latest.
+timestamp predecessorLeaseExpiry(const scheduler &cell)
+{
+    return latestLeaseExpiry(cell.settings.lease, cell.tookOverAt) + cell.settings.predecessorGrace;
+}
+
 /// Whether the run certainly does not exist if the answer to a poll sent at `sentAt` lacks it.
 bool isAbsent(const task_state &task, const poll_order &order, timestamp sentAt)
 {
@@ -147,6 +154,15 @@
     return (cell.epoch << fenceBits) + worker.fenceNumber;
 }
 
+std::int64_t grantLease(const scheduler &cell, worker_state &worker, timestamp now)
+{
+    const lease_limits &limits = cell.settings.lease;
+    const timestamp grantedFrom = std::min(now, cell.confirmedAt);
+    worker.leasesExpiredAt =
+        std::max(worker.leasesExpiredAt, latestLeaseExpiry(limits, grantedFrom));
+    return workerClock(worker, now) + limits.longest - (now - grantedFrom);
+}
+
 void restoreWorker(scheduler &cell, const worker_entry &entry, timestamp now)
 {
     worker_state &worker = cell.workers[entry.id];
@@ -155,8 +171,7 @@
     worker.recorded = true;
     worker.fenceNumber = cell.fencesIssued;
     worker.nextPollAt = now;
-    worker.leasesExpiredAt =
-        latestLeaseExpiry(cell.settings.lease, now) + cell.settings.predecessorGrace;
+    worker.leasesExpiredAt = predecessorLeaseExpiry(cell);
 }
 
 void changeWorkers(scheduler &cell, const std::vector<worker_entry> &entries, timestamp now)
@@ -175,8 +190,7 @@
             worker.nextPollAt = now;
             // A worker that does not answer may hold leases granted by a previous scheduler until
             // this time.
-            worker.leasesExpiredAt =
-                latestLeaseExpiry(cell.settings.lease, now) + cell.settings.predecessorGrace;
+            worker.leasesExpiredAt = predecessorLeaseExpiry(cell);
         }
     }
     for (auto &[id, worker] : cell.workers) {
--- a/src/cell/worker_state.cpp
+++ b/src/cell/worker_state.cpp
@@ -22,11 +22,12 @@
     return worker.clock + (now - worker.clockReadAt);
 }
 
-timestamp latestLeaseExpiry(const lease_limits &limits, timestamp orderedAt)
+timestamp latestLeaseExpiry(const lease_limits &limits, timestamp grantedFrom)
 {
     const double longestLocalDuration =
         static_cast<double>(limits.longest) * (1.0 + 1.5 * limits.clockRateError);
-    return orderedAt + static_cast<microseconds>(longestLocalDuration) + limits.clockReadingMargin;
+    return grantedFrom + static_cast<microseconds>(longestLocalDuration)
+        + limits.clockReadingMargin;
 }
 
 bool isUsable(const worker_state &worker, timestamp now)
--- a/src/cell/worker_state.h
+++ b/src/cell/worker_state.h
@@ -78,9 +78,9 @@
 /// Estimates the worker's clock at `now` from its newest answer.
 std::int64_t workerClock(const worker_state &worker, timestamp now);
 
-/// Returns the local time after which a lease ordered at `orderedAt` has expired on the worker,
-/// whatever its clock rate within the bound.
-timestamp latestLeaseExpiry(const lease_limits &limits, timestamp orderedAt);
+/// Returns the local time after which a lease granted from `grantedFrom` on has expired on the
+/// worker, whatever its clock rate within the bound.
+timestamp latestLeaseExpiry(const lease_limits &limits, timestamp grantedFrom);
 
 /// Whether new tasks may be placed on the worker.
 bool isUsable(const worker_state &worker, timestamp now);
--- a/src/entry/leader.cpp
+++ b/src/entry/leader.cpp
@@ -20,6 +20,9 @@
 constexpr microseconds loadRetryDelay = 100 * millisecond;
 /// A scheduler whose leadership is unconfirmed for this long stops giving orders.
 constexpr microseconds confirmationTimeout = 2'500 * millisecond;
+/// Entries hear of a takeover by the successor's first heartbeat or one of its repetitions. Until
+/// then they may confirm the predecessor.
+constexpr microseconds takeoverNoticeTime = 500 * millisecond;
 /// A write that takes longer makes the scheduler hand over to an entry that may reach the store.
 constexpr microseconds storeHandoverTimeout = 900 * millisecond;
 /// Loading that takes longer makes the scheduler hand over. Loading the rows takes one to two
@@ -237,10 +240,12 @@
     });
 }
 
-void updateSuspension(entry_state &entry, timestamp now)
+/// Passes the time of the last confirmation to the scheduler, and suspends it if that is too old.
+void updateConfirmation(entry_state &entry, timestamp now)
 {
     leader_state &leaderState = *entry.leaderState;
     const bool alone = entry.members.size() < 2;
+    leaderState.cell.confirmedAt = alone ? distantFuture : leaderState.confirmedAt;
     const bool suspended = !alone && now > leaderState.confirmedAt + confirmationTimeout;
     if (suspended == leaderState.suspended) {
         return;
@@ -260,7 +265,7 @@
     net::setDuty(&entry.meter, net::duty::decide);
     entry.leaderState->isDecisionPosted = false;
     entry.leaderState->decideWakeAt = distantFuture;
-    updateSuspension(entry, now); // a process resumed after a pause must not act on stale state
+    updateConfirmation(entry, now); // a process resumed after a pause must not act on stale state
     if (entry.leaderState->suspended) {
         return;
     }
@@ -313,7 +318,7 @@
     leaderState.cell.settings.gangTimeout = entry.settings.gangTimeout;
     leaderState.cell.settings.stopTimeout = entry.settings.stopTimeout;
     leaderState.cell.settings.endedKept = entry.settings.endedKept;
-    leaderState.cell.settings.predecessorGrace = confirmationTimeout;
+    leaderState.cell.settings.predecessorGrace = takeoverNoticeTime;
     const timestamp now = steadyNow();
     cell::beginEpoch(leaderState.cell, entry.epoch, now);
     cell::changeConfig(leaderState.cell, entry.config);
@@ -389,7 +394,7 @@
     if (entry.role != entry_role::scheduler) {
         return;
     }
-    updateSuspension(entry, now);
+    updateConfirmation(entry, now);
     dispatchAdvice(entry);
     expireWaiters(entry, now);
     advanceWrites(entry);
--- /dev/null
+++ b/test/cell/takeover_test.cpp
@@ -0,0 +1,104 @@
+#define BOOST_TEST_MODULE takeover
+#include <boost/test/included/unit_test.hpp>
+
+#include "cell_fixture.h"
+
+using namespace bramleygrade;
+using namespace bramleygrade::cell;
+using bramleygrade::testing::cell_fixture;
+
+namespace {
+
+constexpr microseconds noticeTime = 500 * millisecond;
+constexpr microseconds stepTime = 20 * millisecond;
+
+/// A scheduler that has loaded a job and a worker of its predecessor `loadTime` after its takeover.
+/// The worker, worker-9, is silent; all others report that they have no runs.
+struct takeover_fixture : cell_fixture
+{
+    explicit takeover_fixture(microseconds loadTime)
+        : cell_fixture(2, false)
+    {
+        cell.settings.predecessorGrace = noticeTime;
+        tookOverAt = now;
+        now += loadTime;
+        restoreWorker(cell, makeWorker("worker-9"), now);
+        job_state job;
+        job.spec = makeJob("a", {makeStep(1, 1'000)});
+        job.policy = policy;
+        job.acceptedEpoch = 1;
+        restoreJob(cell, job, now);
+        reconcileAll();
+        orders ignored;
+        onPollFailed(cell, makePoll("worker-9"), order_outcome::unanswered, now, ignored);
+    }
+
+    /// Returns the time from the takeover to the start of the restored task, or -1 if it does not
+    /// start within 20 s.
+    microseconds runUntilStart()
+    {
+        const timestamp end = tookOverAt + 20 * second;
+        for (; now < end; now += stepTime) {
+            const orders out = decide();
+            if (!out.starts.empty()) {
+                return now - tookOverAt;
+            }
+            for (const poll_order &poll : out.polls) {
+                if (poll.worker == "worker-9") {
+                    orders ignored;
+                    onPollFailed(cell, poll, order_outcome::unanswered, now, ignored);
+                } else {
+                    report(poll.worker, {});
+                }
+            }
+        }
+        return -1;
+    }
+
+    timestamp tookOverAt = distantPast;
+};
+
+} // namespace
+
+// Guards against restored tasks that wait for longer than the leases of a silent worker may last:
+// these were counted from the end of the load, and as if granted until 2.5 s later.
+BOOST_AUTO_TEST_CASE(lost_restored_tasks_wait_only_for_leases_granted_before_the_takeover)
+{
+    for (const microseconds loadTime : {0 * second, 1 * second, 3 * second}) {
+        takeover_fixture fixture(loadTime);
+        const timestamp expiredAt = latestLeaseExpiry(fixture.cell.settings.lease, noticeTime);
+        const microseconds waited = fixture.runUntilStart();
+        BOOST_TEST(waited > expiredAt);
+        BOOST_TEST(waited <= expiredAt + 2 * stepTime);
+    }
+}
+
+// A successor relies on it: the leases of its predecessor end by a time that it knows.
+BOOST_AUTO_TEST_CASE(leases_are_granted_from_the_last_confirmation_on)
+{
+    struct row
+    {
+        const char *name;
+        timestamp confirmedAgo;
+        microseconds lost;
+    };
+    const row rows[] = {{"confirmed now", 0, 0},
+                        {"confirmed a while ago", 2 * second, 2 * second},
+                        {"cannot be superseded", -1'000 * second, 0}};
+    for (const row &entry : rows) {
+        cell_fixture fixture;
+        fixture.cell.confirmedAt = fixture.now - entry.confirmedAgo;
+        const timestamp leaseEnd = fixture.now + fixture.cell.settings.lease.longest - entry.lost;
+        fixture.report("worker-1", {}); // is polled anew
+        const orders out =
+            fixture.run(cell_fixture::makeJob("a", {cell_fixture::makeStep(3, 8'000)}));
+        BOOST_TEST(out.starts.size() == 3U, entry.name);
+        for (const start_order &start : out.starts) {
+            BOOST_TEST(start.leaseUntil == leaseEnd, entry.name);
+        }
+        BOOST_REQUIRE(out.polls.size() >= 1U);
+        for (const poll_order &poll : out.polls) {
+            BOOST_TEST(poll.leaseUntil == leaseEnd, entry.name);
+        }
+    }
+}
--- a/testing/cell/cell_history.cpp
+++ b/testing/cell/cell_history.cpp
@@ -16,6 +16,9 @@
 constexpr microseconds pollWait = 200 * millisecond;
 /// A scheduler that is unconfirmed for this long gives no orders, as in `entry::tickLeader`.
 constexpr microseconds confirmationTimeout = 2'500 * millisecond;
+/// Longest time for which a scheduler is confirmed after its successor took over, as in
+/// `entry::startLeading`.
+constexpr microseconds takeoverNoticeTime = 500 * millisecond;
 /// Time after the faults stop within which all jobs must end.
 constexpr microseconds drainTimeout = 60 * second;
 constexpr std::size_t maxRowsPerWrite = 30;
@@ -82,7 +85,7 @@
 {
     const auto successor = std::make_shared<simulated_scheduler>();
     successor->cell.settings.pollWait = pollWait;
-    successor->cell.settings.predecessorGrace = confirmationTimeout;
+    successor->cell.settings.predecessorGrace = takeoverNoticeTime;
     cell::beginEpoch(successor->cell, ++store.epoch, now);
     cell::cell_config config;
     config.version = 1;
@@ -108,7 +111,11 @@
     }
     cell::changeWorkers(successor->cell, readRegistry(successor->cell), now);
     successor->confirmedAt = now;
+    if (!schedulers.empty()) {
+        schedulers.back()->confirmedUntil = now + drawBetween(0, takeoverNoticeTime);
+    }
     schedulers.push_back(successor);
+    cutOffWorker();
     ++counts.takeovers;
     lastTakeoverAt = now;
     tick(successor);
@@ -116,9 +123,10 @@
 
 bool cell_history::state::isConfirmed(const scheduler_pointer &scheduler)
 {
-    if (scheduler == schedulers.back()) {
+    if (now < scheduler->confirmedUntil) {
         scheduler->confirmedAt = now;
     }
+    scheduler->cell.confirmedAt = scheduler->confirmedAt;
     return now <= scheduler->confirmedAt + confirmationTimeout;
 }
 
@@ -197,8 +205,7 @@
             }
         });
     };
-    if (history.partitionedWorkers.count(order.worker) > 0
-        || history.workers.count(order.worker) == 0) {
+    if (!history.isReachable(order.worker, scheduler->cell.epoch)) {
         scheduleAnswer(timeoutAt, order_outcome::unanswered);
         return;
     }
@@ -371,6 +378,7 @@
         history.faultsStopped = true;
         history.store.up = true;
         history.partitionedWorkers.clear();
+        history.workersCutOffFrom.clear();
         history.unregisteredWorkers.clear();
     });
     while (!history.events.empty() && history.events.begin()->first < endAt) {
--- a/testing/cell/cell_history.h
+++ b/testing/cell/cell_history.h
@@ -21,6 +21,8 @@
     microseconds schedulerPauseInterval = 0;
     microseconds workerCrashInterval = 0;
     microseconds workerPartitionInterval = 0;
+    /// Share of the takeovers at which a worker is cut off from the successor only, for seconds.
+    double successorPartitionShare = 0;
     microseconds storeOutageInterval = 0;
     /// Share of tasks outside gangs whose first runs fail.
     double failingTaskShare = 0.1;
@@ -28,6 +30,9 @@
     /// Share of steps that are gangs: their tasks run at the same time or not at all.
     double gangStepShare = 0.3;
     double checkpointingStepShare = 0.5;
+    /// Share of the tasks that run longer than a lease lasts, among those that never fail and are
+    /// not in gangs.
+    double longTaskShare = 0;
     /// Share of the workers whose registry entries lapse in an outage of the store.
     double lapsedEntryShare = 0.5;
     microseconds submitInterval = 250 * millisecond;
--- a/testing/cell/histories_main.cpp
+++ b/testing/cell/histories_main.cpp
@@ -20,6 +20,8 @@
     faults.schedulerPauseInterval = 9 * second;
     faults.workerCrashInterval = 5 * second;
     faults.workerPartitionInterval = 6 * second;
+    faults.successorPartitionShare = 0.3;
+    faults.longTaskShare = 0.1;
     faults.storeOutageInterval = 9 * second;
     int workers = 8;
     if (argc > 3 && argv[3] == std::string("takeovers")) {
--- a/testing/cell/history_events.cpp
+++ b/testing/cell/history_events.cpp
@@ -18,6 +18,13 @@
     return policy;
 }
 
+microseconds cell_history::state::drawDuration(bool mayBeLong)
+{
+    const double longShare = mayBeLong ? injectedFaults.longTaskShare : 0;
+    return longShare > 0 && drawBool(longShare) ? drawBetween(6 * second, 12 * second)
+                                                : drawBetween(100 * millisecond, 3 * second);
+}
+
 void cell_history::state::submitJob()
 {
     const auto leader = std::find_if(schedulers.rbegin(), schedulers.rend(),
@@ -46,7 +53,7 @@
         for (int task = 0; task < step.count; ++task) {
             const bool fails = drawBool(injectedFaults.failingTaskShare) && !step.gang;
             record.behaviour[{spec.id, 0, index, task}] = {
-                step.gang ? sharedDuration : drawBetween(100 * millisecond, 3 * second),
+                step.gang ? sharedDuration : drawDuration(!fails),
                 fails ? static_cast<int>(drawBetween(1, 3)) : 0};
         }
         spec.steps.push_back(step);
@@ -113,6 +120,25 @@
     });
 }
 
+void cell_history::state::cutOffWorker()
+{
+    if (faultsStopped || workers.empty() || !drawBool(injectedFaults.successorPartitionShare)) {
+        return;
+    }
+    auto victim = workers.begin();
+    std::advance(victim, drawBetween(0, static_cast<microseconds>(workers.size()) - 1));
+    const std::string id = victim->first;
+    workersCutOffFrom.emplace(id, store.epoch);
+    scheduleAt(now + drawBetween(second, 12 * second), [this, id] { workersCutOffFrom.erase(id); });
+}
+
+bool cell_history::state::isReachable(const std::string &worker, std::int64_t epoch) const
+{
+    const auto cutOff = workersCutOffFrom.find(worker);
+    return workers.count(worker) > 0 && partitionedWorkers.count(worker) == 0
+        && (cutOff == workersCutOffFrom.end() || epoch < cutOff->second);
+}
+
 bool cell_history::state::isAllowed(const cell::task_id &step, const std::string &worker) const
 {
     if (injectedFaults.allowedWorkerShare == 0) {
--- a/testing/cell/history_state.h
+++ b/testing/cell/history_state.h
@@ -15,6 +15,8 @@
     timestamp pausedUntil = 0;
     /// Time of the newest proof that there was no successor.
     timestamp confirmedAt = distantPast;
+    /// Time at which the last entry that confirms this scheduler hears of its successor.
+    timestamp confirmedUntil = distantFuture;
     bool writeInFlight = false;
 };
 
@@ -35,6 +37,8 @@
     std::multimap<timestamp, timed_event> events;
     std::map<std::string, simulated_worker> workers;
     std::set<std::string> partitionedWorkers;
+    /// Workers that are cut off from all schedulers from this epoch on.
+    std::map<std::string, std::int64_t> workersCutOffFrom;
     std::set<std::string> unregisteredWorkers;
     execution_record record;
     simulated_store store;
@@ -54,6 +58,8 @@
     bool drawBool(double probability);
     /// Draws from a uniform distribution that includes both bounds.
     microseconds drawBetween(microseconds minimum, microseconds maximum);
+    /// Draws the run time of a task outside gangs.
+    microseconds drawDuration(bool mayBeLong);
     /// Schedules `run` at random intervals until the faults stop; `meanInterval` 0: never.
     void scheduleRecurring(microseconds meanInterval, const std::function<void()> &run);
 
@@ -65,8 +71,8 @@
     void takeOver();
     void tick(const scheduler_pointer &scheduler);
     /// Whether the scheduler's leadership was confirmed less than `confirmationTimeout` ago. The
-    /// newest scheduler is confirmed by the other entries; an earlier one is neither confirmed nor
-    /// told of its successor.
+    /// newest scheduler is confirmed by the other entries; an earlier one is confirmed for a short
+    /// time after its successor took over, and is not told of it.
     bool isConfirmed(const scheduler_pointer &scheduler);
     void sendOrders(const scheduler_pointer &scheduler, const cell::orders &orders);
     void sendStart(const scheduler_pointer &scheduler, const cell::start_order &order);
@@ -79,6 +85,11 @@
     /// Submits a random job to the newest live scheduler.
     void submitJob();
     void scheduleFaults();
+    /// Cuts one worker off from the newest scheduler, with probability `successorPartitionShare`.
+    /// Its predecessor still reaches the worker.
+    void cutOffWorker();
+    /// Returns true if orders of this epoch reach the worker.
+    bool isReachable(const std::string &worker, std::int64_t epoch) const;
     /// Answers a call of the advisory service.
     void sendAdvice(const scheduler_pointer &scheduler, const cell::advice_order &queued);
     /// Returns true if the advisory service allows the worker for the step.
--- a/testing/cell/simulated_worker.cpp
+++ b/testing/cell/simulated_worker.cpp
@@ -51,6 +51,11 @@
     record.runningOn[task].erase(worker.entry.id);
 }
 
+int percentDone(const simulated_run &run, timestamp now)
+{
+    return static_cast<int>(100 * (now - run.startedAt) / (run.endsAt - run.startedAt));
+}
+
 const cell::step_spec &findStep(const execution_record &record, const cell::task_id &task)
 {
     return record.jobs.at(task.job).steps[static_cast<std::size_t>(task.step)];
@@ -228,7 +233,7 @@
     acknowledge(worker, record, order.acknowledgedEnd);
     report.workerClock = now;
     for (const auto &[task, run] : worker.runs) {
-        report.running.push_back({task, run.attempt, "", 50});
+        report.running.push_back({task, run.attempt, "", percentDone(run, now)});
     }
     report.ended = worker.ended;
     return order_outcome::accepted;
