Leases last 5 s, so that restored tasks start within 6 s of a takeover

Cause: restored tasks wait until the leases of every silent worker have run out. Leases were as long as the workers grant, 6 or 10 s.

Change: leases last 5 s at most. A worker that has runs is polled at least every second instead of every 1.5 s, so that runs survive 3 s of silence as before.

--- a/src/cell/scheduler_decide.cpp
+++ b/src/cell/scheduler_decide.cpp
@@ -6,6 +6,10 @@
 
 namespace {
 
+/// A lease on which runs depend is renewed at least this often before it ends, so that runs survive
+/// when the worker is silent for a while.
+constexpr int renewalsPerLease = 5;
+
 void orderPoll(scheduler &cell, worker_state &worker, timestamp now, bool fence, orders &out)
 {
     poll_order poll;
@@ -21,7 +25,9 @@
     // Neither a fence nor the first poll may wait, and a worker with unacknowledged ends answers at
     // once anyway.
     if (!fence && worker.fenced && worker.unansweredPolls == 0 && worker.unstoredEnds.empty()) {
-        poll.wait = cell.settings.pollWait;
+        poll.wait = worker.runs.empty()
+            ? cell.settings.pollWait
+            : std::min(cell.settings.pollWait, cell.settings.lease.longest / renewalsPerLease);
     }
     (fence ? worker.fenceInFlight : worker.pollInFlight) = true;
     out.polls.push_back(poll);
--- a/src/cell/worker_state.h
+++ b/src/cell/worker_state.h
@@ -65,10 +65,13 @@
     double slowness = 1.0;
 };
 
-/// Longest lease that a worker grants, and the error bounds for computing its expiry.
+/// Length of a lease, unless the workers' limit is shorter.
+constexpr microseconds leaseLength = 5 * second;
+
+/// Length of the leases that are granted, and the error bounds for computing their expiry.
 struct lease_limits
 {
-    microseconds longest = 6 * second;
+    microseconds longest = leaseLength;
     /// Largest relative error of a worker's clock rate (2 % by the worker protocol).
     double clockRateError = 0.02;
     /// Longest time between a worker reading its clock and the reading being used.
--- a/test/cell/takeover_test.cpp
+++ b/test/cell/takeover_test.cpp
@@ -1,6 +1,8 @@
 #define BOOST_TEST_MODULE takeover
 #include <boost/test/included/unit_test.hpp>
 
+#include <algorithm>
+
 #include "cell_fixture.h"
 
 using namespace bramleygrade;
@@ -70,6 +72,7 @@
         const microseconds waited = fixture.runUntilStart();
         BOOST_TEST(waited > expiredAt);
         BOOST_TEST(waited <= expiredAt + 2 * stepTime);
+        BOOST_TEST(waited < 6 * second); // 3 s to settle, and 3 s with nothing running
     }
 }
 
@@ -102,3 +105,24 @@
         }
     }
 }
+
+// The worker is cut off while it holds a poll, and comes back just after a repeated poll was sent,
+// which is given up before the next one.
+BOOST_AUTO_TEST_CASE(short_runs_survive_when_their_worker_is_silent_for_three_seconds)
+{
+    constexpr microseconds silence = 3 * second;
+    constexpr microseconds reportTimeoutMargin = 600 * millisecond;
+    constexpr microseconds repetitionInterval = 850 * millisecond;
+    cell_fixture fixture;
+    const auto out = fixture.run(cell_fixture::makeJob("a", {cell_fixture::makeStep(1, 1'000)}));
+    fixture.confirm(out.starts.at(0));
+    fixture.report(out.starts[0].worker, {});
+    const orders next = fixture.decide();
+    const auto poll = std::find_if(next.polls.begin(), next.polls.end(), [&](const auto &order) {
+        return order.worker == out.starts[0].worker;
+    });
+    BOOST_REQUIRE((poll != next.polls.end()));
+    const timestamp silentFrom = fixture.now + poll->wait;
+    BOOST_TEST(poll->leaseUntil > silentFrom + silence + repetitionInterval - millisecond);
+    BOOST_TEST(poll->wait + reportTimeoutMargin < silence);
+}
