A planned handover waits until all workers are reconciled

Change: a handover to a larger entry is due only when no worker is left to be reconciled, or 8 s after the takeover.

--- a/src/entry/handover.cpp
+++ b/src/entry/handover.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 
 #include "entry/membership.h"
+#include "entry/observation.h"
 
 namespace bramleygrade::entry {
 
@@ -11,6 +12,16 @@
 /// Time that a scheduler leads before it hands over to an entry with a larger processor share.
 constexpr microseconds minLeadTime = 2 * second;
 
+/// Time after a takeover by which all workers are usually reconciled.
+constexpr microseconds maxReconcileTime = 8 * second;
+
+/// Returns true if restored tasks wait for workers. A successor would begin to wait anew.
+bool isReconciling(const leader_state &leaderState, timestamp now)
+{
+    return now < leaderState.cell.tookOverAt + maxReconcileTime
+        && countUnreconciledWorkers(leaderState.cell) > 0;
+}
+
 /// Returns true if the member has not answered this scheduler's last heartbeat.
 bool isUnresponsive(const entry_state &entry, const std::string &name)
 {
@@ -58,7 +69,8 @@
 {
     const leader_state &leaderState = *entry.leaderState;
     return !leaderState.write && !leaderState.handoverInFlight && now >= leaderState.nextHandoverAt
-        && now >= leaderState.cell.tookOverAt + minLeadTime && hasLargerMember(entry);
+        && now >= leaderState.cell.tookOverAt + minLeadTime && hasLargerMember(entry)
+        && !isReconciling(leaderState, now);
 }
 
 void handOverToLarger(entry_state &entry, timestamp now)
