--- a/src/cell/worker_state.h
+++ b/src/cell/worker_state.h
@@ -70,10 +70,13 @@
     double slowness = 1.0;
 };
 
-/// Longest lease that a worker grants, and the error bounds for computing its expiry.
+/// Length of a lease, unless the workers' limit is shorter.
+constexpr microseconds leaseLength = 5 * second;
+
+/// Length of the leases that are granted, and the error bounds for computing their expiry.
 struct lease_limits
 {
-    microseconds longest = 6 * second;
+    microseconds longest = leaseLength;
     /// Largest relative error of a worker's clock rate (2 % by the worker protocol).
     double clockRateError = 0.02;
     /// Longest time between a worker reading its clock and the reading being used.
@@ -83,9 +86,9 @@
 /// Estimates the worker's clock at `now` from its newest answer.
 std::int64_t workerClock(const worker_state &worker, timestamp now);
 
-/// Returns the local time after which a lease ordered at `orderedAt` has expired on the worker,
-/// whatever its clock rate within the bound.
-timestamp latestLeaseExpiry(const lease_limits &limits, timestamp orderedAt);
+/// Returns the local time after which a lease granted from `grantedFrom` on has expired on the
+/// worker, whatever its clock rate within the bound.
+timestamp latestLeaseExpiry(const lease_limits &limits, timestamp grantedFrom);
 
 /// Whether new tasks may be placed on the worker.
 bool isUsable(const worker_state &worker, timestamp now);
