A lookup of a job reads the table of ended jobs first

With the table of jobs read first, an answer about an ended job took two reads.

Change: ended jobs are found by the first read, as before. A job in neither table is looked for among the ended ones once more, as it may have moved between the reads; a test covers that, and another that a cancellation of a job known from the rows alone isn't answered 410.

--- a/src/entry/job_lookup.cpp
+++ b/src/entry/job_lookup.cpp
@@ -35,11 +35,16 @@
     return lookup;
 }
 
-void lookUpEndedJob(entry_state &entry, const std::string &job, const lookup_completion &done)
+/// Passes the phase of an ended job to `done`, and calls `otherwise` if the job has not ended.
+void lookUpEndedJob(entry_state &entry, const std::string &job, const lookup_completion &done,
+                    const std::function<void()> &otherwise)
 {
-    readRow(entry, endedTable, job, done, [done](const stored_row *row) {
-        const auto ended = row == nullptr ? std::nullopt : decodeEnded(row->value);
-        done(makeLookup(ended ? std::optional(ended->phase) : std::nullopt));
+    readRow(entry, endedTable, job, done, [done, otherwise](const stored_row *row) {
+        if (const auto ended = row == nullptr ? std::nullopt : decodeEnded(row->value)) {
+            done(makeLookup(ended->phase));
+        } else {
+            otherwise();
+        }
     });
 }
 
@@ -50,15 +55,12 @@
     });
 }
 
-} // namespace
-
-void lookUpJob(entry_state &entry, const std::string &job, const lookup_completion &done)
+void lookUpLiveJob(entry_state &entry, const std::string &job, const lookup_completion &done)
 {
-    // An ending job moves from the table of jobs to that of ended jobs, so it is missed by neither
-    // read in this order.
     readRow(entry, jobTable, job, done, [&entry, job, done](const stored_row *row) {
         if (row == nullptr) {
-            lookUpEndedJob(entry, job, done);
+            // The job may have ended, and moved to the other table, since that was read.
+            lookUpEndedJob(entry, job, done, [done] { done(makeLookup(std::nullopt)); });
         } else if (const auto ended = decodeEnded(row->value)) {
             done(makeLookup(ended->phase));
         } else {
@@ -67,4 +69,12 @@
     });
 }
 
+} // namespace
+
+void lookUpJob(entry_state &entry, const std::string &job, const lookup_completion &done)
+{
+    // Most jobs that are looked up have ended.
+    lookUpEndedJob(entry, job, done, [&entry, job, done] { lookUpLiveJob(entry, job, done); });
+}
+
 } // namespace bramleygrade::entry
--- a/test/cell/forwarding_test.cpp
+++ b/test/cell/forwarding_test.cpp
@@ -186,6 +186,34 @@
     putJobRow();
     BOOST_TEST(callAndWait("GET") == statuses {200});
     BOOST_TEST((phase == cell::job_phase::queued));
+    caller_call cancellation;
+    cancellation.kind = call_kind::cancel;
+    cancellation.job = "a";
+    caller_answer answer;
+    answer.kind = answer_kind::bad_request;
+    handleCall(entry, cancellation, distantFuture,
+               [&answer](const caller_answer &given) { answer = given; });
+    loop.restart();
+    loop.run_for(std::chrono::milliseconds(10));
+    BOOST_TEST((answer.kind == answer_kind::unknown));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_job_that_ends_between_the_reads_of_a_lookup_is_found, forwarding_fixture)
+{
+    lead(entry_role::scheduler);
+    putJobRow();
+    int reads = 0;
+    entry.ports.store.read =
+        [this, &reads, read = entry.ports.store.read](const row_range &range, timestamp deadline,
+                                                      const store_completion &done) {
+            if (++reads == 2) {
+                table.rows.clear();
+                putEndedRow(endedTable);
+            }
+            read(range, deadline, done);
+        };
+    BOOST_TEST(callAndWait("GET") == statuses {200});
+    BOOST_TEST((phase == cell::job_phase::completed));
 }
 
 BOOST_FIXTURE_TEST_CASE(only_the_scheduler_says_that_there_is_no_such_job, forwarding_fixture)
