--- a/src/entry/json_text.h
+++ b/src/entry/json_text.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <limits>
 #include <string>
 
 #include <rapidjson/document.h>
@@ -63,12 +64,22 @@
     return field == nullptr ? "" : textOf(*field);
 }
 
+/// Numbers beyond the range of the type read as its limits.
 inline std::int64_t integerOf(const rapidjson::Value &value, std::int64_t fallback = 0)
 {
+    using limits = std::numeric_limits<std::int64_t>;
     if (value.IsInt64()) {
         return value.GetInt64();
     }
-    return value.IsNumber() ? static_cast<std::int64_t>(value.GetDouble()) : fallback;
+    if (!value.IsNumber()) {
+        return fallback;
+    }
+    const double number = value.GetDouble();
+    if (number >= static_cast<double>(limits::max())) {
+        return limits::max();
+    }
+    return number <= static_cast<double>(limits::min()) ? limits::min()
+                                                        : static_cast<std::int64_t>(number);
 }
 
 inline std::int64_t integerField(const rapidjson::Value &object, const char *name,
