Operators see workers whose capacity has changed

An operator could not tell a worker that shrank below what runs on it from one that is full: neither a log line nor a metric showed it.

--- a/src/cell/scheduler.h
+++ b/src/cell/scheduler.h
@@ -226,6 +226,12 @@
 /// Applies the registry's current list of workers; workers that it lacks get no new tasks.
 void changeWorkers(scheduler &cell, const std::vector<worker_entry> &entries, timestamp now);
 
+/// Returns the demand reserved on the worker; zero if it is unknown.
+resources demandOnWorker(const scheduler &cell, const std::string &worker);
+
+/// Returns the number of workers whose runs need more than their capacity, as it has shrunk.
+std::int64_t countOvercommittedWorkers(const scheduler &cell);
+
 // Jobs.
 
 /// Adds a job, which starts once it is stored. Returns false if a job of this id exists.
--- a/src/cell/scheduler_workers.cpp
+++ b/src/cell/scheduler_workers.cpp
@@ -189,6 +189,20 @@
     cell.needsPlacement = true;
 }
 
+resources demandOnWorker(const scheduler &cell, const std::string &worker)
+{
+    const auto found = cell.workers.find(worker);
+    return found == cell.workers.end() ? resources {} : found->second.used;
+}
+
+std::int64_t countOvercommittedWorkers(const scheduler &cell)
+{
+    return std::count_if(cell.workers.begin(), cell.workers.end(), [](const auto &entry) {
+        const worker_state &worker = entry.second;
+        return worker.listed && !fits(worker.used, worker.entry.capacity);
+    });
+}
+
 void releaseRun(scheduler &cell, const task_id &id, job_state &job, task_state &task)
 {
     const auto worker = cell.workers.find(task.worker);
--- a/src/entry/event_log.cpp
+++ b/src/entry/event_log.cpp
@@ -13,9 +13,14 @@
 constexpr std::size_t chunkBytes = 4U << 10U;
 
 /// Lines per second of events that a takeover or an outage causes for each worker or entry.
-const std::pair<const char *, std::int64_t> defaultLimits[] = {
-    {"worker_settled", 5}, {"worker_silent", 10}, {"worker_listed", 5}, {"worker_unlisted", 10},
-    {"member_joined", 5},  {"member_silent", 10}, {"member_back", 10}};
+const std::pair<const char *, std::int64_t> defaultLimits[] = {{"worker_settled", 5},
+                                                               {"worker_silent", 10},
+                                                               {"worker_listed", 5},
+                                                               {"worker_unlisted", 10},
+                                                               {"worker_capacity_changed", 10},
+                                                               {"member_joined", 5},
+                                                               {"member_silent", 10},
+                                                               {"member_back", 10}};
 
 void appendString(std::string &out, const std::string &text)
 {
--- a/src/entry/metrics.cpp
+++ b/src/entry/metrics.cpp
@@ -54,6 +54,7 @@
     {"calls_waiting", "Callers' calls without an answer."},
     {"cpu_milli_promised", "Processor reserved for runs, 1/1000 core."},
     {"cpu_milli_capacity", "Processor capacity of the workers, 1/1000 core."},
+    {"workers_overcommitted", "Workers whose capacity shrank below the demand of their runs."},
     {"task_starts_total", "Start orders of this epoch."},
     {"task_starts_refused_total", "Start orders refused by workers."},
     {"orders_unanswered_total", "Orders to workers without an answer."},
--- a/src/entry/state_dump.cpp
+++ b/src/entry/state_dump.cpp
@@ -75,9 +75,9 @@
 /// Removes the gauges of a scheduler, whose last values would look like current ones.
 void removeSchedulerGauges(entry_metrics &metrics)
 {
-    for (const char *name :
-         {"jobs_in_memory", "jobs_open", "workers", "workers_unreconciled", "restored_jobs_held",
-          "advice_queue", "unsaved_changes", "cpu_milli_promised", "cpu_milli_capacity"}) {
+    for (const char *name : {"jobs_in_memory", "jobs_open", "workers", "workers_unreconciled",
+                             "restored_jobs_held", "advice_queue", "unsaved_changes",
+                             "cpu_milli_promised", "cpu_milli_capacity", "workers_overcommitted"}) {
         metrics.gauges.erase(name);
     }
 }
@@ -171,6 +171,7 @@
     }
     gauges["cpu_milli_promised"] = used;
     gauges["cpu_milli_capacity"] = all;
+    gauges["workers_overcommitted"] = cell::countOvercommittedWorkers(cell);
     const cell::scheduler_counters &counts = cell.counters;
     auto &counters = entry.metrics.counters;
     counters["task_starts_total"] = counts.starts;
--- a/src/entry/watches.cpp
+++ b/src/entry/watches.cpp
@@ -74,6 +74,24 @@
                            });
 }
 
+std::string formatResources(const cell::resources &amounts)
+{
+    return std::to_string(amounts.cpuMilli) + "/" + std::to_string(amounts.memoryMb) + "/"
+        + std::to_string(amounts.accelerators);
+}
+
+void logCapacityChange(entry_state &entry, const cell::worker_entry &before,
+                       const cell::worker_entry &worker)
+{
+    const cell::resources used = cell::demandOnWorker(entry.leaderState->cell, worker.id);
+    logEvent(entry, "worker_capacity_changed",
+             {{"worker", worker.id},
+              {"before", formatResources(before.capacity)},
+              {"capacity", formatResources(worker.capacity)},
+              {"used", formatResources(used)},
+              {"overcommitted", cell::fits(used, worker.capacity) ? "no" : "yes"}});
+}
+
 void applyWorkerRows(entry_state &entry, const std::vector<stored_row> &rows)
 {
     leader_state &leaderState = *entry.leaderState;
@@ -99,6 +117,9 @@
             logEvent(entry, worker.draining ? "worker_draining" : "worker_listed",
                      {{"worker", worker.id}, {"row", std::to_string(row.version)}});
         }
+        if (known != leaderState.registry.end() && !(known->second.capacity == worker.capacity)) {
+            logCapacityChange(entry, known->second, worker);
+        }
         leaderState.registry[row.key] = worker;
     }
     if (!changed) {
--- a/test/cell/watches_test.cpp
+++ b/test/cell/watches_test.cpp
@@ -2,6 +2,7 @@
 #include <boost/test/included/unit_test.hpp>
 
 #include "entry/entry.h"
+#include "entry/state_dump.h"
 
 using namespace bramleygrade;
 using namespace bramleygrade::entry;
@@ -152,3 +153,20 @@
     runUntilWatched(2);
     BOOST_TEST(cell.workers.count("worker-3") == 1U);
 }
+
+BOOST_FIXTURE_TEST_CASE(limit_overcommitted_worker_that_no_operator_sees, registry_fixture)
+{
+    watchWorkers(entry, 1);
+    runUntilWatched(1);
+    entry.leaderState->cell.workers.at("worker-1").used = {4'000, 100, 0};
+    entry.log.linesPerSecond = 100;
+    const std::string line = R"("worker":"worker-1","before":"8000/0/0","capacity":"1000/0/0",)"
+                             R"("used":"4000/100/0","overcommitted":"yes")";
+    change("worker-1", "ready");
+    BOOST_TEST(entry.log.pending.find("worker_capacity_changed") == std::string::npos);
+    runUntilWatched(2);
+    change("worker-1", "small");
+    BOOST_TEST(entry.log.pending.find(line) != std::string::npos);
+    refreshGauges(entry);
+    BOOST_TEST(entry.metrics.gauges.at("workers_overcommitted") == 1);
+}
