A test that fails: objectives count the run times of slow workers

short_objective_that_counts_run_times_of_slow_workers fails on this code: with workers that take 0.67, 1 and 1.5 times the declared time, the objective of a step that takes 1 s is 4.0 s after its arrival instead of 3.0 s.

--- a/test/cell/run_times_test.cpp
+++ b/test/cell/run_times_test.cpp
@@ -2,10 +2,15 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/included/unit_test.hpp>
 
+#include <algorithm>
+#include <map>
+
 #include "cell/run_times.h"
+#include "cell_fixture.h"
 
 using namespace bramleygrade;
 using namespace bramleygrade::cell;
+using bramleygrade::testing::cell_fixture;
 
 namespace {
 
@@ -75,3 +80,38 @@
     BOOST_TEST(record.steps == 0);
     BOOST_TEST(expectRunTime(record, 0) == 0);
 }
+
+// Load: workers of different speeds. Gangs take as long as their slowest worker; their objectives
+// counted that time, so that they were expected on time, and had nothing preempted, until too late.
+BOOST_FIXTURE_TEST_CASE(short_objective_that_counts_run_times_of_slow_workers, cell_fixture)
+{
+    const std::map<std::string, microseconds> runTimes {
+        {"worker-1", 1'500 * millisecond}, {"worker-2", second}, {"worker-3", 666'667}};
+    step_spec step = makeStep(3, 1'000);
+    step.maxPerWorker = 1;
+    std::int64_t sequence = 0;
+    for (int number = 0; number < 300; ++number) {
+        const auto starts = run(makeJob("job-" + std::to_string(number), {step})).starts;
+        BOOST_REQUIRE(starts.size() == 3U);
+        const timestamp startedAt = now;
+        ++sequence;
+        for (const start_order &start : starts) {
+            confirm(start);
+        }
+        for (const char *worker : {"worker-3", "worker-2", "worker-1"}) {
+            const auto start =
+                std::find_if(starts.begin(), starts.end(),
+                             [&](const start_order &order) { return order.worker == worker; });
+            BOOST_REQUIRE((start != starts.end()));
+            now = startedAt + runTimes.at(worker);
+            end(worker, sequence, start->task, start->attempt, end_kind::done);
+        }
+        store();
+    }
+    run(makeJob("newest", {step}));
+    // Twice the second that the step takes on a worker of mean speed, and the latency target.
+    const job_state &newest = cell.jobs.at("newest");
+    BOOST_TEST(static_cast<double>(newest.objectiveAt - newest.receivedAt)
+                   == static_cast<double>(3 * second),
+               boost::test_tools::tolerance(0.05));
+}
