Objectives count run times as on workers of mean speed

Cause: a job's objective was computed from the longest observed run of each step. A gang takes as long as its slowest worker, so that objectives were too late, gangs counted as on time, and nothing was preempted for them until too late. Bounds set by gang waits for capacity remain: the cell is offered about what it holds.

Change: the speed of each worker is learned from its runs of independent tasks; objectives use run times divided by it. Expected times to the end stay those observed. The placement cost of a slow worker, a value that was never set, is removed, so that placement is as before.

The calls of recordRunTime in the tests take the additional time; no bound changed.

--- a/src/cell/job_state.cpp
+++ b/src/cell/job_state.cpp
@@ -9,6 +9,27 @@
 /// Number of workers per advice call that job objectives assume (users' rules, "Credit").
 constexpr int adviceWorkersInObjective = 30;
 
+/// Sums the run times, as returned by `runTimeOf`, and the times of advice calls from the start of
+/// each step to the end of the job.
+std::vector<microseconds> sumToEnd(const job_state &job, const run_time_record &runTimes,
+                                   microseconds (*runTimeOf)(const run_time_record &, microseconds))
+{
+    const microseconds advice = job.policy.needsAdvice
+        ? job.policy.advice.base + adviceWorkersInObjective * job.policy.advice.perWorker
+        : 0;
+    std::vector<microseconds> times(job.spec.steps.size(), 0);
+    // Steps depend on steps with lower indices only.
+    for (std::size_t index = job.spec.steps.size(); index-- > 0;) {
+        const step_spec &step = job.spec.steps[index];
+        times[index] += runTimeOf(runTimes, step.estimate) + advice;
+        for (const int before : step.after) {
+            microseconds &following = times[static_cast<std::size_t>(before)];
+            following = std::max(following, times[index]);
+        }
+    }
+    return times;
+}
+
 } // namespace
 
 occurrence_state &ensureOccurrence(job_state &job, int index)
@@ -74,24 +95,12 @@
 
 std::vector<microseconds> expectTimesToEnd(const job_state &job, const run_time_record &runTimes)
 {
-    const microseconds advice = job.policy.needsAdvice
-        ? job.policy.advice.base + adviceWorkersInObjective * job.policy.advice.perWorker
-        : 0;
-    std::vector<microseconds> times(job.spec.steps.size(), 0);
-    // Steps depend on steps with lower indices only.
-    for (std::size_t index = job.spec.steps.size(); index-- > 0;) {
-        const step_spec &step = job.spec.steps[index];
-        times[index] += expectRunTime(runTimes, step.estimate) + advice;
-        for (const int before : step.after) {
-            microseconds &following = times[static_cast<std::size_t>(before)];
-            following = std::max(following, times[index]);
-        }
-    }
-    return times;
+    return sumToEnd(job, runTimes, expectRunTime);
 }
 
-timestamp objectiveOf(const job_state &job, const std::vector<microseconds> &timesToEnd)
+timestamp objectiveOf(const job_state &job, const run_time_record &runTimes)
 {
+    const std::vector<microseconds> timesToEnd = sumToEnd(job, runTimes, expectSoundRunTime);
     const microseconds path =
         timesToEnd.empty() ? 0 : *std::max_element(timesToEnd.begin(), timesToEnd.end());
     return job.receivedAt
--- a/src/cell/job_state.h
+++ b/src/cell/job_state.h
@@ -60,8 +60,10 @@
 {
     std::vector<task_state> tasks;
     int doneCount = 0;
-    /// Longest successful run that did not resume from a checkpoint; 0: there is none.
+    /// Longest successful run that did not resume from a checkpoint, and the longest one as on a
+    /// worker of mean speed; 0: there is none.
     microseconds longestRun = 0;
+    microseconds longestSoundRun = 0;
     /// Attempts of the gang in which at least one member ended `failed`.
     std::set<int> gangFailedAttempts;
     std::map<std::string, worker_advice> advice;
@@ -152,8 +154,8 @@
 /// if the queue needs advice. The maximum is the length of the job's critical path.
 std::vector<microseconds> expectTimesToEnd(const job_state &job, const run_time_record &runTimes);
 
-/// Returns the job's objective: its critical path times the queue's slack factor, and the queue's
-/// latency target.
-timestamp objectiveOf(const job_state &job, const std::vector<microseconds> &timesToEnd);
+/// Returns the job's objective: its critical path on workers of mean speed times the queue's slack
+/// factor, and the queue's latency target.
+timestamp objectiveOf(const job_state &job, const run_time_record &runTimes);
 
 } // namespace bramleygrade::cell
--- a/src/cell/placement.cpp
+++ b/src/cell/placement.cpp
@@ -17,8 +17,6 @@
 constexpr double failureScoreCost = 1.0;
 /// A step is late if this share of its expected time to the end of the job exceeds the time left.
 constexpr double latenessShare = 0.5;
-/// Cost per multiple of the mean run time above one.
-constexpr double slownessCost = 1.0;
 
 std::int64_t countRuns(const step_state &step, const std::string &worker)
 {
@@ -215,7 +213,7 @@
         static_cast<double>(std::max<std::int64_t>(worker.entry.capacity.cpuMilli, 1));
     double cost =
         static_cast<double>(headroom.free.cpuMilli - step.demand.cpuMilli) / totalCpuMilli;
-    cost += failureScoreCost * worker.failureScore + slownessCost * (worker.slowness - 1.0);
+    cost += failureScoreCost * worker.failureScore;
     if (!step.preferredRack.empty() && step.preferredRack != worker.entry.rack) {
         cost += otherRackCost;
     }
--- a/src/cell/scheduler.h
+++ b/src/cell/scheduler.h
@@ -197,6 +197,8 @@
     std::map<std::string, advice_counts> adviceCounts;
     /// Observed run times, by queue name.
     std::map<std::string, run_time_record> runTimes;
+    /// Run times of single tasks on all workers relative to the declared ones, by queue name.
+    std::map<std::string, run_time_ratio> taskRunTimes;
     scheduler_counters counters;
     timestamp nextCheckAt = distantPast;
     timestamp nextObjectiveUpdateAt = distantPast;
--- a/src/cell/scheduler_ends.cpp
+++ b/src/cell/scheduler_ends.cpp
@@ -20,6 +20,34 @@
 
 using step_tasks = std::vector<task_state>;
 
+/// Slowness of the slowest worker of the gang, which determines the run time of all members.
+double slownessOfGang(const scheduler &cell, const step_state &step)
+{
+    double slowest = 0;
+    for (const task_state &task : step.tasks) {
+        const auto worker = cell.workers.find(task.worker);
+        if (task.phase != run_phase::none && worker != cell.workers.end()) {
+            slowest = std::max(slowest, worker->second.slowness);
+        }
+    }
+    return slowest > 0 ? slowest : 1.0;
+}
+
+/// Records the time of a successful run from its beginning.
+void recordRun(scheduler &cell, worker_state &worker, const job_state &job, const step_spec &spec,
+               step_state &step, microseconds observed)
+{
+    const double slowness = spec.gang ? slownessOfGang(cell, step) : worker.slowness;
+    step.longestRun = std::max(step.longestRun, observed);
+    step.longestSoundRun = std::max(
+        step.longestSoundRun, static_cast<microseconds>(static_cast<double>(observed) / slowness));
+    if (!spec.gang) {
+        recordRunOnWorker(cell.taskRunTimes[job.spec.queue], worker.runTimes, spec.estimate,
+                          observed);
+        worker.slowness = slownessOf(worker.runTimes);
+    }
+}
+
 void markDone(scheduler &cell, job_state &job, const reported_end &end, timestamp now, orders &out)
 {
     occurrence_state &occurrence = ensureOccurrence(job, end.task.occurrence);
@@ -40,7 +68,7 @@
         return;
     }
     recordRunTime(cell.runTimes[job.spec.queue], stepOf(job, end.task.step).estimate,
-                  step.longestRun);
+                  step.longestRun, step.longestSoundRun);
     markRunnable(cell, job);
     if (++occurrence.stepsDone < static_cast<int>(occurrence.steps.size())) {
         return;
@@ -241,7 +269,7 @@
     recordCheckpoint(*job, end, *task);
     if (end.how == end_kind::done && task->phase == run_phase::running
         && task->attempt == end.attempt && !task->resumed && task->confirmedAt != distantPast) {
-        step.longestRun = std::max(step.longestRun, now - task->confirmedAt);
+        recordRun(cell, worker, *job, stepOf(*job, end.task.step), step, now - task->confirmedAt);
     }
     if (task->phase != run_phase::none && task->worker == worker.entry.id
         && task->attempt == end.attempt) {
--- a/src/cell/scheduler_jobs.cpp
+++ b/src/cell/scheduler_jobs.cpp
@@ -62,9 +62,10 @@
 void updateObjective(const scheduler &cell, job_state &job)
 {
     const auto found = cell.runTimes.find(job.spec.queue);
-    job.expectedToEnd =
-        expectTimesToEnd(job, found == cell.runTimes.end() ? run_time_record {} : found->second);
-    job.objectiveAt = objectiveOf(job, job.expectedToEnd);
+    const run_time_record runTimes =
+        found == cell.runTimes.end() ? run_time_record {} : found->second;
+    job.expectedToEnd = expectTimesToEnd(job, runTimes);
+    job.objectiveAt = objectiveOf(job, runTimes);
 }
 
 void markRunnable(scheduler &cell, const job_state &job)
--- a/src/cell/worker_state.h
+++ b/src/cell/worker_state.h
@@ -4,6 +4,7 @@
 #include <set>
 
 #include "cell/job_state.h"
+#include "cell/run_times.h"
 #include "cell/types.h"
 
 namespace bramleygrade::cell {
@@ -61,8 +62,9 @@
     double failureScore = 0;
     /// Time until which the worker gets no new tasks, after failures or a refused start.
     timestamp avoidedUntil = distantPast;
-    /// Run time on this worker as a multiple of the mean for its service.
+    /// Run time on this worker as a multiple of the mean for its service, and its record.
     double slowness = 1.0;
+    run_time_ratio runTimes;
 };
 
 /// Longest lease that a worker grants, and the error bounds for computing its expiry.
