--- a/src/cell/placement.cpp
+++ b/src/cell/placement.cpp
@@ -19,8 +19,6 @@
 constexpr double latenessShare = 0.5;
 /// Cost of a worker that has none of the processors that a scavenging task could use.
 constexpr double noProcessorCost = 4.0;
-/// Cost per multiple of the mean run time above one.
-constexpr double slownessCost = 1.0;
 
 std::int64_t countRuns(const step_state &step, const std::string &worker)
 {
@@ -223,7 +221,7 @@
     if (step.scavenging && step.demand.cpuMilli > worker.entry.capacity.cpuMilli) {
         cost += noProcessorCost * (1.0 - totalCpuMilli / static_cast<double>(step.demand.cpuMilli));
     }
-    cost += failureScoreCost * worker.failureScore + slownessCost * (worker.slowness - 1.0);
+    cost += failureScoreCost * worker.failureScore;
     if (!step.preferredRack.empty() && step.preferredRack != worker.entry.rack) {
         cost += otherRackCost;
     }
--- a/src/cell/worker_state.h
+++ b/src/cell/worker_state.h
@@ -4,6 +4,7 @@
 #include <set>
 
 #include "cell/job_state.h"
+#include "cell/run_times.h"
 #include "cell/types.h"
 
 namespace bramleygrade::cell {
@@ -66,8 +67,9 @@
     int capacityRefusals = 0;
     /// Time until which the worker gets no new tasks after such a refusal.
     timestamp fullUntil = distantPast;
-    /// Run time on this worker as a multiple of the mean for its service.
+    /// Run time on this worker as a multiple of the mean for its service, and its record.
     double slowness = 1.0;
+    run_time_ratio runTimes;
 };
 
 /// Length of a lease, unless the workers' limit is shorter.
