A failing test for tasks that crash the workers that start them

What callers see: a task that crashes its worker is started again and again, and takes one worker after the other away from all other jobs, as the scheduler counts no crashes.

The test: budget_crashing_tasks, for four ways in which a crash becomes known.

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -129,3 +129,8 @@
 add_executable(cell_advice_clients_test test/cell/advice_clients_test.cpp)
 target_link_libraries(cell_advice_clients_test PRIVATE bramleygrade_cell Boost::headers)
 add_test(NAME cell_advice_clients COMMAND cell_advice_clients_test)
+
+add_executable(cell_crash_attribution_test test/cell/crash_attribution_test.cpp)
+target_include_directories(cell_crash_attribution_test PRIVATE ${CMAKE_SOURCE_DIR} ${CMAKE_SOURCE_DIR}/test/cell)
+target_link_libraries(cell_crash_attribution_test PRIVATE bramleygrade_cell Boost::headers)
+add_test(NAME budget_crashing_tasks COMMAND cell_crash_attribution_test)
