Tasks that crash the workers that start them are given up

Cause: the scheduler took a crashed worker for one that had lost its runs, and counted nothing.

Change: a crash is proven when another incarnation answers at the worker's address, also after the runs were released. It counts for the starts within 250 ms of the last proof of life, or for all runs if there are none, and is attributed if these are of one job. A task is given up after two attributed crashes or four in all, and its job fails. Until then it starts on workers without recent starts of others (gangs wait 3 s for them), others keep away until the worker has answered again, and at most a quarter of the workers (half after 3 s) are on such trials. The counts, and the worker of a trial, are part of the stored progress. Silent, cut off and leaving workers do not count.

--- /dev/null
+++ b/src/cell/crashes.cpp
@@ -0,0 +1,236 @@
+#include "cell/crashes.h"
+
+#include <algorithm>
+
+namespace bramleygrade::cell {
+
+namespace {
+
+/// Crashes attributed to a task after which it is given up, and those that may also have had
+/// another cause.
+constexpr std::size_t maxAttributedCrashes = 2;
+constexpr std::size_t maxCrashes = 4;
+/// Time after a worker's last answer within which its crash is found out.
+constexpr microseconds crashProofTimeout = 15 * second;
+/// A trial without an answer of the worker ends after this time.
+constexpr microseconds trialTimeout = 5 * second;
+/// Workers of a service over these divisors may be on trial at a time, for tasks that wait for
+/// less or more than `longWait`.
+constexpr std::size_t trialShareDivisor = 4;
+constexpr std::size_t longWaitShareDivisor = 2;
+constexpr microseconds longWait = 3 * second;
+/// Time after a crash in which workers are polled more often after starts.
+constexpr microseconds alertDuration = 10 * second;
+
+/// Calls `visit` for each task that a previous scheduler started on the worker after a crash.
+template <typename Visit>
+void forEachRestoredTrial(scheduler &cell, const worker_state &worker, Visit visit)
+{
+    for (auto &[id, job] : cell.jobs) {
+        for (auto &[number, occurrence] : job.occurrences) {
+            for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+                auto &tasks = occurrence.steps[step].tasks;
+                for (std::size_t index = 0; index < tasks.size(); ++index) {
+                    if (tasks[index].phase == run_phase::none
+                        && tasks[index].trialWorker == worker.entry.id) {
+                        visit(
+                            task_id {id, number, static_cast<int>(step), static_cast<int>(index)});
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// Returns the tasks that may have crashed the worker, and the newest start of each.
+std::map<task_id, timestamp> collectRuns(scheduler &cell, const worker_state &worker)
+{
+    std::map<task_id, timestamp> runs = worker.lostRuns;
+    for (const task_id &id : worker.runs) {
+        job_state *job = findJob(cell, id.job);
+        const task_state *task = job == nullptr ? nullptr : findTask(*job, id);
+        if (task != nullptr) {
+            runs[id] = task->startedAt;
+        }
+    }
+    forEachRestoredTrial(cell, worker, [&](const task_id &id) { runs.emplace(id, distantPast); });
+    return runs;
+}
+
+/// Removes the runs that were under way for long when the worker last answered, unless there are no
+/// others. Returns whether the others are recent starts of one job.
+bool keepLikelyCauses(const worker_state &worker, std::map<task_id, timestamp> &runs)
+{
+    const auto isRecent = [&](const auto &run) { return run.second + startTrial > worker.aliveAt; };
+    if (std::none_of(runs.begin(), runs.end(), isRecent)) {
+        return false;
+    }
+    for (auto it = runs.begin(); it != runs.end();) {
+        it = isRecent(*it) ? std::next(it) : runs.erase(it);
+    }
+    return runs.begin()->first.job == runs.rbegin()->first.job; // sorted by job
+}
+
+void addCrash(scheduler &cell, const worker_state &worker, const task_id &id, bool attributed,
+              timestamp now, orders &out)
+{
+    job_state *job = findJob(cell, id.job);
+    task_state *task = job == nullptr ? nullptr : findTask(*job, id);
+    if (task == nullptr || task->done || job->finalPhase) {
+        return;
+    }
+    task->crashedWorkers.insert(worker.entry.id);
+    ensureOccurrence(*job, id.occurrence).steps[static_cast<std::size_t>(id.step)].crashedAt = now;
+    if (attributed) {
+        task->attributedCrashes.insert(worker.entry.id);
+    }
+    recordChange(cell, id.job, false);
+    if (task->attributedCrashes.size() < maxAttributedCrashes
+        && task->crashedWorkers.size() < maxCrashes) {
+        return;
+    }
+    ++cell.counters.tasksGivenUp;
+    out.events.push_back({"task_given_up", id.job,
+                          "step=" + std::to_string(id.step) + " index=" + std::to_string(id.index)
+                              + " crashes=" + std::to_string(task->crashedWorkers.size())
+                              + " attributed=" + std::to_string(task->attributedCrashes.size())});
+    finishJob(cell, *job, job_phase::failed, now, out);
+}
+
+} // namespace
+
+void onWorkerCrashed(scheduler &cell, worker_state &worker, timestamp now, orders &out)
+{
+    if (!worker.crashed && !worker.entry.draining) {
+        worker.crashed = true;
+        cell.lastCrashAt = now;
+        ++cell.counters.crashedWorkers;
+        std::map<task_id, timestamp> runs = collectRuns(cell, worker);
+        const std::size_t all = runs.size();
+        const bool attributed = !runs.empty() && keepLikelyCauses(worker, runs);
+        out.events.push_back({"worker_crashed", runs.empty() ? "" : runs.begin()->first.job,
+                              "worker=" + worker.entry.id + " runs=" + std::to_string(all)
+                                  + " suspects=" + std::to_string(runs.size())
+                                  + " attributed=" + (attributed ? "yes" : "no") + " silent_ms="
+                                  + std::to_string((now - worker.answeredAt) / millisecond)});
+        for (const auto &[id, startedAt] : runs) {
+            addCrash(cell, worker, id, attributed, now, out);
+        }
+    }
+    releaseAllRuns(cell, worker, now, out);
+    worker.lostRuns.clear();
+    worker.recentStarts.clear();
+}
+
+void recordAnswer(scheduler &cell, worker_state &worker, timestamp sentAt, timestamp now,
+                  orders &out)
+{
+    const bool isFirst = worker.answeredAt == distantPast;
+    worker.answeredAt = now;
+    worker.lostRuns.clear();
+    recordAlive(cell, worker, now);
+    if (!isFirst) {
+        return;
+    }
+    for (auto &[id, other] : cell.workers) {
+        // An answer of an earlier incarnation may arrive after the first one of its successor.
+        if (&other != &worker && other.entry.address == worker.entry.address && !other.crashed
+            && other.answeredAt < sentAt) {
+            onWorkerCrashed(cell, other, now, out);
+        }
+    }
+}
+
+void recordAlive(scheduler &cell, worker_state &worker, timestamp at)
+{
+    worker.aliveAt = std::max(worker.aliveAt, at);
+    for (auto it = worker.recentStarts.begin(); it != worker.recentStarts.end();) {
+        it = worker.aliveAt >= it->second + startTrial ? worker.recentStarts.erase(it)
+                                                       : std::next(it);
+    }
+    if (!worker.trialJob.empty() && worker.aliveAt >= worker.trialStartedAt + startTrial) {
+        worker.trialJob.clear();
+        cell.needsPlacement = true;
+    }
+}
+
+bool mayHaveCrashed(const worker_state &worker, timestamp now)
+{
+    return !worker.lostRuns.empty() && !worker.crashed && !worker.entry.draining
+        && now < worker.answeredAt + crashProofTimeout;
+}
+
+bool isSuspected(const step_state &step)
+{
+    return std::any_of(step.tasks.begin(), step.tasks.end(), [](const task_state &task) {
+        return !task.done && !task.crashedWorkers.empty();
+    });
+}
+
+bool hasRecentCrash(const step_state &step, timestamp now)
+{
+    return now < step.crashedAt + longWait;
+}
+
+bool hasOpenStarts(const scheduler &cell, const worker_state &worker, timestamp now)
+{
+    return !worker.recentStarts.empty() && now < cell.lastCrashAt + alertDuration;
+}
+
+bool isOnTrial(const worker_state &worker, timestamp now)
+{
+    return !worker.trialJob.empty() && now < worker.trialUntil;
+}
+
+bool isOnTrialOfOther(const worker_state &worker, const std::string &job, timestamp now)
+{
+    return isOnTrial(worker, now) && worker.trialJob != job;
+}
+
+bool hasRecentStartsOfOthers(const worker_state &worker, const std::string &job)
+{
+    return std::any_of(worker.recentStarts.begin(), worker.recentStarts.end(),
+                       [&](const auto &start) { return start.first != job; });
+}
+
+void recordStart(scheduler &cell, worker_state &worker, const task_id &id, bool suspected,
+                 timestamp now)
+{
+    worker.recentStarts[id.job] = now;
+    if (!suspected) {
+        return;
+    }
+    worker.trialJob = id.job;
+    worker.trialStartedAt = now;
+    worker.trialUntil = now + trialTimeout;
+    findTask(cell.jobs.at(id.job), id)->trialWorker = worker.entry.id;
+    recordChange(cell, id.job, false);
+}
+
+void limitTrials(const scheduler &cell, const job_state &job, const step_state &step,
+                 std::vector<std::string> &workers, timestamp now)
+{
+    std::size_t all = 0;
+    std::size_t onTrial = 0;
+    for (const auto &[id, worker] : cell.workers) {
+        const bool isOfService = worker.entry.service == job.policy.service;
+        all += isOfService ? 1 : 0;
+        onTrial += isOfService && isOnTrial(worker, now) ? 1 : 0;
+    }
+    const std::size_t divisor =
+        hasRecentCrash(step, now) ? trialShareDivisor : longWaitShareDivisor;
+    const std::size_t limit = std::max<std::size_t>(1, all / divisor);
+    std::vector<std::string> kept;
+    std::set<std::string> added;
+    for (const std::string &id : workers) {
+        const bool isCounted = isOnTrial(cell.workers.at(id), now) || added.count(id) > 0;
+        if (isCounted || onTrial < limit) {
+            onTrial += isCounted ? 0 : 1;
+            added.insert(id);
+            kept.push_back(id);
+        }
+    }
+    workers = std::move(kept);
+}
+
+} // namespace bramleygrade::cell
--- a/src/cell/job_state.h
+++ b/src/cell/job_state.h
@@ -34,6 +34,8 @@
     int endedAttempt = 0;
     /// Time of the newest start or stop order.
     timestamp orderedAt = distantPast;
+    /// Time of the newest start order, or at which another scheduler's run was first reported.
+    timestamp startedAt = distantPast;
     /// Time at which the worker confirmed that it has the run; `distantPast`: not confirmed.
     timestamp confirmedAt = distantPast;
     int percent = 0;
@@ -45,6 +47,13 @@
     bool resumed = false;
     /// Workers on which the task has failed.
     std::set<std::string> failedOn;
+    /// Workers that crashed and may have done so because of the task.
+    std::set<std::string> crashedWorkers;
+    /// Those of `crashedWorkers` that no task of another job can have crashed at its start.
+    std::set<std::string> attributedCrashes;
+    /// Worker of the newest run if it started after a crash; stored, as the worker may crash around
+    /// a takeover.
+    std::string trialWorker;
 };
 
 /// The advisory service's answer about one worker for one step.
@@ -85,6 +94,8 @@
     int gangAttempt = 0;
     /// A member of the newest run has ended or was lost; all members restart once none is active.
     bool gangBroken = false;
+    /// Time of the newest crash of a worker that a task of the step may have caused.
+    timestamp crashedAt = distantPast;
 };
 
 struct occurrence_state
--- a/src/cell/placement.cpp
+++ b/src/cell/placement.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <numeric>
 
+#include "cell/crashes.h"
+
 namespace bramleygrade::cell {
 
 namespace {
@@ -54,11 +56,15 @@
     const task_state *first = &step.tasks[static_cast<std::size_t>(waiting.tasks.front())];
     const resources demand = reservedDemand(spec);
     const bool onReservedOnly = spec.gang && holdsReservation(step, now);
+    const bool needsTrial = isSuspected(step) && (!spec.gang || hasRecentCrash(step, now));
+    const std::string &job = waiting.job->spec.id;
     std::vector<candidate> found;
     const auto consider = [&](const std::string &id, const worker_headroom &headroom,
                               bool ticketValid) {
         if (!fits(demand, headroom.free) || !isEligible(*waiting.job, spec, *headroom.worker)
-            || (onReservedOnly && step.reservations.count(id) == 0)) {
+            || (onReservedOnly && step.reservations.count(id) == 0)
+            || isOnTrialOfOther(*headroom.worker, job, now)
+            || (needsTrial && hasRecentStartsOfOthers(*headroom.worker, job))) {
             return;
         }
         std::int64_t slots = tasksThatFit(spec, headroom.free);
--- a/src/cell/placement_round.cpp
+++ b/src/cell/placement_round.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 
+#include "cell/crashes.h"
 #include "cell/placement.h"
 #include "cell/scheduler.h"
 
@@ -132,12 +133,14 @@
     task.phase = run_phase::starting;
     task.worker = worker.entry.id;
     task.orderedAt = now;
+    task.startedAt = now;
     task.confirmedAt = distantPast;
     task.progressAt = now;
     task.percent = 0;
     task.token = fencingToken(cell, worker);
     task.resumed = !task.checkpoint.empty();
     waiting.job->startedAny = true;
+    recordStart(cell, worker, id, isSuspected(step), now);
     addRun(worker, id, reservedDemand(stepSpec(waiting)));
     headroom.free = headroom.free - reservedDemand(stepSpec(waiting));
     worker.leasesExpiredAt =
@@ -322,7 +325,10 @@
     std::size_t started = 0;
     const bool planned = waiting.job->stored && mayHaveTicket(waiting, now);
     if (planned) {
-        const placement_plan plan = planStep(waiting, headrooms, now);
+        placement_plan plan = planStep(waiting, headrooms, now);
+        if (isSuspected(stepState(waiting))) {
+            limitTrials(cell, *waiting.job, stepState(waiting), plan.workers, now);
+        }
         started = startIndependent(cell, waiting, plan, headrooms, now, out);
     }
     if (waiting.job->policy.needsAdvice && started < waiting.tasks.size()) {
--- a/src/cell/scheduler.h
+++ b/src/cell/scheduler.h
@@ -151,6 +151,10 @@
     std::uint64_t adviceCalls = 0;
     /// Workers whose runs were released, as their leases had expired or they had left.
     std::uint64_t lostWorkers = 0;
+    /// Workers in whose place another incarnation was found.
+    std::uint64_t crashedWorkers = 0;
+    /// Tasks given up as workers crashed at their starts.
+    std::uint64_t tasksGivenUp = 0;
     std::uint64_t jobsAccepted = 0;
     std::uint64_t jobsCompleted = 0;
     std::uint64_t jobsFailed = 0;
@@ -204,6 +208,7 @@
     bool needsPlacement = false;
     /// The newest placement round ended at the limit of planned steps.
     bool isRoundLimited = false;
+    timestamp lastCrashAt = distantPast;
     /// Calls for advice that were ordered and not yet prepared to be sent.
     std::size_t queuedLongCalls = 0;
     std::size_t queuedShortCalls = 0;
--- a/src/cell/scheduler_decide.cpp
+++ b/src/cell/scheduler_decide.cpp
@@ -1,11 +1,14 @@
 #include <algorithm>
 
-#include "cell/scheduler.h"
+#include "cell/crashes.h"
 
 namespace bramleygrade::cell {
 
 namespace {
 
+/// Duration of a long poll of a worker whose newest starts may still crash it.
+constexpr microseconds openStartPollWait = 200 * millisecond;
+
 void orderPoll(scheduler &cell, worker_state &worker, timestamp now, bool fence, orders &out)
 {
     poll_order poll;
@@ -21,7 +24,9 @@
     // Neither a fence nor the first poll may wait, and a worker with unacknowledged ends answers at
     // once anyway.
     if (!fence && worker.fenced && worker.unansweredPolls == 0 && worker.unstoredEnds.empty()) {
-        poll.wait = cell.settings.pollWait;
+        poll.wait = hasOpenStarts(cell, worker, now)
+            ? std::min(cell.settings.pollWait, openStartPollWait)
+            : cell.settings.pollWait;
     }
     if (poll.leaseUntil != 0) {
         worker.leasesExpiredAt =
@@ -43,7 +48,7 @@
             releaseAllRuns(cell, worker, now, out);
         }
         if (noPollInFlight && !worker.listed && worker.runs.empty()
-            && (worker.reconciled || worker.fenced)) {
+            && (worker.reconciled || worker.fenced) && !mayHaveCrashed(worker, now)) {
             recordChange(cell, workerListChange, false);
             it = cell.workers.erase(it);
             continue;
--- a/src/cell/scheduler_ends.cpp
+++ b/src/cell/scheduler_ends.cpp
@@ -1,6 +1,6 @@
 #include <algorithm>
 
-#include "cell/scheduler.h"
+#include "cell/crashes.h"
 
 namespace bramleygrade::cell {
 
@@ -295,6 +295,7 @@
         }
         task->confirmedAt = now;
         task->progressAt = now;
+        recordAlive(cell, worker->second, task->startedAt);
         return;
     }
     if (outcome == order_outcome::unanswered) {
@@ -312,7 +313,7 @@
          "worker=" + order.worker + " outcome=" + std::to_string(static_cast<int>(outcome))});
     if (outcome == order_outcome::refused_incarnation) {
         worker->second.fenced = false;
-        releaseAllRuns(cell, worker->second, now, out);
+        onWorkerCrashed(cell, worker->second, now, out);
         return;
     }
     step_state &step = ensureOccurrence(*job, order.task.occurrence)
--- a/src/cell/scheduler_jobs.cpp
+++ b/src/cell/scheduler_jobs.cpp
@@ -1,6 +1,6 @@
 #include <algorithm>
 
-#include "cell/scheduler.h"
+#include "cell/crashes.h"
 
 namespace bramleygrade::cell {
 
@@ -119,6 +119,11 @@
         job.policy = *policy;
     }
     updateObjective(cell, job);
+    for (auto &[number, occurrence] : job.occurrences) {
+        for (step_state &step : occurrence.steps) {
+            step.crashedAt = isSuspected(step) ? now : distantPast;
+        }
+    }
     const std::string id = job.spec.id;
     const auto [it, inserted] = cell.jobs.emplace(id, std::move(job));
     if (inserted) {
--- a/src/cell/scheduler_workers.cpp
+++ b/src/cell/scheduler_workers.cpp
@@ -1,6 +1,6 @@
 #include <algorithm>
 
-#include "cell/scheduler.h"
+#include "cell/crashes.h"
 
 namespace bramleygrade::cell {
 
@@ -32,6 +32,7 @@
     task.worker = worker.entry.id;
     task.attempt = std::max(task.attempt, run.attempt);
     task.resumed = true; // its start is not known
+    task.startedAt = sentAt;
     task.confirmedAt = sentAt;
     task.progressAt = sentAt;
     task.token = fencingToken(cell, worker);
@@ -197,6 +198,7 @@
     }
     task.phase = run_phase::none;
     task.worker.clear();
+    task.trialWorker.clear();
     task.percent = 0;
     task.confirmedAt = distantPast;
     markRunnable(cell, job);
@@ -214,6 +216,7 @@
         }
         ensureOccurrence(*job, id.occurrence).steps[static_cast<std::size_t>(id.step)].gangBroken =
             true;
+        worker.lostRuns[id] = task->startedAt;
         releaseRun(cell, id, *job, *task);
     }
     worker.runs.clear();
@@ -237,7 +240,7 @@
     (order.fence ? worker.fenceInFlight : worker.pollInFlight) = false;
     worker.unansweredPolls = 0;
     worker.connectionRefused = false;
-    worker.answeredAt = now;
+    recordAnswer(cell, worker, sentAt, now, out);
     worker.clock = report.workerClock;
     worker.clockReadAt = now;
     if (order.fencingToken == fencingToken(cell, worker)) {
@@ -296,7 +299,7 @@
     worker.connectionRefused = outcome == order_outcome::not_sent;
     if (outcome == order_outcome::refused_incarnation) {
         worker.fenced = false;
-        releaseAllRuns(cell, worker, now, out);
+        onWorkerCrashed(cell, worker, now, out);
     }
 }
 
--- a/src/cell/worker_state.h
+++ b/src/cell/worker_state.h
@@ -28,6 +28,18 @@
     /// Sum of the reserved demands of all runs that may exist on the worker.
     resources used;
     std::set<task_id> runs;
+    /// Runs released while the worker was silent, and their starts; it may have crashed with them.
+    std::map<task_id, timestamp> lostRuns;
+    bool crashed = false;
+    /// A call sent at this time or earlier was answered.
+    timestamp aliveAt = distantPast;
+    /// Newest start of each job whose tasks have not run for `startTrial` yet.
+    std::map<std::string, timestamp> recentStarts;
+    /// Job whose tasks may have crashed a worker. Tasks of other jobs do not start here until
+    /// `trialUntil`, so that another crash can be attributed.
+    std::string trialJob;
+    timestamp trialStartedAt = distantPast;
+    timestamp trialUntil = distantPast;
     /// Demand expected of the steps whose calls for advice are open.
     resources expectedDemand;
     /// Capacity that the newest placement round left after the steps of the highest priority, and
--- a/src/entry/rows.cpp
+++ b/src/entry/rows.cpp
@@ -1,6 +1,6 @@
 #include "entry/rows.h"
 
-#include "entry/json_text.h"
+#include "entry/json_names.h"
 
 namespace bramleygrade::entry {
 
@@ -174,13 +174,20 @@
     out.StartArray();
     for (std::size_t index = 0; index < step.tasks.size(); ++index) {
         const cell::task_state &task = step.tasks[index];
-        if (task.done || (task.failedAttempts.empty() && task.checkpoint.empty())) {
+        if (task.done
+            || (task.failedAttempts.empty() && task.checkpoint.empty()
+                && task.crashedWorkers.empty())) {
             continue;
         }
         out.StartObject();
         put(out, "index", static_cast<std::int64_t>(index));
         writeAttempts(out, "failed", task.failedAttempts);
         put(out, "checkpoint", task.checkpoint);
+        putNames(out, "crashed", task.crashedWorkers);
+        putNames(out, "attributed", task.attributedCrashes);
+        if (!task.trialWorker.empty()) {
+            put(out, "trial", task.trialWorker);
+        }
         out.EndObject();
     }
     out.EndArray();
@@ -205,6 +212,9 @@
             auto &task = step.tasks[static_cast<std::size_t>(index)];
             task.failedAttempts = readAttempts(row, "failed");
             task.checkpoint = textField(row, "checkpoint");
+            task.crashedWorkers = namesField(row, "crashed");
+            task.attributedCrashes = namesField(row, "attributed");
+            task.trialWorker = textField(row, "trial");
         }
     }
 }
--- a/src/entry/state_dump.cpp
+++ b/src/entry/state_dump.cpp
@@ -181,6 +181,8 @@
     counters["task_ends_total{how=\"other\"}"] = counts.endsOther;
     counters["advice_calls_total"] = counts.adviceCalls;
     counters["workers_lapsed_total"] = counts.lostWorkers;
+    counters["workers_crashed_total"] = counts.crashedWorkers;
+    counters["tasks_given_up_total"] = counts.tasksGivenUp;
     counters["runs_stalled_total"] = counts.stalledRuns;
     counters["runs_preempted_total"] = counts.preemptedRuns;
     counters["jobs_total{state=\"accepted\"}"] = counts.jobsAccepted;
--- a/test/cell/crash_attribution_test.cpp
+++ b/test/cell/crash_attribution_test.cpp
@@ -112,3 +112,168 @@
         }
     }
 }
+
+namespace {
+
+/// Two jobs that start on the same worker at the same time.
+struct shared_worker : crashing_cell
+{
+    shared_worker()
+    {
+        entries.resize(1);
+        cell::changeWorkers(cell, entries, now);
+        for (const char *id : {"deadly", "innocent"}) {
+            acceptJob(cell, cell_fixture::makeJob(id, {cell_fixture::makeStep(1, 1'000)}), policy,
+                      now);
+        }
+        store();
+        for (const start_order &order : decide().starts) {
+            confirm(order);
+        }
+        entries.push_back(makeWorker("worker-4"));
+        entries.push_back(makeWorker("worker-5"));
+        cell::changeWorkers(cell, entries, now);
+        store();
+    }
+
+    const task_state &taskOf(const std::string &job)
+    {
+        return *findTask(cell.jobs.at(job), {job, 0, 0, 0});
+    }
+
+    /// Crashes each worker on which the deadly task starts, until both jobs have ended or no time
+    /// is left. Other tasks end well after half a second.
+    void play(microseconds duration)
+    {
+        std::map<std::string, std::int64_t> sequences;
+        for (const timestamp until = now + duration; now < until;) {
+            now += 10 * millisecond;
+            const auto &deadly = taskOf("deadly");
+            if (!cell.jobs.at("deadly").finalPhase && deadly.phase != run_phase::none) {
+                crash({{"deadly", 0, 0, 0}, deadly.attempt, deadly.worker},
+                      crash_sign::poll_refused);
+            }
+            const auto &innocent = taskOf("innocent");
+            if (innocent.phase == run_phase::running
+                && now >= innocent.startedAt + 500 * millisecond) {
+                end(innocent.worker, ++sequences[innocent.worker], {"innocent", 0, 0, 0},
+                    innocent.attempt, end_kind::done);
+            }
+            pass(100 * millisecond);
+        }
+    }
+};
+
+/// What happened to a worker on which a task was started.
+struct survival_case
+{
+    const char *description;
+    bool draining;
+    order_outcome outcome;
+    microseconds ranFor;
+    std::size_t crashes;
+    std::size_t attributed;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_task_that_shared_the_worker_of_a_crashing_task_completes)
+{
+    shared_worker fixture;
+    BOOST_REQUIRE(fixture.cell.workers.at("worker-1").runs.size() == 2U);
+    fixture.play(20 * second);
+    BOOST_TEST((fixture.cell.jobs.at("deadly").finalPhase == cell_phase::failed));
+    BOOST_TEST((fixture.cell.jobs.at("innocent").finalPhase == cell_phase::completed));
+    BOOST_TEST(fixture.cell.counters.tasksGivenUp == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_crash_counts_only_if_it_is_proven)
+{
+    const std::vector<survival_case> cases {
+        {"crashed at the start", false, order_outcome::refused_incarnation, 0, 1, 1},
+        {"crashed long after the start", false, order_outcome::refused_incarnation, 3 * second, 1,
+         0},
+        {"left and was replaced", true, order_outcome::refused_incarnation, 0, 0, 0},
+        {"no connection", false, order_outcome::not_sent, 0, 0, 0},
+        {"silent", false, order_outcome::unanswered, 0, 0, 0},
+    };
+    for (const survival_case &given : cases) {
+        BOOST_TEST_CONTEXT(given.description)
+        {
+            crashing_cell fixture;
+            const start_order start =
+                fixture.run(cell_fixture::makeJob("a", {cell_fixture::makeStep(1, 1'000)}))
+                    .starts.at(0);
+            fixture.confirm(start);
+            fixture.pass(given.ranFor);
+            fixture.cell.workers.at(start.worker).entry.draining = given.draining;
+            orders out;
+            // Another poll of the same worker must not count the crash again.
+            for (int poll = 0; poll < 2; ++poll) {
+                onPollFailed(fixture.cell, fixture.makePoll(start.worker), given.outcome,
+                             fixture.now, out);
+            }
+            const task_state &task = *findTask(fixture.cell.jobs.at("a"), start.task);
+            BOOST_TEST(task.crashedWorkers.size() == given.crashes);
+            BOOST_TEST(task.attributedCrashes.size() == given.attributed);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_task_that_ran_for_long_is_no_suspect_beside_a_recent_start)
+{
+    crashing_cell fixture;
+    fixture.entries.resize(1);
+    changeWorkers(fixture.cell, fixture.entries, fixture.now);
+    fixture.confirm(
+        fixture.run(cell_fixture::makeJob("old", {cell_fixture::makeStep(1, 1'000)})).starts.at(0));
+    fixture.pass(3 * second);
+    const start_order recent =
+        fixture.run(cell_fixture::makeJob("new", {cell_fixture::makeStep(1, 1'000)})).starts.at(0);
+    fixture.crash(recent, crash_sign::poll_refused);
+    BOOST_TEST(findTask(fixture.cell.jobs.at("old"), {"old", 0, 0, 0})->crashedWorkers.empty());
+    BOOST_TEST(findTask(fixture.cell.jobs.at("new"), recent.task)->attributedCrashes.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_worker_on_trial_takes_no_other_job_until_it_has_answered)
+{
+    crashing_cell fixture;
+    const start_order first =
+        fixture.run(cell_fixture::makeJob("a", {cell_fixture::makeStep(1, 1'000)})).starts.at(0);
+    const std::vector<start_order> again = fixture.crash(first, crash_sign::poll_refused);
+    BOOST_REQUIRE(again.size() == 1U);
+    fixture.confirm(again.front());
+    const auto other = fixture.run(cell_fixture::makeJob("b", {cell_fixture::makeStep(3, 8'000)}));
+    for (const start_order &start : other.starts) {
+        BOOST_TEST(start.worker != again.front().worker);
+    }
+    BOOST_TEST(other.starts.size() == 2U);
+    fixture.pass(1'500 * millisecond);
+    const auto late = fixture.run(cell_fixture::makeJob("c", {cell_fixture::makeStep(1, 7'000)}));
+    BOOST_REQUIRE(late.starts.size() == 1U);
+    BOOST_TEST(late.starts.front().worker == again.front().worker);
+}
+
+// Guards against crashes that are not counted, as a takeover comes before their proof.
+BOOST_AUTO_TEST_CASE(budget_crash_of_a_worker_on_trial_around_a_takeover)
+{
+    crashing_cell before;
+    const start_order first =
+        before.run(cell_fixture::makeJob("a", {cell_fixture::makeStep(1, 1'000)})).starts.at(0);
+    const std::vector<start_order> again = before.crash(first, crash_sign::poll_refused);
+    BOOST_REQUIRE(again.size() == 1U);
+    crashing_cell after;
+    after.cell.workers.clear(); // no worker has answered the new scheduler
+    job_state stored = before.cell.jobs.at("a");
+    task_state &task = *findTask(stored, first.task);
+    BOOST_TEST(task.trialWorker == again.front().worker);
+    BOOST_TEST(before.cell.unstored.count("a") == 1U);
+    task.phase = run_phase::none;
+    task.worker.clear();
+    restoreJob(after.cell, stored, after.now);
+    restoreWorker(after.cell, cell_fixture::makeWorker(again.front().worker), after.now);
+    orders out;
+    onPollFailed(after.cell, after.makePoll(again.front().worker),
+                 order_outcome::refused_incarnation, after.now, out);
+    BOOST_TEST((after.cell.jobs.at("a").finalPhase == cell_phase::failed));
+}
