Histories with tasks that crash their workers

A share of the jobs has a task that crashes each worker that starts it; another one is up at the address after two to four seconds, while schedulers are killed and paused. Checked: no third start after three crashes, and no job fails without cause.

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -104,7 +104,7 @@
 add_test(NAME platform_formats COMMAND platform_formats_test)
 
 add_executable(cell_histories testing/cell/cell_history.cpp testing/cell/histories_main.cpp
-                              testing/cell/history_events.cpp testing/cell/simulated_worker.cpp)
+                              testing/cell/crashing_tasks.cpp testing/cell/history_events.cpp testing/cell/simulated_worker.cpp)
 target_include_directories(cell_histories PRIVATE ${CMAKE_SOURCE_DIR})
 target_link_libraries(cell_histories PRIVATE bramleygrade_entry)
 foreach(part RANGE 0 3)
@@ -134,3 +134,7 @@
 target_include_directories(cell_crash_attribution_test PRIVATE ${CMAKE_SOURCE_DIR} ${CMAKE_SOURCE_DIR}/test/cell)
 target_link_libraries(cell_crash_attribution_test PRIVATE bramleygrade_cell Boost::headers)
 add_test(NAME budget_crashing_tasks COMMAND cell_crash_attribution_test)
+# Jobs whose tasks crash the workers that start them.
+add_test(NAME cell_histories_of_crashing_tasks COMMAND cell_histories 101 100 deadly)
+set_tests_properties(cell_histories_of_crashing_tasks PROPERTIES COST 500)
+add_test(NAME budget_count_lost_at_takeovers COMMAND cell_histories 53 1 deadly)
--- a/testing/cell/cell_history.cpp
+++ b/testing/cell/cell_history.cpp
@@ -227,8 +227,7 @@
                                     const cell::start_order &order)
 {
     sendOrder(
-        *this, scheduler, order,
-        [this, order] { return startRun(workers.at(order.worker), record, order, now); },
+        *this, scheduler, order, [this, order] { return startTask(order); },
         [this, scheduler, order](order_outcome outcome) {
             cell::orders out;
             cell::onStartOutcome(scheduler->cell, order, outcome, now, out);
@@ -241,7 +240,7 @@
 {
     sendOrder(
         *this, scheduler, order,
-        [this, order] { return stopRun(workers.at(order.worker), record, order, now); },
+        [this, order] { return stopRun(findAnswering(order.worker), record, order, now); },
         [this, scheduler, order](order_outcome outcome) {
             cell::onStopOutcome(scheduler->cell, order, outcome, now);
         });
@@ -270,7 +269,7 @@
     sendOrder(
         *this, scheduler, order,
         [this, order, report] {
-            return pollWorker(workers.at(order.worker), record, order, now, *report);
+            return pollWorker(findAnswering(order.worker), record, order, now, *report);
         },
         [this, scheduler, order, report, sentAt](order_outcome outcome) {
             cell::orders out;
@@ -387,6 +386,7 @@
         }
     }
     history.checkFinalState();
+    history.checkFailedJobs();
 }
 
 const violation_list &cell_history::violations() const
--- a/testing/cell/cell_history.h
+++ b/testing/cell/cell_history.h
@@ -25,6 +25,8 @@
     /// Share of tasks outside gangs whose first runs fail.
     double failingTaskShare = 0.1;
     double cancelledJobShare = 0.05;
+    /// Share of jobs with a task that crashes each worker that starts it.
+    double crashingJobShare = 0;
     /// Share of steps that are gangs: their tasks run at the same time or not at all.
     double gangStepShare = 0.3;
     double checkpointingStepShare = 0.5;
@@ -60,6 +62,8 @@
     std::uint64_t completed = 0;
     std::uint64_t takeovers = 0;
     std::uint64_t workerCrashes = 0;
+    /// Jobs that failed although none of their tasks crashes workers or fails often enough.
+    std::uint64_t failedInnocent = 0;
     std::uint64_t starts = 0;
 };
 
--- a/testing/cell/histories_main.cpp
+++ b/testing/cell/histories_main.cpp
@@ -7,7 +7,8 @@
 /// Runs randomised histories of the cell scheduler: cell_histories FIRST_SEED COUNT [takeovers
 /// [crashes]]. The defaults are 1 and 100. With `takeovers` the cell has 350 workers and wide
 /// steps, and schedulers replace one another every second or two; with `crashes` workers crash as
-/// well. Exit code 1 if a history violates a rule.
+/// well. `deadly` instead: the tasks of some jobs crash the workers that start them. Exit code 1 if
+/// a history violates a rule.
 int main(int argc, char **argv)
 {
     using namespace bramleygrade;
@@ -34,6 +35,9 @@
         faults.isLargeCell = true;
         workers = 350;
     }
+    if (argc > 3 && argv[3] == std::string("deadly")) {
+        faults.crashingJobShare = 0.05;
+    }
     int failed = 0;
     testing::history_counts total;
     for (std::uint64_t seed = first; seed < first + count; ++seed) {
@@ -45,6 +49,7 @@
         total.takeovers += counts.takeovers;
         total.workerCrashes += counts.workerCrashes;
         total.starts += counts.starts;
+        total.failedInnocent += counts.failedInnocent;
         if (!history.violations().empty()) {
             ++failed;
             std::cout << "seed " << seed << ": " << history.violations().front() << " ("
@@ -53,7 +58,8 @@
     }
     std::cout << count << " histories: jobs " << total.jobs << ", completed " << total.completed
               << ", starts " << total.starts << ", takeovers " << total.takeovers << ", crashes "
-              << total.workerCrashes << std::endl;
+              << total.workerCrashes << ", failed without a fault of their own "
+              << total.failedInnocent << std::endl;
     std::cout << count - static_cast<std::uint64_t>(failed) << " passed, " << failed << " failed"
               << std::endl;
     return failed == 0 ? 0 : 1;
--- a/testing/cell/history_events.cpp
+++ b/testing/cell/history_events.cpp
@@ -51,6 +51,9 @@
         }
         spec.steps.push_back(step);
     }
+    if (injectedFaults.crashingJobShare > 0 && drawBool(injectedFaults.crashingJobShare)) {
+        record.behaviour[{spec.id, 0, 0, 0}].crashesWorker = true;
+    }
     record.jobs[spec.id] = spec;
     record.maxAttempts[spec.id] = policy.maxAttempts;
     if (policy.needsAdvice) {
--- a/testing/cell/history_state.h
+++ b/testing/cell/history_state.h
@@ -58,6 +58,14 @@
     void scheduleRecurring(microseconds meanInterval, const std::function<void()> &run);
 
     void addWorker();
+    /// Crashes the worker if it is up; another one starts at its address some seconds later.
+    void restartWorker(const std::string &id);
+    /// Returns the worker that answers at the address of the worker of this id.
+    simulated_worker &findAnswering(const std::string &id);
+    /// Carries out a start order; the worker crashes if the task makes it.
+    cell::order_outcome startTask(const cell::start_order &order);
+    /// Checks that failed jobs have a task that failed often enough or crashed two workers.
+    void checkFailedJobs();
     /// Returns the list of workers that the scheduler receives from the registry. Workers that it
     /// does not know yet are included only while the store is up and holds the scheduler's epoch.
     std::vector<cell::worker_entry> readRegistry(const cell::scheduler &cell) const;
--- a/testing/cell/simulated_worker.cpp
+++ b/testing/cell/simulated_worker.cpp
@@ -83,6 +83,10 @@
         && static_cast<int>(failures->second.size()) >= record.maxAttempts.at(task.job)) {
         addViolation(record, "start after all attempts of the task failed:", task, now);
     }
+    if (record.behaviour[task].crashesWorker && record.crashes[task] >= 3
+        && ++record.startsAfterCrashes[task] >= 3) {
+        addViolation(record, "third start after three workers crashed:", task, now);
+    }
     for (const int preceding : findStep(record, task).after) {
         const int count = record.jobs.at(task.job).steps[static_cast<std::size_t>(preceding)].count;
         for (int index = 0; index < count; ++index) {
@@ -238,6 +242,7 @@
 {
     for (const auto &[task, run] : worker.runs) {
         record.runningOn[task].erase(worker.entry.id);
+        ++record.crashes[task];
     }
     worker.runs.clear();
     worker.ended.clear();
--- a/testing/cell/simulated_worker.h
+++ b/testing/cell/simulated_worker.h
@@ -18,6 +18,8 @@
     microseconds duration = second;
     /// Number of runs that fail before one succeeds.
     int failingRuns = 0;
+    /// The worker crashes shortly after the start.
+    bool crashesWorker = false;
 };
 
 /// A run on a simulated worker.
@@ -69,6 +71,10 @@
     std::set<std::string> jobsWithAdvice;
     /// When each ticket expires, by ticket.
     std::map<std::string, timestamp> tickets;
+    /// Workers that have crashed with a run of each task.
+    std::map<cell::task_id, int> crashes;
+    /// Starts of each task that crashes workers, after three have crashed with it.
+    std::map<cell::task_id, int> startsAfterCrashes;
     std::uint64_t starts = 0;
     violation_list violations;
 };
