--- a/src/cell/scheduler_decide.cpp
+++ b/src/cell/scheduler_decide.cpp
@@ -1,6 +1,6 @@
 #include <algorithm>
 
-#include "cell/scheduler.h"
+#include "cell/crashes.h"
 
 namespace bramleygrade::cell {
 
@@ -9,6 +9,18 @@
 /// A lease on which runs depend is renewed at least this often before it ends, so that runs survive
 /// when the worker is silent for a while.
 constexpr int renewalsPerLease = 5;
+/// Duration of a long poll of a worker whose newest starts may still crash it.
+constexpr microseconds openStartPollWait = 200 * millisecond;
+
+/// Returns how long the worker may hold a poll.
+microseconds pollWaitOf(const scheduler &cell, const worker_state &worker, timestamp now)
+{
+    microseconds wait = cell.settings.pollWait;
+    if (!worker.runs.empty()) {
+        wait = std::min(wait, cell.settings.lease.longest / renewalsPerLease);
+    }
+    return hasOpenStarts(cell, worker, now) ? std::min(wait, openStartPollWait) : wait;
+}
 
 void orderPoll(scheduler &cell, worker_state &worker, timestamp now, bool fence, orders &out)
 {
@@ -25,9 +37,7 @@
     // Neither a fence nor the first poll may wait, and a worker with unacknowledged ends answers at
     // once anyway.
     if (!fence && worker.fenced && worker.unansweredPolls == 0 && worker.unstoredEnds.empty()) {
-        poll.wait = worker.runs.empty()
-            ? cell.settings.pollWait
-            : std::min(cell.settings.pollWait, cell.settings.lease.longest / renewalsPerLease);
+        poll.wait = pollWaitOf(cell, worker, now);
     }
     (fence ? worker.fenceInFlight : worker.pollInFlight) = true;
     out.polls.push_back(poll);
@@ -45,7 +55,7 @@
             releaseAllRuns(cell, worker, now, out);
         }
         if (noPollInFlight && !worker.listed && worker.runs.empty()
-            && (worker.reconciled || worker.fenced)) {
+            && (worker.reconciled || worker.fenced) && !mayHaveCrashed(worker, now)) {
             recordChange(cell, workerListChange, false);
             it = cell.workers.erase(it);
             continue;
--- a/testing/cell/cell_history.cpp
+++ b/testing/cell/cell_history.cpp
@@ -210,10 +210,7 @@
                                     const cell::start_order &order)
 {
     sendOrder(
-        *this, scheduler, order,
-        [this, order, sentAt = now] {
-            return startRun(workers.at(order.worker), record, order, now, sentAt);
-        },
+        *this, scheduler, order, [this, order, sentAt = now] { return startTask(order, sentAt); },
         [this, scheduler, order](order_outcome outcome) {
             cell::orders out;
             cell::onStartOutcome(scheduler->cell, order, outcome, now, out);
@@ -226,7 +223,7 @@
 {
     sendOrder(
         *this, scheduler, order,
-        [this, order] { return stopRun(workers.at(order.worker), record, order, now); },
+        [this, order] { return stopRun(findAnswering(order.worker), record, order, now); },
         [this, scheduler, order](order_outcome outcome) {
             cell::onStopOutcome(scheduler->cell, order, outcome, now);
         });
@@ -255,7 +252,7 @@
     sendOrder(
         *this, scheduler, order,
         [this, order, report] {
-            return pollWorker(workers.at(order.worker), record, order, now, *report);
+            return pollWorker(findAnswering(order.worker), record, order, now, *report);
         },
         [this, scheduler, order, report, sentAt](order_outcome outcome) {
             cell::orders out;
@@ -374,6 +371,7 @@
         }
     }
     history.checkFinalState();
+    history.checkFailedJobs();
 }
 
 const violation_list &cell_history::violations() const
--- a/testing/cell/histories_main.cpp
+++ b/testing/cell/histories_main.cpp
@@ -5,9 +5,10 @@
 #include "testing/cell/cell_history.h"
 
 /// Runs randomised histories of the cell scheduler: cell_histories FIRST_SEED COUNT [takeovers
-/// [crashes] | capacity]. The defaults are 1 and 100. With `takeovers` the cell has 350 workers and
-/// wide steps, and schedulers replace one another every second or two; with `crashes` workers crash
-/// as well. With `capacity` in their place, the workers' capacities shrink and grow. Exit code 1 if
+/// [crashes] | capacity | deadly]. The defaults are 1 and 100. With `takeovers` the cell has 350
+/// workers and wide steps, and schedulers replace one another every second or two; with `crashes`
+/// workers crash as well. With `capacity` in their place, the workers' capacities shrink and grow;
+/// with `deadly`, the tasks of some jobs crash the workers that start them. Exit code 1 if
 /// a history violates a rule.
 int main(int argc, char **argv)
 {
@@ -41,6 +42,9 @@
         faults.capacityChangeInterval = 300 * millisecond;
         faults.scavengingStepShare = 0.15;
     }
+    if (argc > 3 && argv[3] == std::string("deadly")) {
+        faults.crashingJobShare = 0.05;
+    }
     int failed = 0;
     testing::history_counts total;
     for (std::uint64_t seed = first; seed < first + count; ++seed) {
@@ -53,6 +57,7 @@
         total.workerCrashes += counts.workerCrashes;
         total.starts += counts.starts;
         total.startsRefusedForCapacity += counts.startsRefusedForCapacity;
+        total.failedInnocent += counts.failedInnocent;
         if (!history.violations().empty()) {
             ++failed;
             std::cout << "seed " << seed << ": " << history.violations().front() << " ("
@@ -62,7 +67,8 @@
     std::cout << count << " histories: jobs " << total.jobs << ", completed " << total.completed
               << ", starts " << total.starts << ", takeovers " << total.takeovers << ", crashes "
               << total.workerCrashes << ", starts refused for capacity "
-              << total.startsRefusedForCapacity << std::endl;
+              << total.startsRefusedForCapacity << ", failed without a fault of their own "
+              << total.failedInnocent << std::endl;
     std::cout << count - static_cast<std::uint64_t>(failed) << " passed, " << failed << " failed"
               << std::endl;
     return failed == 0 ? 0 : 1;
