A superseded scheduler does not take leases for expired that its successor may have renewed

Cause: a scheduler was paused and replaced; its successor fenced the worker and renewed its lease. The old one resumed, unconfirmed for 1.3 s of the 2.5 s allowed, saw that the lease which it had granted was over, and started the task on a worker that the successor did not reach.

Change: leases count as expired only if the leadership was confirmed after their end. What is left is the half second in which an entry that has not heard of a takeover may confirm the predecessor.

--- a/src/cell/scheduler_decide.cpp
+++ b/src/cell/scheduler_decide.cpp
@@ -48,7 +48,9 @@
     for (auto it = cell.workers.begin(); it != cell.workers.end();) {
         worker_state &worker = it->second;
         const bool noPollInFlight = !worker.pollInFlight && !worker.fenceInFlight;
-        const bool leasesExpired = worker.unansweredPolls > 0 && now > worker.leasesExpiredAt;
+        // A successor may have renewed the leases unless the leadership was confirmed since.
+        const bool leasesExpired =
+            worker.unansweredPolls > 0 && std::min(now, cell.confirmedAt) > worker.leasesExpiredAt;
         const bool hasLeft = !worker.listed && worker.entry.draining && worker.connectionRefused;
         if ((leasesExpired || hasLeft) && (!worker.runs.empty() || !worker.reconciled)) {
             ++cell.counters.lostWorkers;
--- a/test/cell/takeover_test.cpp
+++ b/test/cell/takeover_test.cpp
@@ -126,3 +126,21 @@
     BOOST_TEST(poll->leaseUntil > silentFrom + silence + repetitionInterval - millisecond);
     BOOST_TEST(poll->wait + reportTimeoutMargin < silence);
 }
+
+// Guards against a task that a superseded scheduler started again, when the leases that it had
+// granted were over but its successor had renewed them (cell_histories 579 1 deadly).
+BOOST_AUTO_TEST_CASE(lost_leases_that_a_successor_may_have_renewed)
+{
+    cell_fixture fixture;
+    const auto out = fixture.run(cell_fixture::makeJob("a", {cell_fixture::makeStep(1, 1'000)}));
+    fixture.confirm(out.starts.at(0));
+    const std::string worker = out.starts[0].worker;
+    orders ignored;
+    onPollFailed(fixture.cell, fixture.makePoll(worker), order_outcome::unanswered, fixture.now,
+                 ignored);
+    fixture.cell.confirmedAt = fixture.now;
+    fixture.now = fixture.cell.workers.at(worker).leasesExpiredAt + stepTime;
+    BOOST_TEST(fixture.decide().starts.empty());
+    fixture.cell.confirmedAt = fixture.now;
+    BOOST_TEST(fixture.decide().starts.size() == 1U);
+}
