--- a/testing/cell/histories_main.cpp
+++ b/testing/cell/histories_main.cpp
@@ -4,17 +4,13 @@
 
 #include "testing/cell/cell_history.h"
 
-/// Runs randomised histories of the cell scheduler: cell_histories FIRST_SEED COUNT [takeovers
-/// [crashes] | capacity | deadly]. The defaults are 1 and 100. With `takeovers` the cell has 350
-/// workers and wide steps, and schedulers replace one another every second or two; with `crashes`
-/// workers crash as well. With `capacity` in their place, the workers' capacities shrink and grow;
-/// with `deadly`, the tasks of some jobs crash the workers that start them. Exit code 1 if
-/// a history violates a rule.
-int main(int argc, char **argv)
+namespace {
+
+using namespace bramleygrade;
+
+/// Faults of a small cell in which everything may fail.
+testing::history_faults makeMixedFaults()
 {
-    using namespace bramleygrade;
-    const std::uint64_t first = argc > 1 ? std::strtoull(argv[1], nullptr, 10) : 1;
-    const std::uint64_t count = argc > 2 ? std::strtoull(argv[2], nullptr, 10) : 100;
     testing::history_faults faults;
     faults.lostAnswerShare = 0.02;
     faults.delayedOrderShare = 0.01;
@@ -25,24 +21,45 @@
     faults.successorPartitionShare = 0.3;
     faults.longTaskShare = 0.1;
     faults.storeOutageInterval = 9 * second;
-    int workers = 8;
-    if (argc > 3 && argv[3] == std::string("takeovers")) {
-        faults = {};
-        faults.workerCrashInterval = argc > 4 && argv[4] == std::string("crashes") ? 3 * second : 0;
-        faults.schedulerCrashInterval = 1'500 * millisecond;
-        faults.schedulerPauseInterval = 4 * second;
-        faults.submitInterval = 80 * millisecond;
-        faults.failingTaskShare = 0.002;
-        faults.maxTasksPerStep = 50;
-        faults.allowedWorkerShare = 0.2;
-        faults.isLargeCell = true;
-        workers = 350;
-    }
-    if (argc > 3 && argv[3] == std::string("capacity")) {
+    return faults;
+}
+
+/// Faults of a large cell whose schedulers replace one another all the time.
+testing::history_faults makeTakeoverFaults(bool workersCrash)
+{
+    testing::history_faults faults;
+    faults.workerCrashInterval = workersCrash ? 3 * second : 0;
+    faults.schedulerCrashInterval = 1'500 * millisecond;
+    faults.schedulerPauseInterval = 4 * second;
+    faults.submitInterval = 80 * millisecond;
+    faults.failingTaskShare = 0.002;
+    faults.maxTasksPerStep = 50;
+    faults.allowedWorkerShare = 0.2;
+    faults.isLargeCell = true;
+    return faults;
+}
+
+} // namespace
+
+/// Runs randomised histories of the cell scheduler: cell_histories FIRST_SEED COUNT [takeovers
+/// [crashes] | capacity | deadly]. The defaults are 1 and 100. With `takeovers` the cell has 350
+/// workers and wide steps, and schedulers replace one another every second or two; with `crashes`
+/// workers crash as well. With `capacity` in their place, the workers' capacities shrink and grow;
+/// with `deadly`, the tasks of some jobs crash the workers that start them. Exit code 1 if
+/// a history violates a rule.
+int main(int argc, char **argv)
+{
+    const std::uint64_t first = argc > 1 ? std::strtoull(argv[1], nullptr, 10) : 1;
+    const std::uint64_t count = argc > 2 ? std::strtoull(argv[2], nullptr, 10) : 100;
+    const std::string kind = argc > 3 ? argv[3] : "";
+    const bool isLarge = kind == "takeovers";
+    const bool workersCrash = argc > 4 && argv[4] == std::string("crashes");
+    testing::history_faults faults = isLarge ? makeTakeoverFaults(workersCrash) : makeMixedFaults();
+    const int workers = isLarge ? 350 : 8;
+    if (kind == "capacity") {
         faults.capacityChangeInterval = 300 * millisecond;
         faults.scavengingStepShare = 0.15;
-    }
-    if (argc > 3 && argv[3] == std::string("deadly")) {
+    } else if (kind == "deadly") {
         faults.crashingJobShare = 0.05;
     }
     int failed = 0;
