Known red: the history that loses counts of crashes is seed 70 now

The histories draw other faults since workers are cut off from a successor only, so that seed 53 passes without any change of the fault. The check and its bound are unchanged.

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -151,4 +151,4 @@
 # Jobs whose tasks crash the workers that start them.
 add_test(NAME cell_histories_of_crashing_tasks COMMAND cell_histories 101 100 deadly)
 set_tests_properties(cell_histories_of_crashing_tasks PROPERTIES COST 500)
-add_test(NAME budget_count_lost_at_takeovers COMMAND cell_histories 53 1 deadly)
+add_test(NAME budget_count_lost_at_takeovers COMMAND cell_histories 70 1 deadly)
