--- a/src/entry/metrics.cpp
+++ b/src/entry/metrics.cpp
@@ -58,6 +58,8 @@
     {"task_starts_total", "Start orders of this epoch."},
     {"task_starts_refused_total", "Start orders refused by workers."},
     {"orders_unanswered_total", "Orders to workers without an answer."},
+    {"workers_crashed_total", "Workers that another incarnation has replaced."},
+    {"tasks_given_up_total", "Tasks given up as workers crashed at their starts."},
     {"task_ends_total", "Reported ends of runs, by outcome."},
     {"caller_answers_total", "Answers to callers, by kind."},
     {"caller_calls_hedged_total", "State and pending calls sent again for lack of an answer."},
