Workers' start times are decoded, and changes of them are logged

The adapter reads the field born of registry entries and reports; the log has worker_restarted (with clocks and numbers of ends before and after, so that skipped ends and stale acknowledgements can be told apart) and worker_restart_listed. No decision depends on it yet.

--- a/src/cell/scheduler_workers.cpp
+++ b/src/cell/scheduler_workers.cpp
@@ -148,6 +148,20 @@
     }
 }
 
+void logRestart(const worker_state &worker, const worker_report &report, orders &out)
+{
+    out.events.push_back(
+        {"worker_restarted", "",
+         "worker=" + worker.entry.id + " born=" + std::to_string(report.born)
+             + " former_born=" + std::to_string(worker.born)
+             + " clock_ms=" + std::to_string(report.workerClock / millisecond)
+             + " former_clock_ms=" + std::to_string(worker.clock / millisecond) + " first_end="
+             + std::to_string(report.ended.empty() ? 0 : report.ended.front().sequence)
+             + " former_last_end=" + std::to_string(worker.lastEnd)
+             + " acknowledged=" + std::to_string(worker.acknowledgedEnd)
+             + " runs=" + std::to_string(worker.runs.size())});
+}
+
 } // namespace
 
 std::int64_t fencingToken(const scheduler &cell, const worker_state &worker)
@@ -269,6 +283,10 @@
     worker.unansweredPolls = 0;
     worker.connectionRefused = false;
     recordAnswer(cell, worker, sentAt, now, out);
+    if (worker.clock != 0 && worker.born != report.born) {
+        logRestart(worker, report, out);
+    }
+    worker.born = report.born;
     worker.clock = report.workerClock;
     worker.clockReadAt = now;
     if (order.fencingToken == fencingToken(cell, worker)) {
--- a/src/cell/types.h
+++ b/src/cell/types.h
@@ -182,13 +182,16 @@
     std::vector<std::string> labels;
     resources capacity;
     bool draining = false;
+    /// Wall-clock time at which the worker's process started, milliseconds since 1970; 0: not
+    /// known. Differs between two processes that run under one id, one after the other.
+    std::int64_t born = 0;
 
     friend bool operator==(const worker_entry &a, const worker_entry &b)
     {
         return std::tie(a.id, a.service, a.address, a.failureDomain, a.rack, a.labels, a.capacity,
-                        a.draining)
+                        a.draining, a.born)
             == std::tie(b.id, b.service, b.address, b.failureDomain, b.rack, b.labels, b.capacity,
-                        b.draining);
+                        b.draining, b.born);
     }
 };
 
@@ -218,6 +221,8 @@
 /// A worker's answer to a poll.
 struct worker_report
 {
+    /// As `worker_entry::born`, of the process that answered.
+    std::int64_t born = 0;
     /// The worker's steady clock at the time of the answer, microseconds.
     std::int64_t workerClock = 0;
     std::vector<reported_run> running;
--- a/src/cell/worker_state.h
+++ b/src/cell/worker_state.h
@@ -47,6 +47,8 @@
     /// after all steps.
     resources headroomOfUrgent;
     resources headroomOfOthers;
+    /// `worker_report::born` of the newest answer.
+    std::int64_t born = 0;
     /// The worker's clock in its newest answer, and the local time at which it arrived.
     std::int64_t clock = 0;
     timestamp clockReadAt = distantPast;
--- a/src/entry/watches.cpp
+++ b/src/entry/watches.cpp
@@ -120,6 +120,13 @@
         if (known != leaderState.registry.end() && !(known->second.capacity == worker.capacity)) {
             logCapacityChange(entry, known->second, worker);
         }
+        if (known != leaderState.registry.end() && known->second.born != worker.born) {
+            logEvent(entry, "worker_restart_listed",
+                     {{"worker", worker.id},
+                      {"row", std::to_string(row.version)},
+                      {"born", std::to_string(worker.born)},
+                      {"former_born", std::to_string(known->second.born)}});
+        }
         leaderState.registry[row.key] = worker;
     }
     if (!changed) {
