Failing tests: workers that start again under their ids

The simulated worker can start again under its id: it knows nothing of before, its numbers of ends, its clock and its fencing token begin anew, and it tells a start time that is later, or earlier as its clock was set back, or missing. Acknowledgements count for ends that come after them, which is the strictest reading of the users' rule.

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -148,6 +148,20 @@
 target_include_directories(cell_crash_attribution_test PRIVATE ${CMAKE_SOURCE_DIR} ${CMAKE_SOURCE_DIR}/test/cell)
 target_link_libraries(cell_crash_attribution_test PRIVATE bramleygrade_cell Boost::headers)
 add_test(NAME budget_crashing_tasks COMMAND cell_crash_attribution_test)
+# Workers that start again under their ids; each failure is a test of its own.
+add_executable(cell_worker_restart_test test/cell/worker_restart_test.cpp)
+target_include_directories(cell_worker_restart_test PRIVATE ${CMAKE_SOURCE_DIR} ${CMAKE_SOURCE_DIR}/test/cell)
+target_link_libraries(cell_worker_restart_test PRIVATE bramleygrade_cell Boost::headers)
+foreach(failure twice_end_of_a_restarted_worker twice_acknowledgement_for_a_former_life
+                twice_late_answer_of_a_former_life budget_crashes_of_one_worker
+                limit_restarted_worker_of_another_kind twice_start_on_its_way_to_a_restarted_worker
+                budget_crash_of_a_restarted_worker_around_a_takeover
+                twice_life_of_a_worker_without_a_later_start_time)
+    add_test(NAME ${failure} COMMAND cell_worker_restart_test --run_test=${failure})
+endforeach()
+add_test(NAME cell_histories_of_restarts COMMAND cell_histories 1 300 restarts)
+set_tests_properties(cell_histories_of_restarts PROPERTIES COST 500)
+
 # Jobs whose tasks crash the workers that start them.
 add_test(NAME cell_histories_of_crashing_tasks COMMAND cell_histories 101 100 deadly)
 set_tests_properties(cell_histories_of_crashing_tasks PROPERTIES COST 500)
--- a/testing/cell/cell_history.h
+++ b/testing/cell/cell_history.h
@@ -34,6 +34,11 @@
     double cancelledJobShare = 0.05;
     /// Share of jobs with a task that crashes each worker that starts it.
     double crashingJobShare = 0;
+    /// Share of the crashed workers that start again under their id; the others are replaced.
+    double restartUnderIdShare = 0;
+    /// Mean time between waves in which a third of the workers crash and start again under their
+    /// ids; 0: never.
+    microseconds restartWaveInterval = 0;
     /// Share of steps that are gangs: their tasks run at the same time or not at all.
     double gangStepShare = 0.3;
     double checkpointingStepShare = 0.5;
--- a/testing/cell/crashing_tasks.cpp
+++ b/testing/cell/crashing_tasks.cpp
@@ -15,8 +15,12 @@
 
 } // namespace
 
-void cell_history::state::restartWorker(const std::string &id)
+void cell_history::state::replaceWorker(const std::string &id)
 {
+    if (injectedFaults.restartUnderIdShare > 0 && drawBool(injectedFaults.restartUnderIdShare)) {
+        crashAndRestart(id);
+        return;
+    }
     simulated_worker &worker = workers.at(id);
     if (!worker.up) {
         return;
@@ -47,7 +51,7 @@
     const cell::order_outcome outcome =
         startRun(findAnswering(order.worker), record, order, now, sentAt);
     if (outcome == cell::order_outcome::accepted && record.behaviour[order.task].crashesWorker) {
-        scheduleAt(now + crashDelay, [this, id = order.worker] { restartWorker(id); });
+        scheduleAt(now + crashDelay, [this, id = order.worker] { replaceWorker(id); });
     }
     return outcome;
 }
--- a/testing/cell/histories_main.cpp
+++ b/testing/cell/histories_main.cpp
@@ -42,11 +42,12 @@
 } // namespace
 
 /// Runs randomised histories of the cell scheduler: cell_histories FIRST_SEED COUNT [takeovers
-/// [crashes] | capacity | deadly]. The defaults are 1 and 100. With `takeovers` the cell has 350
-/// workers and wide steps, and schedulers replace one another every second or two; with `crashes`
-/// workers crash as well. With `capacity` in their place, the workers' capacities shrink and grow;
-/// with `deadly`, the tasks of some jobs crash the workers that start them. Exit code 1 if
-/// a history violates a rule.
+/// [crashes] | capacity | deadly | restarts]. The defaults are 1 and 100. With `takeovers` the cell
+/// has 350 workers and wide steps, and schedulers replace one another every second or two; with
+/// `crashes` workers crash as well. With `capacity` in their place, the workers' capacities shrink
+/// and grow; with `deadly`, the tasks of some jobs crash the workers that start them; with
+/// `restarts`, most of the crashed workers start again under their ids. Exit code 1 if a history
+/// violates a rule.
 int main(int argc, char **argv)
 {
     const std::uint64_t first = argc > 1 ? std::strtoull(argv[1], nullptr, 10) : 1;
@@ -61,6 +62,11 @@
         faults.scavengingStepShare = 0.15;
     } else if (kind == "deadly") {
         faults.crashingJobShare = 0.05;
+    } else if (kind == "restarts") {
+        faults.workerCrashInterval = 3 * second;
+        faults.restartUnderIdShare = 0.8;
+        faults.restartWaveInterval = 7 * second;
+        faults.crashingJobShare = 0.02;
     }
     int failed = 0;
     testing::history_counts total;
--- a/testing/cell/history_events.cpp
+++ b/testing/cell/history_events.cpp
@@ -99,10 +99,23 @@
     scheduleRecurring(injectedFaults.workerCrashInterval, [this] {
         auto victim = workers.begin();
         std::advance(victim, drawBetween(0, static_cast<microseconds>(workers.size()) - 1));
+        if (injectedFaults.restartUnderIdShare > 0
+            && drawBool(injectedFaults.restartUnderIdShare)) {
+            crashAndRestart(victim->first);
+            return;
+        }
         crashWorker(victim->second, record);
         ++counts.workerCrashes;
         scheduleAt(now + second, [this] { addWorker(); });
     });
+    scheduleRecurring(injectedFaults.restartWaveInterval, [this] {
+        constexpr double waveShare = 1.0 / 3;
+        for (const auto &[id, worker] : workers) {
+            if (worker.up && drawBool(waveShare)) {
+                crashAndRestart(id);
+            }
+        }
+    });
     scheduleRecurring(injectedFaults.capacityChangeInterval, [this] { changeRandomCapacity(); });
     scheduleRecurring(injectedFaults.workerPartitionInterval, [this] {
         auto victim = workers.begin();
--- a/testing/cell/history_state.h
+++ b/testing/cell/history_state.h
@@ -72,8 +72,16 @@
     void reportCapacity(const std::string &worker);
     /// Gives all workers their full capacity.
     void restoreCapacities();
-    /// Crashes the worker if it is up; another one starts at its address some seconds later.
-    void restartWorker(const std::string &id);
+    /// Crashes the worker if it is up; another one starts at its address some seconds later, or the
+    /// worker itself under its id.
+    void replaceWorker(const std::string &id);
+    /// Crashes the worker if it is up, and starts it again under its id later.
+    void crashAndRestart(const std::string &id);
+    /// Starts the worker again under its id; the registry shows it later.
+    void startAgain(const std::string &id);
+    /// Returns the start time that the worker tells at its next start: later than the last one,
+    /// earlier as its clock was set back, or none.
+    std::int64_t drawStartTime(const simulated_worker &worker);
     /// Returns the worker that answers at the address of the worker of this id.
     simulated_worker &findAnswering(const std::string &id);
     /// Carries out a start order sent at `sentAt`; the worker crashes if the task makes it.
--- a/testing/cell/history_workers.cpp
+++ b/testing/cell/history_workers.cpp
@@ -31,7 +31,8 @@
     const bool holdsStoredEpoch = store.up && store.epoch == cell.epoch;
     std::vector<cell::worker_entry> entries;
     for (const auto &[id, worker] : workers) {
-        if (worker.up && unregisteredWorkers.count(id) == 0
+        const bool isListed = worker.up || now < worker.listedUntil;
+        if (isListed && unregisteredWorkers.count(id) == 0
             && (holdsStoredEpoch || cell.workers.count(id) > 0)) {
             entries.push_back(worker.entry);
         }
@@ -75,11 +76,56 @@
         scheduleAt(now + retryInterval, [this, worker] { reportCapacity(worker); });
         return;
     }
+    if (reporting.up) {
+        reporting.entry.born = reporting.born;
+    }
     if (reporting.capacity) {
         reporting.entry.capacity = *reporting.capacity;
     }
 }
 
+void cell_history::state::crashAndRestart(const std::string &id)
+{
+    /// Three heartbeats of silence, after which the registry drops an entry.
+    constexpr microseconds listedAfterCrash = 3 * heartbeatInterval;
+    /// Share of the restarts that take longer than a lease.
+    constexpr double slowRestartShare = 0.15;
+    simulated_worker &worker = workers.at(id);
+    if (!worker.up) {
+        return;
+    }
+    crashWorker(worker, record);
+    ++counts.workerCrashes;
+    worker.listedUntil = now + listedAfterCrash;
+    const microseconds downTime = drawBool(slowRestartShare)
+        ? drawBetween(5 * second, 9 * second)
+        : drawBetween(50 * millisecond, 3 * second);
+    scheduleAt(now + downTime, [this, id] { startAgain(id); });
+}
+
+std::int64_t cell_history::state::drawStartTime(const simulated_worker &worker)
+{
+    constexpr double clockSetBackShare = 0.1;
+    constexpr double namelessShare = 0.05;
+    if (drawBool(clockSetBackShare)) {
+        return std::max<std::int64_t>(worker.born - drawBetween(1, 10'000), 1);
+    }
+    return worker.born != 0 && drawBool(namelessShare) ? 0 : 1'000'000 + now / millisecond;
+}
+
+void cell_history::state::startAgain(const std::string &id)
+{
+    constexpr double otherKindShare = 0.2;
+    simulated_worker &worker = workers.at(id);
+    restartWorker(worker, drawStartTime(worker), now);
+    if (drawBool(otherKindShare)) {
+        worker.capacity = drawBool(0.5)
+            ? fullCapacity
+            : cell::resources {fullCapacity.cpuMilli / 2, fullCapacity.memoryMb / 2, 0};
+    }
+    scheduleAt(now + drawBetween(0, heartbeatInterval), [this, id] { reportCapacity(id); });
+}
+
 void cell_history::state::restoreCapacities()
 {
     for (const auto &[id, worker] : workers) {
--- a/testing/cell/simulated_worker.cpp
+++ b/testing/cell/simulated_worker.cpp
@@ -38,11 +38,25 @@
     }
 }
 
+void recordAcknowledged(execution_record &record, const cell::reported_end &end)
+{
+    if (end.how == end_kind::done) {
+        record.acknowledgedDone.insert(end.task);
+    } else if (end.how == end_kind::failed) {
+        record.acknowledgedFailures[end.task].insert(end.attempt);
+    }
+}
+
 void endRun(simulated_worker &worker, execution_record &record, const cell::task_id &task,
             end_kind how)
 {
     const auto found = worker.runs.find(task);
-    worker.ended.push_back({++worker.lastEndSequence, task, found->second.attempt, how, ""});
+    const cell::reported_end end {++worker.lastEndSequence, task, found->second.attempt, how, ""};
+    if (end.sequence <= worker.acknowledged) {
+        recordAcknowledged(record, end);
+    } else {
+        worker.ended.push_back(end);
+    }
     worker.closedAttempt[task] = std::max(worker.closedAttempt[task], found->second.attempt);
     if (how == end_kind::done) {
         recordDone(record, task);
@@ -128,17 +142,19 @@
 void acknowledge(simulated_worker &worker, execution_record &record, std::int64_t until)
 {
     while (!worker.ended.empty() && worker.ended.front().sequence <= until) {
-        const cell::reported_end &end = worker.ended.front();
-        if (end.how == end_kind::done) {
-            record.acknowledgedDone.insert(end.task);
-        } else if (end.how == end_kind::failed) {
-            record.acknowledgedFailures[end.task].insert(end.attempt);
-        }
+        recordAcknowledged(record, worker.ended.front());
         worker.ended.erase(worker.ended.begin());
     }
     worker.acknowledged = std::max(worker.acknowledged, until);
 }
 
+/// Extends the worker's lease to a time on its clock, up to the longest lease.
+void extendLease(simulated_worker &worker, std::int64_t leaseUntil, timestamp now)
+{
+    worker.leaseUntil =
+        std::max(worker.leaseUntil, std::min(worker.clockZero + leaseUntil, now + maxLease));
+}
+
 /// Returns true if `token` is stale; otherwise stores it as the highest token seen.
 bool isFenced(simulated_worker &worker, std::int64_t token)
 {
@@ -192,7 +208,7 @@
     if (isFenced(worker, order.fencingToken)) {
         return order_outcome::refused_fence;
     }
-    if (order.leaseUntil <= now) {
+    if (worker.clockZero + order.leaseUntil <= now) {
         return order_outcome::refused_expired;
     }
     const auto running = worker.runs.find(order.task);
@@ -220,7 +236,7 @@
     ++record.starts;
     const task_behaviour &behaviour = record.behaviour[order.task];
     const bool fails = record.runCount[order.task]++ < behaviour.failingRuns;
-    worker.leaseUntil = std::max(worker.leaseUntil, std::min(order.leaseUntil, now + maxLease));
+    extendLease(worker, order.leaseUntil, now);
     worker.runs[order.task] = {order.attempt, now, now + behaviour.duration,
                                fails ? end_kind::failed : end_kind::done,
                                cell::reservedDemand(findStep(record, order.task))};
@@ -264,9 +280,10 @@
     if (isFenced(worker, order.fencingToken)) {
         return order_outcome::refused_fence;
     }
-    worker.leaseUntil = std::max(worker.leaseUntil, std::min(order.leaseUntil, now + maxLease));
+    extendLease(worker, order.leaseUntil, now);
     acknowledge(worker, record, order.acknowledgedEnd);
-    report.workerClock = now;
+    report.born = worker.born;
+    report.workerClock = now - worker.clockZero;
     for (const auto &[task, run] : worker.runs) {
         report.running.push_back({task, run.attempt, "", percentDone(run, now)});
     }
@@ -285,4 +302,17 @@
     worker.up = false;
 }
 
+void restartWorker(simulated_worker &worker, std::int64_t born, timestamp now)
+{
+    simulated_worker next;
+    next.entry = worker.entry;
+    next.guardsCapacity = worker.guardsCapacity;
+    next.formerCapacities = worker.formerCapacities;
+    next.formerCapacities.push_back({capacityOf(worker), now});
+    next.capacity = capacityOf(worker);
+    next.born = born;
+    next.clockZero = now;
+    worker = std::move(next);
+}
+
 } // namespace bramleygrade::testing
--- a/testing/cell/simulated_worker.h
+++ b/testing/cell/simulated_worker.h
@@ -52,11 +52,20 @@
     /// Refuses starts beyond its capacity.
     bool guardsCapacity = false;
     bool up = true;
+    /// Start time that the worker tells of itself; the registry shows it in `entry.born`, perhaps
+    /// later.
+    std::int64_t born = 0;
+    /// Time at which the worker's clock was 0. Times of the worker are kept as times of the
+    /// history.
+    timestamp clockZero = 0;
+    /// The registry goes on showing a worker that is down until this time.
+    timestamp listedUntil = 0;
     std::int64_t token = 0;
     timestamp leaseUntil = 0;
     std::map<cell::task_id, simulated_run> runs;
     std::vector<cell::reported_end> ended;
     std::int64_t lastEndSequence = 0;
+    /// Highest sequence number acknowledged in any poll, even before the worker has such an end.
     std::int64_t acknowledged = 0;
     /// Highest attempt of each task that has ended or was ordered to stop on this worker; attempts
     /// up to it are refused.
@@ -113,7 +122,10 @@
 cell::order_outcome pollWorker(simulated_worker &worker, execution_record &record,
                                const cell::poll_order &order, timestamp now,
                                cell::worker_report &report);
-/// Takes the worker down for good; its runs and unacknowledged ends are lost.
+/// Takes the worker down; its runs and unacknowledged ends are lost.
 void crashWorker(simulated_worker &worker, execution_record &record);
+/// Starts the crashed worker again under its id at `now`. It knows nothing of before; its clock and
+/// its sequence numbers begin anew.
+void restartWorker(simulated_worker &worker, std::int64_t born, timestamp now);
 
 } // namespace bramleygrade::testing
