What is known of one life of a worker is one struct

Refactoring, no change of behaviour: worker_state keeps what the registry shows, whether the stored list has the worker, and what placement expects of it; fence, runs, clock, leases, ends, polls, crash and record of failures move to worker_life.

--- a/src/cell/advice.cpp
+++ b/src/cell/advice.cpp
@@ -128,7 +128,7 @@
 {
     headroom_map headrooms;
     for (auto &[id, worker] : cell.workers) {
-        if (!isUsable(worker, now) || worker.clock == 0) {
+        if (!isUsable(worker, now) || worker.life.clock == 0) {
             continue;
         }
         const resources &left = urgent ? worker.headroomOfUrgent : worker.headroomOfOthers;
--- a/src/cell/crashes.cpp
+++ b/src/cell/crashes.cpp
@@ -45,8 +45,8 @@
 /// Returns the tasks that may have crashed the worker, and the newest start of each.
 std::map<task_id, timestamp> collectRuns(scheduler &cell, const worker_state &worker)
 {
-    std::map<task_id, timestamp> runs = worker.lostRuns;
-    for (const task_id &id : worker.runs) {
+    std::map<task_id, timestamp> runs = worker.life.lostRuns;
+    for (const task_id &id : worker.life.runs) {
         job_state *job = findJob(cell, id.job);
         const task_state *task = job == nullptr ? nullptr : findTask(*job, id);
         if (task != nullptr) {
@@ -61,7 +61,9 @@
 /// others. Returns whether the others are recent starts of one job.
 bool keepLikelyCauses(const worker_state &worker, std::map<task_id, timestamp> &runs)
 {
-    const auto isRecent = [&](const auto &run) { return run.second + startTrial > worker.aliveAt; };
+    const auto isRecent = [&](const auto &run) {
+        return run.second + startTrial > worker.life.aliveAt;
+    };
     if (std::none_of(runs.begin(), runs.end(), isRecent)) {
         return false;
     }
@@ -101,8 +103,8 @@
 
 void onWorkerCrashed(scheduler &cell, worker_state &worker, timestamp now, orders &out)
 {
-    if (!worker.crashed && !worker.entry.draining) {
-        worker.crashed = true;
+    if (!worker.life.crashed && !worker.entry.draining) {
+        worker.life.crashed = true;
         cell.lastCrashAt = now;
         ++cell.counters.crashedWorkers;
         std::map<task_id, timestamp> runs = collectRuns(cell, worker);
@@ -112,30 +114,30 @@
                               "worker=" + worker.entry.id + " runs=" + std::to_string(all)
                                   + " suspects=" + std::to_string(runs.size())
                                   + " attributed=" + (attributed ? "yes" : "no") + " silent_ms="
-                                  + std::to_string((now - worker.answeredAt) / millisecond)});
+                                  + std::to_string((now - worker.life.answeredAt) / millisecond)});
         for (const auto &[id, startedAt] : runs) {
             addCrash(cell, worker, id, attributed, now, out);
         }
     }
     releaseAllRuns(cell, worker, now, out);
-    worker.lostRuns.clear();
-    worker.recentStarts.clear();
+    worker.life.lostRuns.clear();
+    worker.life.recentStarts.clear();
 }
 
 void recordAnswer(scheduler &cell, worker_state &worker, timestamp sentAt, timestamp now,
                   orders &out)
 {
-    const bool isFirst = worker.answeredAt == distantPast;
-    worker.answeredAt = now;
-    worker.lostRuns.clear();
+    const bool isFirst = worker.life.answeredAt == distantPast;
+    worker.life.answeredAt = now;
+    worker.life.lostRuns.clear();
     recordAlive(cell, worker, now);
     if (!isFirst) {
         return;
     }
     for (auto &[id, other] : cell.workers) {
         // An answer of an earlier incarnation may arrive after the first one of its successor.
-        if (&other != &worker && other.entry.address == worker.entry.address && !other.crashed
-            && other.answeredAt < sentAt) {
+        if (&other != &worker && other.entry.address == worker.entry.address && !other.life.crashed
+            && other.life.answeredAt < sentAt) {
             onWorkerCrashed(cell, other, now, out);
         }
     }
@@ -143,21 +145,22 @@
 
 void recordAlive(scheduler &cell, worker_state &worker, timestamp at)
 {
-    worker.aliveAt = std::max(worker.aliveAt, at);
-    for (auto it = worker.recentStarts.begin(); it != worker.recentStarts.end();) {
-        it = worker.aliveAt >= it->second + startTrial ? worker.recentStarts.erase(it)
-                                                       : std::next(it);
+    worker.life.aliveAt = std::max(worker.life.aliveAt, at);
+    for (auto it = worker.life.recentStarts.begin(); it != worker.life.recentStarts.end();) {
+        it = worker.life.aliveAt >= it->second + startTrial ? worker.life.recentStarts.erase(it)
+                                                            : std::next(it);
     }
-    if (!worker.trialJob.empty() && worker.aliveAt >= worker.trialStartedAt + startTrial) {
-        worker.trialJob.clear();
+    if (!worker.life.trialJob.empty()
+        && worker.life.aliveAt >= worker.life.trialStartedAt + startTrial) {
+        worker.life.trialJob.clear();
         cell.needsPlacement = true;
     }
 }
 
 bool mayHaveCrashed(const worker_state &worker, timestamp now)
 {
-    return !worker.lostRuns.empty() && !worker.crashed && !worker.entry.draining
-        && now < worker.answeredAt + crashProofTimeout;
+    return !worker.life.lostRuns.empty() && !worker.life.crashed && !worker.entry.draining
+        && now < worker.life.answeredAt + crashProofTimeout;
 }
 
 bool isSuspected(const step_state &step)
@@ -174,35 +177,35 @@
 
 bool hasOpenStarts(const scheduler &cell, const worker_state &worker, timestamp now)
 {
-    return !worker.recentStarts.empty() && now < cell.lastCrashAt + alertDuration;
+    return !worker.life.recentStarts.empty() && now < cell.lastCrashAt + alertDuration;
 }
 
 bool isOnTrial(const worker_state &worker, timestamp now)
 {
-    return !worker.trialJob.empty() && now < worker.trialUntil;
+    return !worker.life.trialJob.empty() && now < worker.life.trialUntil;
 }
 
 bool isOnTrialOfOther(const worker_state &worker, const std::string &job, timestamp now)
 {
-    return isOnTrial(worker, now) && worker.trialJob != job;
+    return isOnTrial(worker, now) && worker.life.trialJob != job;
 }
 
 bool hasRecentStartsOfOthers(const worker_state &worker, const std::string &job)
 {
-    return std::any_of(worker.recentStarts.begin(), worker.recentStarts.end(),
+    return std::any_of(worker.life.recentStarts.begin(), worker.life.recentStarts.end(),
                        [&](const auto &start) { return start.first != job; });
 }
 
 void recordStart(scheduler &cell, worker_state &worker, const task_id &id, bool suspected,
                  timestamp now)
 {
-    worker.recentStarts[id.job] = now;
+    worker.life.recentStarts[id.job] = now;
     if (!suspected) {
         return;
     }
-    worker.trialJob = id.job;
-    worker.trialStartedAt = now;
-    worker.trialUntil = now + trialTimeout;
+    worker.life.trialJob = id.job;
+    worker.life.trialStartedAt = now;
+    worker.life.trialUntil = now + trialTimeout;
     findTask(cell.jobs.at(id.job), id)->trialWorker = worker.entry.id;
     recordChange(cell, id.job, false);
 }
--- a/src/cell/placement.cpp
+++ b/src/cell/placement.cpp
@@ -227,7 +227,7 @@
     if (step.scavenging && step.demand.cpuMilli > worker.entry.capacity.cpuMilli) {
         cost += noProcessorCost * (1.0 - totalCpuMilli / static_cast<double>(step.demand.cpuMilli));
     }
-    cost += failureScoreCost * worker.failureScore;
+    cost += failureScoreCost * worker.life.failureScore;
     if (!step.preferredRack.empty() && step.preferredRack != worker.entry.rack) {
         cost += otherRackCost;
     }
--- a/src/cell/placement_round.cpp
+++ b/src/cell/placement_round.cpp
@@ -22,7 +22,7 @@
 {
     headroom_map headrooms;
     for (auto &[id, worker] : cell.workers) {
-        if (isUsable(worker, now) && worker.clock != 0) {
+        if (isUsable(worker, now) && worker.life.clock != 0) {
             headrooms.emplace(id, worker_headroom {&worker, freeCapacity(worker)});
         }
     }
@@ -32,7 +32,7 @@
 bool areWorkersReconciled(const scheduler &cell)
 {
     return std::all_of(cell.workers.begin(), cell.workers.end(),
-                       [](const auto &entry) { return entry.second.reconciled; });
+                       [](const auto &entry) { return entry.second.life.reconciled; });
 }
 
 /// Deducts the capacity reserved for gangs, so that other steps cannot use it.
--- a/src/cell/preemption.cpp
+++ b/src/cell/preemption.cpp
@@ -47,7 +47,7 @@
                                 const worker_state &worker, timestamp now)
 {
     std::vector<victim> victims;
-    for (const task_id &id : worker.runs) {
+    for (const task_id &id : worker.life.runs) {
         job_state *job = findJob(cell, id.job);
         const task_state *task = job == nullptr ? nullptr : findTask(*job, id);
         if (task == nullptr || task->phase != run_phase::running || job->finalPhase
--- a/src/cell/scheduler_decide.cpp
+++ b/src/cell/scheduler_decide.cpp
@@ -16,7 +16,7 @@
 microseconds pollWaitOf(const scheduler &cell, const worker_state &worker, timestamp now)
 {
     microseconds wait = cell.settings.pollWait;
-    if (!worker.runs.empty()) {
+    if (!worker.life.runs.empty()) {
         wait = std::min(wait, cell.settings.lease.longest / renewalsPerLease);
     }
     return hasOpenStarts(cell, worker, now) ? std::min(wait, openStartPollWait) : wait;
@@ -27,19 +27,20 @@
     poll_order poll;
     poll.worker = worker.entry.id;
     poll.fencingToken = fencingToken(cell, worker);
-    poll.acknowledgedEnd = worker.acknowledgedEnd;
+    poll.acknowledgedEnd = worker.life.acknowledgedEnd;
     poll.fence = fence;
     // Leases are not renewed while polls go unanswered, so that they expire and the runs can be
     // restarted elsewhere.
-    if (worker.clock != 0 && worker.unansweredPolls == 0) {
+    if (worker.life.clock != 0 && worker.life.unansweredPolls == 0) {
         poll.leaseUntil = grantLease(cell, worker, now);
     }
     // Neither a fence nor the first poll may wait, and a worker with unacknowledged ends answers at
     // once anyway.
-    if (!fence && worker.fenced && worker.unansweredPolls == 0 && worker.unstoredEnds.empty()) {
+    if (!fence && worker.life.fenced && worker.life.unansweredPolls == 0
+        && worker.life.unstoredEnds.empty()) {
         poll.wait = pollWaitOf(cell, worker, now);
     }
-    (fence ? worker.fenceInFlight : worker.pollInFlight) = true;
+    (fence ? worker.life.fenceInFlight : worker.life.pollInFlight) = true;
     out.polls.push_back(poll);
 }
 
@@ -47,26 +48,27 @@
 {
     for (auto it = cell.workers.begin(); it != cell.workers.end();) {
         worker_state &worker = it->second;
-        const bool noPollInFlight = !worker.pollInFlight && !worker.fenceInFlight;
+        const bool noPollInFlight = !worker.life.pollInFlight && !worker.life.fenceInFlight;
         // A successor may have renewed the leases unless the leadership was confirmed since.
-        const bool leasesExpired =
-            worker.unansweredPolls > 0 && std::min(now, cell.confirmedAt) > worker.leasesExpiredAt;
-        const bool hasLeft = !worker.listed && worker.entry.draining && worker.connectionRefused;
-        if ((leasesExpired || hasLeft) && (!worker.runs.empty() || !worker.reconciled)) {
+        const bool leasesExpired = worker.life.unansweredPolls > 0
+            && std::min(now, cell.confirmedAt) > worker.life.leasesExpiredAt;
+        const bool hasLeft =
+            !worker.listed && worker.entry.draining && worker.life.connectionRefused;
+        if ((leasesExpired || hasLeft) && (!worker.life.runs.empty() || !worker.life.reconciled)) {
             ++cell.counters.lostWorkers;
             releaseAllRuns(cell, worker, now, out);
         }
-        if (noPollInFlight && !worker.listed && worker.runs.empty()
-            && (worker.reconciled || worker.fenced) && !mayHaveCrashed(worker, now)) {
+        if (noPollInFlight && !worker.listed && worker.life.runs.empty()
+            && (worker.life.reconciled || worker.life.fenced) && !mayHaveCrashed(worker, now)) {
             recordChange(cell, workerListChange, false);
             it = cell.workers.erase(it);
             continue;
         }
-        if (worker.needsFence && !worker.fenceInFlight
-            && (worker.unansweredPolls == 0 || now >= worker.nextPollAt)) {
-            worker.fenceNumber = ++cell.fencesIssued;
+        if (worker.life.needsFence && !worker.life.fenceInFlight
+            && (worker.life.unansweredPolls == 0 || now >= worker.life.nextPollAt)) {
+            worker.life.fenceNumber = ++cell.fencesIssued;
             orderPoll(cell, worker, now, true, out);
-        } else if (noPollInFlight && now >= worker.nextPollAt) {
+        } else if (noPollInFlight && now >= worker.life.nextPollAt) {
             orderPoll(cell, worker, now, false, out);
         }
         ++it;
@@ -86,8 +88,8 @@
 {
     timestamp next = cell.nextCheckAt;
     for (const auto &[id, worker] : cell.workers) {
-        if (!worker.pollInFlight && !worker.fenceInFlight) {
-            next = std::min(next, worker.nextPollAt);
+        if (!worker.life.pollInFlight && !worker.life.fenceInFlight) {
+            next = std::min(next, worker.life.nextPollAt);
         }
     }
     return next;
--- a/src/cell/scheduler_ends.cpp
+++ b/src/cell/scheduler_ends.cpp
@@ -27,7 +27,7 @@
     for (const task_state &task : step.tasks) {
         const auto worker = cell.workers.find(task.worker);
         if (task.phase != run_phase::none && worker != cell.workers.end()) {
-            slowest = std::max(slowest, worker->second.slowness);
+            slowest = std::max(slowest, worker->second.life.slowness);
         }
     }
     return slowest > 0 ? slowest : 1.0;
@@ -37,14 +37,14 @@
 void recordRun(scheduler &cell, worker_state &worker, const job_state &job, const step_spec &spec,
                step_state &step, microseconds observed)
 {
-    const double slowness = spec.gang ? slownessOfGang(cell, step) : worker.slowness;
+    const double slowness = spec.gang ? slownessOfGang(cell, step) : worker.life.slowness;
     step.longestRun = std::max(step.longestRun, observed);
     step.longestSoundRun = std::max(
         step.longestSoundRun, static_cast<microseconds>(static_cast<double>(observed) / slowness));
     if (!spec.gang) {
-        recordRunOnWorker(cell.taskRunTimes[job.spec.queue], worker.runTimes, spec.estimate,
+        recordRunOnWorker(cell.taskRunTimes[job.spec.queue], worker.life.runTimes, spec.estimate,
                           observed);
-        worker.slowness = slownessOf(worker.runTimes);
+        worker.life.slowness = slownessOf(worker.life.runTimes);
     }
 }
 
@@ -211,7 +211,7 @@
         return;
     }
     const auto worker = cell.workers.find(task.worker);
-    if (worker == cell.workers.end() || worker->second.unansweredPolls > 0) {
+    if (worker == cell.workers.end() || worker->second.life.unansweredPolls > 0) {
         return;
     }
     ++cell.counters.stalledRuns;
@@ -255,7 +255,7 @@
     job_state *job = findJob(cell, end.task.job);
     task_state *task = job == nullptr ? nullptr : findTask(*job, end.task);
     if (task == nullptr) {
-        worker.unstoredEnds[end.sequence] = 0;
+        worker.life.unstoredEnds[end.sequence] = 0;
         return;
     }
     job->startedAny = true; // the start may have been ordered by a previous scheduler
@@ -279,7 +279,7 @@
         || (end.how == end_kind::failed && task->failedAttempts.empty())) {
         recordOutcome(worker, end.how == end_kind::done, now);
     }
-    worker.unstoredEnds[end.sequence] = applyOutcome(cell, worker, *job, *task, end, now, out);
+    worker.life.unstoredEnds[end.sequence] = applyOutcome(cell, worker, *job, *task, end, now, out);
     cell.needsPlacement = true;
 }
 
@@ -318,7 +318,7 @@
         return;
     }
     if (outcome == order_outcome::accepted) {
-        worker->second.capacityRefusals = 0;
+        worker->second.life.capacityRefusals = 0;
         if (task->phase == run_phase::starting) {
             task->phase = run_phase::running;
         }
@@ -330,7 +330,7 @@
     if (outcome == order_outcome::unanswered) {
         ++cell.counters.unansweredOrders;
         task->phase = task->phase == run_phase::starting ? run_phase::unconfirmed : task->phase;
-        worker->second.needsFence = true;
+        worker->second.life.needsFence = true;
         return;
     }
     if (task->phase == run_phase::running) {
@@ -341,7 +341,7 @@
         {"start_refused", order.task.job,
          "worker=" + order.worker + " outcome=" + std::to_string(static_cast<int>(outcome))});
     if (outcome == order_outcome::refused_incarnation) {
-        worker->second.fenced = false;
+        worker->second.life.fenced = false;
         onWorkerCrashed(cell, worker->second, now, out);
         return;
     }
@@ -358,10 +358,10 @@
         }
     } else if (outcome == order_outcome::refused_capacity) {
         recordCapacityRefusal(worker->second, now);
-        worker->second.nextPollAt = std::min(worker->second.nextPollAt, now);
+        worker->second.life.nextPollAt = std::min(worker->second.life.nextPollAt, now);
     } else {
-        worker->second.avoidedUntil = now + refusalPause;
-        worker->second.nextPollAt = std::min(worker->second.nextPollAt, now);
+        worker->second.life.avoidedUntil = now + refusalPause;
+        worker->second.life.nextPollAt = std::min(worker->second.life.nextPollAt, now);
     }
     releaseRun(cell, order.task, *job, *task);
 }
--- a/src/cell/scheduler_jobs.cpp
+++ b/src/cell/scheduler_jobs.cpp
@@ -263,10 +263,10 @@
         stored = std::min(stored, change.number - 1);
     }
     for (auto &[id, worker] : cell.workers) {
-        const std::int64_t before = worker.acknowledgedEnd;
+        const std::int64_t before = worker.life.acknowledgedEnd;
         acknowledgeStored(worker, stored);
-        if (worker.acknowledgedEnd != before) {
-            worker.nextPollAt = std::min(worker.nextPollAt, now);
+        if (worker.life.acknowledgedEnd != before) {
+            worker.life.nextPollAt = std::min(worker.life.nextPollAt, now);
         }
     }
     cell.needsPlacement = true;
--- a/src/cell/scheduler_workers.cpp
+++ b/src/cell/scheduler_workers.cpp
@@ -46,7 +46,7 @@
 
 void stopUnexpectedRun(scheduler &cell, worker_state &worker, const reported_run &run, orders &out)
 {
-    ++worker.unexpectedRuns;
+    ++worker.life.unexpectedRuns;
     out.stops.push_back({run.task, run.attempt, worker.entry.id, fencingToken(cell, worker)});
     out.events.push_back({"stop_unexpected_run", run.task.job, "worker=" + worker.entry.id});
 }
@@ -125,7 +125,7 @@
 {
     const std::set<task_id> reported = collectReportedTasks(report);
     std::vector<task_id> absent;
-    for (const task_id &id : worker.runs) {
+    for (const task_id &id : worker.life.runs) {
         if (reported.count(id) == 0) {
             absent.push_back(id);
         }
@@ -153,28 +153,28 @@
     out.events.push_back(
         {"worker_restarted", "",
          "worker=" + worker.entry.id + " born=" + std::to_string(report.born)
-             + " former_born=" + std::to_string(worker.born)
+             + " former_born=" + std::to_string(worker.life.born)
              + " clock_ms=" + std::to_string(report.workerClock / millisecond)
-             + " former_clock_ms=" + std::to_string(worker.clock / millisecond) + " first_end="
+             + " former_clock_ms=" + std::to_string(worker.life.clock / millisecond) + " first_end="
              + std::to_string(report.ended.empty() ? 0 : report.ended.front().sequence)
-             + " former_last_end=" + std::to_string(worker.lastEnd)
-             + " acknowledged=" + std::to_string(worker.acknowledgedEnd)
-             + " runs=" + std::to_string(worker.runs.size())});
+             + " former_last_end=" + std::to_string(worker.life.lastEnd)
+             + " acknowledged=" + std::to_string(worker.life.acknowledgedEnd)
+             + " runs=" + std::to_string(worker.life.runs.size())});
 }
 
 } // namespace
 
 std::int64_t fencingToken(const scheduler &cell, const worker_state &worker)
 {
-    return (cell.epoch << fenceBits) + worker.fenceNumber;
+    return (cell.epoch << fenceBits) + worker.life.fenceNumber;
 }
 
 std::int64_t grantLease(const scheduler &cell, worker_state &worker, timestamp now)
 {
     const lease_limits &limits = cell.settings.lease;
     const timestamp grantedFrom = std::min(now, cell.confirmedAt);
-    worker.leasesExpiredAt =
-        std::max(worker.leasesExpiredAt, latestLeaseExpiry(limits, grantedFrom));
+    worker.life.leasesExpiredAt =
+        std::max(worker.life.leasesExpiredAt, latestLeaseExpiry(limits, grantedFrom));
     return workerClock(worker, now) + limits.longest - (now - grantedFrom);
 }
 
@@ -184,9 +184,9 @@
     worker.entry = entry;
     worker.listed = false;
     worker.recorded = true;
-    worker.fenceNumber = cell.fencesIssued;
-    worker.nextPollAt = now;
-    worker.leasesExpiredAt = predecessorLeaseExpiry(cell);
+    worker.life.fenceNumber = cell.fencesIssued;
+    worker.life.nextPollAt = now;
+    worker.life.leasesExpiredAt = predecessorLeaseExpiry(cell);
 }
 
 void changeWorkers(scheduler &cell, const std::vector<worker_entry> &entries, timestamp now)
@@ -201,18 +201,18 @@
         worker.unlistedAt = distantFuture;
         if (inserted) {
             recordChange(cell, workerListChange, true);
-            worker.fenceNumber = cell.fencesIssued;
-            worker.nextPollAt = now;
+            worker.life.fenceNumber = cell.fencesIssued;
+            worker.life.nextPollAt = now;
             // A worker that does not answer may hold leases granted by a previous scheduler until
             // this time.
-            worker.leasesExpiredAt = predecessorLeaseExpiry(cell);
+            worker.life.leasesExpiredAt = predecessorLeaseExpiry(cell);
         }
     }
     for (auto &[id, worker] : cell.workers) {
         if (seen.count(id) == 0 && worker.listed) {
             worker.listed = false;
             worker.unlistedAt = now;
-            worker.nextPollAt = std::min(worker.nextPollAt, now);
+            worker.life.nextPollAt = std::min(worker.life.nextPollAt, now);
         }
     }
     cell.needsPlacement = true;
@@ -221,14 +221,14 @@
 resources demandOnWorker(const scheduler &cell, const std::string &worker)
 {
     const auto found = cell.workers.find(worker);
-    return found == cell.workers.end() ? resources {} : found->second.used;
+    return found == cell.workers.end() ? resources {} : found->second.life.used;
 }
 
 std::int64_t countOvercommittedWorkers(const scheduler &cell)
 {
     return std::count_if(cell.workers.begin(), cell.workers.end(), [](const auto &entry) {
         const worker_state &worker = entry.second;
-        return worker.listed && !fits(worker.used, worker.entry.capacity);
+        return worker.listed && !fits(worker.life.used, worker.entry.capacity);
     });
 }
 
@@ -249,7 +249,7 @@
 
 void releaseAllRuns(scheduler &cell, worker_state &worker, timestamp now, orders &out)
 {
-    const std::set<task_id> runs = worker.runs;
+    const std::set<task_id> runs = worker.life.runs;
     for (const task_id &id : runs) {
         job_state *job = findJob(cell, id.job);
         task_state *task = job == nullptr ? nullptr : findTask(*job, id);
@@ -258,17 +258,17 @@
         }
         ensureOccurrence(*job, id.occurrence).steps[static_cast<std::size_t>(id.step)].gangBroken =
             true;
-        worker.lostRuns[id] = task->startedAt;
+        worker.life.lostRuns[id] = task->startedAt;
         releaseRun(cell, id, *job, *task);
     }
-    worker.runs.clear();
-    worker.used = {};
-    worker.reconciled = true;
+    worker.life.runs.clear();
+    worker.life.used = {};
+    worker.life.reconciled = true;
     cell.needsPlacement = true;
     out.events.push_back(
         {"worker_runs_lost", "",
          "worker=" + worker.entry.id + " runs=" + std::to_string(runs.size())
-             + " silent_ms=" + std::to_string((now - worker.answeredAt) / millisecond)});
+             + " silent_ms=" + std::to_string((now - worker.life.answeredAt) / millisecond)});
 }
 
 void onReport(scheduler &cell, const poll_order &order, const worker_report &report,
@@ -279,37 +279,37 @@
         return;
     }
     worker_state &worker = found->second;
-    (order.fence ? worker.fenceInFlight : worker.pollInFlight) = false;
-    worker.unansweredPolls = 0;
-    worker.connectionRefused = false;
+    (order.fence ? worker.life.fenceInFlight : worker.life.pollInFlight) = false;
+    worker.life.unansweredPolls = 0;
+    worker.life.connectionRefused = false;
     recordAnswer(cell, worker, sentAt, now, out);
-    if (worker.clock != 0 && worker.born != report.born) {
+    if (worker.life.clock != 0 && worker.life.born != report.born) {
         logRestart(worker, report, out);
     }
-    worker.born = report.born;
-    worker.clock = report.workerClock;
-    worker.clockReadAt = now;
+    worker.life.born = report.born;
+    worker.life.clock = report.workerClock;
+    worker.life.clockReadAt = now;
     if (order.fencingToken == fencingToken(cell, worker)) {
-        const bool isFenceAnswered = worker.needsFence && order.fence;
-        if (!worker.reconciled || isFenceAnswered) {
+        const bool isFenceAnswered = worker.life.needsFence && order.fence;
+        if (!worker.life.reconciled || isFenceAnswered) {
             cell.needsPlacement = true;
             out.events.push_back({"worker_settled", "",
                                   "worker=" + worker.entry.id
                                       + " running=" + std::to_string(report.running.size())
                                       + " ended=" + std::to_string(report.ended.size())});
         }
-        worker.fenced = true;
-        worker.reconciled = true;
+        worker.life.fenced = true;
+        worker.life.reconciled = true;
         // An answer to a poll sent before the fence proves nothing about the unanswered order.
-        worker.needsFence = worker.needsFence && !order.fence;
+        worker.life.needsFence = worker.life.needsFence && !order.fence;
     }
     for (const reported_end &end : report.ended) {
-        if (end.sequence > worker.lastEnd) {
-            worker.lastEnd = end.sequence;
+        if (end.sequence > worker.life.lastEnd) {
+            worker.life.lastEnd = end.sequence;
             applyEnd(cell, worker, end, now, out);
         }
     }
-    worker.unexpectedRuns = 0;
+    worker.life.unexpectedRuns = 0;
     for (const reported_run &run : report.running) {
         applyRunning(cell, worker, run, sentAt, now, out);
     }
@@ -317,7 +317,7 @@
         releaseAbsentRuns(cell, worker, order, report, sentAt, out);
     }
     acknowledgeStored(worker, 0); // acknowledges ends that have no effect to store
-    worker.nextPollAt = worker.unstoredEnds.empty() && worker.unexpectedRuns == 0
+    worker.life.nextPollAt = worker.life.unstoredEnds.empty() && worker.life.unexpectedRuns == 0
         ? now
         : now + throttledPollInterval;
 }
@@ -330,21 +330,21 @@
         return;
     }
     worker_state &worker = found->second;
-    (order.fence ? worker.fenceInFlight : worker.pollInFlight) = false;
-    worker.nextPollAt = now + pollRetryInterval;
+    (order.fence ? worker.life.fenceInFlight : worker.life.pollInFlight) = false;
+    worker.life.nextPollAt = now + pollRetryInterval;
     if (outcome == order_outcome::refused_fence) {
-        worker.nextPollAt = now;
+        worker.life.nextPollAt = now;
         if (order.fencingToken == fencingToken(cell, worker)) {
             out.events.push_back({"superseded", "", "worker=" + worker.entry.id});
         }
         return;
     }
-    if (worker.unansweredPolls++ == 0) {
+    if (worker.life.unansweredPolls++ == 0) {
         out.events.push_back({"worker_silent", "", "worker=" + worker.entry.id});
     }
-    worker.connectionRefused = outcome == order_outcome::not_sent;
+    worker.life.connectionRefused = outcome == order_outcome::not_sent;
     if (outcome == order_outcome::refused_incarnation) {
-        worker.fenced = false;
+        worker.life.fenced = false;
         onWorkerCrashed(cell, worker, now, out);
     }
 }
--- a/src/cell/waiting_jobs.cpp
+++ b/src/cell/waiting_jobs.cpp
@@ -42,7 +42,7 @@
 bool isReconciled(const scheduler &cell)
 {
     return std::all_of(cell.workers.begin(), cell.workers.end(),
-                       [](const auto &entry) { return entry.second.reconciled; });
+                       [](const auto &entry) { return entry.second.life.reconciled; });
 }
 
 /// What the workers offer to one task of a step.
@@ -81,7 +81,7 @@
                  timestamp now)
 {
     ++counts.eligible;
-    if (!isUsable(worker, now) || worker.clock == 0) {
+    if (!isUsable(worker, now) || worker.life.clock == 0) {
         return;
     }
     ++counts.usable;
--- a/src/cell/worker_state.cpp
+++ b/src/cell/worker_state.cpp
@@ -23,7 +23,7 @@
 
 std::int64_t workerClock(const worker_state &worker, timestamp now)
 {
-    return worker.clock + (now - worker.clockReadAt);
+    return worker.life.clock + (now - worker.life.clockReadAt);
 }
 
 timestamp latestLeaseExpiry(const lease_limits &limits, timestamp grantedFrom)
@@ -36,66 +36,68 @@
 
 bool isUsable(const worker_state &worker, timestamp now)
 {
-    return worker.listed && worker.recorded && worker.fenced && !worker.entry.draining
-        && !worker.needsFence && worker.unansweredPolls == 0 && worker.unexpectedRuns == 0
-        && now >= worker.avoidedUntil && now >= worker.fullUntil;
+    return worker.listed && worker.recorded && worker.life.fenced && !worker.entry.draining
+        && !worker.life.needsFence && worker.life.unansweredPolls == 0
+        && worker.life.unexpectedRuns == 0 && now >= worker.life.avoidedUntil
+        && now >= worker.life.fullUntil;
 }
 
 resources freeCapacity(const worker_state &worker)
 {
-    return worker.entry.capacity - worker.used;
+    return worker.entry.capacity - worker.life.used;
 }
 
 void addRun(worker_state &worker, const task_id &task, const resources &demand)
 {
-    if (worker.runs.insert(task).second) {
-        worker.used = worker.used + demand;
+    if (worker.life.runs.insert(task).second) {
+        worker.life.used = worker.life.used + demand;
     }
 }
 
 void removeRun(worker_state &worker, const task_id &task, const resources &demand)
 {
-    if (worker.runs.erase(task) > 0) {
-        worker.used = worker.used - demand;
+    if (worker.life.runs.erase(task) > 0) {
+        worker.life.used = worker.life.used - demand;
     }
 }
 
 void recordOutcome(worker_state &worker, bool succeeded, timestamp now)
 {
     if (succeeded) {
-        worker.failureScore *= successDecay;
+        worker.life.failureScore *= successDecay;
         return;
     }
-    worker.failureScore = std::min(worker.failureScore + 1.0, maxFailureScore);
-    if (worker.failureScore >= avoidanceThreshold) {
-        worker.avoidedUntil = now + avoidanceDuration;
+    worker.life.failureScore = std::min(worker.life.failureScore + 1.0, maxFailureScore);
+    if (worker.life.failureScore >= avoidanceThreshold) {
+        worker.life.avoidedUntil = now + avoidanceDuration;
     }
 }
 
 void recordCapacityRefusal(worker_state &worker, timestamp now)
 {
-    if (now < worker.fullUntil) {
+    if (now < worker.life.fullUntil) {
         return; // another start of the same round
     }
-    worker.fullUntil =
-        now + (capacityRefusalPause << std::min(worker.capacityRefusals, maxPauseDoublings));
-    ++worker.capacityRefusals;
+    worker.life.fullUntil =
+        now + (capacityRefusalPause << std::min(worker.life.capacityRefusals, maxPauseDoublings));
+    ++worker.life.capacityRefusals;
 }
 
 void changeEntry(worker_state &worker, const worker_entry &entry)
 {
     if (!(worker.entry.capacity == entry.capacity)) {
-        worker.capacityRefusals = 0;
-        worker.fullUntil = distantPast;
+        worker.life.capacityRefusals = 0;
+        worker.life.fullUntil = distantPast;
     }
     worker.entry = entry;
 }
 
 void acknowledgeStored(worker_state &worker, std::uint64_t stored)
 {
-    while (!worker.unstoredEnds.empty() && worker.unstoredEnds.begin()->second <= stored) {
-        worker.acknowledgedEnd = worker.unstoredEnds.begin()->first;
-        worker.unstoredEnds.erase(worker.unstoredEnds.begin());
+    while (!worker.life.unstoredEnds.empty()
+           && worker.life.unstoredEnds.begin()->second <= stored) {
+        worker.life.acknowledgedEnd = worker.life.unstoredEnds.begin()->first;
+        worker.life.unstoredEnds.erase(worker.life.unstoredEnds.begin());
     }
 }
 
--- a/src/cell/worker_state.h
+++ b/src/cell/worker_state.h
@@ -9,51 +9,33 @@
 
 namespace bramleygrade::cell {
 
-/// State of one incarnation of a worker, as known to the scheduler.
-struct worker_state
+/// What the scheduler knows of one life of a worker: of one process that ran under the worker's id.
+/// Nothing of it holds for the next process under that id, so it is replaced as a whole.
+struct worker_life
 {
-    worker_entry entry;
-    /// The registry lists the worker.
-    bool listed = true;
-    timestamp unlistedAt = distantFuture;
-    /// The stored worker list contains the worker, so that the next leader reconciles with it.
-    bool recorded = false;
-    /// The worker list that is being written contains the worker.
-    bool inWrite = false;
+    /// Start time of the process, as in `worker_entry::born`.
+    std::int64_t born = 0;
     /// The worker has answered a poll under this scheduler's fencing token.
     bool fenced = false;
     /// Runs started before this scheduler took over are known, or can no longer exist.
     bool reconciled = false;
     /// Part of the fencing token; raised to fence off orders that got no answer.
     std::int64_t fenceNumber = 0;
+    /// An order got no answer; a poll with a higher fencing token must follow.
+    bool needsFence = false;
+
     /// Sum of the reserved demands of all runs that may exist on the worker.
     resources used;
     std::set<task_id> runs;
-    /// Runs released while the worker was silent, and their starts; it may have crashed with them.
-    std::map<task_id, timestamp> lostRuns;
-    bool crashed = false;
-    /// A call sent at this time or earlier was answered.
-    timestamp aliveAt = distantPast;
-    /// Newest start of each job whose tasks have not run for `startTrial` yet.
-    std::map<std::string, timestamp> recentStarts;
-    /// Job whose tasks may have crashed a worker. Tasks of other jobs do not start here until
-    /// `trialUntil`, so that another crash can be attributed.
-    std::string trialJob;
-    timestamp trialStartedAt = distantPast;
-    timestamp trialUntil = distantPast;
-    /// Demand expected of the steps whose calls for advice are open.
-    resources expectedDemand;
-    /// Capacity that the newest placement round left after the steps of the highest priority, and
-    /// after all steps.
-    resources headroomOfUrgent;
-    resources headroomOfOthers;
-    /// `worker_report::born` of the newest answer.
-    std::int64_t born = 0;
+    /// Number of runs in the newest report that should not exist; their demand is unknown.
+    int unexpectedRuns = 0;
+
     /// The worker's clock in its newest answer, and the local time at which it arrived.
     std::int64_t clock = 0;
     timestamp clockReadAt = distantPast;
     /// Local time after which every lease on the worker has expired.
     timestamp leasesExpiredAt = distantPast;
+
     /// Highest sequence number of an end that was received.
     std::int64_t lastEnd = 0;
     /// Sequence number up to which ends may be acknowledged, as their effect is stored.
@@ -61,17 +43,29 @@
     /// Ends whose effect may not be stored yet: sequence number, and number of the change that
     /// stores the effect.
     std::map<std::int64_t, std::uint64_t> unstoredEnds;
+
     bool pollInFlight = false;
     bool fenceInFlight = false;
-    /// An order got no answer; a poll with a higher fencing token must follow.
-    bool needsFence = false;
     timestamp nextPollAt = distantPast;
     int unansweredPolls = 0;
     /// The newest poll could not connect to the worker.
     bool connectionRefused = false;
     timestamp answeredAt = distantPast;
-    /// Number of runs in the newest report that should not exist; their demand is unknown.
-    int unexpectedRuns = 0;
+
+    /// The process has ended without leaving, and its crash is counted.
+    bool crashed = false;
+    /// Runs released while the worker was silent, and their starts; it may have crashed with them.
+    std::map<task_id, timestamp> lostRuns;
+    /// A call sent at this time or earlier was answered.
+    timestamp aliveAt = distantPast;
+    /// Newest start of each job whose tasks have not run for `startTrial` yet.
+    std::map<std::string, timestamp> recentStarts;
+    /// Job whose tasks may have crashed a worker. Tasks of other jobs do not start here until
+    /// `trialUntil`, so that another crash can be attributed.
+    std::string trialJob;
+    timestamp trialStartedAt = distantPast;
+    timestamp trialUntil = distantPast;
+
     /// Increases with failed and stalled runs and shrinks with each successful one.
     double failureScore = 0;
     /// Time until which the worker gets no new tasks, after failures or a start refused for another
@@ -86,6 +80,26 @@
     run_time_ratio runTimes;
 };
 
+/// A worker, by its id: what the registry shows of it and its current life.
+struct worker_state
+{
+    worker_entry entry;
+    /// The registry lists the worker.
+    bool listed = true;
+    timestamp unlistedAt = distantFuture;
+    /// The stored worker list contains the worker, so that the next leader reconciles with it.
+    bool recorded = false;
+    /// The worker list that is being written contains the worker.
+    bool inWrite = false;
+    worker_life life;
+    /// Demand expected of the steps whose calls for advice are open.
+    resources expectedDemand;
+    /// Capacity that the newest placement round left after the steps of the highest priority, and
+    /// after all steps.
+    resources headroomOfUrgent;
+    resources headroomOfOthers;
+};
+
 /// Length of a lease, unless the workers' limit is shorter.
 constexpr microseconds leaseLength = 5 * second;
 
--- a/src/entry/observation.cpp
+++ b/src/entry/observation.cpp
@@ -95,7 +95,7 @@
     entry.observed.reconciledEpoch = entry.epoch;
     std::size_t runs = 0;
     for (const auto &[id, worker] : leading.cell.workers) {
-        runs += worker.runs.size();
+        runs += worker.life.runs.size();
     }
     const auto restored =
         std::count_if(leading.cell.jobs.begin(), leading.cell.jobs.end(), [](const auto &job) {
@@ -263,7 +263,7 @@
 std::int64_t countUnreconciledWorkers(const cell::scheduler &cell)
 {
     return std::count_if(cell.workers.begin(), cell.workers.end(),
-                         [](const auto &worker) { return !worker.second.reconciled; });
+                         [](const auto &worker) { return !worker.second.life.reconciled; });
 }
 
 std::int64_t countHeldJobs(const cell::scheduler &cell)
--- a/src/entry/state_dump.cpp
+++ b/src/entry/state_dump.cpp
@@ -20,15 +20,15 @@
         put(out, "id", id);
         put(out, "address", worker.entry.address);
         put(out, "listed", worker.listed);
-        put(out, "fenced", worker.fenced);
-        put(out, "settled", worker.reconciled);
+        put(out, "fenced", worker.life.fenced);
+        put(out, "settled", worker.life.reconciled);
         put(out, "draining", worker.entry.draining);
         put(out, "token", cell::fencingToken(cell, worker));
-        put(out, "used_cpu_milli", worker.used.cpuMilli);
+        put(out, "used_cpu_milli", worker.life.used.cpuMilli);
         put(out, "cpu_milli", worker.entry.capacity.cpuMilli);
-        put(out, "runs", static_cast<std::int64_t>(worker.runs.size()));
-        put(out, "unstored_ends", static_cast<std::int64_t>(worker.unstoredEnds.size()));
-        put(out, "answered_ms_ago", ageMs(worker.answeredAt));
+        put(out, "runs", static_cast<std::int64_t>(worker.life.runs.size()));
+        put(out, "unstored_ends", static_cast<std::int64_t>(worker.life.unstoredEnds.size()));
+        put(out, "answered_ms_ago", ageMs(worker.life.answeredAt));
         out.EndObject();
     }
     out.EndArray();
@@ -166,7 +166,7 @@
     std::int64_t used = 0;
     std::int64_t all = 0;
     for (const auto &[id, worker] : cell.workers) {
-        used += worker.used.cpuMilli;
+        used += worker.life.used.cpuMilli;
         all += worker.entry.capacity.cpuMilli;
     }
     gauges["cpu_milli_promised"] = used;
--- a/test/cell/advice_dispatch_test.cpp
+++ b/test/cell/advice_dispatch_test.cpp
@@ -43,8 +43,8 @@
         worker.entry.id = id;
         worker.entry.capacity = {1'000'000, 1'000'000, 0};
         worker.recorded = true;
-        worker.fenced = true;
-        worker.clock = 1;
+        worker.life.fenced = true;
+        worker.life.clock = 1;
         worker.headroomOfUrgent = worker.entry.capacity;
         worker.headroomOfOthers = worker.entry.capacity;
     }
--- a/test/cell/crash_attribution_test.cpp
+++ b/test/cell/crash_attribution_test.cpp
@@ -42,7 +42,7 @@
     cell_report runningOn(const std::string &worker)
     {
         cell_report answer;
-        for (const task_id &id : cell.workers.at(worker).runs) {
+        for (const task_id &id : cell.workers.at(worker).life.runs) {
             answer.running.push_back({id, findTask(cell.jobs.at(id.job), id)->attempt, "", 0});
         }
         return answer;
@@ -180,7 +180,7 @@
 BOOST_AUTO_TEST_CASE(a_task_that_shared_the_worker_of_a_crashing_task_completes)
 {
     shared_worker fixture;
-    BOOST_REQUIRE(fixture.cell.workers.at("worker-1").runs.size() == 2U);
+    BOOST_REQUIRE(fixture.cell.workers.at("worker-1").life.runs.size() == 2U);
     fixture.play(20 * second);
     BOOST_TEST((fixture.cell.jobs.at("deadly").finalPhase == cell_phase::failed));
     BOOST_TEST((fixture.cell.jobs.at("innocent").finalPhase == cell_phase::completed));
--- a/test/cell/handover_test.cpp
+++ b/test/cell/handover_test.cpp
@@ -50,7 +50,7 @@
                         {"a worker stays silent", false, 9 * second, true}};
     cell::scheduler &cell = entry.leaderState->cell;
     for (const row &expected : rows) {
-        cell.workers.at("worker").reconciled = expected.reconciled;
+        cell.workers.at("worker").life.reconciled = expected.reconciled;
         cell.tookOverAt = steadyNow() - expected.led;
         BOOST_TEST(isHandoverToLargerDue(entry, steadyNow()) == expected.due, expected.name);
     }
--- a/test/cell/loaded_cluster.h
+++ b/test/cell/loaded_cluster.h
@@ -119,7 +119,7 @@
             const auto &known = leader()->entry->leaderState->cell.workers;
             return known.size() == workers.size()
                 && std::all_of(known.begin(), known.end(), [](const auto &worker) {
-                       return worker.second.reconciled && worker.second.recorded;
+                       return worker.second.life.reconciled && worker.second.recorded;
                    });
         });
     }
--- a/test/cell/scheduler_test.cpp
+++ b/test/cell/scheduler_test.cpp
@@ -15,7 +15,7 @@
 
 std::int64_t usedCpuMilli(const cell_fixture &fixture, const std::string &worker)
 {
-    return fixture.cell.workers.at(worker).used.cpuMilli;
+    return fixture.cell.workers.at(worker).life.used.cpuMilli;
 }
 
 } // namespace
@@ -51,7 +51,7 @@
             cell_fixture::makeJob("a", {cell_fixture::makeStep(entry.count, entry.cpu)}));
         BOOST_TEST(out.starts.size() == entry.started, entry.name);
         for (const auto &[id, worker] : fixture.cell.workers) {
-            BOOST_TEST(fits(worker.used, worker.entry.capacity), entry.name << " on " << id);
+            BOOST_TEST(fits(worker.life.used, worker.entry.capacity), entry.name << " on " << id);
         }
     }
 }
@@ -219,7 +219,7 @@
                 fixture.report(poll.worker, {});
                 continue;
             }
-            const bool silent = fixture.cell.workers.at(start.worker).unansweredPolls > 0;
+            const bool silent = fixture.cell.workers.at(start.worker).life.unansweredPolls > 0;
             BOOST_TEST((!silent || poll.leaseUntil == 0)); // the lease is not renewed
             onPollFailed(fixture.cell, poll, order_outcome::unanswered, fixture.now, ignored);
         }
@@ -285,7 +285,7 @@
     onStartOutcome(fixture.cell, out.starts[2], order_outcome::refused_unhealthy, fixture.now,
                    ignored);
     fixture.now += fixture.cell.settings.gangTimeout * 2 / 3;
-    fixture.cell.workers.at(out.starts[2].worker).avoidedUntil = distantFuture;
+    fixture.cell.workers.at(out.starts[2].worker).life.avoidedUntil = distantFuture;
     BOOST_TEST(fixture.decide().stops.size() == 2U);
 }
 
--- a/test/cell/storing_test.cpp
+++ b/test/cell/storing_test.cpp
@@ -63,12 +63,12 @@
     job.acceptedEpoch = 1;
     restoreJob(fixture.cell, job, fixture.now);
     fixture.end("worker-1", 1, {"a", 0, 0, 0}, 1, end_kind::done);
-    BOOST_TEST(fixture.cell.workers.at("worker-1").acknowledgedEnd == 0);
+    BOOST_TEST(fixture.cell.workers.at("worker-1").life.acknowledgedEnd == 0);
     BOOST_TEST(beginWrite(fixture.cell, 10, oneRow).size() == 1U);
     // Without `startedAny` the progress row would not be written.
     BOOST_TEST(findJob(fixture.cell, "a")->startedAny);
     onWritten(fixture.cell, fixture.now);
-    BOOST_TEST(fixture.cell.workers.at("worker-1").acknowledgedEnd == 1);
+    BOOST_TEST(fixture.cell.workers.at("worker-1").life.acknowledgedEnd == 1);
 }
 
 BOOST_AUTO_TEST_CASE(restored_tasks_wait_until_every_worker_is_reconciled)
@@ -112,9 +112,9 @@
     orders ignored;
     cancelJob(fixture.cell, "a", fixture.now, ignored);
     fixture.end(out.starts[0].worker, 1, out.starts[0].task, 1, end_kind::done);
-    BOOST_TEST(fixture.cell.workers.at(out.starts[0].worker).acknowledgedEnd == 0);
+    BOOST_TEST(fixture.cell.workers.at(out.starts[0].worker).life.acknowledgedEnd == 0);
     fixture.store();
-    BOOST_TEST(fixture.cell.workers.at(out.starts[0].worker).acknowledgedEnd == 1);
+    BOOST_TEST(fixture.cell.workers.at(out.starts[0].worker).life.acknowledgedEnd == 1);
 }
 
 // Guards against a worker that was erased and returns refusing all orders permanently, as their
--- a/test/cell/takeover_test.cpp
+++ b/test/cell/takeover_test.cpp
@@ -139,7 +139,7 @@
     onPollFailed(fixture.cell, fixture.makePoll(worker), order_outcome::unanswered, fixture.now,
                  ignored);
     fixture.cell.confirmedAt = fixture.now;
-    fixture.now = fixture.cell.workers.at(worker).leasesExpiredAt + stepTime;
+    fixture.now = fixture.cell.workers.at(worker).life.leasesExpiredAt + stepTime;
     BOOST_TEST(fixture.decide().starts.empty());
     fixture.cell.confirmedAt = fixture.now;
     BOOST_TEST(fixture.decide().starts.size() == 1U);
--- a/test/cell/waiting_jobs_test.cpp
+++ b/test/cell/waiting_jobs_test.cpp
@@ -23,7 +23,7 @@
 void fill(cell_fixture &fixture, const std::string &worker)
 {
     worker_state &state = fixture.cell.workers.at(worker);
-    state.used = state.entry.capacity;
+    state.life.used = state.entry.capacity;
 }
 
 void fillAll(cell_fixture &fixture)
@@ -66,7 +66,7 @@
         {"restored, one worker has not reported", false,
          [](cell_fixture &f) {
              findJob(f.cell, "a")->restored = true;
-             f.cell.workers.at("worker-2").reconciled = false;
+             f.cell.workers.at("worker-2").life.reconciled = false;
          },
          reason::workers_not_reconciled, 3},
         {"restored, all workers have reported", false,
@@ -108,7 +108,7 @@
         {"all workers silent", false,
          [](cell_fixture &f) {
              for (auto &[id, worker] : f.cell.workers) {
-                 worker.unansweredPolls = 1;
+                 worker.life.unansweredPolls = 1;
              }
          },
          reason::no_usable_worker, 3},
--- a/test/cell/watches_test.cpp
+++ b/test/cell/watches_test.cpp
@@ -158,7 +158,7 @@
 {
     watchWorkers(entry, 1);
     runUntilWatched(1);
-    entry.leaderState->cell.workers.at("worker-1").used = {4'000, 100, 0};
+    entry.leaderState->cell.workers.at("worker-1").life.used = {4'000, 100, 0};
     entry.log.linesPerSecond = 100;
     const std::string line = R"("worker":"worker-1","before":"8000/0/0","capacity":"1000/0/0",)"
                              R"("used":"4000/100/0","overcommitted":"yes")";
--- a/testing/cell/load_simulation.cpp
+++ b/testing/cell/load_simulation.cpp
@@ -343,7 +343,7 @@
     if (m_driver.now < m_loadEndsAt) {
         std::int64_t used = 0;
         for (const auto &[id, worker] : m_driver.cell.workers) {
-            used += worker.used.cpuMilli;
+            used += worker.life.used.cpuMilli;
         }
         m_usedShareSum += static_cast<double>(used)
             / static_cast<double>(m_settings.capacity.cpuMilli * m_settings.workers);
