A worker that answers with another start time begins a new life, which replaces the former one

Workers that crash now start again under their id; their ends are numbered from 1 on.

A report names the life that sent it: start time, and the worker's clock, which must not run backwards. When it names another one than the known, worker_life is replaced as a whole: ends, clock, polls, fence, record of failures. The crash of the former life is counted, unless one of the two does not name its start time. Runs stay reserved, as a start on its way may be carried out by the new life, until a poll with a raised fencing token is answered. Orders carry the number of the life that they are meant for; answers to orders of a former life change nothing. Start times are compared for equality only, as the time of day may be set back.

--- a/src/cell/crashes.cpp
+++ b/src/cell/crashes.cpp
@@ -101,7 +101,7 @@
 
 } // namespace
 
-void onWorkerCrashed(scheduler &cell, worker_state &worker, timestamp now, orders &out)
+void countCrash(scheduler &cell, worker_state &worker, timestamp now, orders &out)
 {
     if (!worker.life.crashed && !worker.entry.draining) {
         worker.life.crashed = true;
@@ -119,6 +119,11 @@
             addCrash(cell, worker, id, attributed, now, out);
         }
     }
+}
+
+void onWorkerCrashed(scheduler &cell, worker_state &worker, timestamp now, orders &out)
+{
+    countCrash(cell, worker, now, out);
     releaseAllRuns(cell, worker, now, out);
     worker.life.lostRuns.clear();
     worker.life.recentStarts.clear();
--- a/src/cell/crashes.h
+++ b/src/cell/crashes.h
@@ -17,8 +17,11 @@
 /// A start can no longer be the cause of a crash if the worker has answered this long after it.
 constexpr microseconds startTrial = 250 * millisecond;
 
-/// Handles the proof that the worker's incarnation has ended without leaving: counts the crash for
-/// its tasks, gives up tasks, and releases all runs.
+/// Counts the end of the worker's life, unless it is counted already or the worker was leaving, for
+/// the tasks that may have caused it, and gives up tasks.
+void countCrash(scheduler &cell, worker_state &worker, timestamp now, orders &out);
+/// Handles the proof that the worker's life has ended while another worker answers at its address:
+/// counts the crash and releases all runs.
 void onWorkerCrashed(scheduler &cell, worker_state &worker, timestamp now, orders &out);
 /// Handles an answer to a poll sent at `sentAt`. The first one proves that earlier incarnations at
 /// the worker's address have ended.
--- a/src/cell/placement_round.cpp
+++ b/src/cell/placement_round.cpp
@@ -147,7 +147,7 @@
     const auto advice = step.advice.find(worker.entry.id);
     out.starts.push_back({id, attempt, worker.entry.id, waiting.job->spec.payload,
                           advice == step.advice.end() ? "" : advice->second.ticket, task.checkpoint,
-                          grantLease(cell, worker, now), task.token});
+                          grantLease(cell, worker, now), task.token, worker.life.number});
 }
 
 void startGang(scheduler &cell, const waiting_step &waiting, const placement_plan &plan,
--- a/src/cell/scheduler.h
+++ b/src/cell/scheduler.h
@@ -40,6 +40,8 @@
     /// End of the lease on the worker's clock, microseconds.
     std::int64_t leaseUntil = 0;
     std::int64_t fencingToken = 0;
+    /// `worker_life::number` of the life for which the order is meant.
+    std::uint64_t life = 0;
 };
 
 /// Stops a run; its end follows in a report.
@@ -64,6 +66,8 @@
     microseconds wait = 0;
     /// The poll carries a raised fencing token, to resolve orders that got no answer.
     bool fence = false;
+    /// `worker_life::number` of the life for which the poll is meant.
+    std::uint64_t life = 0;
 };
 
 /// Asks the advisory service which workers may run a step.
@@ -152,7 +156,7 @@
     std::uint64_t adviceCalls = 0;
     /// Workers whose runs were released, as their leases had expired or they had left.
     std::uint64_t lostWorkers = 0;
-    /// Workers in whose place another incarnation was found.
+    /// Lives of workers in whose place another one was found.
     std::uint64_t crashedWorkers = 0;
     /// Tasks given up as workers crashed at their starts.
     std::uint64_t tasksGivenUp = 0;
--- a/src/cell/scheduler_decide.cpp
+++ b/src/cell/scheduler_decide.cpp
@@ -29,6 +29,7 @@
     poll.fencingToken = fencingToken(cell, worker);
     poll.acknowledgedEnd = worker.life.acknowledgedEnd;
     poll.fence = fence;
+    poll.life = worker.life.number;
     // Leases are not renewed while polls go unanswered, so that they expire and the runs can be
     // restarted elsewhere.
     if (worker.life.clock != 0 && worker.life.unansweredPolls == 0) {
--- a/src/cell/scheduler_ends.cpp
+++ b/src/cell/scheduler_ends.cpp
@@ -314,7 +314,8 @@
     task_state *task = job == nullptr ? nullptr : findTask(*job, order.task);
     const auto worker = cell.workers.find(order.worker);
     if (task == nullptr || worker == cell.workers.end() || task->worker != order.worker
-        || task->attempt != order.attempt || task->phase == run_phase::none) {
+        || task->attempt != order.attempt || task->phase == run_phase::none
+        || order.life != worker->second.life.number) {
         return;
     }
     if (outcome == order_outcome::accepted) {
--- a/src/cell/scheduler_workers.cpp
+++ b/src/cell/scheduler_workers.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 
 #include "cell/crashes.h"
+#include "cell/worker_lives.h"
 
 namespace bramleygrade::cell {
 
@@ -111,8 +112,10 @@
 {
     switch (task.phase) {
     case run_phase::running:
-    case run_phase::stopping:
         return task.confirmedAt != distantPast && task.confirmedAt < sentAt;
+    case run_phase::stopping:
+        return (task.confirmedAt != distantPast && task.confirmedAt < sentAt)
+            || order.fencingToken > task.token;
     case run_phase::unconfirmed:
         return order.fencingToken > task.token;
     default:
@@ -136,7 +139,8 @@
         if (task == nullptr || !isAbsent(*task, order, sentAt)) {
             continue;
         }
-        const bool wasUnconfirmed = task->phase == run_phase::unconfirmed;
+        const bool wasUnconfirmed =
+            task->phase == run_phase::unconfirmed && task->confirmedAt == distantPast;
         out.events.push_back({wasUnconfirmed ? "start_had_no_effect" : "run_vanished", id.job,
                               "worker=" + worker.entry.id});
         if (!wasUnconfirmed) {
@@ -148,20 +152,6 @@
     }
 }
 
-void logRestart(const worker_state &worker, const worker_report &report, orders &out)
-{
-    out.events.push_back(
-        {"worker_restarted", "",
-         "worker=" + worker.entry.id + " born=" + std::to_string(report.born)
-             + " former_born=" + std::to_string(worker.life.born)
-             + " clock_ms=" + std::to_string(report.workerClock / millisecond)
-             + " former_clock_ms=" + std::to_string(worker.life.clock / millisecond) + " first_end="
-             + std::to_string(report.ended.empty() ? 0 : report.ended.front().sequence)
-             + " former_last_end=" + std::to_string(worker.life.lastEnd)
-             + " acknowledged=" + std::to_string(worker.life.acknowledgedEnd)
-             + " runs=" + std::to_string(worker.life.runs.size())});
-}
-
 } // namespace
 
 std::int64_t fencingToken(const scheduler &cell, const worker_state &worker)
@@ -187,6 +177,7 @@
     worker.life.fenceNumber = cell.fencesIssued;
     worker.life.nextPollAt = now;
     worker.life.leasesExpiredAt = predecessorLeaseExpiry(cell);
+    worker.life.born = entry.born;
 }
 
 void changeWorkers(scheduler &cell, const std::vector<worker_entry> &entries, timestamp now)
@@ -203,6 +194,7 @@
             recordChange(cell, workerListChange, true);
             worker.life.fenceNumber = cell.fencesIssued;
             worker.life.nextPollAt = now;
+            worker.life.born = entry.born;
             // A worker that does not answer may hold leases granted by a previous scheduler until
             // this time.
             worker.life.leasesExpiredAt = predecessorLeaseExpiry(cell);
@@ -279,14 +271,16 @@
         return;
     }
     worker_state &worker = found->second;
+    if (order.life != worker.life.number) {
+        return; // the answer may be one of a former life
+    }
+    if (isOtherLife(worker.life, report, sentAt)) {
+        beginLife(cell, worker, report, now, out);
+    }
     (order.fence ? worker.life.fenceInFlight : worker.life.pollInFlight) = false;
     worker.life.unansweredPolls = 0;
     worker.life.connectionRefused = false;
     recordAnswer(cell, worker, sentAt, now, out);
-    if (worker.life.clock != 0 && worker.life.born != report.born) {
-        logRestart(worker, report, out);
-    }
-    worker.life.born = report.born;
     worker.life.clock = report.workerClock;
     worker.life.clockReadAt = now;
     if (order.fencingToken == fencingToken(cell, worker)) {
@@ -330,6 +324,9 @@
         return;
     }
     worker_state &worker = found->second;
+    if (order.life != worker.life.number) {
+        return;
+    }
     (order.fence ? worker.life.fenceInFlight : worker.life.pollInFlight) = false;
     worker.life.nextPollAt = now + pollRetryInterval;
     if (outcome == order_outcome::refused_fence) {
--- a/src/cell/worker_state.h
+++ b/src/cell/worker_state.h
@@ -13,6 +13,8 @@
 /// Nothing of it holds for the next process under that id, so it is replaced as a whole.
 struct worker_life
 {
+    /// Counts the lives that this scheduler has seen of the worker.
+    std::uint64_t number = 0;
     /// Start time of the process, as in `worker_entry::born`.
     std::int64_t born = 0;
     /// The worker has answered a poll under this scheduler's fencing token.
@@ -107,6 +109,8 @@
 struct lease_limits
 {
     microseconds longest = leaseLength;
+    /// Longest lease that a worker grants; later ends are shortened to it.
+    microseconds workerLimit = 6 * second;
     /// Largest relative error of a worker's clock rate (2 % by the worker protocol).
     double clockRateError = 0.02;
     /// Longest time between a worker reading its clock and the reading being used.
--- a/src/entry/leader.cpp
+++ b/src/entry/leader.cpp
@@ -315,6 +315,7 @@
     leader_state &leaderState = *entry.leaderState;
     leaderState.headVersion = headVersion;
     leaderState.cell.settings.lease.longest = std::min(entry.settings.maxLease, cell::leaseLength);
+    leaderState.cell.settings.lease.workerLimit = entry.settings.maxLease;
     leaderState.cell.settings.gangTimeout = entry.settings.gangTimeout;
     leaderState.cell.settings.stopTimeout = entry.settings.stopTimeout;
     leaderState.cell.settings.endedKept = entry.settings.endedKept;
