Polls after one without an answer acknowledge no ends

A worker that restarts under its id begins to number its ends at 1, and the next polls acknowledged the ends of its former life: by the users' rule ends up to there count as taken note of, though the scheduler has not seen them, and the worker may discard them. After a poll without an answer the worker may have restarted, so that the next one acknowledges nothing; the first answer tells. Such polls granted no lease before either.

--- a/src/cell/scheduler_decide.cpp
+++ b/src/cell/scheduler_decide.cpp
@@ -27,7 +27,8 @@
     poll_order poll;
     poll.worker = worker.entry.id;
     poll.fencingToken = fencingToken(cell, worker);
-    poll.acknowledgedEnd = worker.life.acknowledgedEnd;
+    // A worker that did not answer may have restarted, with ends of the same numbers.
+    poll.acknowledgedEnd = worker.life.unansweredPolls == 0 ? worker.life.acknowledgedEnd : 0;
     poll.fence = fence;
     poll.life = worker.life.number;
     // Leases are not renewed while polls go unanswered, so that they expire and the runs can be
