A worker gets no tasks while its registry entry describes another of its lives

A worker may start again as another kind. Between the first answer of the new life and its entry in the registry, tasks were placed by the capacity and labels of the former life (LIMIT, ROUTE). Placement now needs an entry of the life that answers; an entry that names no start time counts for any. An entry of another life than the known one asks for a fence at once, whose answer tells the current life beside the poll that is held.

--- a/src/cell/scheduler_workers.cpp
+++ b/src/cell/scheduler_workers.cpp
@@ -187,9 +187,14 @@
         seen.insert(entry.id);
         const auto [it, inserted] = cell.workers.try_emplace(entry.id);
         worker_state &worker = it->second;
+        const bool showsOtherLife =
+            !inserted && worker.entry.born != entry.born && describesOtherLife(entry, worker.life);
         changeEntry(worker, entry);
         worker.listed = true;
         worker.unlistedAt = distantFuture;
+        // The answer to a fence tells which life is the current one, without waiting for the poll
+        // that is held.
+        worker.life.needsFence = worker.life.needsFence || showsOtherLife;
         if (inserted) {
             recordChange(cell, workerListChange, true);
             worker.life.fenceNumber = cell.fencesIssued;
--- a/src/cell/worker_lives.cpp
+++ b/src/cell/worker_lives.cpp
@@ -13,12 +13,6 @@
     return report.workerClock < life.clock;
 }
 
-/// Whether two answers with these start times prove that the first process has ended.
-bool areOtherStartTimes(std::int64_t former, std::int64_t born)
-{
-    return former != 0 && born != 0 && former != born;
-}
-
 /// Keeps the worker's runs reserved until an answer shows whether the new life has them.
 void holdRuns(scheduler &cell, worker_state &worker)
 {
@@ -94,7 +88,7 @@
                orders &out)
 {
     const bool isCrash =
-        areOtherStartTimes(worker.life.born, report.born) || isClockBehind(worker.life, report);
+        areDifferentLives(worker.life.born, report.born) || isClockBehind(worker.life, report);
     logRestart(worker.life, worker.entry.id, report, isCrash, out);
     if (isCrash) {
         countCrash(cell, worker, now, out);
@@ -115,9 +109,4 @@
     cell.needsPlacement = true;
 }
 
-bool describesOtherLife(const worker_entry &entry, const worker_life &life)
-{
-    return areOtherStartTimes(entry.born, life.born);
-}
-
 } // namespace bramleygrade::cell
--- a/src/cell/worker_lives.h
+++ b/src/cell/worker_lives.h
@@ -27,8 +27,4 @@
 void beginLife(scheduler &cell, worker_state &worker, const worker_report &report, timestamp now,
                orders &out);
 
-/// Whether the worker's registry entry describes another life than the current one, so that its
-/// capacity and labels may not be those of the worker.
-bool describesOtherLife(const worker_entry &entry, const worker_life &life);
-
 } // namespace bramleygrade::cell
--- a/src/cell/worker_state.cpp
+++ b/src/cell/worker_state.cpp
@@ -34,12 +34,22 @@
         + limits.clockReadingMargin;
 }
 
+bool areDifferentLives(std::int64_t oneBorn, std::int64_t otherBorn)
+{
+    return oneBorn != 0 && otherBorn != 0 && oneBorn != otherBorn;
+}
+
+bool describesOtherLife(const worker_entry &entry, const worker_life &life)
+{
+    return areDifferentLives(entry.born, life.born);
+}
+
 bool isUsable(const worker_state &worker, timestamp now)
 {
     return worker.listed && worker.recorded && worker.life.fenced && !worker.entry.draining
-        && !worker.life.needsFence && worker.life.unansweredPolls == 0
-        && worker.life.unexpectedRuns == 0 && now >= worker.life.avoidedUntil
-        && now >= worker.life.fullUntil;
+        && !describesOtherLife(worker.entry, worker.life) && !worker.life.needsFence
+        && worker.life.unansweredPolls == 0 && worker.life.unexpectedRuns == 0
+        && now >= worker.life.avoidedUntil && now >= worker.life.fullUntil;
 }
 
 resources freeCapacity(const worker_state &worker)
--- a/src/cell/worker_state.h
+++ b/src/cell/worker_state.h
@@ -124,6 +124,13 @@
 /// worker, whatever its clock rate within the bound.
 timestamp latestLeaseExpiry(const lease_limits &limits, timestamp grantedFrom);
 
+/// Whether the start times are those of two processes; not if one of them is not known.
+bool areDifferentLives(std::int64_t oneBorn, std::int64_t otherBorn);
+
+/// Whether the worker's registry entry describes another life than the current one, so that its
+/// capacity and labels may not be those of the worker.
+bool describesOtherLife(const worker_entry &entry, const worker_life &life);
+
 /// Whether new tasks may be placed on the worker.
 bool isUsable(const worker_state &worker, timestamp now);
 
