Crashes are counted by the lives of workers, not by their ids

The sets, and the stored worker of a suspected task's newest run, hold the name of a life: id and start time. Rows written before hold ids, which equal no named life; such crashes count on, and such a run is not blamed. Lives without a start time are named by the id alone, so that several of their crashes count as one: docs/design says so.

--- a/src/cell/crashes.cpp
+++ b/src/cell/crashes.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "cell/worker_lives.h"
+
 namespace bramleygrade::cell {
 
 namespace {
@@ -26,13 +28,13 @@
 template <typename Visit>
 void forEachRestoredTrial(scheduler &cell, const worker_state &worker, Visit visit)
 {
+    const std::string life = lifeName(worker);
     for (auto &[id, job] : cell.jobs) {
         for (auto &[number, occurrence] : job.occurrences) {
             for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
                 auto &tasks = occurrence.steps[step].tasks;
                 for (std::size_t index = 0; index < tasks.size(); ++index) {
-                    if (tasks[index].phase == run_phase::none
-                        && tasks[index].trialWorker == worker.entry.id) {
+                    if (tasks[index].phase == run_phase::none && tasks[index].trialLife == life) {
                         visit(
                             task_id {id, number, static_cast<int>(step), static_cast<int>(index)});
                     }
@@ -81,20 +83,20 @@
     if (task == nullptr || task->done || job->finalPhase) {
         return;
     }
-    task->crashedWorkers.insert(worker.entry.id);
+    task->crashedLives.insert(lifeName(worker));
     ensureOccurrence(*job, id.occurrence).steps[static_cast<std::size_t>(id.step)].crashedAt = now;
     if (attributed) {
-        task->attributedCrashes.insert(worker.entry.id);
+        task->attributedCrashes.insert(lifeName(worker));
     }
     recordChange(cell, id.job, false);
     if (task->attributedCrashes.size() < maxAttributedCrashes
-        && task->crashedWorkers.size() < maxCrashes) {
+        && task->crashedLives.size() < maxCrashes) {
         return;
     }
     ++cell.counters.tasksGivenUp;
     out.events.push_back({"task_given_up", id.job,
                           "step=" + std::to_string(id.step) + " index=" + std::to_string(id.index)
-                              + " crashes=" + std::to_string(task->crashedWorkers.size())
+                              + " crashes=" + std::to_string(task->crashedLives.size())
                               + " attributed=" + std::to_string(task->attributedCrashes.size())});
     finishJob(cell, *job, job_phase::failed, now, out);
 }
@@ -171,7 +173,7 @@
 bool isSuspected(const step_state &step)
 {
     return std::any_of(step.tasks.begin(), step.tasks.end(), [](const task_state &task) {
-        return !task.done && !task.crashedWorkers.empty();
+        return !task.done && !task.crashedLives.empty();
     });
 }
 
@@ -211,7 +213,7 @@
     worker.life.trialJob = id.job;
     worker.life.trialStartedAt = now;
     worker.life.trialUntil = now + trialTimeout;
-    findTask(cell.jobs.at(id.job), id)->trialWorker = worker.entry.id;
+    findTask(cell.jobs.at(id.job), id)->trialLife = lifeName(worker);
     recordChange(cell, id.job, false);
 }
 
--- a/src/cell/job_state.h
+++ b/src/cell/job_state.h
@@ -47,13 +47,13 @@
     bool resumed = false;
     /// Workers on which the task has failed.
     std::set<std::string> failedOn;
-    /// Workers that crashed and may have done so because of the task.
-    std::set<std::string> crashedWorkers;
-    /// Those of `crashedWorkers` that no task of another job can have crashed at its start.
+    /// Lives of workers that crashed and may have done so because of the task, by `lifeName`.
+    std::set<std::string> crashedLives;
+    /// Those of `crashedLives` that no task of another job can have crashed at its start.
     std::set<std::string> attributedCrashes;
-    /// Worker of the newest run if it started after a crash; stored, as the worker may crash around
-    /// a takeover.
-    std::string trialWorker;
+    /// Life of the worker of the newest run if it started after a crash; stored, as the worker may
+    /// crash around a takeover.
+    std::string trialLife;
 };
 
 /// The advisory service's answer about one worker for one step.
--- a/src/cell/scheduler_workers.cpp
+++ b/src/cell/scheduler_workers.cpp
@@ -237,7 +237,7 @@
     }
     task.phase = run_phase::none;
     task.worker.clear();
-    task.trialWorker.clear();
+    task.trialLife.clear();
     task.percent = 0;
     task.confirmedAt = distantPast;
     markRunnable(cell, job);
--- a/src/entry/rows.cpp
+++ b/src/entry/rows.cpp
@@ -176,17 +176,17 @@
         const cell::task_state &task = step.tasks[index];
         if (task.done
             || (task.failedAttempts.empty() && task.checkpoint.empty()
-                && task.crashedWorkers.empty())) {
+                && task.crashedLives.empty())) {
             continue;
         }
         out.StartObject();
         put(out, "index", static_cast<std::int64_t>(index));
         writeAttempts(out, "failed", task.failedAttempts);
         put(out, "checkpoint", task.checkpoint);
-        putNames(out, "crashed", task.crashedWorkers);
+        putNames(out, "crashed", task.crashedLives);
         putNames(out, "attributed", task.attributedCrashes);
-        if (!task.trialWorker.empty()) {
-            put(out, "trial", task.trialWorker);
+        if (!task.trialLife.empty()) {
+            put(out, "trial", task.trialLife);
         }
         out.EndObject();
     }
@@ -212,9 +212,9 @@
             auto &task = step.tasks[static_cast<std::size_t>(index)];
             task.failedAttempts = readAttempts(row, "failed");
             task.checkpoint = textField(row, "checkpoint");
-            task.crashedWorkers = namesField(row, "crashed");
+            task.crashedLives = namesField(row, "crashed");
             task.attributedCrashes = namesField(row, "attributed");
-            task.trialWorker = textField(row, "trial");
+            task.trialLife = textField(row, "trial");
         }
     }
 }
--- a/test/cell/crash_attribution_test.cpp
+++ b/test/cell/crash_attribution_test.cpp
@@ -214,7 +214,7 @@
                              fixture.now, out);
             }
             const task_state &task = *findTask(fixture.cell.jobs.at("a"), start.task);
-            BOOST_TEST(task.crashedWorkers.size() == given.crashes);
+            BOOST_TEST(task.crashedLives.size() == given.crashes);
             BOOST_TEST(task.attributedCrashes.size() == given.attributed);
         }
     }
@@ -231,7 +231,7 @@
     const start_order recent =
         fixture.run(cell_fixture::makeJob("new", {cell_fixture::makeStep(1, 1'000)})).starts.at(0);
     fixture.crash(recent, crash_sign::poll_refused);
-    BOOST_TEST(findTask(fixture.cell.jobs.at("old"), {"old", 0, 0, 0})->crashedWorkers.empty());
+    BOOST_TEST(findTask(fixture.cell.jobs.at("old"), {"old", 0, 0, 0})->crashedLives.empty());
     BOOST_TEST(findTask(fixture.cell.jobs.at("new"), recent.task)->attributedCrashes.size() == 1U);
 }
 
@@ -266,7 +266,7 @@
     after.cell.workers.clear(); // no worker has answered the new scheduler
     job_state stored = before.cell.jobs.at("a");
     task_state &task = *findTask(stored, first.task);
-    BOOST_TEST(task.trialWorker == again.front().worker);
+    BOOST_TEST(task.trialLife == again.front().worker);
     BOOST_TEST(before.cell.unstored.count("a") == 1U);
     task.phase = run_phase::none;
     task.worker.clear();
--- a/test/cell/rows_test.cpp
+++ b/test/cell/rows_test.cpp
@@ -49,9 +49,9 @@
     step.doneCount = 1;
     step.tasks[2].failedAttempts = {1, 1001};
     step.tasks[2].checkpoint = "c0ffee";
-    step.tasks[0].crashedWorkers = {"worker-1", "worker-2"};
+    step.tasks[0].crashedLives = {"worker-1", "worker-2"};
     step.tasks[0].attributedCrashes = {"worker-2"};
-    step.tasks[0].trialWorker = "worker-3";
+    step.tasks[0].trialLife = "worker-3";
     step.gangFailedAttempts = {2};
     cell::job_state read;
     read.spec = job.spec;
@@ -62,10 +62,10 @@
     BOOST_TEST((decodedStep.tasks[2].failedAttempts == std::set<int> {1, 1001}));
     BOOST_TEST(decodedStep.tasks[2].checkpoint == "c0ffee");
     BOOST_TEST(
-        (decodedStep.tasks[0].crashedWorkers == std::set<std::string> {"worker-1", "worker-2"}));
+        (decodedStep.tasks[0].crashedLives == std::set<std::string> {"worker-1", "worker-2"}));
     BOOST_TEST((decodedStep.tasks[0].attributedCrashes == std::set<std::string> {"worker-2"}));
-    BOOST_TEST(decodedStep.tasks[0].trialWorker == "worker-3");
-    BOOST_TEST(decodedStep.tasks[2].crashedWorkers.empty());
+    BOOST_TEST(decodedStep.tasks[0].trialLife == "worker-3");
+    BOOST_TEST(decodedStep.tasks[2].crashedLives.empty());
     BOOST_TEST((decodedStep.gangFailedAttempts == std::set<int> {2}));
 }
 
--- a/test/cell/worker_restart_test.cpp
+++ b/test/cell/worker_restart_test.cpp
@@ -66,10 +66,11 @@
 
     std::int64_t workerNow() const { return now - clockZero; }
 
-    /// Lets the worker answer polls with `given` for a second, and stores all changes.
-    void settle(const cell_report &given = {})
+    /// Lets the worker answer polls with `given` for a second, and stores all changes; until the
+    /// first start order if `untilStart` is set.
+    void settle(const cell_report &given = {}, bool untilStart = false)
     {
-        for (int round = 0; round < 20; ++round) {
+        for (int round = 0; round < 20 && !(untilStart && !starts.empty()); ++round) {
             decideNow();
             const timestamp sentAt = now;
             now += millisecond;
@@ -245,7 +246,7 @@
         fixture.starts.clear();
         fixture.restart(firstBorn + 10'000 * crashes);
         fixture.list();
-        fixture.settle();
+        fixture.settle({}, true);
         if (crashes == 1) {
             BOOST_REQUIRE(fixture.starts.size() == 1U);
             order = fixture.starts.front();
