The stored list of workers holds their lives

The list holds the life that the scheduler knows, so that its successor can tell whether the worker has restarted since, and counts that crash for the suspected task that was started there. Rows of earlier versions lack it; the life is then not known. Test: budget_stored_worker_without_its_life.

--- a/src/entry/messages.cpp
+++ b/src/entry/messages.cpp
@@ -125,6 +125,7 @@
             putText(out, id);
             putText(out, worker.entry.address);
             putText(out, worker.entry.service);
+            out.Int64(worker.life.born);
             out.EndArray();
         }
         out.EndArray();
@@ -145,6 +146,7 @@
             worker.id = textOf(row[0]);
             worker.address = textOf(row[1]);
             worker.service = textOf(row[2]);
+            worker.born = row.Size() >= 4 ? integerOf(row[3]) : 0;
             workers.push_back(std::move(worker));
         }
     }
--- a/src/entry/rows.h
+++ b/src/entry/rows.h
@@ -96,8 +96,8 @@
     std::int64_t processorMilli = 0;
 };
 
-/// Encodes id, address and service of the workers in use, so that a later scheduler can ask each
-/// what runs there.
+/// Encodes id, address, service and start time of the workers in use, so that a later scheduler can
+/// ask each what runs there.
 std::string encodeWorkers(const std::map<std::string, cell::worker_state> &workers);
 std::vector<cell::worker_entry> decodeWorkers(const std::string &value);
 
--- a/test/cell/rows_test.cpp
+++ b/test/cell/rows_test.cpp
@@ -180,3 +180,33 @@
         BOOST_TEST((text.find(line) != std::string::npos), "missing: " << line << " in\n" << text);
     }
 }
+
+// A scheduler that took over took a worker's current life for the one that its predecessor had
+// used.
+BOOST_AUTO_TEST_CASE(budget_stored_worker_without_its_life)
+{
+    std::map<std::string, cell::worker_state> workers;
+    workers["a"].entry.id = "a";
+    workers["a"].life.born = 1'790'000'000'000;
+    workers["b"].entry.id = "b";
+    const auto decoded = entry::decodeWorkers(entry::encodeWorkers(workers));
+    BOOST_REQUIRE(decoded.size() == 2U);
+    BOOST_TEST(decoded[0].born == 1'790'000'000'000);
+    BOOST_TEST(decoded[1].born == 0);
+    struct test_case
+    {
+        const char *row;
+        std::int64_t born;
+    };
+    const test_case testCases[] = {
+        {R"(["a","h:1","s"])", 0}, // as an earlier version wrote it
+        {R"(["a","h:1","s",5])", 5},
+        {R"(["a","h:1","s","5"])", 0},
+    };
+    for (const test_case &given : testCases) {
+        const auto workerList =
+            entry::decodeWorkers(R"({"workers":[)" + std::string(given.row) + "]}");
+        BOOST_REQUIRE(workerList.size() == 1U);
+        BOOST_TEST(workerList[0].born == given.born, given.row);
+    }
+}
