An acknowledgement is sent until a poll that carried it is answered

Every poll repeated the highest acknowledgement, for no use: a worker discards acknowledged ends at once. Each repetition could reach a life that had just begun, whose ends of these numbers then count as taken note of. In a trace of the failing histories all went back to such polls. Polls carry it now only until one is answered.

--- a/src/cell/scheduler_decide.cpp
+++ b/src/cell/scheduler_decide.cpp
@@ -22,13 +22,22 @@
     return hasOpenStarts(cell, worker, now) ? std::min(wait, openStartPollWait) : wait;
 }
 
+/// Returns the acknowledgement that the next poll carries. The worker may have restarted since its
+/// newest answer and use the same numbers again, so that nothing is acknowledged twice, nor after a
+/// poll without an answer.
+std::int64_t nextAcknowledgement(const worker_life &life)
+{
+    return life.unansweredPolls == 0 && life.acknowledgedEnd > life.deliveredAcknowledgement
+        ? life.acknowledgedEnd
+        : 0;
+}
+
 void orderPoll(scheduler &cell, worker_state &worker, timestamp now, bool fence, orders &out)
 {
     poll_order poll;
     poll.worker = worker.entry.id;
     poll.fencingToken = fencingToken(cell, worker);
-    // A worker that did not answer may have restarted, with ends of the same numbers.
-    poll.acknowledgedEnd = worker.life.unansweredPolls == 0 ? worker.life.acknowledgedEnd : 0;
+    poll.acknowledgedEnd = nextAcknowledgement(worker.life);
     poll.fence = fence;
     poll.life = worker.life.number;
     // Leases are not renewed while polls go unanswered, so that they expire and the runs can be
--- a/src/cell/scheduler_workers.cpp
+++ b/src/cell/scheduler_workers.cpp
@@ -281,6 +281,9 @@
     }
     if (isOtherLife(worker.life, report, sentAt)) {
         beginLife(cell, worker, report, now, out);
+    } else {
+        worker.life.deliveredAcknowledgement =
+            std::max(worker.life.deliveredAcknowledgement, order.acknowledgedEnd);
     }
     (order.fence ? worker.life.fenceInFlight : worker.life.pollInFlight) = false;
     worker.life.unansweredPolls = 0;
--- a/src/cell/worker_state.h
+++ b/src/cell/worker_state.h
@@ -42,6 +42,8 @@
     std::int64_t lastEnd = 0;
     /// Sequence number up to which ends may be acknowledged, as their effect is stored.
     std::int64_t acknowledgedEnd = 0;
+    /// Highest sequence number that an answered poll has acknowledged.
+    std::int64_t deliveredAcknowledgement = 0;
     /// Ends whose effect may not be stored yet: sequence number, and number of the change that
     /// stores the effect.
     std::map<std::int64_t, std::uint64_t> unstoredEnds;
--- a/test/cell/worker_restart_test.cpp
+++ b/test/cell/worker_restart_test.cpp
@@ -179,8 +179,14 @@
 {
     restarting_cell fixture;
     fixture.runToEnd(3);
+    BOOST_TEST(fixture.worker().life.deliveredAcknowledgement == 3);
+    const start_order pending = fixture.start("pending");
+    cell_report ended;
+    ended.ended.push_back({4, pending.task, pending.attempt, end_kind::done, ""});
+    fixture.answer(fixture.nextPoll(), ended, fixture.now);
+    fixture.store();
     const poll_order last = fixture.nextPoll();
-    BOOST_TEST(last.acknowledgedEnd == 3);
+    BOOST_TEST(last.acknowledgedEnd == 4);
     fixture.fail(last);
     fixture.startAgain(secondBorn);
     const poll_order first = fixture.nextPoll();
@@ -380,7 +386,9 @@
             fixture.clockZero = given.clockRestarts ? fixture.now : 0;
             fixture.now += 300 * millisecond;
             fixture.list();
-            fixture.settle();
+            for (const timestamp until = fixture.now + 4 * second; fixture.now < until;) {
+                fixture.settle();
+            }
             BOOST_TEST(fixture.cell.counters.crashedWorkers == given.crashes);
             const start_order order = fixture.start("after");
             cell_report ended;
