A new life waits for its registry entry where start times are not known

If the entry or the answer names no life, the entry may still describe the former one: the worker gets no tasks for the registry's lag of 3 s. Test: the rows without a start time of twice_life_of_a_worker_without_a_later_start_time wait for it.

--- a/src/cell/worker_lives.cpp
+++ b/src/cell/worker_lives.cpp
@@ -8,6 +8,10 @@
 
 namespace {
 
+/// Time without new tasks for a life that its registry entry cannot be told to describe; equals the
+/// registry lag in the users' rules.
+constexpr microseconds unnamedEntryPause = 3 * second;
+
 bool isClockBehind(const worker_life &life, const worker_report &report)
 {
     return report.workerClock < life.clock;
@@ -104,6 +108,9 @@
     next.leasesExpiredAt = std::max(worker.life.leasesExpiredAt, strayLeaseExpiry(cell, now));
     // The new life has answered this scheduler, so that it refuses the orders of earlier ones.
     next.reconciled = true;
+    if (worker.entry.born == 0 || report.born == 0) {
+        next.avoidedUntil = now + unnamedEntryPause;
+    }
     worker.life = std::move(next);
     recordChange(cell, workerListChange, false);
     cell.needsPlacement = true;
