Acknowledgements of ends are sent only on open connections

A poll whose reused connection had closed was sent again on a new one, with the acknowledgement of the life that had closed it: a worker that had just restarted was told to discard ends that nobody had read. A poll that acknowledges ends is meant for the process that has listed them; it is now sent only on a connection that is open, and fails otherwise, so that the next poll, which acknowledges nothing, finds out who answers.

twice_acknowledgement_on_another_connection fails without the change (four checks; two polls too many).

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -114,6 +114,10 @@
 target_link_libraries(platform_formats_test PRIVATE bramleygrade_platform Boost::headers)
 add_test(NAME platform_formats COMMAND platform_formats_test)
 
+add_executable(platform_worker_calls_test platform/test/worker_calls_test.cpp)
+target_link_libraries(platform_worker_calls_test PRIVATE bramleygrade_platform Boost::headers)
+add_test(NAME platform_worker_calls COMMAND platform_worker_calls_test)
+
 add_executable(cell_histories testing/cell/cell_history.cpp testing/cell/histories_main.cpp
                               testing/cell/crashing_tasks.cpp testing/cell/history_events.cpp
                               testing/cell/history_workers.cpp testing/cell/simulated_worker.cpp)
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -95,6 +95,10 @@
             write();
             return;
         }
+        if (!call.mayConnect) {
+            finish({call_outcome::not_sent, 0, ""});
+            return;
+        }
         connect();
     }
 
@@ -178,7 +182,7 @@
     /// peer may have closed while it was idle; otherwise ends the call.
     void retryOrFail()
     {
-        if (reused && call.idempotent) {
+        if (reused && call.idempotent && call.mayConnect) {
             conn.reset();
             connect();
             return;
--- a/src/net/http_message.h
+++ b/src/net/http_message.h
@@ -44,6 +44,9 @@
     bool idempotent = false;
     /// Idle connections last used before this time are not reused.
     timestamp reuseConnectionsSince = distantPast;
+    /// Whether the request may be sent on a new connection, which another process of the peer may
+    /// accept; otherwise it is not sent if no connection is idle.
+    bool mayConnect = true;
 };
 
 enum class call_outcome {
