--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -164,7 +164,8 @@
     add_test(NAME ${failure} COMMAND cell_worker_restart_test --run_test=${failure})
 endforeach()
 add_test(NAME cell_histories_of_restarts COMMAND cell_histories 1 300 restarts)
-set_tests_properties(cell_histories_of_restarts PROPERTIES COST 500)
+add_test(NAME cell_histories_of_restarts_from_256 COMMAND cell_histories 256 76 restarts)
+set_tests_properties(cell_histories_of_restarts cell_histories_of_restarts_from_256 PROPERTIES COST 500)
 
 # Jobs whose tasks crash the workers that start them.
 add_test(NAME cell_histories_of_crashing_tasks COMMAND cell_histories 101 100 deadly)
--- a/testing/cell/cell_history.cpp
+++ b/testing/cell/cell_history.cpp
@@ -165,6 +165,16 @@
 
 namespace {
 
+/// Whether the order may be sent on a new connection, as in the platform's adapter.
+template <typename Order>
+bool isSentOnNewConnections(const Order &order)
+{
+    if constexpr (std::is_same_v<Order, cell::poll_order>) {
+        return order.acknowledgedEnd == 0;
+    }
+    return true;
+}
+
 /// Delivers an order to its worker after a random delay and passes the outcome to the scheduler.
 /// The outcome is `unanswered`, after `orderTimeout`, if the worker is partitioned or down, the
 /// answer is lost, or the order is delayed beyond the timeout.
@@ -201,8 +211,9 @@
         !history.faultsStopped && history.drawBool(history.injectedFaults.lostAnswerShare);
     history.scheduleAt(
         history.now + history.drawBetween(200, 3 * millisecond),
-        [&history, deliver, scheduleAnswer, isAnswerLost, timeoutAt, id = order.worker] {
-            if (history.isConnectionRetried(id)) {
+        [&history, deliver, scheduleAnswer, isAnswerLost, timeoutAt, id = order.worker,
+         mayReachNextLife = isSentOnNewConnections(order)] {
+            if (mayReachNextLife && history.isConnectionRetried(id)) {
                 // A connection is made, and the order sent, once the worker is up again.
                 history.scheduleAt(history.now + history.drawBetween(0, timeoutAt - history.now),
                                    [deliver] { deliver(); });
@@ -264,8 +275,14 @@
     const auto report = std::make_shared<cell::worker_report>();
     sendOrder(
         *this, scheduler, order,
-        [this, order, report] {
-            return pollWorker(findAnswering(order.worker), record, order, now, *report);
+        [this, scheduler, order, report] {
+            simulated_worker &worker = findAnswering(order.worker);
+            const bool isConnected = scheduler->connectedLives[order.worker] == worker.clockZero;
+            if (!isConnected && !isSentOnNewConnections(order)) {
+                return order_outcome::unanswered;
+            }
+            scheduler->connectedLives[order.worker] = worker.clockZero;
+            return pollWorker(worker, record, order, now, *report);
         },
         [this, scheduler, order, report, sentAt](order_outcome outcome) {
             cell::orders out;
--- a/testing/cell/history_state.h
+++ b/testing/cell/history_state.h
@@ -18,6 +18,8 @@
     /// Time at which the last entry that confirms this scheduler hears of its successor.
     timestamp confirmedUntil = distantFuture;
     bool writeInFlight = false;
+    /// Start of the life to which a connection is open, by worker.
+    std::map<std::string, timestamp> connectedLives;
 };
 
 using scheduler_pointer = std::shared_ptr<simulated_scheduler>;
