A new life of a worker is used only once the stored list of workers holds it

A worker with a new id was used only after its id was in the store, which a replaced scheduler cannot write. A new life under a known id skipped that: a scheduler that froze, was replaced and resumed within its time of confirmation could start tasks on a life that its successor had not fenced yet. The life is recorded anew; while the store is away it is not used, as a worker with a new id never was.

twice_life_that_a_replaced_scheduler_uses fails without the change.

--- a/src/cell/worker_lives.h
+++ b/src/cell/worker_lives.h
@@ -24,6 +24,7 @@
 /// Begins the life that has sent `report`. Counts the crash of the former one, unless only one of
 /// the two names its start time. Starts that may still be on their way could be carried out by the
 /// new life, so that all runs stay reserved until a poll with a raised fencing token is answered.
+/// The new life gets no tasks until the stored list of workers holds it.
 void beginLife(scheduler &cell, worker_state &worker, const worker_report &report, timestamp now,
                orders &out);
 
--- a/test/cell/worker_restart_test.cpp
+++ b/test/cell/worker_restart_test.cpp
@@ -250,7 +250,7 @@
     start_order order = fixture.start("deadly");
     for (int crashes = 1; crashes <= 2; ++crashes) {
         fixture.starts.clear();
-        fixture.restart(firstBorn + 10'000 * crashes);
+        fixture.restart(firstBorn + std::int64_t {10'000} * crashes);
         fixture.list();
         fixture.settle({}, true);
         if (crashes == 1) {
@@ -263,6 +263,29 @@
     BOOST_TEST((fixture.cell.jobs.at("deadly").finalPhase == cell_phase::failed));
 }
 
+// A scheduler that had been replaced started tasks on a worker whose new life its successor had not
+// fenced yet.
+BOOST_AUTO_TEST_CASE(twice_life_that_a_replaced_scheduler_uses)
+{
+    restarting_cell fixture;
+    fixture.restart();
+    fixture.list();
+    fixture.acceptJobOfOneTask("a");
+    fixture.polls.clear();
+    for (int round = 0; round < 20; ++round) {
+        fixture.decideNow();
+        for (const poll_order &poll : std::exchange(fixture.polls, {})) {
+            fixture.answer(poll, {}, fixture.now);
+        }
+        fixture.now += 50 * millisecond;
+    }
+    BOOST_TEST(fixture.worker().life.fenced);
+    // The list of workers is not stored, as it is not by a scheduler that has been replaced.
+    BOOST_TEST(fixture.starts.empty());
+    fixture.settle({}, true);
+    BOOST_TEST(fixture.starts.size() == 1U);
+}
+
 // A task was started on a worker that had restarted with less capacity than the registry showed.
 BOOST_AUTO_TEST_CASE(limit_restarted_worker_of_another_kind)
 {
