--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -99,6 +99,15 @@
     set_tests_properties(${failure} PROPERTIES RUN_SERIAL TRUE COST 1)
 endforeach()
 
+add_executable(cell_restarted_workers_cluster_test test/cell/restarted_workers_cluster_test.cpp
+                                                   testing/cell/memory_table.cpp
+                                                   testing/cell/simulated_worker.cpp)
+target_include_directories(cell_restarted_workers_cluster_test PRIVATE ${CMAKE_SOURCE_DIR}
+                                                                       ${CMAKE_SOURCE_DIR}/test/cell)
+target_link_libraries(cell_restarted_workers_cluster_test PRIVATE bramleygrade_platform Boost::headers)
+add_test(NAME twice_workers_restart_around_a_takeover COMMAND cell_restarted_workers_cluster_test)
+set_tests_properties(twice_workers_restart_around_a_takeover PROPERTIES RUN_SERIAL TRUE COST 1)
+
 # Calls that one entry forwards to the scheduler; each failure is a test of its own.
 add_executable(cell_forwarding_test test/cell/forwarding_test.cpp testing/cell/memory_table.cpp)
 target_include_directories(cell_forwarding_test PRIVATE ${CMAKE_SOURCE_DIR}
@@ -160,7 +169,8 @@
                 twice_late_answer_of_a_former_life budget_crashes_of_one_worker
                 limit_restarted_worker_of_another_kind twice_start_on_its_way_to_a_restarted_worker
                 budget_crash_of_a_restarted_worker_around_a_takeover
-                twice_life_of_a_worker_without_a_later_start_time)
+                twice_life_of_a_worker_without_a_later_start_time
+                twice_life_that_a_replaced_scheduler_uses)
     add_test(NAME ${failure} COMMAND cell_worker_restart_test --run_test=${failure})
 endforeach()
 add_test(NAME cell_histories_of_restarts COMMAND cell_histories 1 300 restarts)
--- a/test/cell/loaded_cluster.h
+++ b/test/cell/loaded_cluster.h
@@ -124,6 +124,27 @@
         });
     }
 
+    /// Crashes each third worker, beginning with number `first`; the polls that they hold fail.
+    void crashThird(int first)
+    {
+        for (int index = first; index <= workerCount; index += 3) {
+            simulated_worker &worker = workers.at("worker-" + std::to_string(index));
+            advanceWorker(worker, record, entry::steadyNow());
+            crashWorker(worker, record);
+            answerPolls(worker.entry.id, distantFuture);
+        }
+    }
+
+    /// Starts the crashed workers again under their ids, each in another life.
+    void restartCrashed()
+    {
+        for (auto &[id, worker] : workers) {
+            if (!worker.up) {
+                restartWorker(worker, ++newestBorn, entry::steadyNow());
+            }
+        }
+    }
+
     /// Returns true if an entry with a large processor share leads and knows all others.
     bool hasLargeLeader()
     {
@@ -270,6 +291,7 @@
     std::map<std::string, call_counts> calls;
     std::list<int> statuses;
     int submittedJobs = 0;
+    std::int64_t newestBorn = 1'790'000'000'000;
 };
 
 } // namespace bramleygrade::testing
