--- a/src/cell/worker_lives.cpp
+++ b/src/cell/worker_lives.cpp
@@ -112,8 +112,8 @@
         next.avoidedUntil = now + unnamedEntryPause;
     }
     worker.life = std::move(next);
-    // A superseded scheduler cannot store the list, so that it does not use lives that its successor
-    // has not fenced.
+    // A superseded scheduler cannot store the list, so that it does not use lives that its
+    // successor has not fenced.
     worker.recorded = false;
     worker.inWrite = false;
     recordChange(cell, workerListChange, true);
