--- a/test/cell/worker_restart_test.cpp
+++ b/test/cell/worker_restart_test.cpp
@@ -41,7 +41,7 @@
             now += polls.empty() ? 10 * millisecond : 0;
         }
         BOOST_REQUIRE(!polls.empty());
-        const poll_order poll = polls.front();
+        poll_order poll = polls.front();
         polls.erase(polls.begin());
         return poll;
     }
@@ -118,7 +118,7 @@
         acceptJobOfOneTask(job);
         decideNow();
         BOOST_REQUIRE(starts.size() == 1U);
-        const start_order order = starts.front();
+        start_order order = starts.front();
         starts.clear();
         confirm(order);
         return order;
