--- /dev/null
+++ b/src/cell/advice/advice.cpp
@@ -0,0 +1,286 @@
+#include <algorithm>
+#include <limits>
+
+#include "cell/placement/placement.h"
+
+namespace bramleygrade::cell {
+
+namespace {
+
+/// Slots asked about as a multiple of the slots needed, as the share of workers that will be
+/// allowed is only estimated.
+constexpr double askedSlotsFactor = 1.5;
+/// Maximum number of workers in one call (worker protocol).
+constexpr std::size_t maxWorkersPerCall = 100;
+/// Number of workers in a usual call, as job objectives assume.
+constexpr int usualWorkersPerCall = 30;
+/// Calls that usually take longer are long calls; some clients are kept for the short ones.
+constexpr microseconds longCallThreshold = 100 * millisecond;
+/// Pause before a failed call is retried.
+constexpr microseconds adviceRetryDelay = 60 * millisecond;
+/// Deducted from a ticket's validity, as the answer takes time to arrive.
+constexpr microseconds answerTransitMargin = 40 * millisecond;
+/// Pause before a step asks again after a call that had no worker left to ask about.
+constexpr microseconds emptyCallPause = 50 * millisecond;
+/// Added to the priority of late jobs; larger than the priority of any queue.
+constexpr int latePriorityOffset = 1'000;
+/// Factor applied to the counts of asked and allowed workers before each answer is added.
+constexpr double shareDecay = 0.97;
+
+/// Returns those of `workers` without a ticket or with one that expires before a new answer could
+/// arrive.
+std::vector<std::string> findExpiredTickets(const waiting_step &waiting,
+                                            const std::vector<std::string> &workers, timestamp now)
+{
+    const step_state &step = stepState(waiting);
+    const advice_timing &timing = waiting.job->policy.advice;
+    const timestamp answeredAt = now + timing.base
+        + timing.perWorker * static_cast<microseconds>(workers.size()) + 2 * ticketMargin;
+    std::vector<std::string> expired;
+    for (const std::string &id : workers) {
+        const auto adviceIt = step.advice.find(id);
+        if ((adviceIt == step.advice.end() || adviceIt->second.validUntil <= answeredAt)
+            && std::find(expired.begin(), expired.end(), id) == expired.end()) {
+            expired.push_back(id);
+        }
+    }
+    return expired;
+}
+
+std::vector<std::string> reservedWorkers(const step_state &step)
+{
+    std::vector<std::string> workers;
+    for (const auto &[id, reservation] : step.reservations) {
+        workers.push_back(id);
+    }
+    return workers;
+}
+
+/// Returns the workers never asked about for the step, with their negated free slots, those with
+/// the most slots first.
+std::vector<std::pair<std::int64_t, std::string>> findUnaskedWorkers(const waiting_step &waiting,
+                                                                     const headroom_map &headrooms)
+{
+    const step_spec &spec = stepSpec(waiting);
+    const step_state &step = stepState(waiting);
+    std::vector<std::pair<std::int64_t, std::string>> found;
+    const resources demand = reservedDemand(spec);
+    for (const auto &[id, headroom] : headrooms) {
+        if ((!spec.gang && !fits(demand, headroom.free))
+            || !isEligible(*waiting.job, spec, *headroom.worker) || step.advice.count(id) > 0
+            || !fits(demand, headroom.worker->entry.capacity)) {
+            continue;
+        }
+        std::int64_t slots = tasksThatFit(spec, headroom.free);
+        if (spec.maxPerWorker > 0) {
+            slots = std::min<std::int64_t>(slots, spec.maxPerWorker);
+        }
+        if (slots > 0 || spec.gang) {
+            found.emplace_back(-slots, id);
+        }
+    }
+    std::sort(found.begin(), found.end());
+    return found;
+}
+
+double allowedShare(const scheduler &cell, const std::string &queue)
+{
+    const auto counts = cell.adviceCounts.find(queue);
+    return counts == cell.adviceCounts.end() ? 0.5 : counts->second.allowed / counts->second.asked;
+}
+
+std::vector<std::string> chooseWorkersToAsk(const scheduler &cell, const waiting_step &waiting,
+                                            const placement_plan &plan,
+                                            const headroom_map &headrooms, timestamp now)
+{
+    const step_state &step = stepState(waiting);
+    if (stepSpec(waiting).gang && holdsReservation(step, now)) {
+        return plan.unplaced == 0 && plan.ticketsValid
+            ? std::vector<std::string> {}
+            : findExpiredTickets(waiting, reservedWorkers(step), now);
+    }
+    std::vector<std::string> toAsk;
+    const bool isFullyPlaced = !stepSpec(waiting).gang || plan.unplaced == 0;
+    if (isFullyPlaced && !plan.ticketsValid) {
+        toAsk = findExpiredTickets(waiting, plan.workers, now);
+    }
+    if (plan.unplaced == 0) {
+        return toAsk;
+    }
+    // A gang asks about as many workers as possible: more allowed workers let it start sooner, and
+    // a call's fixed time outweighs that of its workers.
+    const double share = allowedShare(cell, waiting.job->spec.queue);
+    double needed = stepSpec(waiting).gang ? std::numeric_limits<double>::max()
+                                           : static_cast<double>(plan.unplaced) * askedSlotsFactor;
+    for (const auto &[negativeSlots, id] : findUnaskedWorkers(waiting, headrooms)) {
+        if (needed <= 0 || toAsk.size() >= maxWorkersPerCall) {
+            break;
+        }
+        toAsk.push_back(id);
+        needed -= static_cast<double>(-negativeSlots) * share;
+    }
+    return toAsk;
+}
+
+/// Returns what the newest placement round left on each worker, less the demand expected of open
+/// calls, so that concurrent calls ask about different workers.
+headroom_map collectUnclaimedHeadroom(scheduler &cell, bool urgent, timestamp now)
+{
+    headroom_map headrooms;
+    for (auto &[id, worker] : cell.workers) {
+        if (!isUsable(worker, now) || worker.life.clock == 0) {
+            continue;
+        }
+        const resources &left = urgent ? worker.headroomOfUrgent : worker.headroomOfOthers;
+        const resources free = freeCapacity(worker);
+        const resources usable {std::min(left.cpuMilli, free.cpuMilli),
+                                std::min(left.memoryMb, free.memoryMb),
+                                std::min(left.accelerators, free.accelerators)};
+        headrooms.emplace(id, worker_headroom {&worker, usable - worker.expectedDemand});
+    }
+    return headrooms;
+}
+
+/// Adds the demand that the step is expected to place to the workers of the call.
+void claimExpectedDemand(scheduler &cell, const waiting_step &waiting,
+                         const headroom_map &headrooms, advice_order &order)
+{
+    const step_spec &spec = stepSpec(waiting);
+    const step_state &step = stepState(waiting);
+    const double share = allowedShare(cell, order.queue);
+    std::vector<double> slots;
+    double slotSum = 0;
+    for (const std::string &id : order.workers) {
+        slots.push_back(static_cast<double>(tasksThatFit(spec, headrooms.at(id).free))
+                        * (step.advice.count(id) > 0 ? 1.0 : share));
+        slotSum += slots.back();
+    }
+    const double usedShare =
+        std::min(1.0, static_cast<double>(waiting.tasks.size()) / std::max(slotSum, 1.0));
+    const resources demand = reservedDemand(spec);
+    for (std::size_t index = 0; index < order.workers.size(); ++index) {
+        const auto expected = [count = slots[index] * usedShare](std::int64_t amount) {
+            return static_cast<std::int64_t>(static_cast<double>(amount) * count);
+        };
+        order.expectedDemands.push_back(
+            {expected(demand.cpuMilli), expected(demand.memoryMb), expected(demand.accelerators)});
+        resources &claimed = cell.workers.at(order.workers[index]).expectedDemand;
+        claimed = claimed + order.expectedDemands.back();
+    }
+}
+
+void releaseExpectedDemand(scheduler &cell, const advice_order &order)
+{
+    for (std::size_t index = 0; index < order.expectedDemands.size(); ++index) {
+        const auto worker = cell.workers.find(order.workers[index]);
+        if (worker != cell.workers.end()) {
+            worker->second.expectedDemand =
+                worker->second.expectedDemand - order.expectedDemands[index];
+        }
+    }
+}
+
+} // namespace
+
+std::vector<std::string> selectWorkersToAsk(const scheduler &cell, const waiting_step &waiting,
+                                            const placement_plan &plan,
+                                            const headroom_map &headrooms, timestamp now)
+{
+    const step_state &step = stepState(waiting);
+    if (!waiting.job->policy.needsAdvice || step.advicePending || now < step.adviceNotBefore) {
+        return {};
+    }
+    return chooseWorkersToAsk(cell, waiting, plan, headrooms, now);
+}
+
+bool prepareAdvice(scheduler &cell, advice_order &order, timestamp now)
+{
+    std::size_t &queued = order.longCall ? cell.queuedLongCalls : cell.queuedShortCalls;
+    queued -= std::min<std::size_t>(queued, 1);
+    job_state *job = findJob(cell, order.step.job);
+    if (job == nullptr || job->finalPhase || findTask(*job, order.step) == nullptr) {
+        return false;
+    }
+    step_state &step =
+        job->occurrences.at(order.step.occurrence).steps[static_cast<std::size_t>(order.step.step)];
+    const auto waiting = makeWaitingStep(*job, order.step.occurrence, order.step.step, now);
+    if (!waiting) {
+        step.advicePending = false;
+        return false;
+    }
+    if (!order.holdsCapacity) {
+        const headroom_map headrooms = collectUnclaimedHeadroom(cell, isUrgent(*waiting), now);
+        const placement_plan plan = planStep(*waiting, headrooms, now);
+        std::vector<std::string> workers = chooseWorkersToAsk(cell, *waiting, plan, headrooms, now);
+        if (workers.empty()) {
+            step.advicePending = false;
+            step.adviceNotBefore = now + emptyCallPause;
+            return false;
+        }
+        const bool longCall = order.longCall;
+        order = makeAdviceOrder(*waiting, std::move(workers));
+        order.longCall = longCall; // the client was chosen for this kind of call
+        if (!stepSpec(*waiting).gang) {
+            claimExpectedDemand(cell, *waiting, headrooms, order);
+        }
+    }
+    ++cell.counters.adviceCalls;
+    return true;
+}
+
+void onAdvice(scheduler &cell, const advice_order &order,
+              const std::vector<std::pair<std::string, std::string>> &allowed, microseconds valid,
+              timestamp now)
+{
+    releaseExpectedDemand(cell, order);
+    job_state *job = findJob(cell, order.step.job);
+    if (job == nullptr || findTask(*job, order.step) == nullptr) {
+        return;
+    }
+    step_state &step = ensureOccurrence(*job, order.step.occurrence)
+                           .steps[static_cast<std::size_t>(order.step.step)];
+    step.advicePending = false;
+    for (const std::string &id : order.workers) {
+        step.advice[id].allowed = false;
+    }
+    for (const auto &[id, ticket] : allowed) {
+        step.advice[id] = {true, ticket, now + valid - answerTransitMargin};
+        step.ticketsValidUntil =
+            std::max(step.ticketsValidUntil, now + valid - answerTransitMargin);
+    }
+    advice_counts &counts = cell.adviceCounts[job->spec.queue];
+    counts.asked = counts.asked * shareDecay + static_cast<double>(order.workers.size());
+    counts.allowed = counts.allowed * shareDecay + static_cast<double>(allowed.size());
+    markRunnable(cell, *job);
+}
+
+void onAdviceFailed(scheduler &cell, const advice_order &order, timestamp now)
+{
+    releaseExpectedDemand(cell, order);
+    job_state *job = findJob(cell, order.step.job);
+    if (job == nullptr || findTask(*job, order.step) == nullptr) {
+        return;
+    }
+    step_state &step = ensureOccurrence(*job, order.step.occurrence)
+                           .steps[static_cast<std::size_t>(order.step.step)];
+    step.advicePending = false;
+    step.adviceNotBefore = now + adviceRetryDelay;
+    markRunnable(cell, *job);
+}
+
+advice_order makeAdviceOrder(const waiting_step &waiting, std::vector<std::string> workers)
+{
+    const advice_timing &timing = waiting.job->policy.advice;
+    workers.resize(std::min(workers.size(), maxWorkersPerCall));
+    advice_order order;
+    order.step = {waiting.job->spec.id, waiting.occurrence, waiting.step, 0};
+    order.expected = timing.base + timing.perWorker * static_cast<microseconds>(workers.size());
+    order.priority = waiting.priority + (waiting.late ? latePriorityOffset : 0);
+    order.late = waiting.late;
+    order.queue = waiting.job->spec.queue;
+    order.longCall = timing.base + usualWorkersPerCall * timing.perWorker > longCallThreshold;
+    order.workers = std::move(workers);
+    return order;
+}
+
+} // namespace bramleygrade::cell
--- /dev/null
+++ b/src/cell/ends/scheduler_ends.cpp
@@ -0,0 +1,395 @@
+#include <algorithm>
+
+#include "cell/ends/crashes.h"
+
+namespace bramleygrade::cell {
+
+namespace {
+
+/// A run has stalled after this time plus a tenth of its estimate without progress.
+constexpr microseconds stallTimeout = 2'500 * millisecond;
+/// Pause before a stop is ordered again while the run's end has not been reported.
+constexpr microseconds stopRetryInterval = 700 * millisecond;
+/// An incomplete gang is stopped after the gang timeout over this divisor.
+constexpr int gangTimeoutDivisor = 2;
+constexpr microseconds checkInterval = 200 * millisecond;
+constexpr microseconds objectiveUpdateInterval = 1 * second;
+/// Time without new tasks for a worker that refused a start; equals the registry lag in the users'
+/// rules.
+constexpr microseconds refusalPause = 800 * millisecond;
+
+using step_tasks = std::vector<task_state>;
+
+/// Slowness of the slowest worker of the gang, which determines the run time of all members.
+double slownessOfGang(const scheduler &cell, const step_state &step)
+{
+    double slowest = 0;
+    for (const task_state &task : step.tasks) {
+        const auto worker = cell.workers.find(task.worker);
+        if (task.phase != run_phase::none && worker != cell.workers.end()) {
+            slowest = std::max(slowest, worker->second.life.slowness);
+        }
+    }
+    return slowest > 0 ? slowest : 1.0;
+}
+
+/// Records the time of a successful run from its beginning.
+void recordRun(scheduler &cell, worker_state &worker, const job_state &job, const step_spec &spec,
+               step_state &step, microseconds observed)
+{
+    const double slowness = spec.gang ? slownessOfGang(cell, step) : worker.life.slowness;
+    step.longestRun = std::max(step.longestRun, observed);
+    step.longestSoundRun = std::max(
+        step.longestSoundRun, static_cast<microseconds>(static_cast<double>(observed) / slowness));
+    if (!spec.gang) {
+        recordRunOnWorker(cell.taskRunTimes[job.spec.queue], worker.life.runTimes, spec.estimate,
+                          observed);
+        worker.life.slowness = slownessOf(worker.life.runTimes);
+    }
+}
+
+void markDone(scheduler &cell, job_state &job, const reported_end &end, timestamp now, orders &out)
+{
+    occurrence_state &occurrence = ensureOccurrence(job, end.task.occurrence);
+    step_state &step = occurrence.steps[static_cast<std::size_t>(end.task.step)];
+    const bool gang = stepOf(job, end.task.step).gang;
+    for (std::size_t index = 0; index < step.tasks.size(); ++index) {
+        task_state &task = step.tasks[index];
+        if (task.done || (!gang && static_cast<int>(index) != end.task.index)) {
+            continue;
+        }
+        task.done = true;
+        ++step.doneCount;
+        if (!gang && task.phase != run_phase::none) {
+            stopRun(cell, end.task, task, now, out); // another run of a task that is done
+        }
+    }
+    if (step.doneCount < static_cast<int>(step.tasks.size())) {
+        return;
+    }
+    recordRunTime(cell.runTimes[job.spec.queue], stepOf(job, end.task.step).estimate,
+                  step.longestRun, step.longestSoundRun);
+    markRunnable(cell, job);
+    if (++occurrence.stepsDone < static_cast<int>(occurrence.steps.size())) {
+        return;
+    }
+    occurrence.completed = true;
+    if (++job.occurrencesCompleted == std::max(job.spec.occurrences, 1)) {
+        finishJob(cell, job, job_phase::completed, now, out);
+    }
+}
+
+void markFailed(scheduler &cell, worker_state &worker, job_state &job, task_state &task,
+                const reported_end &end, timestamp now, orders &out)
+{
+    const step_spec &spec = stepOf(job, end.task.step);
+    step_state &step =
+        ensureOccurrence(job, end.task.occurrence).steps[static_cast<std::size_t>(end.task.step)];
+    task.failedAttempts.insert(end.attempt);
+    task.failedOn.insert(worker.entry.id);
+    step.gangFailedAttempts.insert(end.attempt);
+    const std::size_t failures =
+        spec.gang ? step.gangFailedAttempts.size() : task.failedAttempts.size();
+    out.events.push_back({"run_failed", end.task.job,
+                          "worker=" + worker.entry.id + " attempt=" + std::to_string(end.attempt)
+                              + " failures=" + std::to_string(failures)});
+    if (!spec.longRunning && static_cast<int>(failures) >= job.policy.maxAttempts) {
+        finishJob(cell, job, job_phase::failed, now, out);
+    }
+}
+
+/// Returns the number of the newest change, with which the job's state is fully stored; 0 if it is
+/// stored already.
+std::uint64_t pendingChange(const scheduler &cell, const std::string &job)
+{
+    const bool isPending = cell.unstored.count(job) > 0 || cell.inWrite.count(job) > 0;
+    return isPending ? cell.changeNumber : 0;
+}
+
+/// Applies a reported end to its task and job. Returns the number of the change that stores the
+/// effect; 0 if nothing has to be stored.
+std::uint64_t applyOutcome(scheduler &cell, worker_state &worker, job_state &job, task_state &task,
+                           const reported_end &end, timestamp now, orders &out)
+{
+    const bool isLongRunning = stepOf(job, end.task.step).longRunning;
+    if (task.done || job.finalPhase || isLongRunning) {
+        return pendingChange(cell, job.spec.id);
+    }
+    if (end.how == end_kind::done) {
+        const std::uint64_t change = recordChange(cell, job.spec.id, false);
+        markDone(cell, job, end, now, out);
+        return change;
+    }
+    if (end.how == end_kind::failed) {
+        const std::uint64_t change = recordChange(cell, job.spec.id, false);
+        markFailed(cell, worker, job, task, end, now, out);
+        return change;
+    }
+    return 0;
+}
+
+void countEnd(scheduler &cell, const reported_end &end)
+{
+    switch (end.how) {
+    case end_kind::done:
+        ++cell.counters.endsDone;
+        break;
+    case end_kind::failed:
+        ++cell.counters.endsFailed;
+        break;
+    default:
+        ++cell.counters.endsOther;
+    }
+}
+
+void recordCheckpoint(job_state &job, const reported_end &end, task_state &task)
+{
+    if (end.checkpoint.empty()) {
+        return;
+    }
+    task.checkpoint = end.checkpoint;
+    if (stepOf(job, end.task.step).gang) {
+        for (task_state &member : ensureOccurrence(job, end.task.occurrence)
+                                      .steps[static_cast<std::size_t>(end.task.step)]
+                                      .tasks) {
+            member.checkpoint = end.checkpoint;
+        }
+    }
+}
+
+bool isGangIncomplete(const step_state &step)
+{
+    const auto active = std::count_if(step.tasks.begin(), step.tasks.end(), [](const auto &task) {
+        return task.phase != run_phase::none;
+    });
+    return active > 0 && active < static_cast<std::ptrdiff_t>(step.tasks.size());
+}
+
+void stopGang(scheduler &cell, task_id id, step_state &step, timestamp now, orders &out)
+{
+    for (std::size_t index = 0; index < step.tasks.size(); ++index) {
+        task_state &task = step.tasks[index];
+        if (task.phase != run_phase::none && task.phase != run_phase::stopping) {
+            id.index = static_cast<int>(index);
+            stopRun(cell, id, task, now, out);
+        }
+    }
+    step.gangBroken = true;
+}
+
+void checkGang(scheduler &cell, const job_state &job, const task_id &id, step_state &step,
+               timestamp now, orders &out)
+{
+    if (!isGangIncomplete(step) || step.doneCount > 0) {
+        return;
+    }
+    const microseconds limit = cell.settings.gangTimeout / gangTimeoutDivisor;
+    const bool hasRunsToStop =
+        std::any_of(step.tasks.begin(), step.tasks.end(), [](const auto &task) {
+            return task.phase != run_phase::none && task.phase != run_phase::stopping;
+        });
+    if (!hasRunsToStop) {
+        return;
+    }
+    if (step.gangBroken || now > step.gangStartedAt + limit) {
+        out.events.push_back({"gang_incomplete", job.spec.id, "step=" + std::to_string(id.step)});
+        stopGang(cell, id, step, now, out);
+    }
+}
+
+void checkRun(scheduler &cell, const job_state &job, const task_id &id, task_state &task,
+              timestamp now, orders &out)
+{
+    const step_spec &spec = stepOf(job, id.step);
+    if (task.phase == run_phase::stopping && now > task.orderedAt + stopRetryInterval) {
+        stopRun(cell, id, task, now, out);
+        return;
+    }
+    const timestamp lastProgressAt = std::max(task.progressAt, task.confirmedAt);
+    if (task.phase != run_phase::running || spec.longRunning
+        || now < lastProgressAt + stallTimeout + spec.estimate / 10) {
+        return;
+    }
+    const auto worker = cell.workers.find(task.worker);
+    if (worker == cell.workers.end() || worker->second.life.unansweredPolls > 0) {
+        return;
+    }
+    ++cell.counters.stalledRuns;
+    out.events.push_back({"run_stalled", id.job, "worker=" + task.worker});
+    recordOutcome(worker->second, false, now);
+    task.failedOn.insert(task.worker);
+    stopRun(cell, id, task, now, out);
+}
+
+void checkJob(scheduler &cell, job_state &job, timestamp now, orders &out)
+{
+    for (auto &[number, occurrence] : job.occurrences) {
+        for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+            step_state &state = occurrence.steps[step];
+            task_id id {job.spec.id, number, static_cast<int>(step), 0};
+            if (job.spec.steps[step].gang) {
+                checkGang(cell, job, id, state, now, out);
+            }
+            for (std::size_t index = 0; index < state.tasks.size(); ++index) {
+                id.index = static_cast<int>(index);
+                checkRun(cell, job, id, state.tasks[index], now, out);
+            }
+        }
+    }
+}
+
+void eraseExpiredJobs(scheduler &cell, timestamp now)
+{
+    while (!cell.jobExpiries.empty() && cell.jobExpiries.begin()->first <= now) {
+        cell.jobs.erase(cell.jobExpiries.begin()->second);
+        cell.jobExpiries.erase(cell.jobExpiries.begin());
+    }
+}
+
+} // namespace
+
+void applyEnd(scheduler &cell, worker_state &worker, const reported_end &end, timestamp now,
+              orders &out)
+{
+    countEnd(cell, end);
+    job_state *job = findJob(cell, end.task.job);
+    task_state *task = job == nullptr ? nullptr : findTask(*job, end.task);
+    if (task == nullptr) {
+        worker.life.unstoredEnds[end.sequence] = 0;
+        return;
+    }
+    job->startedAny = true; // the start may have been ordered by a previous scheduler
+    task->endedAttempt = std::max(task->endedAttempt, end.attempt);
+    task->attempt = std::max(task->attempt, end.attempt);
+    step_state &step =
+        ensureOccurrence(*job, end.task.occurrence).steps[static_cast<std::size_t>(end.task.step)];
+    if (step.gangAttempt == end.attempt && end.how != end_kind::done) {
+        step.gangBroken = true;
+    }
+    recordCheckpoint(*job, end, *task);
+    if (end.how == end_kind::done && task->phase == run_phase::running
+        && task->attempt == end.attempt && !task->resumed && task->confirmedAt != distantPast) {
+        recordRun(cell, worker, *job, stepOf(*job, end.task.step), step, now - task->confirmedAt);
+    }
+    if (task->phase != run_phase::none && task->worker == worker.entry.id
+        && task->attempt == end.attempt) {
+        releaseRun(cell, end.task, *job, *task);
+    }
+    if (end.how == end_kind::done
+        || (end.how == end_kind::failed && task->failedAttempts.empty())) {
+        recordOutcome(worker, end.how == end_kind::done, now);
+    }
+    worker.life.unstoredEnds[end.sequence] = applyOutcome(cell, worker, *job, *task, end, now, out);
+    cell.needsPlacement = true;
+}
+
+void stopRun(scheduler &cell, const task_id &id, task_state &task, timestamp now, orders &out)
+{
+    const auto worker = cell.workers.find(task.worker);
+    if (worker == cell.workers.end()) {
+        return;
+    }
+    task.phase = run_phase::stopping;
+    task.orderedAt = now;
+    out.stops.push_back({id, task.attempt, task.worker, fencingToken(cell, worker->second)});
+}
+
+void onStopOutcome(scheduler &cell, const stop_order &order, order_outcome outcome, timestamp now)
+{
+    job_state *job = findJob(cell, order.task.job);
+    task_state *task = job == nullptr ? nullptr : findTask(*job, order.task);
+    if (task == nullptr || task->phase != run_phase::stopping || task->worker != order.worker
+        || task->attempt != order.attempt) {
+        return;
+    }
+    if (outcome == order_outcome::accepted && task->confirmedAt == distantPast) {
+        task->confirmedAt = now;
+    }
+}
+
+void onStartOutcome(scheduler &cell, const start_order &order, order_outcome outcome, timestamp now,
+                    orders &out)
+{
+    job_state *job = findJob(cell, order.task.job);
+    task_state *task = job == nullptr ? nullptr : findTask(*job, order.task);
+    const auto worker = cell.workers.find(order.worker);
+    if (task == nullptr || worker == cell.workers.end() || task->worker != order.worker
+        || task->attempt != order.attempt || task->phase == run_phase::none
+        || order.life != worker->second.life.number) {
+        return;
+    }
+    if (outcome == order_outcome::accepted) {
+        worker->second.life.capacityRefusals = 0;
+        if (task->phase == run_phase::starting) {
+            task->phase = run_phase::running;
+        }
+        task->confirmedAt = now;
+        task->progressAt = now;
+        recordAlive(cell, worker->second, task->startedAt);
+        return;
+    }
+    if (outcome == order_outcome::unanswered) {
+        ++cell.counters.unansweredOrders;
+        task->phase = task->phase == run_phase::starting ? run_phase::unconfirmed : task->phase;
+        worker->second.life.needsFence = true;
+        return;
+    }
+    if (task->phase == run_phase::running) {
+        return; // a report has confirmed the run in the meantime
+    }
+    ++cell.counters.refusedStarts;
+    out.events.push_back(
+        {"start_refused", order.task.job,
+         "worker=" + order.worker + " outcome=" + std::to_string(static_cast<int>(outcome))});
+    if (outcome == order_outcome::refused_incarnation) {
+        worker->second.life.fenced = false;
+        onWorkerCrashed(cell, worker->second, now, out);
+        return;
+    }
+    step_state &step = ensureOccurrence(*job, order.task.occurrence)
+                           .steps[static_cast<std::size_t>(order.task.step)];
+    if (outcome == order_outcome::refused_ticket) {
+        step.advice[order.worker].validUntil = distantPast;
+    } else if (outcome == order_outcome::refused_stale) {
+        task->endedAttempt = std::max(task->endedAttempt, order.attempt);
+        step.gangBroken = step.gangBroken || step.gangAttempt == order.attempt;
+    } else if (outcome == order_outcome::refused_fence) {
+        if (order.fencingToken == fencingToken(cell, worker->second)) {
+            out.events.push_back({"superseded", "", "worker=" + order.worker});
+        }
+    } else if (outcome == order_outcome::refused_capacity) {
+        recordCapacityRefusal(worker->second, now);
+        worker->second.life.nextPollAt = std::min(worker->second.life.nextPollAt, now);
+    } else {
+        worker->second.life.avoidedUntil = now + refusalPause;
+        worker->second.life.nextPollAt = std::min(worker->second.life.nextPollAt, now);
+    }
+    releaseRun(cell, order.task, *job, *task);
+}
+
+void checkRuns(scheduler &cell, timestamp now, orders &out)
+{
+    if (now < cell.nextCheckAt) {
+        return;
+    }
+    cell.nextCheckAt = now + checkInterval;
+    for (auto &[id, job] : cell.jobs) {
+        if (!job.finalPhase || !job.finalStored || now < job.finalAt + second * 3) {
+            checkJob(cell, job, now, out);
+        }
+    }
+    if (now >= cell.nextObjectiveUpdateAt) {
+        cell.nextObjectiveUpdateAt = now + objectiveUpdateInterval;
+        for (auto &[id, job] : cell.jobs) {
+            if (!job.finalPhase) {
+                updateObjective(cell, job);
+            }
+        }
+    }
+    eraseExpiredJobs(cell, now);
+    // Due occurrences, expired tickets and workers whose avoidance period is over allow new
+    // placements without any event.
+    cell.needsPlacement = cell.needsPlacement || !cell.runnableJobs.empty();
+}
+
+} // namespace bramleygrade::cell
--- /dev/null
+++ b/src/cell/workers/scheduler_workers.cpp
@@ -0,0 +1,357 @@
+#include <algorithm>
+
+#include "cell/ends/crashes.h"
+#include "cell/workers/worker_lives.h"
+
+namespace bramleygrade::cell {
+
+namespace {
+
+/// Pause before the next poll of a worker that did not answer.
+constexpr microseconds pollRetryInterval = 250 * millisecond;
+/// Pause before the next poll while ends are not stored yet, as the worker would answer at once, or
+/// while unexpected runs are being stopped.
+constexpr microseconds throttledPollInterval = 250 * millisecond;
+/// Maximum number of ends in one report (worker protocol).
+constexpr std::size_t maxEndsPerReport = 500;
+/// Bits of the fencing token that count the fences within an epoch.
+constexpr int fenceBits = 20;
+
+std::set<task_id> collectReportedTasks(const worker_report &report)
+{
+    std::set<task_id> reported;
+    for (const reported_run &run : report.running) {
+        reported.insert(run.task);
+    }
+    return reported;
+}
+
+void adoptRun(scheduler &cell, worker_state &worker, job_state &job, task_state &task,
+              const reported_run &run, timestamp sentAt)
+{
+    task.phase = run_phase::running;
+    task.worker = worker.entry.id;
+    task.attempt = std::max(task.attempt, run.attempt);
+    task.resumed = true; // its start is not known
+    task.startedAt = sentAt;
+    task.confirmedAt = sentAt;
+    task.progressAt = sentAt;
+    task.token = fencingToken(cell, worker);
+    job.startedAny = true;
+    step_state &step =
+        ensureOccurrence(job, run.task.occurrence).steps[static_cast<std::size_t>(run.task.step)];
+    step.gangAttempt = std::max(step.gangAttempt, run.attempt);
+    step.gangStartedAt = std::max(step.gangStartedAt, sentAt);
+    addRun(worker, run.task, reservedDemand(stepOf(job, run.task.step)));
+}
+
+void stopUnexpectedRun(scheduler &cell, worker_state &worker, const reported_run &run, orders &out)
+{
+    ++worker.life.unexpectedRuns;
+    out.stops.push_back({run.task, run.attempt, worker.entry.id, fencingToken(cell, worker)});
+    out.events.push_back({"stop_unexpected_run", run.task.job, "worker=" + worker.entry.id});
+}
+
+void recordCheckpoint(job_state &job, const reported_run &run, task_state &task)
+{
+    if (run.checkpoint.empty()) {
+        return;
+    }
+    task.checkpoint = run.checkpoint;
+    if (stepOf(job, run.task.step).gang) {
+        auto &tasks = ensureOccurrence(job, run.task.occurrence)
+                          .steps[static_cast<std::size_t>(run.task.step)]
+                          .tasks;
+        for (task_state &member : tasks) {
+            member.checkpoint = run.checkpoint;
+        }
+    }
+}
+
+void applyRunning(scheduler &cell, worker_state &worker, const reported_run &run, timestamp sentAt,
+                  timestamp now, orders &out)
+{
+    job_state *job = findJob(cell, run.task.job);
+    task_state *task = job == nullptr ? nullptr : findTask(*job, run.task);
+    if (task == nullptr) {
+        stopUnexpectedRun(cell, worker, run, out);
+        return;
+    }
+    const bool isCurrent = task->phase != run_phase::none && task->worker == worker.entry.id
+        && task->attempt == run.attempt;
+    if (!isCurrent) {
+        if (run.attempt <= task->endedAttempt) {
+            return; // the report predates the end, which is known already
+        }
+        if (task->phase != run_phase::none || task->done || job->finalPhase) {
+            stopUnexpectedRun(cell, worker, run, out);
+            return;
+        }
+        adoptRun(cell, worker, *job, *task, run, sentAt);
+    } else if (task->phase == run_phase::starting || task->phase == run_phase::unconfirmed) {
+        task->phase = run_phase::running;
+        task->confirmedAt = now;
+        task->progressAt = now;
+    }
+    if (task->percent != run.percent) {
+        task->percent = run.percent;
+        task->progressAt = now;
+    }
+    recordCheckpoint(*job, run, *task);
+}
+
+/// Returns the time after which every lease granted by previous schedulers has expired. The newest
+/// of them was last confirmed `predecessorGrace` after the takeover at the latest.
+timestamp predecessorLeaseExpiry(const scheduler &cell)
+{
+    return latestLeaseExpiry(cell.settings.lease, cell.tookOverAt) + cell.settings.predecessorGrace;
+}
+
+/// Whether the run certainly does not exist if the answer to a poll sent at `sentAt` lacks it.
+bool isAbsent(const task_state &task, const poll_order &order, timestamp sentAt)
+{
+    switch (task.phase) {
+    case run_phase::running:
+        return task.confirmedAt != distantPast && task.confirmedAt < sentAt;
+    case run_phase::stopping:
+        return (task.confirmedAt != distantPast && task.confirmedAt < sentAt)
+            || order.fencingToken > task.token;
+    case run_phase::unconfirmed:
+        return order.fencingToken > task.token;
+    default:
+        return false;
+    }
+}
+
+void releaseAbsentRuns(scheduler &cell, worker_state &worker, const poll_order &order,
+                       const worker_report &report, timestamp sentAt, orders &out)
+{
+    const std::set<task_id> reported = collectReportedTasks(report);
+    std::vector<task_id> absent;
+    for (const task_id &id : worker.life.runs) {
+        if (reported.count(id) == 0) {
+            absent.push_back(id);
+        }
+    }
+    for (const task_id &id : absent) {
+        job_state *job = findJob(cell, id.job);
+        task_state *task = job == nullptr ? nullptr : findTask(*job, id);
+        if (task == nullptr || !isAbsent(*task, order, sentAt)) {
+            continue;
+        }
+        const bool wasUnconfirmed =
+            task->phase == run_phase::unconfirmed && task->confirmedAt == distantPast;
+        out.events.push_back({wasUnconfirmed ? "start_had_no_effect" : "run_vanished", id.job,
+                              "worker=" + worker.entry.id});
+        if (!wasUnconfirmed) {
+            ensureOccurrence(*job, id.occurrence)
+                .steps[static_cast<std::size_t>(id.step)]
+                .gangBroken = true;
+        }
+        releaseRun(cell, id, *job, *task);
+    }
+}
+
+} // namespace
+
+std::int64_t fencingToken(const scheduler &cell, const worker_state &worker)
+{
+    return (cell.epoch << fenceBits) + worker.life.fenceNumber;
+}
+
+std::int64_t grantLease(const scheduler &cell, worker_state &worker, timestamp now)
+{
+    const lease_limits &limits = cell.settings.lease;
+    const timestamp grantedFrom = std::min(now, cell.confirmedAt);
+    worker.life.leasesExpiredAt =
+        std::max(worker.life.leasesExpiredAt, latestLeaseExpiry(limits, grantedFrom));
+    return workerClock(worker, now) + limits.longest - (now - grantedFrom);
+}
+
+void restoreWorker(scheduler &cell, const worker_entry &entry, timestamp now)
+{
+    worker_state &worker = cell.workers[entry.id];
+    worker.entry = entry;
+    worker.listed = false;
+    worker.recorded = true;
+    worker.life.fenceNumber = cell.fencesIssued;
+    worker.life.nextPollAt = now;
+    worker.life.leasesExpiredAt = predecessorLeaseExpiry(cell);
+    worker.life.born = entry.born;
+}
+
+void changeWorkers(scheduler &cell, const std::vector<worker_entry> &entries, timestamp now)
+{
+    std::set<std::string> seen;
+    for (const worker_entry &entry : entries) {
+        seen.insert(entry.id);
+        const auto [it, inserted] = cell.workers.try_emplace(entry.id);
+        worker_state &worker = it->second;
+        const bool showsOtherLife =
+            !inserted && worker.entry.born != entry.born && describesOtherLife(entry, worker.life);
+        changeEntry(worker, entry);
+        worker.listed = true;
+        worker.unlistedAt = distantFuture;
+        // The answer to a fence tells which life is the current one, without waiting for the poll
+        // that is held.
+        worker.life.needsFence = worker.life.needsFence || showsOtherLife;
+        if (inserted) {
+            recordChange(cell, workerListChange, true);
+            worker.life.fenceNumber = cell.fencesIssued;
+            worker.life.nextPollAt = now;
+            worker.life.born = entry.born;
+            // A worker that does not answer may hold leases granted by a previous scheduler until
+            // this time.
+            worker.life.leasesExpiredAt = predecessorLeaseExpiry(cell);
+        }
+    }
+    for (auto &[id, worker] : cell.workers) {
+        if (seen.count(id) == 0 && worker.listed) {
+            worker.listed = false;
+            worker.unlistedAt = now;
+            worker.life.nextPollAt = std::min(worker.life.nextPollAt, now);
+        }
+    }
+    cell.needsPlacement = true;
+}
+
+resources demandOnWorker(const scheduler &cell, const std::string &worker)
+{
+    const auto found = cell.workers.find(worker);
+    return found == cell.workers.end() ? resources {} : found->second.life.used;
+}
+
+std::int64_t countOvercommittedWorkers(const scheduler &cell)
+{
+    return std::count_if(cell.workers.begin(), cell.workers.end(), [](const auto &entry) {
+        const worker_state &worker = entry.second;
+        return worker.listed && !fits(worker.life.used, worker.entry.capacity);
+    });
+}
+
+void releaseRun(scheduler &cell, const task_id &id, job_state &job, task_state &task)
+{
+    const auto worker = cell.workers.find(task.worker);
+    if (worker != cell.workers.end()) {
+        removeRun(worker->second, id, reservedDemand(stepOf(job, id.step)));
+    }
+    task.phase = run_phase::none;
+    task.worker.clear();
+    task.trialLife.clear();
+    task.percent = 0;
+    task.confirmedAt = distantPast;
+    markRunnable(cell, job);
+    cell.needsPlacement = true;
+}
+
+void releaseAllRuns(scheduler &cell, worker_state &worker, timestamp now, orders &out)
+{
+    const std::set<task_id> runs = worker.life.runs;
+    for (const task_id &id : runs) {
+        job_state *job = findJob(cell, id.job);
+        task_state *task = job == nullptr ? nullptr : findTask(*job, id);
+        if (task == nullptr) {
+            continue;
+        }
+        ensureOccurrence(*job, id.occurrence).steps[static_cast<std::size_t>(id.step)].gangBroken =
+            true;
+        worker.life.lostRuns[id] = task->startedAt;
+        releaseRun(cell, id, *job, *task);
+    }
+    worker.life.runs.clear();
+    worker.life.used = {};
+    worker.life.reconciled = true;
+    cell.needsPlacement = true;
+    out.events.push_back(
+        {"worker_runs_lost", "",
+         "worker=" + worker.entry.id + " runs=" + std::to_string(runs.size())
+             + " silent_ms=" + std::to_string((now - worker.life.answeredAt) / millisecond)});
+}
+
+void onReport(scheduler &cell, const poll_order &order, const worker_report &report,
+              timestamp sentAt, timestamp now, orders &out)
+{
+    const auto found = cell.workers.find(order.worker);
+    if (found == cell.workers.end()) {
+        return;
+    }
+    worker_state &worker = found->second;
+    if (order.life != worker.life.number) {
+        return; // the answer may be one of a former life
+    }
+    if (isOtherLife(worker.life, report, sentAt)) {
+        beginLife(cell, worker, report, now, out);
+    } else {
+        worker.life.deliveredAcknowledgement =
+            std::max(worker.life.deliveredAcknowledgement, order.acknowledgedEnd);
+    }
+    (order.fence ? worker.life.fenceInFlight : worker.life.pollInFlight) = false;
+    worker.life.unansweredPolls = 0;
+    worker.life.connectionRefused = false;
+    recordAnswer(cell, worker, sentAt, now, out);
+    worker.life.clock = report.workerClock;
+    worker.life.clockReadAt = now;
+    if (order.fencingToken == fencingToken(cell, worker)) {
+        const bool isFenceAnswered = worker.life.needsFence && order.fence;
+        if (!worker.life.reconciled || isFenceAnswered) {
+            cell.needsPlacement = true;
+            out.events.push_back({"worker_settled", "",
+                                  "worker=" + worker.entry.id
+                                      + " running=" + std::to_string(report.running.size())
+                                      + " ended=" + std::to_string(report.ended.size())});
+        }
+        worker.life.fenced = true;
+        worker.life.reconciled = true;
+        // An answer to a poll sent before the fence proves nothing about the unanswered order.
+        worker.life.needsFence = worker.life.needsFence && !order.fence;
+    }
+    for (const reported_end &end : report.ended) {
+        if (end.sequence > worker.life.lastEnd) {
+            worker.life.lastEnd = end.sequence;
+            applyEnd(cell, worker, end, now, out);
+        }
+    }
+    worker.life.unexpectedRuns = 0;
+    for (const reported_run &run : report.running) {
+        applyRunning(cell, worker, run, sentAt, now, out);
+    }
+    if (report.ended.size() < maxEndsPerReport) {
+        releaseAbsentRuns(cell, worker, order, report, sentAt, out);
+    }
+    acknowledgeStored(worker, 0); // acknowledges ends that have no effect to store
+    worker.life.nextPollAt = worker.life.unstoredEnds.empty() && worker.life.unexpectedRuns == 0
+        ? now
+        : now + throttledPollInterval;
+}
+
+void onPollFailed(scheduler &cell, const poll_order &order, order_outcome outcome, timestamp now,
+                  orders &out)
+{
+    const auto found = cell.workers.find(order.worker);
+    if (found == cell.workers.end()) {
+        return;
+    }
+    worker_state &worker = found->second;
+    if (order.life != worker.life.number) {
+        return;
+    }
+    (order.fence ? worker.life.fenceInFlight : worker.life.pollInFlight) = false;
+    worker.life.nextPollAt = now + pollRetryInterval;
+    if (outcome == order_outcome::refused_fence) {
+        worker.life.nextPollAt = now;
+        if (order.fencingToken == fencingToken(cell, worker)) {
+            out.events.push_back({"superseded", "", "worker=" + worker.entry.id});
+        }
+        return;
+    }
+    if (worker.life.unansweredPolls++ == 0) {
+        out.events.push_back({"worker_silent", "", "worker=" + worker.entry.id});
+    }
+    worker.life.connectionRefused = outcome == order_outcome::not_sent;
+    if (outcome == order_outcome::refused_incarnation) {
+        worker.life.fenced = false;
+        onWorkerCrashed(cell, worker, now, out);
+    }
+}
+
+} // namespace bramleygrade::cell
--- /dev/null
+++ b/src/cell/workers/worker_lives.cpp
@@ -0,0 +1,123 @@
+#include "cell/workers/worker_lives.h"
+
+#include <algorithm>
+
+#include "cell/ends/crashes.h"
+
+namespace bramleygrade::cell {
+
+namespace {
+
+/// Time without new tasks for a life that its registry entry cannot be told to describe; equals the
+/// registry lag in the users' rules.
+constexpr microseconds unnamedEntryPause = 3 * second;
+
+bool isClockBehind(const worker_life &life, const worker_report &report)
+{
+    return report.workerClock < life.clock;
+}
+
+/// Keeps the worker's runs reserved until an answer shows whether the new life has them.
+void holdRuns(scheduler &cell, worker_state &worker)
+{
+    for (const task_id &id : worker.life.runs) {
+        job_state *job = findJob(cell, id.job);
+        task_state *task = job == nullptr ? nullptr : findTask(*job, id);
+        if (task == nullptr) {
+            continue;
+        }
+        ensureOccurrence(*job, id.occurrence).steps[static_cast<std::size_t>(id.step)].gangBroken =
+            true;
+        if (task->phase == run_phase::stopping) {
+            task->confirmedAt = distantPast;
+        } else {
+            task->phase = run_phase::unconfirmed;
+        }
+    }
+}
+
+/// Tickets are valid during one life of the worker.
+void expireTickets(scheduler &cell, const std::string &worker)
+{
+    for (auto &[id, job] : cell.jobs) {
+        for (auto &[number, occurrence] : job.occurrences) {
+            for (step_state &step : occurrence.steps) {
+                const auto advice = step.advice.find(worker);
+                if (advice != step.advice.end()) {
+                    advice->second.validUntil = distantPast;
+                }
+            }
+        }
+    }
+}
+
+/// Returns the time after which the leases granted before `now` have expired. One with an end on
+/// the clock of the former life may have been shortened to the longest that the worker grants.
+timestamp strayLeaseExpiry(const scheduler &cell, timestamp now)
+{
+    lease_limits limits = cell.settings.lease;
+    limits.longest = limits.workerLimit;
+    return latestLeaseExpiry(limits, now);
+}
+
+void logRestart(const worker_life &former, const std::string &id, const worker_report &report,
+                bool isCrash, orders &out)
+{
+    out.events.push_back(
+        {"worker_restarted", "",
+         "worker=" + id + " born=" + std::to_string(report.born)
+             + " former_born=" + std::to_string(former.born) + " crash=" + (isCrash ? "yes" : "no")
+             + " clock_ms=" + std::to_string(report.workerClock / millisecond)
+             + " former_clock_ms=" + std::to_string(former.clock / millisecond) + " first_end="
+             + std::to_string(report.ended.empty() ? 0 : report.ended.front().sequence)
+             + " former_last_end=" + std::to_string(former.lastEnd)
+             + " acknowledged=" + std::to_string(former.acknowledgedEnd)
+             + " runs=" + std::to_string(former.runs.size())});
+}
+
+} // namespace
+
+std::string lifeName(const worker_state &worker)
+{
+    return worker.life.born == 0 ? worker.entry.id
+                                 : worker.entry.id + "@" + std::to_string(worker.life.born);
+}
+
+bool isOtherLife(const worker_life &life, const worker_report &report, timestamp sentAt)
+{
+    return report.born != life.born || (sentAt >= life.clockReadAt && isClockBehind(life, report));
+}
+
+void beginLife(scheduler &cell, worker_state &worker, const worker_report &report, timestamp now,
+               orders &out)
+{
+    const bool isCrash =
+        areDifferentLives(worker.life.born, report.born) || isClockBehind(worker.life, report);
+    logRestart(worker.life, worker.entry.id, report, isCrash, out);
+    if (isCrash) {
+        countCrash(cell, worker, now, out);
+    }
+    holdRuns(cell, worker);
+    expireTickets(cell, worker.entry.id);
+    worker_life next;
+    next.number = worker.life.number + 1;
+    next.born = report.born;
+    next.fenceNumber = ++cell.fencesIssued;
+    next.runs = std::move(worker.life.runs);
+    next.used = worker.life.used;
+    next.leasesExpiredAt = std::max(worker.life.leasesExpiredAt, strayLeaseExpiry(cell, now));
+    // The new life has answered this scheduler, so that it refuses the orders of earlier ones.
+    next.reconciled = true;
+    if (worker.entry.born == 0 || report.born == 0) {
+        next.avoidedUntil = now + unnamedEntryPause;
+    }
+    worker.life = std::move(next);
+    // A superseded scheduler cannot store the list, so that it does not use lives that its
+    // successor has not fenced.
+    worker.recorded = false;
+    worker.inWrite = false;
+    recordChange(cell, workerListChange, true);
+    cell.needsPlacement = true;
+}
+
+} // namespace bramleygrade::cell
--- /dev/null
+++ b/src/cell/workers/worker_state.cpp
@@ -0,0 +1,114 @@
+#include "cell/workers/worker_state.h"
+
+#include <algorithm>
+
+namespace bramleygrade::cell {
+
+namespace {
+
+/// Failure score from which a worker gets no new tasks: three failures in a row.
+constexpr double avoidanceThreshold = 3.0;
+constexpr double maxFailureScore = 4.0;
+/// Factor applied to the failure score by each success.
+constexpr double successDecay = 0.25;
+/// Time without new tasks for a worker with repeated failures; equals the contact time in
+/// the users' rules.
+constexpr microseconds avoidanceDuration = 3 * second;
+/// Pause after the first start that a worker refused for lack of capacity; equals the registry lag
+/// in the users' rules. It doubles up to the given number of times.
+constexpr microseconds capacityRefusalPause = 800 * millisecond;
+constexpr int maxPauseDoublings = 2;
+
+} // namespace
+
+std::int64_t workerClock(const worker_state &worker, timestamp now)
+{
+    return worker.life.clock + (now - worker.life.clockReadAt);
+}
+
+timestamp latestLeaseExpiry(const lease_limits &limits, timestamp grantedFrom)
+{
+    const double longestLocalDuration =
+        static_cast<double>(limits.longest) * (1.0 + 1.5 * limits.clockRateError);
+    return grantedFrom + static_cast<microseconds>(longestLocalDuration)
+        + limits.clockReadingMargin;
+}
+
+bool areDifferentLives(std::int64_t oneBorn, std::int64_t otherBorn)
+{
+    return oneBorn != 0 && otherBorn != 0 && oneBorn != otherBorn;
+}
+
+bool describesOtherLife(const worker_entry &entry, const worker_life &life)
+{
+    return areDifferentLives(entry.born, life.born);
+}
+
+bool isUsable(const worker_state &worker, timestamp now)
+{
+    return worker.listed && worker.recorded && worker.life.fenced && !worker.entry.draining
+        && !describesOtherLife(worker.entry, worker.life) && !worker.life.needsFence
+        && worker.life.unansweredPolls == 0 && worker.life.unexpectedRuns == 0
+        && now >= worker.life.avoidedUntil && now >= worker.life.fullUntil;
+}
+
+resources freeCapacity(const worker_state &worker)
+{
+    return worker.entry.capacity - worker.life.used;
+}
+
+void addRun(worker_state &worker, const task_id &task, const resources &demand)
+{
+    if (worker.life.runs.insert(task).second) {
+        worker.life.used = worker.life.used + demand;
+    }
+}
+
+void removeRun(worker_state &worker, const task_id &task, const resources &demand)
+{
+    if (worker.life.runs.erase(task) > 0) {
+        worker.life.used = worker.life.used - demand;
+    }
+}
+
+void recordOutcome(worker_state &worker, bool succeeded, timestamp now)
+{
+    if (succeeded) {
+        worker.life.failureScore *= successDecay;
+        return;
+    }
+    worker.life.failureScore = std::min(worker.life.failureScore + 1.0, maxFailureScore);
+    if (worker.life.failureScore >= avoidanceThreshold) {
+        worker.life.avoidedUntil = now + avoidanceDuration;
+    }
+}
+
+void recordCapacityRefusal(worker_state &worker, timestamp now)
+{
+    if (now < worker.life.fullUntil) {
+        return; // another start of the same round
+    }
+    worker.life.fullUntil =
+        now + (capacityRefusalPause << std::min(worker.life.capacityRefusals, maxPauseDoublings));
+    ++worker.life.capacityRefusals;
+}
+
+void changeEntry(worker_state &worker, const worker_entry &entry)
+{
+    if (!(worker.entry.capacity == entry.capacity)) {
+        worker.life.capacityRefusals = 0;
+        worker.life.fullUntil = distantPast;
+    }
+    worker.entry = entry;
+}
+
+void acknowledgeStored(worker_state &worker, std::uint64_t stored)
+{
+    while (!worker.life.unstoredEnds.empty()
+           && worker.life.unstoredEnds.begin()->second <= stored) {
+        worker.life.acknowledgedEnd = worker.life.unstoredEnds.begin()->first;
+        worker.life.unstoredEnds.erase(worker.life.unstoredEnds.begin());
+    }
+}
+
+} // namespace bramleygrade::cell
--- /dev/null
+++ b/src/cell/workers/worker_state.h
@@ -0,0 +1,162 @@
+#pragma once
+
+#include <map>
+#include <set>
+
+#include "cell/jobs/job_state.h"
+#include "cell/workers/run_times.h"
+#include "cell/types.h"
+
+namespace bramleygrade::cell {
+
+/// What the scheduler knows of one life of a worker: of one process that ran under the worker's id.
+/// Nothing of it holds for the next process under that id, so it is replaced as a whole.
+struct worker_life
+{
+    /// Counts the lives that this scheduler has seen of the worker.
+    std::uint64_t number = 0;
+    /// Start time of the process, as in `worker_entry::born`.
+    std::int64_t born = 0;
+    /// The worker has answered a poll under this scheduler's fencing token.
+    bool fenced = false;
+    /// Runs started before this scheduler took over are known, or can no longer exist.
+    bool reconciled = false;
+    /// Part of the fencing token; raised to fence off orders that got no answer.
+    std::int64_t fenceNumber = 0;
+    /// An order got no answer; a poll with a higher fencing token must follow.
+    bool needsFence = false;
+
+    /// Sum of the reserved demands of all runs that may exist on the worker.
+    resources used;
+    std::set<task_id> runs;
+    /// Number of runs in the newest report that should not exist; their demand is unknown.
+    int unexpectedRuns = 0;
+
+    /// The worker's clock in its newest answer, and the local time at which it arrived.
+    std::int64_t clock = 0;
+    timestamp clockReadAt = distantPast;
+    /// Local time after which every lease on the worker has expired.
+    timestamp leasesExpiredAt = distantPast;
+
+    /// Highest sequence number of an end that was received.
+    std::int64_t lastEnd = 0;
+    /// Sequence number up to which ends may be acknowledged, as their effect is stored.
+    std::int64_t acknowledgedEnd = 0;
+    /// Highest sequence number that an answered poll has acknowledged.
+    std::int64_t deliveredAcknowledgement = 0;
+    /// Ends whose effect may not be stored yet: sequence number, and number of the change that
+    /// stores the effect.
+    std::map<std::int64_t, std::uint64_t> unstoredEnds;
+
+    bool pollInFlight = false;
+    bool fenceInFlight = false;
+    timestamp nextPollAt = distantPast;
+    int unansweredPolls = 0;
+    /// The newest poll could not connect to the worker.
+    bool connectionRefused = false;
+    timestamp answeredAt = distantPast;
+
+    /// The process has ended without leaving, and its crash is counted.
+    bool crashed = false;
+    /// Runs released while the worker was silent, and their starts; it may have crashed with them.
+    std::map<task_id, timestamp> lostRuns;
+    /// A call sent at this time or earlier was answered.
+    timestamp aliveAt = distantPast;
+    /// Newest start of each job whose tasks have not run for `startTrial` yet.
+    std::map<std::string, timestamp> recentStarts;
+    /// Job whose tasks may have crashed a worker. Tasks of other jobs do not start here until
+    /// `trialUntil`, so that another crash can be attributed.
+    std::string trialJob;
+    timestamp trialStartedAt = distantPast;
+    timestamp trialUntil = distantPast;
+
+    /// Increases with failed and stalled runs and shrinks with each successful one.
+    double failureScore = 0;
+    /// Time until which the worker gets no new tasks, after failures or a start refused for another
+    /// reason than capacity.
+    timestamp avoidedUntil = distantPast;
+    /// Consecutive placement rounds of which the worker refused a start for lack of capacity.
+    int capacityRefusals = 0;
+    /// Time until which the worker gets no new tasks after such a refusal.
+    timestamp fullUntil = distantPast;
+    /// Run time on this worker as a multiple of the mean for its service, and its record.
+    double slowness = 1.0;
+    run_time_ratio runTimes;
+};
+
+/// A worker, by its id: what the registry shows of it and its current life.
+struct worker_state
+{
+    worker_entry entry;
+    /// The registry lists the worker.
+    bool listed = true;
+    timestamp unlistedAt = distantFuture;
+    /// The stored worker list contains the worker, so that the next leader reconciles with it.
+    bool recorded = false;
+    /// The worker list that is being written contains the worker.
+    bool inWrite = false;
+    worker_life life;
+    /// Demand expected of the steps whose calls for advice are open.
+    resources expectedDemand;
+    /// Capacity that the newest placement round left after the steps of the highest priority, and
+    /// after all steps.
+    resources headroomOfUrgent;
+    resources headroomOfOthers;
+};
+
+/// Length of a lease, unless the workers' limit is shorter.
+constexpr microseconds leaseLength = 5 * second;
+
+/// Length of the leases that are granted, and the error bounds for computing their expiry.
+struct lease_limits
+{
+    microseconds longest = leaseLength;
+    /// Longest lease that a worker grants; later ends are shortened to it.
+    microseconds workerLimit = 6 * second;
+    /// Largest relative error of a worker's clock rate (2 % by the worker protocol).
+    double clockRateError = 0.02;
+    /// Longest time between a worker reading its clock and the reading being used.
+    microseconds clockReadingMargin = 100 * millisecond;
+};
+
+/// Estimates the worker's clock at `now` from its newest answer.
+std::int64_t workerClock(const worker_state &worker, timestamp now);
+
+/// Returns the local time after which a lease granted from `grantedFrom` on has expired on the
+/// worker, whatever its clock rate within the bound.
+timestamp latestLeaseExpiry(const lease_limits &limits, timestamp grantedFrom);
+
+/// Whether the start times are those of two processes; not if one of them is not known.
+bool areDifferentLives(std::int64_t oneBorn, std::int64_t otherBorn);
+
+/// Whether the worker's registry entry describes another life than the current one, so that its
+/// capacity and labels may not be those of the worker.
+bool describesOtherLife(const worker_entry &entry, const worker_life &life);
+
+/// Whether new tasks may be placed on the worker.
+bool isUsable(const worker_state &worker, timestamp now);
+
+/// Returns the worker's capacity less the demand of its runs.
+resources freeCapacity(const worker_state &worker);
+
+/// Adds a run and its demand to the worker; does nothing if the run is present.
+void addRun(worker_state &worker, const task_id &task, const resources &demand);
+/// Removes a run and its demand from the worker; does nothing if the run is absent.
+void removeRun(worker_state &worker, const task_id &task, const resources &demand);
+
+/// Updates the failure score after a run. A worker with repeated failures gets no new tasks for a
+/// while; successes lower the score.
+void recordOutcome(worker_state &worker, bool succeeded, timestamp now);
+
+/// Updates the worker after a start that it refused for lack of capacity. It gets no new tasks for
+/// a pause that doubles with each such round, until it accepts a start or its capacity changes.
+void recordCapacityRefusal(worker_state &worker, timestamp now);
+
+/// Replaces the worker's registry entry.
+void changeEntry(worker_state &worker, const worker_entry &entry);
+
+/// Advances `acknowledgedEnd` over the ends whose effect is durable, that is stored by a change
+/// up to number `stored`.
+void acknowledgeStored(worker_state &worker, std::uint64_t stored);
+
+} // namespace bramleygrade::cell
