--- a/src/cell/scheduler.h
+++ b/src/cell/scheduler.h
@@ -7,9 +7,9 @@
 #include <unordered_map>
 #include <vector>
 
-#include "cell/job_state.h"
-#include "cell/run_times.h"
-#include "cell/worker_state.h"
+#include "cell/jobs/job_state.h"
+#include "cell/workers/run_times.h"
+#include "cell/workers/worker_state.h"
 
 /// \file
 /// Decides which task runs on which worker. The scheduler does no input or output itself: the
--- a/src/cell/scheduler_decide.cpp
+++ b/src/cell/scheduler_decide.cpp
@@ -1,6 +1,6 @@
 #include <algorithm>
 
-#include "cell/crashes.h"
+#include "cell/ends/crashes.h"
 
 namespace bramleygrade::cell {
 
--- a/src/cell/types.h
+++ b/src/cell/types.h
@@ -120,6 +120,11 @@
     /// Wall-clock time of the first occurrence, microseconds since 1970.
     std::int64_t firstDueWall = 0;
     microseconds interval = 0;
+    /// Name of the team that submitted the job; empty if no team did, or if the job was stored
+    /// before jobs had teams.
+    std::string team;
+    /// The team sent more jobs than its share when it submitted this one.
+    bool beyondShare = false;
 };
 
 /// Response time of the advisory service (`base` plus `perWorker` for each worker asked about) and
@@ -152,6 +157,25 @@
     microseconds latencyTarget = 0;
     bool needsAdvice = false;
     advice_timing advice;
+    /// Callers need no key.
+    bool isPublic = false;
+};
+
+/// A team whose callers identify themselves by a key.
+struct team_policy
+{
+    std::string name;
+    std::vector<std::string> keys;
+    /// Jobs per second that are owed to the team, and its share when capacity is short.
+    double weight = 0;
+    /// What the runs of the team may use on all workers together; 0: no limit.
+    resources cap;
+
+    friend bool operator==(const team_policy &a, const team_policy &b)
+    {
+        return std::tie(a.name, a.keys, a.weight, a.cap)
+            == std::tie(b.name, b.keys, b.weight, b.cap);
+    }
 };
 
 /// Size limits of callers' requests.
@@ -168,6 +192,9 @@
     std::vector<queue_policy> queues;
     std::vector<std::string> services;
     caller_limits limits;
+    /// Callers of queues that are not public need a key of one of `teams`.
+    bool requiresKeys = false;
+    std::vector<team_policy> teams;
 };
 
 /// One worker as the registry lists it.
--- a/src/entry/callers.cpp
+++ b/src/entry/callers.cpp
@@ -196,6 +196,10 @@
         return "no_such_queue";
     case answer_kind::bad_request:
         return "bad_request";
+    case answer_kind::unauthenticated:
+        return "unauthenticated";
+    case answer_kind::forbidden:
+        return "forbidden";
     case answer_kind::refused:
         return "refused";
     default:
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -11,7 +11,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include "cell/advice_clients.h"
+#include "cell/advice/advice_clients.h"
 #include "cell/scheduler.h"
 #include "entry/entry_settings.h"
 #include "entry/event_log.h"
--- a/src/entry/entry_settings.cpp
+++ b/src/entry/entry_settings.cpp
@@ -49,6 +49,9 @@
     {"ended_kept_s", &cell_settings::endedKept, second, 1, 864'000},
     {"shutdown_grace_s", &cell_settings::shutdownGrace, second, 1, 3'600},
     {"processor_share", &cell_settings::processorMilli, 1'000, 0.001, 1'024},
+    {"revocation_limit_ms", &cell_settings::revocationLimit, millisecond, 0, 3'600'000},
+    {"team_window_s", &cell_settings::teamWindow, second, 0.1, 3'600},
+    {"team_window_slack", &cell_settings::teamWindowSlack, 1, 0, 1'000'000},
     {"log_lines_per_second", &cell_settings::logLinesPerSecond, 1, 1, 1'000'000},
 };
 
--- a/src/entry/entry_settings.h
+++ b/src/entry/entry_settings.h
@@ -35,6 +35,13 @@
     /// Processor share of this instance, thousandths of a processor; a scheduler hands over to an
     /// instance with a much larger share.
     std::int64_t processorMilli = 1'000;
+    /// Time from the storing of a configuration without a key after which no call with that key may
+    /// be served; 0: no limit.
+    microseconds revocationLimit = 0;
+    /// Length of the sliding window in which a team's submissions are counted, and the number of
+    /// jobs that the team may send in it beyond its weight.
+    microseconds teamWindow = 5 * second;
+    std::int64_t teamWindowSlack = 20;
 };
 
 /// Why the settings cannot be used; `message` names the line or field and the remedy.
--- a/src/entry/observation.h
+++ b/src/entry/observation.h
@@ -2,7 +2,7 @@
 
 #include <string>
 
-#include "cell/waiting_jobs.h"
+#include "cell/placement/waiting_jobs.h"
 #include "net/busy_meter.h"
 
 /// \file
--- a/src/entry/ports.h
+++ b/src/entry/ports.h
@@ -112,6 +112,11 @@
     std::string queue;
     std::string job;
     cell::job_spec spec;
+    /// Team to which `key` belongs; empty on queues that need no key.
+    std::string team;
+    std::string key;
+    /// Version of the configuration by which an entry admitted the call.
+    std::int64_t configVersion = 0;
 };
 
 enum class answer_kind {
@@ -121,6 +126,8 @@
     no_such_job,
     no_such_queue,
     bad_request,
+    unauthenticated, ///< the queue needs a key, and the call has none that is valid
+    forbidden, ///< the job belongs to another team
     refused, ///< nothing was done or will be; the caller may retry after `retryAfter`
     unknown, ///< the call may have taken effect
     not_scheduler, ///< this entry is not the scheduler; nothing was done
--- a/src/entry/rows.cpp
+++ b/src/entry/rows.cpp
@@ -83,6 +83,12 @@
     put(out, "occ", spec.occurrences);
     put(out, "due", spec.firstDueWall);
     put(out, "every", spec.interval);
+    if (!spec.team.empty()) {
+        put(out, "team", spec.team);
+    }
+    if (spec.beyondShare) {
+        put(out, "beyond", true);
+    }
     out.Key("steps");
     out.StartArray();
     for (const cell::step_spec &step : spec.steps) {
@@ -102,6 +108,8 @@
     spec.occurrences = static_cast<int>(integerField(value, "occ"));
     spec.firstDueWall = integerField(value, "due");
     spec.interval = integerField(value, "every");
+    spec.team = textField(value, "team");
+    spec.beyondShare = boolField(value, "beyond");
     for (const auto &value : steps->GetArray()) {
         const cell::step_spec step = readStep(value);
         if (!isValidStep(step, static_cast<int>(spec.steps.size()))) {
--- a/src/entry/rows.h
+++ b/src/entry/rows.h
@@ -4,7 +4,7 @@
 #include <optional>
 #include <string>
 
-#include "cell/job_state.h"
+#include "cell/jobs/job_state.h"
 #include "cell/scheduler.h"
 #include "entry/ports.h"
 
--- a/test/cell/advice_clients_test.cpp
+++ b/test/cell/advice_clients_test.cpp
@@ -3,7 +3,7 @@
 
 #include <numeric>
 
-#include "cell/advice_clients.h"
+#include "cell/advice/advice_clients.h"
 
 using namespace bramleygrade::cell;
 
--- a/test/cell/overloaded_scheduler_test.cpp
+++ b/test/cell/overloaded_scheduler_test.cpp
@@ -4,8 +4,8 @@
 #include <algorithm>
 #include <ctime>
 
-#include "cell/placement.h"
-#include "cell/waiting_jobs.h"
+#include "cell/placement/placement.h"
+#include "cell/placement/waiting_jobs.h"
 #include "loaded_cluster.h"
 
 using namespace bramleygrade;
--- a/test/cell/run_times_test.cpp
+++ b/test/cell/run_times_test.cpp
@@ -5,7 +5,7 @@
 #include <algorithm>
 #include <map>
 
-#include "cell/run_times.h"
+#include "cell/workers/run_times.h"
 #include "cell_fixture.h"
 
 using namespace bramleygrade;
--- a/test/cell/waiting_jobs_test.cpp
+++ b/test/cell/waiting_jobs_test.cpp
@@ -1,7 +1,7 @@
 #define BOOST_TEST_MODULE waiting_jobs
 #include <boost/test/included/unit_test.hpp>
 
-#include "cell/waiting_jobs.h"
+#include "cell/placement/waiting_jobs.h"
 #include "cell_fixture.h"
 
 using namespace bramleygrade;
--- a/testing/cell/load_simulation.cpp
+++ b/testing/cell/load_simulation.cpp
@@ -5,7 +5,7 @@
 #include <functional>
 #include <random>
 
-#include "cell/advice_clients.h"
+#include "cell/advice/advice_clients.h"
 #include "testing/cell/cell_driver.h"
 
 namespace bramleygrade::testing {
