Separate tasks whose images slow each other down

Cause: tasks of some images slow each other down on one worker, and the best fit put them there: with two queues of which one takes twice as long beside the other, half of its jobs were late.

Change: the scheduler learns at the end of each successful run how much other images slow it down, by least squares on what was on the worker when the run started, with means of the image and of the worker removed. At most 64 images are tracked. A pair is noticed when its effect is six standard errors above 10 %; then workers with a clashing image cost more, among those that have room. Log lines, metrics, state dump and the setting `separate_clashing_tasks` show and control it. The load simulation can slow clashing tasks.

Without clashes all orders are equal with the setting on and off.

--- a/bench/cell_decision_cost.cpp
+++ b/bench/cell_decision_cost.cpp
@@ -1,5 +1,7 @@
 // Measures the time of one placement round by number of workers and of waiting steps.
 
+#include <random>
+
 #include <benchmark/benchmark.h>
 
 #include "testing/cell/cell_driver.h"
@@ -98,8 +100,59 @@
     }
 }
 
+/// 64 images, each with evidence about all others.
+struct busy_interference_table
+{
+    busy_interference_table()
+    {
+        for (int image = 0; image < cell::maxTrackedImages; ++image) {
+            cell::countStart(table, "image-" + std::to_string(image), now);
+        }
+        for (int number = 0; number < 20'000; ++number) {
+            addNext();
+        }
+    }
+
+    void addNext()
+    {
+        cell::finished_run run;
+        for (std::size_t column = 0; column < run.exposure.size(); ++column) {
+            run.exposure[column] = (random() >> 16U) % 4 == 0 ? 1 : 0;
+        }
+        run.ratio = static_cast<double>((random() >> 16U) % 100) / 100;
+        now += 10 * millisecond;
+        addRun(table.images[random() % table.images.size()].evidence, worker, run, now);
+    }
+
+    timestamp now = 1'000 * second;
+    cell::interference_table table;
+    cell::exposure_means worker;
+    std::minstd_rand random;
+};
+
+void learningFromRun(benchmark::State &state)
+{
+    busy_interference_table fixture;
+    for (auto step : state) {
+        (void)step;
+        fixture.addNext();
+    }
+}
+
+void evaluationOfImage(benchmark::State &state)
+{
+    busy_interference_table fixture;
+    for (auto step : state) {
+        (void)step;
+        fixture.now = fixture.table.nextEvaluationAt;
+        benchmark::DoNotOptimize(cell::evaluateDue(fixture.table, fixture.now));
+    }
+}
+
 } // namespace
 
+BENCHMARK(learningFromRun)->Unit(benchmark::kMicrosecond);
+BENCHMARK(evaluationOfImage)->Unit(benchmark::kMicrosecond);
 BENCHMARK(placementRoundInFullCell)
     ->ArgNames({"workers", "waiting"})
     ->Args({48, 0})
--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -181,3 +181,12 @@
 add_test(NAME cell_histories_of_crashing_tasks COMMAND cell_histories 101 100 deadly)
 set_tests_properties(cell_histories_of_crashing_tasks PROPERTIES COST 500)
 add_test(NAME budget_count_lost_at_takeovers COMMAND cell_histories 70 1 deadly)
+
+# Interference between tasks: what is learned, and what it changes in the placement.
+add_executable(cell_interference_test test/cell/interference_test.cpp)
+target_link_libraries(cell_interference_test PRIVATE bramleygrade_cell Boost::headers)
+add_test(NAME cell_interference COMMAND cell_interference_test)
+add_executable(cell_clashing_placement_test test/cell/clashing_placement_test.cpp)
+target_include_directories(cell_clashing_placement_test PRIVATE ${CMAKE_SOURCE_DIR}/test/cell)
+target_link_libraries(cell_clashing_placement_test PRIVATE cell_load_simulation Boost::headers)
+add_test(NAME cell_clashing_placement COMMAND cell_clashing_placement_test)
--- a/src/cell/advice/advice.cpp
+++ b/src/cell/advice/advice.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <limits>
 
+#include "cell/interference/scheduler_interference.h"
 #include "cell/placement/placement.h"
 
 namespace bramleygrade::cell {
@@ -56,14 +57,17 @@
     return workers;
 }
 
-/// Returns the workers never asked about for the step, with their negated free slots, those with
-/// the most slots first.
-std::vector<std::pair<std::int64_t, std::string>> findUnaskedWorkers(const waiting_step &waiting,
-                                                                     const headroom_map &headrooms)
+/// Worker never asked about: negated free slots, whether it has clashing images, and id.
+using unasked_worker = std::tuple<std::int64_t, bool, std::string>;
+
+/// Returns the workers never asked about for the step, those with the most slots first, and of
+/// equal ones those without clashing images.
+std::vector<unasked_worker> findUnaskedWorkers(const waiting_step &waiting,
+                                               const headroom_map &headrooms)
 {
     const step_spec &spec = stepSpec(waiting);
     const step_state &step = stepState(waiting);
-    std::vector<std::pair<std::int64_t, std::string>> found;
+    std::vector<unasked_worker> found;
     const resources demand = reservedDemand(spec);
     for (const auto &[id, headroom] : headrooms) {
         if ((!spec.gang && !fits(demand, headroom.free))
@@ -76,7 +80,8 @@
             slots = std::min<std::int64_t>(slots, spec.maxPerWorker);
         }
         if (slots > 0 || spec.gang) {
-            found.emplace_back(-slots, id);
+            found.emplace_back(-slots, (headroom.worker->images.present & waiting.clashing) != 0,
+                               id);
         }
     }
     std::sort(found.begin(), found.end());
@@ -112,7 +117,7 @@
     const double share = allowedShare(cell, waiting.job->spec.queue);
     double needed = stepSpec(waiting).gang ? std::numeric_limits<double>::max()
                                            : static_cast<double>(plan.unplaced) * askedSlotsFactor;
-    for (const auto &[negativeSlots, id] : findUnaskedWorkers(waiting, headrooms)) {
+    for (const auto &[negativeSlots, clashes, id] : findUnaskedWorkers(waiting, headrooms)) {
         if (needed <= 0 || toAsk.size() >= maxWorkersPerCall) {
             break;
         }
@@ -203,11 +208,12 @@
     }
     step_state &step =
         job->occurrences.at(order.step.occurrence).steps[static_cast<std::size_t>(order.step.step)];
-    const auto waiting = makeWaitingStep(*job, order.step.occurrence, order.step.step, now);
+    auto waiting = makeWaitingStep(*job, order.step.occurrence, order.step.step, now);
     if (!waiting) {
         step.advicePending = false;
         return false;
     }
+    setClashes(cell, *waiting);
     if (!order.holdsCapacity) {
         const headroom_map headrooms = collectUnclaimedHeadroom(cell, isUrgent(*waiting), now);
         const placement_plan plan = planStep(*waiting, headrooms, now);
--- a/src/cell/ends/scheduler_ends.cpp
+++ b/src/cell/ends/scheduler_ends.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 
 #include "cell/ends/crashes.h"
+#include "cell/interference/scheduler_interference.h"
 
 namespace bramleygrade::cell {
 
@@ -270,6 +271,7 @@
     if (end.how == end_kind::done && task->phase == run_phase::running
         && task->attempt == end.attempt && !task->resumed && task->confirmedAt != distantPast) {
         recordRun(cell, worker, *job, stepOf(*job, end.task.step), step, now - task->confirmedAt);
+        learnInterference(cell, worker, job->spec, end.task, now - task->confirmedAt, now);
     }
     if (task->phase != run_phase::none && task->worker == worker.entry.id
         && task->attempt == end.attempt) {
@@ -326,6 +328,7 @@
         task->confirmedAt = now;
         task->progressAt = now;
         recordAlive(cell, worker->second, task->startedAt);
+        noteRunConfirmed(cell, worker->second, order.task);
         return;
     }
     if (outcome == order_outcome::unanswered) {
--- a/src/cell/placement/placement.cpp
+++ b/src/cell/placement/placement.cpp
@@ -19,6 +19,9 @@
 constexpr double failureScoreCost = 1.0;
 /// A step is late if this share of its expected time to the end of the job exceeds the time left.
 constexpr double latenessShare = 0.5;
+/// Cost of a worker with an image that clashes with the step's. It outweighs the CPU share left
+/// free and nothing else.
+constexpr double clashCost = 1.0;
 /// Cost of a worker that has none of the processors that a scavenging task could use.
 constexpr double noProcessorCost = 4.0;
 
@@ -46,8 +49,17 @@
     std::int64_t slots = 0;
     double cost = 0;
     bool ticketValid = false;
+    /// Images on the worker with which the step clashes.
+    image_set clashing = 0;
 };
 
+void sortByCost(std::vector<candidate> &candidates)
+{
+    std::sort(candidates.begin(), candidates.end(), [](const candidate &a, const candidate &b) {
+        return std::tie(b.ticketValid, a.cost, *a.id) < std::tie(a.ticketValid, b.cost, *b.id);
+    });
+}
+
 std::vector<candidate> findCandidates(const waiting_step &waiting, const headroom_map &headrooms,
                                       timestamp now)
 {
@@ -72,8 +84,8 @@
             slots = std::min(slots, spec.maxPerWorker - countRuns(step, id));
         }
         if (slots > 0) {
-            found.push_back(
-                {&id, &headroom, slots, placementCost(spec, first, headroom), ticketValid});
+            found.push_back({&id, &headroom, slots, placementCost(spec, first, headroom),
+                             ticketValid, headroom.worker->images.present & waiting.clashing});
         }
     };
     const bool needsAdvice = waiting.job->policy.needsAdvice;
@@ -89,9 +101,7 @@
             consider(headroom->first, headroom->second, advice.validUntil > now + ticketMargin);
         }
     }
-    std::sort(found.begin(), found.end(), [](const candidate &a, const candidate &b) {
-        return std::tie(b.ticketValid, a.cost, *a.id) < std::tie(a.ticketValid, b.cost, *b.id);
-    });
+    sortByCost(found);
     return found;
 }
 
@@ -118,8 +128,8 @@
 
 /// Sorts workers with the most slots first, so that a gang runs on few workers. Removes workers
 /// without a valid ticket if the others suffice; otherwise a gang would request new tickets again
-/// and again.
-void sortForGang(std::vector<candidate> &candidates, std::int64_t needed)
+/// and again. Workers without clashing images come first if they suffice.
+void sortForGang(std::vector<candidate> &candidates, std::int64_t needed, bool avoidsClashes)
 {
     std::int64_t withTicket = 0;
     for (const candidate &option : candidates) {
@@ -133,6 +143,88 @@
     }
     std::stable_sort(candidates.begin(), candidates.end(),
                      [](const candidate &a, const candidate &b) { return a.slots > b.slots; });
+    std::int64_t withoutClash = 0;
+    for (const candidate &option : candidates) {
+        withoutClash += option.clashing == 0 ? option.slots : 0;
+    }
+    if (avoidsClashes && withoutClash >= needed) {
+        std::stable_partition(candidates.begin(), candidates.end(),
+                              [](const candidate &option) { return option.clashing == 0; });
+    }
+}
+
+/// Assigns the tasks to the candidates, in their order; `avoided` of the plan lists the clashes
+/// that it has.
+placement_plan assignTasks(const waiting_step &waiting, std::vector<candidate> candidates,
+                           bool avoidsClashes)
+{
+    const step_spec &spec = stepSpec(waiting);
+    if (spec.gang) {
+        sortForGang(candidates, static_cast<std::int64_t>(waiting.tasks.size()), avoidsClashes);
+    }
+    if (spec.sameRack) {
+        keepOneRack(candidates, static_cast<std::int64_t>(waiting.tasks.size()));
+    }
+    placement_plan plan;
+    auto it = candidates.begin();
+    for (std::size_t index = 0; index < waiting.tasks.size(); ++index) {
+        while (it != candidates.end() && it->slots == 0) {
+            ++it;
+        }
+        if (it == candidates.end()) {
+            break;
+        }
+        --it->slots;
+        plan.workers.push_back(*it->id);
+        plan.ticketsValid = plan.ticketsValid && it->ticketValid;
+        if (it->clashing != 0) {
+            plan.avoided.push_back(it->clashing);
+        }
+    }
+    plan.unplaced = waiting.tasks.size() - plan.workers.size();
+    return plan;
+}
+
+/// Splits the slots of each worker into one and the rest if the step clashes with itself. Gangs
+/// stay on few workers nevertheless.
+std::vector<candidate> splitSlots(const waiting_step &waiting,
+                                  const std::vector<candidate> &candidates)
+{
+    if ((waiting.clashing & waiting.ownImage) == 0 || stepSpec(waiting).gang) {
+        return candidates;
+    }
+    std::vector<candidate> split;
+    for (const candidate &option : candidates) {
+        split.push_back(option);
+        if (option.slots > 1 && option.clashing == 0) {
+            split.back().slots = 1;
+            split.push_back(option);
+            --split.back().slots;
+            split.back().clashing = waiting.ownImage;
+        }
+    }
+    return split;
+}
+
+/// Plans the step beside as few clashing images as its workers allow. All candidates have room, so
+/// that only their order changes.
+placement_plan planAwayFromClashes(const waiting_step &waiting, std::vector<candidate> candidates)
+{
+    candidates = splitSlots(waiting, candidates);
+    placement_plan usual = assignTasks(waiting, candidates, false);
+    for (candidate &option : candidates) {
+        option.cost += option.clashing != 0 ? clashCost : 0;
+    }
+    sortByCost(candidates);
+    placement_plan plan = assignTasks(waiting, candidates, true);
+    if (plan.avoided.size() >= usual.avoided.size() || plan.unplaced > usual.unplaced
+        || (usual.ticketsValid && !plan.ticketsValid)) {
+        usual.avoided.clear();
+        return usual;
+    }
+    usual.avoided.resize(usual.avoided.size() - plan.avoided.size());
+    plan.avoided = std::move(usual.avoided);
+    return plan;
 }
 
 /// Returns the tasks of the step that may be started now; none while members of a broken gang are
@@ -239,29 +331,9 @@
 
 placement_plan planStep(const waiting_step &waiting, const headroom_map &headrooms, timestamp now)
 {
-    const step_spec &spec = stepSpec(waiting);
     std::vector<candidate> candidates = findCandidates(waiting, headrooms, now);
-    if (spec.gang) {
-        sortForGang(candidates, static_cast<std::int64_t>(waiting.tasks.size()));
-    }
-    if (spec.sameRack) {
-        keepOneRack(candidates, static_cast<std::int64_t>(waiting.tasks.size()));
-    }
-    placement_plan plan;
-    auto it = candidates.begin();
-    for (std::size_t index = 0; index < waiting.tasks.size(); ++index) {
-        while (it != candidates.end() && it->slots == 0) {
-            ++it;
-        }
-        if (it == candidates.end()) {
-            break;
-        }
-        --it->slots;
-        plan.workers.push_back(*it->id);
-        plan.ticketsValid = plan.ticketsValid && it->ticketValid;
-    }
-    plan.unplaced = waiting.tasks.size() - plan.workers.size();
-    return plan;
+    return waiting.clashing == 0 ? assignTasks(waiting, std::move(candidates), false)
+                                 : planAwayFromClashes(waiting, std::move(candidates));
 }
 
 std::int64_t withholdForGang(const waiting_step &waiting, std::size_t missing,
--- a/src/cell/placement/placement.h
+++ b/src/cell/placement/placement.h
@@ -40,6 +40,10 @@
     int occurrence = 0;
     int step = 0;
     std::vector<int> tasks;
+    /// Images that the step should not share a worker with, if there is room elsewhere.
+    image_set clashing = 0;
+    /// The step's own image; empty while nothing clashes with it.
+    image_set ownImage = 0;
 
     friend bool operator<(const waiting_step &a, const waiting_step &b)
     {
@@ -58,6 +62,8 @@
     std::size_t unplaced = 0;
     /// All workers of the plan have a valid ticket, or the queue needs no advice.
     bool ticketsValid = true;
+    /// Tasks that would have been placed beside clashing images: for each, those images.
+    std::vector<image_set> avoided;
 };
 
 /// Returns the step if it has tasks that may be started now; none while members of a broken gang
--- a/src/cell/placement/placement_round.cpp
+++ b/src/cell/placement/placement_round.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 
 #include "cell/ends/crashes.h"
+#include "cell/interference/scheduler_interference.h"
 #include "cell/placement/placement.h"
 #include "cell/scheduler.h"
 
@@ -106,6 +107,7 @@
                     continue;
                 }
                 if (auto waiting = makeWaitingStep(*job, number, step, now)) {
+                    setClashes(cell, *waiting);
                     found.push_back(std::move(*waiting));
                 }
             }
@@ -142,6 +144,7 @@
     waiting.job->startedAny = true;
     recordStart(cell, worker, id, isSuspected(step), now);
     addRun(worker, id, reservedDemand(stepSpec(waiting)));
+    noteRunAdded(cell, worker, id, waiting.job->spec, now, out);
     headroom.free = headroom.free - reservedDemand(stepSpec(waiting));
     ++cell.counters.starts;
     const auto advice = step.advice.find(worker.entry.id);
@@ -306,6 +309,7 @@
     }
     if (plan.unplaced == 0 && plan.ticketsValid) {
         startGang(cell, waiting, plan, headrooms, now, out);
+        countSeparatedTasks(cell, waiting, plan);
         step.reservedUntil = distantPast;
         step.holdsCapacity = false;
         return true;
@@ -328,6 +332,9 @@
             limitTrials(cell, *waiting.job, stepState(waiting), plan.workers, now);
         }
         started = startIndependent(cell, waiting, plan, headrooms, now, out);
+        if (started > 0) {
+            countSeparatedTasks(cell, waiting, plan);
+        }
     }
     if (waiting.job->policy.needsAdvice && started < waiting.tasks.size()) {
         askForAdvice(cell, waiting, now, out);
--- a/src/cell/scheduler.h
+++ b/src/cell/scheduler.h
@@ -7,6 +7,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "cell/interference/interference.h"
 #include "cell/jobs/job_state.h"
 #include "cell/workers/run_times.h"
 #include "cell/workers/worker_state.h"
@@ -135,6 +136,9 @@
     /// Time after the takeover for which another process may still confirm the leadership of a
     /// previous scheduler, as it has not heard of this one yet.
     microseconds predecessorGrace = 0;
+    /// Tasks whose images are seen to slow each other down are placed on different workers where
+    /// there is room.
+    bool separateClashingTasks = true;
 };
 
 /// Decaying counts of the workers asked about and allowed in a queue's advice calls.
@@ -212,6 +216,8 @@
     std::map<std::string, run_time_record> runTimes;
     /// Run times of single tasks on all workers relative to the declared ones, by queue name.
     std::map<std::string, run_time_ratio> taskRunTimes;
+    /// How much images slow each other down.
+    interference_table interference;
     scheduler_counters counters;
     timestamp nextCheckAt = distantPast;
     timestamp nextObjectiveUpdateAt = distantPast;
--- a/src/cell/scheduler_decide.cpp
+++ b/src/cell/scheduler_decide.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 
 #include "cell/ends/crashes.h"
+#include "cell/interference/scheduler_interference.h"
 
 namespace bramleygrade::cell {
 
@@ -92,6 +93,7 @@
 {
     pollWorkers(cell, now, out);
     checkRuns(cell, now, out);
+    evaluateInterference(cell, now, out);
     placeWaiting(cell, now, out);
 }
 
--- a/src/cell/workers/scheduler_workers.cpp
+++ b/src/cell/workers/scheduler_workers.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 
 #include "cell/ends/crashes.h"
+#include "cell/interference/scheduler_interference.h"
 #include "cell/workers/worker_lives.h"
 
 namespace bramleygrade::cell {
@@ -27,7 +28,7 @@
 }
 
 void adoptRun(scheduler &cell, worker_state &worker, job_state &job, task_state &task,
-              const reported_run &run, timestamp sentAt)
+              const reported_run &run, timestamp sentAt, orders &out)
 {
     task.phase = run_phase::running;
     task.worker = worker.entry.id;
@@ -43,6 +44,7 @@
     step.gangAttempt = std::max(step.gangAttempt, run.attempt);
     step.gangStartedAt = std::max(step.gangStartedAt, sentAt);
     addRun(worker, run.task, reservedDemand(stepOf(job, run.task.step)));
+    noteRunAdded(cell, worker, run.task, job.spec, sentAt, out);
 }
 
 void stopUnexpectedRun(scheduler &cell, worker_state &worker, const reported_run &run, orders &out)
@@ -87,7 +89,7 @@
             stopUnexpectedRun(cell, worker, run, out);
             return;
         }
-        adoptRun(cell, worker, *job, *task, run, sentAt);
+        adoptRun(cell, worker, *job, *task, run, sentAt, out);
     } else if (task->phase == run_phase::starting || task->phase == run_phase::unconfirmed) {
         task->phase = run_phase::running;
         task->confirmedAt = now;
@@ -234,6 +236,7 @@
     const auto worker = cell.workers.find(task.worker);
     if (worker != cell.workers.end()) {
         removeRun(worker->second, id, reservedDemand(stepOf(job, id.step)));
+        noteRunRemoved(cell, worker->second, id);
     }
     task.phase = run_phase::none;
     task.worker.clear();
@@ -260,6 +263,7 @@
     }
     worker.life.runs.clear();
     worker.life.used = {};
+    clearPresence(worker.images);
     worker.life.reconciled = true;
     cell.needsPlacement = true;
     out.events.push_back(
--- a/src/cell/workers/worker_state.h
+++ b/src/cell/workers/worker_state.h
@@ -3,9 +3,10 @@
 #include <map>
 #include <set>
 
+#include "cell/interference/presence.h"
 #include "cell/jobs/job_state.h"
-#include "cell/workers/run_times.h"
 #include "cell/types.h"
+#include "cell/workers/run_times.h"
 
 namespace bramleygrade::cell {
 
@@ -102,6 +103,8 @@
     /// after all steps.
     resources headroomOfUrgent;
     resources headroomOfOthers;
+    /// Images of the runs on the worker.
+    worker_images images;
 };
 
 /// Length of a lease, unless the workers' limit is shorter.
--- a/src/entry/entry_settings.h
+++ b/src/entry/entry_settings.h
@@ -42,6 +42,8 @@
     /// jobs that the team may send in it beyond its weight.
     microseconds teamWindow = 5 * second;
     std::int64_t teamWindowSlack = 20;
+    /// Tasks that are seen to slow each other down are kept apart where there is room.
+    bool separateClashingTasks = true;
 };
 
 /// Why the settings cannot be used; `message` names the line or field and the remedy.
--- a/src/entry/leader.cpp
+++ b/src/entry/leader.cpp
@@ -318,6 +318,7 @@
     leaderState.cell.settings.lease.workerLimit = entry.settings.maxLease;
     leaderState.cell.settings.gangTimeout = entry.settings.gangTimeout;
     leaderState.cell.settings.stopTimeout = entry.settings.stopTimeout;
+    leaderState.cell.settings.separateClashingTasks = entry.settings.separateClashingTasks;
     leaderState.cell.settings.endedKept = entry.settings.endedKept;
     leaderState.cell.settings.predecessorGrace = takeoverNoticeTime;
     const timestamp now = steadyNow();
--- a/src/entry/state_dump.cpp
+++ b/src/entry/state_dump.cpp
@@ -1,5 +1,6 @@
 #include "entry/state_dump.h"
 
+#include "entry/interference_view.h"
 #include "entry/json_text.h"
 
 namespace bramleygrade::entry {
@@ -75,9 +76,10 @@
 /// Removes the gauges of a scheduler, whose last values would look like current ones.
 void removeSchedulerGauges(entry_metrics &metrics)
 {
-    for (const char *name : {"jobs_in_memory", "jobs_open", "workers", "workers_unreconciled",
-                             "restored_jobs_held", "advice_queue", "unsaved_changes",
-                             "cpu_milli_promised", "cpu_milli_capacity", "workers_overcommitted"}) {
+    for (const char *name :
+         {"jobs_in_memory", "jobs_open", "workers", "workers_unreconciled", "restored_jobs_held",
+          "advice_queue", "unsaved_changes", "cpu_milli_promised", "cpu_milli_capacity",
+          "workers_overcommitted", "interference_pairs"}) {
         metrics.gauges.erase(name);
     }
 }
@@ -135,6 +137,7 @@
                 static_cast<std::int64_t>(entry.leaderState->cell.runnableJobs.size()));
             writeWorkers(out, entry.leaderState->cell);
             writeJobs(out, entry.leaderState->cell);
+            writeInterference(out, entry.leaderState->cell.interference);
         }
     });
 }
@@ -144,6 +147,7 @@
     auto &gauges = entry.metrics.gauges;
     refreshUsage(entry);
     removeFamily(entry.metrics, "jobs_waiting");
+    removeFamily(entry.metrics, "interference_slowdown_percent");
     gauges["scheduler_seen_ms_ago"] = entry.leaderState ? 0 : ageMs(entry.schedulerSeenAt);
     gauges["epoch"] = entry.epoch;
     gauges["is_scheduler"] = entry.leaderState ? 1 : 0;
@@ -172,6 +176,7 @@
     gauges["cpu_milli_promised"] = used;
     gauges["cpu_milli_capacity"] = all;
     gauges["workers_overcommitted"] = cell::countOvercommittedWorkers(cell);
+    refreshInterferenceMetrics(entry.metrics, cell.interference);
     const cell::scheduler_counters &counts = cell.counters;
     auto &counters = entry.metrics.counters;
     counters["task_starts_total"] = counts.starts;
--- a/test/cell/entry_test.cpp
+++ b/test/cell/entry_test.cpp
@@ -2,6 +2,8 @@
 #include <boost/test/included/unit_test.hpp>
 
 #include "entry/entry.h"
+#include "entry/json_text.h"
+#include "entry/state_dump.h"
 
 using namespace bramleygrade;
 using namespace bramleygrade::entry;
@@ -85,6 +87,52 @@
     BOOST_TEST(entry.scheduler.name == "entry-2");
 }
 
+// Operators see each pair with its evidence in the state dump; the metrics show a bounded number,
+// and none of them remains when the entry is no longer the scheduler.
+BOOST_FIXTURE_TEST_CASE(interfering_images_are_hidden_from_operators, entry_fixture)
+{
+    entry.leaderState = std::make_unique<leader_state>();
+    cell::interference_table &table = entry.leaderState->cell.interference;
+    for (int image = 0; image < cell::maxTrackedImages; ++image) {
+        cell::countStart(table, "image \"" + std::to_string(image) + "\"", second);
+    }
+    for (cell::tracked_image &image : table.images) {
+        image.pairs.resize(cell::maxTrackedImages);
+        for (cell::pair_estimate &pair : image.pairs) {
+            pair = {0.4, 0.02, 150, 900, true, second, 3};
+        }
+    }
+    table.noticedPairs = cell::maxTrackedImages * cell::maxTrackedImages;
+    const std::string dump = dumpState(entry);
+    rapidjson::Document document;
+    document.Parse(dump.c_str());
+    BOOST_REQUIRE(!document.HasParseError());
+    BOOST_REQUIRE(document["interference"]["pairs"].Size() == 200U);
+    const rapidjson::Value &pair = document["interference"]["pairs"][0];
+    BOOST_TEST(std::string(pair["image"].GetString()) == "image \"0\"");
+    BOOST_TEST(pair["noticed"].GetBool());
+    BOOST_TEST(pair["slowdown_percent"].GetDouble() == 49.18, boost::test_tools::tolerance(0.001));
+    BOOST_TEST(pair["jobs_beside"].GetDouble() == 150);
+    BOOST_TEST(pair["separated_tasks"].GetInt64() == 3);
+    const auto countPairs = [&] {
+        const std::string text = exposeMetrics(entry.metrics);
+        std::size_t pairs = 0;
+        for (std::size_t at = 0; (at = text.find("slowdown_percent{", at)) != std::string::npos;
+             ++at) {
+            ++pairs;
+        }
+        return pairs;
+    };
+    refreshGauges(entry);
+    BOOST_TEST(entry.metrics.gauges.at("interference_pairs") == 4'096);
+    BOOST_TEST(countPairs() == 24U);
+    BOOST_TEST(exposeMetrics(entry.metrics).find("image=\"image _0_\"") != std::string::npos);
+    entry.leaderState.reset();
+    refreshGauges(entry);
+    BOOST_TEST(countPairs() == 0U);
+    BOOST_TEST(entry.metrics.gauges.count("interference_pairs") == 0U);
+}
+
 // Guards against lost log lines: the lines of all 42 jobs in the first write after a takeover were
 // lost, because one write of the log was larger than the platform keeps (seen on the standard bench
 // day trouble-3 of csuc-programari, seed 1).
--- a/testing/cell/load_simulation.cpp
+++ b/testing/cell/load_simulation.cpp
@@ -88,6 +88,11 @@
     bool fails = false;
     timestamp stoppingUntil = 0;
     std::uint64_t number = 0;
+    /// Work done until `pacedFrom`, as a time without clashes, and the factor since then.
+    microseconds worked = 0;
+    timestamp pacedFrom = 0;
+    double slowdown = 1;
+    std::uint64_t pace = 0;
 };
 
 struct load_worker
@@ -163,6 +168,11 @@
     void endRun(load_worker &worker, const cell::task_id &task, end_kind how);
     void breakGang(const cell::task_id &task, int attempt, end_kind how);
     void finishRun(load_worker &worker, const cell::task_id &task, std::uint64_t number);
+    double slowdownOf(const load_worker &worker, const load_run &run) const;
+    microseconds workedOf(const load_run &run) const;
+    void pace(load_worker &worker);
+    void countSlowedTime(const load_run &run);
+    void hashOrders(const cell::orders &out);
     double progressOf(const load_run &run) const;
     double savedShareOf(const load_run &run) const;
 
@@ -192,6 +202,9 @@
     bool m_writeInFlight = false;
     timestamp m_loadEndsAt = 0;
     double m_usedShareSum = 0;
+    /// Time of ended runs that a clash could slow, and of it the time beside tasks that do.
+    double m_clashingTime = 0;
+    double m_slowedTime = 0;
     int m_usedShareSamples = 0;
 };
 
@@ -351,8 +364,43 @@
     }
 }
 
+void load_simulation::hashOrders(const cell::orders &out)
+{
+    const auto add = [this](const std::string &text) {
+        for (const char character : text) {
+            m_outcome.ordersHash = (m_outcome.ordersHash ^ static_cast<unsigned char>(character))
+                * 1'099'511'628'211ULL;
+        }
+    };
+    const auto addTask = [&](const cell::task_id &task, int attempt, const std::string &worker) {
+        add(std::to_string(m_driver.now) + " " + task.job + "." + std::to_string(task.step) + "."
+            + std::to_string(task.index) + "#" + std::to_string(attempt) + "@" + worker);
+    };
+    for (const auto &order : out.starts) {
+        addTask(order.task, order.attempt, order.worker);
+    }
+    for (const auto &order : out.stops) {
+        addTask(order.task, order.attempt, order.worker);
+    }
+    for (const auto &order : out.polls) {
+        add(std::to_string(m_driver.now) + order.worker + std::to_string(order.leaseUntil));
+    }
+    for (const auto &order : out.advice) {
+        addTask(order.step, order.priority, "");
+        for (const std::string &worker : order.workers) {
+            add(worker);
+        }
+    }
+    for (const auto &event : out.events) {
+        if (event.event.rfind("interference_", 0) == 0) {
+            m_outcome.interferenceEvents.push_back(event.event + " " + event.detail);
+        }
+    }
+}
+
 void load_simulation::send(const cell::orders &out)
 {
+    hashOrders(out);
     for (const auto &order : out.stops) {
         sendStop(order);
     }
@@ -449,8 +497,10 @@
     load_run &placed = worker.runs[order.task] = run;
     if (!step.gang) {
         beginWork(worker, placed, toMicroseconds(task.runSeconds / worker.speed));
+        pace(worker);
         return order_outcome::accepted;
     }
+    pace(worker);
     auto &members = m_gangs[{order.task.job, order.task.step, order.attempt}];
     members[order.task.index] = order.worker;
     if (static_cast<int>(members.size()) == step.count) {
@@ -473,11 +523,16 @@
 {
     run.workingFrom = m_driver.now + (run.resumedShare > 0 ? m_settings.restoreTime : 0);
     run.duration = duration;
+    run.pacedFrom = run.workingFrom;
     const auto remaining =
         static_cast<microseconds>(static_cast<double>(run.duration) * (1 - run.resumedShare));
     schedule(run.workingFrom + remaining,
              [this, id = worker.entry.id, task = run.task, number = run.number] {
-                 finishRun(m_workers.at(id), task, number);
+                 load_worker &finishing = m_workers.at(id);
+                 const auto found = finishing.runs.find(task);
+                 if (found != finishing.runs.end() && found->second.pace == 0) {
+                     finishRun(finishing, task, number);
+                 }
              });
 }
 
@@ -497,6 +552,77 @@
     }
 }
 
+double load_simulation::slowdownOf(const load_worker &worker, const load_run &run) const
+{
+    double slowdown = 1;
+    for (const load_clash &clash : m_settings.clashes) {
+        if (m_jobs.at(run.task.job).classIndex != clash.slowedClass || stepOf(run.task).gang) {
+            continue;
+        }
+        const bool isBeside =
+            std::any_of(worker.runs.begin(), worker.runs.end(), [&](const auto &entry) {
+                return entry.second.number != run.number
+                    && m_jobs.at(entry.first.job).classIndex == clash.otherClass;
+            });
+        slowdown = isBeside ? std::max(slowdown, clash.factor) : slowdown;
+    }
+    return slowdown;
+}
+
+/// Returns the work that the run has done, as a time without clashes.
+microseconds load_simulation::workedOf(const load_run &run) const
+{
+    const auto passed =
+        static_cast<double>(std::max<microseconds>(0, m_driver.now - run.pacedFrom));
+    return run.worked + static_cast<microseconds>(passed / run.slowdown);
+}
+
+void load_simulation::countSlowedTime(const load_run &run)
+{
+    const std::size_t classIndex = m_jobs.at(run.task.job).classIndex;
+    const bool isSlowable =
+        std::any_of(m_settings.clashes.begin(), m_settings.clashes.end(),
+                    [&](const load_clash &clash) { return clash.slowedClass == classIndex; });
+    if (isSlowable && run.workingFrom != 0 && !stepOf(run.task).gang) {
+        const double passed = static_cast<double>(m_driver.now - run.pacedFrom);
+        m_slowedTime += run.slowdown > 1 ? passed : 0;
+        m_clashingTime += static_cast<double>(m_driver.now - run.workingFrom);
+    }
+}
+
+/// Changes the pace of the worker's runs to what is beside them now.
+void load_simulation::pace(load_worker &worker)
+{
+    if (m_settings.clashes.empty()) {
+        return;
+    }
+    for (auto &[task, run] : worker.runs) {
+        const double slowdown = slowdownOf(worker, run);
+        if (run.workingFrom == 0 || slowdown == run.slowdown) {
+            continue;
+        }
+        const auto passed =
+            static_cast<double>(std::max<microseconds>(0, m_driver.now - run.pacedFrom));
+        m_slowedTime += run.slowdown > 1 ? passed : 0;
+        run.worked = workedOf(run);
+        run.pacedFrom = std::max(run.pacedFrom, m_driver.now);
+        run.slowdown = slowdown;
+        const auto remaining =
+            static_cast<microseconds>(static_cast<double>(run.duration) * (1 - run.resumedShare)
+                                      - static_cast<double>(run.worked));
+        schedule(run.pacedFrom
+                     + static_cast<microseconds>(
+                         static_cast<double>(std::max<microseconds>(remaining, 0)) * slowdown),
+                 [this, id = worker.entry.id, task = task, number = run.number, pace = ++run.pace] {
+                     load_worker &finishing = m_workers.at(id);
+                     const auto found = finishing.runs.find(task);
+                     if (found != finishing.runs.end() && found->second.pace == pace) {
+                         finishRun(finishing, task, number);
+                     }
+                 });
+    }
+}
+
 double load_simulation::progressOf(const load_run &run) const
 {
     if (run.workingFrom == 0 || m_driver.now <= run.workingFrom || run.duration == 0) {
@@ -504,8 +630,7 @@
     }
     return std::min(1.0,
                     run.resumedShare
-                        + static_cast<double>(m_driver.now - run.workingFrom)
-                            / static_cast<double>(run.duration));
+                        + static_cast<double>(workedOf(run)) / static_cast<double>(run.duration));
 }
 
 double load_simulation::savedShareOf(const load_run &run) const
@@ -554,6 +679,8 @@
     }
     const load_run run = found->second;
     worker.runs.erase(found);
+    countSlowedTime(run);
+    pace(worker);
     const bool saves = how == end_kind::stopped && stepOf(task).checkpointing;
     const double saved = saves ? progressOf(run) : savedShareOf(run);
     const double cores = static_cast<double>(stepOf(task).demand.cpuMilli) / 1000;
@@ -749,6 +876,7 @@
     m_outcome.classes.resize(m_settings.classes.size());
     m_driver.cell.settings.gangTimeout = m_settings.gangTimeout;
     m_driver.cell.settings.stopTimeout = m_settings.stopTimeout;
+    m_driver.cell.settings.separateClashingTasks = m_settings.separateClashingTasks;
     addQueues();
     addWorkers();
     requestDecision();
@@ -763,6 +891,11 @@
         action();
     }
     m_outcome.counters = m_driver.cell.counters;
+    for (const cell::named_pair &pair : cell::listPairs(m_driver.cell.interference, 1)) {
+        m_outcome.mostEvident = cell::errorsAboveThreshold(pair.estimate);
+    }
+    m_outcome.separatedTasks = m_driver.cell.interference.separatedTasks;
+    m_outcome.slowedShare = m_clashingTime > 0 ? m_slowedTime / m_clashingTime : 0;
     m_outcome.meanUsedShare = m_usedShareSum / std::max(m_usedShareSamples, 1);
     return m_outcome;
 }
--- a/testing/cell/load_simulation.h
+++ b/testing/cell/load_simulation.h
@@ -54,6 +54,15 @@
     double factor = 1;
 };
 
+/// Tasks of one class take `factor` times as long while a task of the other is on the worker. Gangs
+/// are not slowed.
+struct load_clash
+{
+    std::size_t slowedClass = 0;
+    std::size_t otherClass = 0;
+    double factor = 1;
+};
+
 struct load_settings
 {
     int workers = 1;
@@ -70,6 +79,8 @@
     microseconds restoreTime = 0;
     microseconds stopTimeout = 0;
     microseconds gangTimeout = 4 * second;
+    std::vector<load_clash> clashes;
+    bool separateClashingTasks = true;
 };
 
 /// What the jobs of one class have earned. The worth of a job grows with its work.
@@ -91,6 +102,15 @@
     double refusedTickets = 0;
     /// Mean share of the workers' processors with a run or a reservation.
     double meanUsedShare = 0;
+    /// Hash of all orders with their times.
+    std::uint64_t ordersHash = 0;
+    /// Share of the time of runs of `load_clash::slowedClass` beside tasks that slow them.
+    double slowedShare = 0;
+    std::uint64_t separatedTasks = 0;
+    /// `interference_noticed` and `interference_forgotten`, with their details.
+    std::vector<std::string> interferenceEvents;
+    /// Highest evidence for a pair at the end, as `errorsAboveThreshold`.
+    double mostEvident = 0;
 };
 
 /// Offers a load of jobs to the cell scheduler in virtual time, with workers, a store and an
