Add `bramleygrade check-config`

Cause: what is wrong with a configuration was seen only after it was in force, and then from the callers: queues that never match, keys in two teams, fields of the wrong type that read as their defaults.

Change: a strict decoder in platform/ yields findings with line and remedy, the comparison with the version in force is done in the product's terms, and the command prints both. Exit codes: 0 fine, 1 findings, 2 unreadable. Keys are never printed.

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -190,3 +190,7 @@
 target_include_directories(cell_clashing_placement_test PRIVATE ${CMAKE_SOURCE_DIR}/test/cell)
 target_link_libraries(cell_clashing_placement_test PRIVATE cell_load_simulation Boost::headers)
 add_test(NAME cell_clashing_placement COMMAND cell_clashing_placement_test)
+
+add_executable(platform_config_check_test platform/test/config_check_test.cpp src/tools/check_config.cpp)
+target_link_libraries(platform_config_check_test PRIVATE bramleygrade_platform Boost::headers)
+add_test(NAME platform_config_check COMMAND platform_config_check_test)
--- a/src/tools/main.cpp
+++ b/src/tools/main.cpp
@@ -8,6 +8,7 @@
 #include "daemon/settings.h"
 #include "entry/daemon.h"
 #include "platform.h"
+#include "tools/check_config.h"
 #include "tools/explain.h"
 #include "tools/operator_tools.h"
 
@@ -52,6 +53,10 @@
         {"dump", {": prints the whole state of one entry as JSON", showDump}},
         {"check",
          {"FILE...: checks settings, documents or jobs without applying them", checkFiles}},
+        {"check-config",
+         {"FILE [--in-force FILE]: checks a configuration of the platform and prints what it "
+          "changes; exit codes: 0 fine, 1 findings, 2 unreadable",
+          checkConfig}},
         {"explain",
          {"ID FILE...: prints the timeline of a job from the entries' logs, and what is missing "
           "from it",
@@ -77,6 +82,10 @@
 int run(int argc, char **argv)
 {
     absl::SetProgramUsageMessage(usage());
+    // Its option has a hyphen, which the flags library does not allow.
+    if (argc > 1 && std::string(argv[1]) == "check-config") {
+        return checkConfig({argv + 2, argv + argc});
+    }
     std::vector<char *> positionalArguments = absl::ParseCommandLine(argc, argv);
     if (positionalArguments.size() < 2 || allSubcommands().count(positionalArguments[1]) == 0) {
         std::cerr << usage() << std::endl;
--- a/test/cell/interference_test.cpp
+++ b/test/cell/interference_test.cpp
@@ -300,8 +300,7 @@
     BOOST_REQUIRE(played.changes.size() == 2U);
     BOOST_TEST(played.changes.front().estimate.noticed);
     BOOST_TEST(!played.changes.back().estimate.noticed);
-    BOOST_TEST(played.changes.back().estimate.noticedAt - played.startedAt
-               < 600 * second + 4 * 600 * second);
+    BOOST_TEST(played.changes.back().estimate.noticedAt - played.startedAt < 3'000 * second);
     BOOST_TEST(played.table.noticedPairs == 0);
     BOOST_TEST(clashesOf(played.table, imageName(0)) == 0U);
 }
@@ -316,7 +315,7 @@
     BOOST_TEST(clashesOf(played.table, imageName(0)) == imageBit(1));
     BOOST_TEST(clashesOf(played.table, imageName(1)) == imageBit(0));
     std::size_t changes = 0;
-    for (timestamp passed = 0; passed < 3 * 3'600 * second; passed += second) {
+    for (timestamp passed = 0; passed < 10'800 * second; passed += second) {
         changes += evaluateDue(played.table, played.now + passed).size();
     }
     BOOST_TEST(changes == 1U);
