Entries check callers' keys and refuse them on an unconfirmed configuration

Cause: the teams and keys of a configuration were decoded but not used; every caller could use every queue and job.

--- a/src/cell/jobs/scheduler_jobs.cpp
+++ b/src/cell/jobs/scheduler_jobs.cpp
@@ -1,4 +1,6 @@
 #include <algorithm>
+#include <string_view>
+#include <unordered_map>
 
 #include "cell/ends/crashes.h"
 
@@ -30,9 +32,14 @@
         return;
     }
     cell.config = config;
+    std::unordered_map<std::string_view, const queue_policy *> policies;
+    for (const queue_policy &queue : config.queues) {
+        policies.emplace(queue.name, &queue); // the first of equal names, as in findQueue()
+    }
     for (auto &[id, job] : cell.jobs) {
-        if (const queue_policy *policy = findQueue(config, job.spec.queue)) {
-            job.policy = *policy;
+        const auto policy = policies.find(job.spec.queue);
+        if (policy != policies.end()) {
+            job.policy = *policy->second;
         }
     }
     cell.needsPlacement = true;
--- a/src/cell/types.h
+++ b/src/cell/types.h
@@ -185,6 +185,14 @@
     std::int64_t bodyBytes = 262'144;
 };
 
+/// A fault in a part of the configuration; the other parts are used.
+struct config_problem
+{
+    /// Name of the team that the fault concerns; empty if it concerns no team.
+    std::string team;
+    std::string problem;
+};
+
 /// The configuration in force: all queues and the services that run their tasks.
 struct cell_config
 {
@@ -195,6 +203,10 @@
     /// Callers of queues that are not public need a key of one of `teams`.
     bool requiresKeys = false;
     std::vector<team_policy> teams;
+    /// Positions in `queues`, sorted by host and path prefix; the first of equal queues comes
+    /// first.
+    std::vector<std::size_t> queuesByPath;
+    std::vector<config_problem> problems;
 };
 
 /// One worker as the registry lists it.
--- /dev/null
+++ b/src/entry/authentication/confirmation_exchange.cpp
@@ -0,0 +1,115 @@
+#include "entry/authentication/confirmation_exchange.h"
+
+namespace bramleygrade::entry {
+
+namespace {
+
+constexpr microseconds askTimeout = 400 * millisecond;
+
+std::string formatAge(const config_confirmation &confirmation, timestamp now)
+{
+    return confirmation.confirmedAt == distantPast
+        ? ""
+        : std::to_string((now - confirmation.confirmedAt) / millisecond);
+}
+
+/// Logs a change between confirmed and unconfirmed.
+void reportState(entry_state &entry, timestamp now)
+{
+    config_confirmation &confirmation = entry.confirmation;
+    const microseconds limit = entry.settings.revocationLimit;
+    const bool isConfirmed = !isExpired(confirmation, limit, now);
+    if (isConfirmed == confirmation.isReportedConfirmed) {
+        return;
+    }
+    confirmation.isReportedConfirmed = isConfirmed;
+    logEvent(entry, isConfirmed ? "config_confirmed" : "config_unconfirmed",
+             {{"version", std::to_string(entry.config.version)},
+              {"age_ms", formatAge(confirmation, now)},
+              {"by", confirmation.by}});
+}
+
+void confirmAsOf(entry_state &entry, timestamp at, const std::string &by)
+{
+    if (entry.config.version < entry.confirmation.newestVersion) {
+        return; // what was asked is known to be out of date
+    }
+    confirm(entry.confirmation, at, entry.settings.revocationLimit, by);
+    if (entry.config.requiresKeys) {
+        reportState(entry, steadyNow());
+    }
+}
+
+void onConfirmReply(entry_state &entry, const std::string &peer, timestamp askedAt,
+                    const net::call_result &result)
+{
+    const auto reply = result.status == 200 ? decodeConfirmReply(result.body) : std::nullopt;
+    if (!reply) {
+        return;
+    }
+    if (reply->version > entry.config.version && !reply->row.empty()) {
+        applyConfigRow(entry,
+                       {entry.ports.codec.configTable, entry.ports.codec.configKey, reply->row,
+                        reply->rowVersion, false});
+    }
+    if (reply->version == entry.config.version && reply->age >= 0) {
+        entry.confirmation.hasLastAskFailed = false;
+        confirmAsOf(entry, askedAt - reply->age, peer);
+    }
+}
+
+} // namespace
+
+void confirmFromStore(entry_state &entry, timestamp beganAt, std::int64_t rowVersion)
+{
+    // A row older than the one in force comes from a stale read, which says nothing.
+    if (rowVersion >= entry.configRowVersion) {
+        confirmAsOf(entry, beganAt, "store");
+    }
+}
+
+void hearOfVersion(entry_state &entry, std::int64_t version, microseconds askDelay)
+{
+    noteVersion(entry.confirmation, entry.config.version, version, steadyNow(), askDelay);
+}
+
+void monitorConfirmation(entry_state &entry, timestamp now)
+{
+    config_confirmation &confirmation = entry.confirmation;
+    const bool isBehind = confirmation.newestVersion > entry.config.version;
+    if (!entry.config.requiresKeys && !isBehind) {
+        return;
+    }
+    const microseconds limit = entry.config.requiresKeys ? entry.settings.revocationLimit : 0;
+    if (limit > 0) {
+        reportState(entry, now);
+    }
+    if (!isAskDue(confirmation, entry.config.version, limit, now)) {
+        return;
+    }
+    const std::string query = encodeConfirmQuery({entry.settings.name, entry.config.version});
+    for (const auto &[name, address] : beginAsk(confirmation, entry.config.version, entry.members,
+                                                entry.settings.name, entry.scheduler.name, now)) {
+        sendPeer(entry, address, "/confirm", query, askTimeout, true,
+                 [&entry, peer = name, now](const net::call_result &result) {
+                     onConfirmReply(entry, peer, now, result);
+                 });
+    }
+}
+
+confirm_reply answerConfirmQuery(entry_state &entry, const confirm_query &query)
+{
+    hearOfVersion(entry, query.version, announcedVersionDelay);
+    confirm_reply reply;
+    reply.version = entry.config.version;
+    if (entry.confirmation.confirmedAt != distantPast) {
+        reply.age = std::max<microseconds>(steadyNow() - entry.confirmation.confirmedAt, 0);
+    }
+    if (query.version < entry.config.version) {
+        reply.row = entry.configRow;
+        reply.rowVersion = entry.configRowVersion;
+    }
+    return reply;
+}
+
+} // namespace bramleygrade::entry
--- a/src/entry/callers.cpp
+++ b/src/entry/callers.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "entry/authentication/admission.h"
 #include "entry/entry.h"
 
 namespace bramleygrade::entry {
@@ -40,13 +41,20 @@
 
 using call_pointer = std::shared_ptr<forwarded_call>;
 
+bool changesNothing(const caller_call &call)
+{
+    return call.kind == call_kind::state || call.kind == call_kind::pending;
+}
+
 void finishCall(entry_state &entry, const call_pointer &call, caller_answer answer)
 {
     if (call->answered) {
         return;
     }
     call->answered = true;
-    if (answer.kind == answer_kind::refused && call->mayHaveTakenEffect) {
+    const bool isRejected = answer.kind == answer_kind::refused
+        || (answer.kind == answer_kind::unauthenticated && !changesNothing(call->call));
+    if (isRejected && call->mayHaveTakenEffect) {
         // An earlier attempt may have taken effect, so a refusal could be wrong.
         answer.kind = answer_kind::unknown;
     }
@@ -77,11 +85,6 @@
     }
 }
 
-bool changesNothing(const caller_call &call)
-{
-    return call.kind == call_kind::state || call.kind == call_kind::pending;
-}
-
 void sendToScheduler(entry_state &entry, const call_pointer &call,
                      timestamp reuseConnectionsSince = distantPast)
 {
@@ -111,9 +114,23 @@
     });
 }
 
+/// Answers a call that the configuration in force no longer admits, unless the call may have taken
+/// effect. Returns whether it has.
+bool rejectChangedAdmission(entry_state &entry, const call_pointer &call)
+{
+    if (!changesNothing(call->call) && (call->inFlight || call->mayHaveTakenEffect)) {
+        return false;
+    }
+    const auto rejection = recheckCall(entry, call->call);
+    if (rejection) {
+        finishCall(entry, call, *rejection);
+    }
+    return rejection.has_value();
+}
+
 void attemptCall(entry_state &entry, const call_pointer &call)
 {
-    if (call->answered) {
+    if (call->answered || rejectChangedAdmission(entry, call)) {
         return;
     }
     if (entry.leaderState) {
@@ -157,11 +174,17 @@
     ++entry.metrics.counters["caller_lookups_total"];
     lookUpJob(entry, call->call.job, [&entry, call, holdUntil](const job_lookup &lookup) {
         call->holdUntil = holdUntil;
-        if (lookup.outcome == lookup_outcome::found) {
+        if (lookup.outcome == lookup_outcome::found && !call->answered) {
+            const auto finish = [&entry, call](const caller_answer &answer) {
+                finishCall(entry, call, answer);
+            };
+            if (answerIfForbidden(entry, call->call, lookup.team, finish)) {
+                return;
+            }
             caller_answer answer;
             answer.kind = answer_kind::state;
             answer.phase = lookup.phase;
-            finishCall(entry, call, answer);
+            finish(answer);
         }
     });
 }
@@ -215,7 +238,9 @@
     observeLatency(entry.metrics, "caller_seconds", latency);
     const bool isPollingCall =
         answer.kind == answer_kind::state || answer.kind == answer_kind::pending;
-    if (isPollingCall) {
+    const bool hasOwnLine =
+        answer.kind == answer_kind::unauthenticated || answer.kind == answer_kind::forbidden;
+    if (isPollingCall || hasOwnLine) {
         return; // callers poll each job often, so these calls are counted but not logged
     }
     logEvent(entry, "call_answered",
@@ -237,13 +262,14 @@
                  const net::http_server::responder &respond)
 {
     const timestamp now = steadyNow();
-    const decoded_request decoded = entry.ports.codec.decode(request, entry.config);
+    decoded_request decoded = entry.ports.codec.decode(request, entry.config);
+    const auto rejection = admitCaller(entry, decoded);
     const auto answer = [&entry, respond, call = decoded.call, now](const caller_answer &reply) {
         logAnswer(entry, call, reply, steadyNow() - now);
         respond(entry.ports.codec.encode(reply));
     };
-    if (!decoded.isCall) {
-        answer(decoded.answer);
+    if (rejection || !decoded.isCall) {
+        answer(rejection ? *rejection : decoded.answer);
         return;
     }
     if (answerFromPendingCounts(entry, decoded.call, answer)) {
@@ -281,6 +307,16 @@
     }
 }
 
+void recheckForwarded(entry_state &entry)
+{
+    const auto calls = entry.forwardedCalls;
+    for (const call_pointer &call : calls) {
+        if (!call->answered) {
+            rejectChangedAdmission(entry, call);
+        }
+    }
+}
+
 void expireForwarded(entry_state &entry, timestamp now)
 {
     // At most one lookup begins in each turn, so that many calls at once do not use up the reads of
--- a/src/entry/calls.cpp
+++ b/src/entry/calls.cpp
@@ -1,3 +1,4 @@
+#include "entry/authentication/admission.h"
 #include "entry/entry.h"
 
 namespace bramleygrade::entry {
@@ -46,11 +47,14 @@
 
 void answerFromStore(entry_state &entry, const caller_call &call, const answer_function &answer)
 {
-    lookUpJob(entry, call.job, [kind = call.kind, answer](const job_lookup &lookup) {
+    lookUpJob(entry, call.job, [&entry, call, answer](const job_lookup &lookup) {
+        const call_kind kind = call.kind;
         if (lookup.outcome == lookup_outcome::failed) {
             answerSimple(answer, answer_kind::unknown);
         } else if (lookup.outcome == lookup_outcome::no_such_job) {
             answerSimple(answer, answer_kind::no_such_job);
+        } else if (answerIfForbidden(entry, call, lookup.team, answer)) {
+            return;
         } else if (kind != call_kind::cancel) {
             answerPhase(answer, lookup.phase);
         } else {
@@ -68,12 +72,23 @@
     entry.leaderState->waiters.emplace(call.job, write_waiter {call.kind, deadline, answer});
 }
 
+/// Returns the policy of the queue, or null if there is no such queue.
+const cell::queue_policy *findQueue(entry_state &entry, const std::string &name)
+{
+    const auto &queues = currentKeys(entry).queues;
+    const auto found = queues.find(name);
+    return found == queues.end() ? nullptr : &entry.config.queues[found->second.position];
+}
+
 void submit(entry_state &entry, const caller_call &call, timestamp deadline,
             const answer_function &answer)
 {
     leader_state &leaderState = *entry.leaderState;
     const timestamp now = steadyNow();
     if (const cell::job_state *known = cell::findJob(leaderState.cell, call.job)) {
+        if (answerIfForbidden(entry, call, known->spec.team, answer)) {
+            return;
+        }
         if (known->stored) {
             answerSimple(answer, answer_kind::accepted);
         } else {
@@ -81,7 +96,7 @@
         }
         return;
     }
-    const cell::queue_policy *policy = cell::findQueue(entry.config, call.queue);
+    const cell::queue_policy *policy = findQueue(entry, call.queue);
     if (policy == nullptr) {
         answerSimple(answer, answer_kind::no_such_queue);
         return;
@@ -95,6 +110,7 @@
     cell::job_spec spec = call.spec;
     spec.id = call.job;
     spec.queue = call.queue;
+    spec.team = call.team;
     cell::acceptJob(leaderState.cell, spec, *policy, now);
     cell::job_state *job = cell::findJob(leaderState.cell, call.job);
     const std::int64_t wall = wallNow();
@@ -120,6 +136,9 @@
         answerFromStore(entry, call, answer);
         return;
     }
+    if (answerIfForbidden(entry, call, known->spec.team, answer)) {
+        return;
+    }
     if (known->finalStored) {
         answerSimple(answer, answer_kind::accepted);
         return;
@@ -132,25 +151,10 @@
     requestDecision(entry);
 }
 
-} // namespace
-
-void handleCall(entry_state &entry, const caller_call &call, timestamp deadline,
-                const answer_function &answer)
+/// Handles a call whose key has been checked.
+void handleAdmittedCall(entry_state &entry, const caller_call &call, timestamp deadline,
+                        const answer_function &answer)
 {
-    if (!entry.leaderState) {
-        answerSimple(answer, answer_kind::not_scheduler);
-        return;
-    }
-    if (entry.role == entry_role::loading) {
-        if (entry.leaderState->deferredCalls.size() >= maxDeferredCalls) {
-            refuse(entry, call, answer,
-                   "too many calls are queued while the scheduler loads its rows; retry later");
-            return;
-        }
-        entry.leaderState->deferredCalls.emplace_back(
-            [&entry, call, deadline, answer] { handleCall(entry, call, deadline, answer); });
-        return;
-    }
     switch (call.kind) {
     case call_kind::submit:
         submit(entry, call, deadline, answer);
@@ -169,6 +173,9 @@
         break;
     }
     const cell::job_state *known = cell::findJob(entry.leaderState->cell, call.job);
+    if (known != nullptr && answerIfForbidden(entry, call, known->spec.team, answer)) {
+        return;
+    }
     if (known != nullptr && known->stored) {
         answerPhase(answer, cell::visiblePhase(*known));
     } else {
@@ -176,4 +183,30 @@
     }
 }
 
+} // namespace
+
+void handleCall(entry_state &entry, const caller_call &call, timestamp deadline,
+                const answer_function &answer)
+{
+    if (!entry.leaderState) {
+        answerSimple(answer, answer_kind::not_scheduler);
+        return;
+    }
+    if (entry.role == entry_role::loading) {
+        if (entry.leaderState->deferredCalls.size() >= maxDeferredCalls) {
+            refuse(entry, call, answer,
+                   "too many calls are queued while the scheduler loads its rows; retry later");
+            return;
+        }
+        entry.leaderState->deferredCalls.emplace_back(
+            [&entry, call, deadline, answer] { handleCall(entry, call, deadline, answer); });
+        return;
+    }
+    if (!needsSchedulerCheck(entry, call)) {
+        handleAdmittedCall(entry, call, deadline, answer);
+    } else if (const auto admitted = admitAtScheduler(entry, call, deadline, answer)) {
+        handleAdmittedCall(entry, *admitted, deadline, answer);
+    }
+}
+
 } // namespace bramleygrade::entry
--- a/src/entry/daemon.cpp
+++ b/src/entry/daemon.cpp
@@ -11,6 +11,8 @@
 #include <boost/asio/signal_set.hpp>
 #include <sys/stat.h>
 
+#include "entry/authentication/admission.h"
+#include "entry/authentication/confirmation_exchange.h"
 #include "entry/entry.h"
 #include "entry/state_dump.h"
 
@@ -190,6 +192,8 @@
     observeTick(entry, now);
     monitorScheduler(entry, now);
     tickLeader(entry, now);
+    monitorConfirmation(entry, now);
+    monitorHeldCalls(entry, now);
     expireForwarded(entry, now);
     if (entry.stopping) {
         continueStop(entry, now);
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -13,6 +13,8 @@
 
 #include "cell/advice/advice_clients.h"
 #include "cell/scheduler.h"
+#include "entry/authentication/caller_keys.h"
+#include "entry/authentication/config_confirmation.h"
 #include "entry/entry_settings.h"
 #include "entry/event_log.h"
 #include "entry/liveness.h"
@@ -50,6 +52,8 @@
 {
     lookup_outcome outcome = lookup_outcome::failed;
     cell::job_phase phase = cell::job_phase::queued;
+    /// Team that the job belongs to; empty if none.
+    std::string team;
 };
 
 using lookup_completion = std::function<void(job_lookup)>;
@@ -62,6 +66,14 @@
     answer_function answer;
 };
 
+/// A call that the scheduler holds until it has the configuration that admitted the call.
+struct held_call
+{
+    caller_call call;
+    timestamp deadline = distantFuture;
+    answer_function answer;
+};
+
 /// Calls to the advisory service that one entry makes on behalf of the scheduler.
 struct advice_client_state
 {
@@ -190,6 +202,18 @@
     cell::cell_config config;
     std::int64_t configWatchVersion = 0;
     timestamp configReadAt = distantPast;
+    /// Version of the row of the configuration in force, and its text if other entries may need it.
+    std::int64_t configRowVersion = 0;
+    std::string configRow;
+    /// Version of the configuration row in this entry's newest reads; lower if they are stale.
+    std::int64_t configFeedVersion = 0;
+    bool isRefreshingConfig = false;
+    timestamp nextConfigRefreshAt = distantPast;
+    /// A configuration adopted by this process has required keys.
+    bool hasRequiredKeys = false;
+    caller_keys keys;
+    config_confirmation confirmation;
+    std::list<held_call> heldCalls;
 
     entry_role role = entry_role::follower;
     /// Highest epoch seen, and the scheduler of that epoch.
@@ -253,6 +277,8 @@
                  const net::http_server::responder &respond);
 /// Sends the forwarded calls to the new scheduler after a change of leadership.
 void resendForwarded(entry_state &entry);
+/// Checks the forwarded calls that cannot have taken effect against a new configuration.
+void recheckForwarded(entry_state &entry);
 /// Answers calls whose deadline has come, and sends those that are not under way.
 void expireForwarded(entry_state &entry, timestamp now);
 
@@ -347,6 +373,10 @@
 /// Calls `run` on the entry's event loop after the pause, unless the loop has stopped.
 void runAfter(entry_state &entry, microseconds pause, const std::function<void()> &run);
 void watchConfig(entry_state &entry);
+/// Adopts the configuration in the row if its version is higher than that of the one in force.
+void applyConfigRow(entry_state &entry, const stored_row &row);
+/// Reads the configuration beside the watch, unless that was done a moment ago.
+void refreshConfig(entry_state &entry);
 void watchWorkers(entry_state &entry, std::int64_t epoch);
 
 // advice_dispatch.cpp
--- a/src/entry/event_log.cpp
+++ b/src/entry/event_log.cpp
@@ -20,7 +20,10 @@
                                                                {"worker_capacity_changed", 10},
                                                                {"member_joined", 5},
                                                                {"member_silent", 10},
-                                                               {"member_back", 10}};
+                                                               {"member_back", 10},
+                                                               {"call_unauthenticated", 20},
+                                                               {"call_forbidden", 20},
+                                                               {"held_call_refused", 10}};
 
 void appendString(std::string &out, const std::string &text)
 {
--- a/src/entry/job_lookup.cpp
+++ b/src/entry/job_lookup.cpp
@@ -27,11 +27,12 @@
                            });
 }
 
-job_lookup makeLookup(std::optional<cell::job_phase> phase)
+job_lookup makeLookup(std::optional<cell::job_phase> phase, const std::string &team = "")
 {
     job_lookup lookup;
     lookup.outcome = phase ? lookup_outcome::found : lookup_outcome::no_such_job;
     lookup.phase = phase.value_or(cell::job_phase::queued);
+    lookup.team = team;
     return lookup;
 }
 
@@ -41,17 +42,18 @@
 {
     readRow(entry, endedTable, job, done, [done, otherwise](const stored_row *row) {
         if (const auto ended = row == nullptr ? std::nullopt : decodeEnded(row->value)) {
-            done(makeLookup(ended->phase));
+            done(makeLookup(ended->phase, ended->team));
         } else {
             otherwise();
         }
     });
 }
 
-void lookUpProgress(entry_state &entry, const std::string &job, const lookup_completion &done)
+void lookUpProgress(entry_state &entry, const std::string &job, const std::string &team,
+                    const lookup_completion &done)
 {
-    readRow(entry, progressTable, job, done, [done](const stored_row *row) {
-        done(makeLookup(row == nullptr ? cell::job_phase::queued : cell::job_phase::running));
+    readRow(entry, progressTable, job, done, [team, done](const stored_row *row) {
+        done(makeLookup(row == nullptr ? cell::job_phase::queued : cell::job_phase::running, team));
     });
 }
 
@@ -62,9 +64,9 @@
             // The job may have ended, and moved to the other table, since that was read.
             lookUpEndedJob(entry, job, done, [done] { done(makeLookup(std::nullopt)); });
         } else if (const auto ended = decodeEnded(row->value)) {
-            done(makeLookup(ended->phase));
+            done(makeLookup(ended->phase, ended->team));
         } else {
-            lookUpProgress(entry, job, done);
+            lookUpProgress(entry, job, decodeJobTeam(row->value), done);
         }
     });
 }
--- a/src/entry/leader.cpp
+++ b/src/entry/leader.cpp
@@ -82,6 +82,9 @@
     for (const stored_row &row : jobs.rows) {
         if (const auto ended = decodeEnded(row.value)) {
             cell::restoreEndedJob(entry.leaderState->cell, row.key, ended->phase, now);
+            if (cell::job_state *job = cell::findJob(entry.leaderState->cell, row.key)) {
+                job->spec.team = ended->team;
+            }
             continue;
         }
         std::int64_t accepted = wall;
--- a/src/entry/messages.cpp
+++ b/src/entry/messages.cpp
@@ -192,6 +192,9 @@
             put(out, queue.c_str(), count);
         }
         out.EndObject();
+        if (heartbeat.configVersion != 0) {
+            put(out, "config", heartbeat.configVersion);
+        }
     });
 }
 
@@ -217,9 +220,49 @@
             heartbeat.pending.emplace_back(item.name.GetString(), integerOf(item.value));
         }
     }
+    heartbeat.configVersion = integerField(document, "config");
     return heartbeat;
 }
 
+std::string encodeConfirmQuery(const confirm_query &query)
+{
+    return writeObject([&](json_writer &out) {
+        put(out, "sender", query.sender);
+        put(out, "version", query.version);
+    });
+}
+
+std::optional<confirm_query> decodeConfirmQuery(const std::string &text)
+{
+    rapidjson::Document document;
+    if (!parseObject(text, document)) {
+        return std::nullopt;
+    }
+    return confirm_query {textField(document, "sender"), integerField(document, "version")};
+}
+
+std::string encodeConfirmReply(const confirm_reply &reply)
+{
+    return writeObject([&](json_writer &out) {
+        put(out, "version", reply.version);
+        put(out, "age_us", reply.age);
+        if (!reply.row.empty()) {
+            put(out, "row", reply.row);
+            put(out, "row_version", reply.rowVersion);
+        }
+    });
+}
+
+std::optional<confirm_reply> decodeConfirmReply(const std::string &text)
+{
+    rapidjson::Document document;
+    if (!parseObject(text, document)) {
+        return std::nullopt;
+    }
+    return confirm_reply {integerField(document, "version"), integerField(document, "age_us", -1),
+                          textField(document, "row"), integerField(document, "row_version")};
+}
+
 std::string encodeMemberStatus(const member_status &memberStatus)
 {
     return writeObject([&](json_writer &out) {
--- a/src/entry/peers.cpp
+++ b/src/entry/peers.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 
+#include "entry/authentication/confirmation_exchange.h"
 #include "entry/entry.h"
 
 namespace bramleygrade::entry {
@@ -49,6 +50,7 @@
             entry.pending.insert(heartbeat.pending.begin(), heartbeat.pending.end());
             entry.pendingAt = now;
         }
+        hearOfVersion(entry, heartbeat.configVersion, announcedVersionDelay);
     }
     respondJson(respond, 200, encodeMemberStatus(ownStatus(entry)));
 }
@@ -101,6 +103,12 @@
     });
 }
 
+void onConfirmQuery(entry_state &entry, const confirm_query &query,
+                    const net::http_server::responder &respond)
+{
+    respondJson(respond, 200, encodeConfirmReply(answerConfirmQuery(entry, query)));
+}
+
 void onAdviceRequest(entry_state &entry, const cell::advice_order &order,
                      const net::http_server::responder &respond)
 {
@@ -197,6 +205,7 @@
                 {name, address, share == entry.processorShares.end() ? 0 : share->second});
         }
     }
+    heartbeat.configVersion = entry.config.requiresKeys ? entry.config.version : 0;
     // The pending jobs are not known before the rows are loaded.
     if (entry.role == entry_role::scheduler) {
         for (const cell::queue_policy &queue : entry.config.queues) {
@@ -242,6 +251,8 @@
         dispatch(entry, decodeHeartbeat(request.body), handleHeartbeat, respond);
     } else if (request.target == "/call") {
         dispatch(entry, decodeCall(request.body), onCall, respond);
+    } else if (request.target == "/confirm") {
+        dispatch(entry, decodeConfirmQuery(request.body), onConfirmQuery, respond);
     } else if (request.target == "/advice") {
         dispatch(entry, decodeAdviceOrder(request.body), onAdviceRequest, respond);
     } else if (request.target == "/hello") {
--- a/src/entry/ports.h
+++ b/src/entry/ports.h
@@ -143,7 +143,8 @@
     std::string reason;
 };
 
-/// A decoded request of a caller: either a call, or the answer if no decision is needed.
+/// A decoded request of a caller: either a call, or the answer if no decision is needed. Once a
+/// queue matches, `call.queue` and `call.key` are filled in both cases.
 struct decoded_request
 {
     bool isCall = false;
@@ -151,6 +152,8 @@
     caller_answer answer;
     /// How long the caller waits for the answer; 0 if the request does not say.
     microseconds callTimeout = 0;
+    /// Why the request carries no key; empty if it carries one.
+    std::string keyProblem;
 };
 
 /// Converts between the platform's formats and the types of the entry.
--- a/src/entry/rows.cpp
+++ b/src/entry/rows.cpp
@@ -337,24 +337,6 @@
     return true;
 }
 
-std::string encodeEnded(const ended_row &row)
-{
-    return writeObject([&](json_writer &out) {
-        put(out, "phase", static_cast<int>(row.phase));
-        put(out, "wall", row.endedWall);
-    });
-}
-
-std::optional<ended_row> decodeEnded(const std::string &value)
-{
-    rapidjson::Document document;
-    if (!parseObject(value, document) || findField(document, "phase") == nullptr) {
-        return std::nullopt;
-    }
-    return ended_row {static_cast<cell::job_phase>(integerField(document, "phase")),
-                      integerField(document, "wall")};
-}
-
 std::string encodeCall(const call_message &message)
 {
     const caller_call &call = message.call;
@@ -363,6 +345,15 @@
         put(out, "kind", static_cast<int>(call.kind));
         put(out, "queue", call.queue);
         put(out, "job", call.job);
+        if (!call.team.empty()) {
+            put(out, "team", call.team);
+        }
+        if (!call.key.empty()) {
+            put(out, "key", call.key);
+        }
+        if (call.configVersion != 0) {
+            put(out, "config", call.configVersion);
+        }
         if (call.kind == call_kind::submit) {
             out.Key("spec");
             out.StartObject();
@@ -384,6 +375,9 @@
     call.kind = static_cast<call_kind>(integerField(document, "kind"));
     call.queue = textField(document, "queue");
     call.job = textField(document, "job");
+    call.team = textField(document, "team");
+    call.key = textField(document, "key");
+    call.configVersion = integerField(document, "config");
     const auto *spec = findField(document, "spec");
     if (spec == nullptr) {
         return call.kind == call_kind::submit ? std::nullopt : std::optional(message);
--- a/src/entry/rows.h
+++ b/src/entry/rows.h
@@ -63,11 +63,16 @@
     cell::job_phase phase = cell::job_phase::completed;
     /// Wall-clock time, microseconds since 1970.
     std::int64_t endedWall = 0;
+    /// As `job_spec::team`.
+    std::string team;
 };
 
 std::string encodeEnded(const ended_row &row);
 std::optional<ended_row> decodeEnded(const std::string &value);
 
+/// Returns the team in the row of an accepted or ended job; empty if the job has none.
+std::string decodeJobTeam(const std::string &value);
+
 // Messages between entries.
 
 /// A caller's call, forwarded from one entry to another.
@@ -113,6 +118,8 @@
     member sender;
     std::vector<member> members;
     std::vector<std::pair<std::string, std::int64_t>> pending;
+    /// Version of the scheduler's configuration; 0 if it requires no keys.
+    std::int64_t configVersion = 0;
 };
 
 std::string encodeHeartbeat(const heartbeat_message &heartbeat);
@@ -133,6 +140,30 @@
     std::int64_t headVersion = 0;
 };
 
+/// An entry's question whether its configuration is the newest.
+struct confirm_query
+{
+    std::string sender;
+    std::int64_t version = 0;
+};
+
+std::string encodeConfirmQuery(const confirm_query &query);
+std::optional<confirm_query> decodeConfirmQuery(const std::string &text);
+
+/// The answer: the version of the peer's configuration, and the row if it is newer than that of the
+/// query.
+struct confirm_reply
+{
+    std::int64_t version = 0;
+    /// Time since the peer's configuration was the newest in the store, microseconds; -1: never.
+    microseconds age = -1;
+    std::string row;
+    std::int64_t rowVersion = 0;
+};
+
+std::string encodeConfirmReply(const confirm_reply &reply);
+std::optional<confirm_reply> decodeConfirmReply(const std::string &text);
+
 std::string encodeMemberStatus(const member_status &memberStatus);
 std::optional<member_status> decodeMemberStatus(const std::string &text);
 
--- a/src/entry/watches.cpp
+++ b/src/entry/watches.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include "entry/authentication/admission.h"
+#include "entry/authentication/confirmation_exchange.h"
 #include "entry/entry.h"
 
 namespace bramleygrade::entry {
@@ -29,49 +31,45 @@
     entry.storeReachable = reachable;
 }
 
-void applyConfig(entry_state &entry, const std::vector<stored_row> &rows)
+constexpr microseconds configRefreshInterval = 200 * millisecond;
+
+/// Applies what a read or long poll that began at `beganAt` has returned. `rowVersion`: version of
+/// the configuration row in the reads before it, 0 if they showed none; it is brought up to date.
+void applyConfigResult(entry_state &entry, timestamp beganAt, const store_result &result,
+                       std::int64_t &rowVersion)
 {
-    for (const stored_row &row : rows) {
-        if (row.key != entry.ports.codec.configKey || row.removed) {
-            continue;
-        }
-        cell::cell_config config;
-        if (!entry.ports.codec.decodeConfig(row, config)) {
-            logEvent(entry, "config_unreadable", {{"row", std::to_string(row.version)}});
-            continue;
-        }
-        if (config.version <= entry.config.version) {
-            continue;
-        }
-        logEvent(entry, "config_adopted",
-                 {{"version", std::to_string(config.version)},
-                  {"before", std::to_string(entry.config.version)},
-                  {"queues", std::to_string(config.queues.size())}});
-        entry.config = std::move(config);
-        if (entry.leaderState) {
-            cell::changeConfig(entry.leaderState->cell, entry.config);
-            requestDecision(entry);
+    entry.configReadAt = steadyNow();
+    for (const stored_row &row : result.rows) {
+        if (row.key == entry.ports.codec.configKey) {
+            rowVersion = row.removed ? 0 : row.version;
+            if (!row.removed) {
+                applyConfigRow(entry, row);
+            }
         }
     }
+    if (!result.hasMore) {
+        confirmFromStore(entry, beganAt, rowVersion);
+    }
 }
 
 void readConfig(entry_state &entry)
 {
     const std::string key = entry.ports.codec.configKey;
-    entry.ports.store.read({entry.ports.codec.configTable, key, key + "!", false},
-                           steadyNow() + readTimeout, [&entry](const store_result &result) {
-                               const bool done = result.outcome == store_outcome::done;
-                               setStoreReachable(entry, done);
-                               if (done) {
-                                   entry.configWatchVersion = result.version;
-                                   entry.configReadAt = steadyNow();
-                                   applyConfig(entry, result.rows);
-                                   watchConfig(entry);
-                               } else {
-                                   runAfter(entry, watchRetryDelay,
-                                            [&entry] { readConfig(entry); });
-                               }
-                           });
+    const timestamp beganAt = steadyNow();
+    entry.ports.store.read(
+        {entry.ports.codec.configTable, key, key + "!", false}, beganAt + readTimeout,
+        [&entry, beganAt](const store_result &result) {
+            const bool done = result.outcome == store_outcome::done;
+            setStoreReachable(entry, done);
+            if (done) {
+                entry.configWatchVersion = result.version;
+                entry.configFeedVersion = 0;
+                applyConfigResult(entry, beganAt, result, entry.configFeedVersion);
+                watchConfig(entry);
+            } else {
+                runAfter(entry, watchRetryDelay, [&entry] { readConfig(entry); });
+            }
+        });
 }
 
 std::string formatResources(const cell::resources &amounts)
@@ -307,9 +305,13 @@
         readConfig(entry);
         return;
     }
+    const microseconds duration = entry.config.requiresKeys
+        ? pollDuration(watchDuration, entry.settings.revocationLimit)
+        : watchDuration;
+    const timestamp beganAt = steadyNow();
     entry.ports.store.watch(
-        entry.ports.codec.configTable, entry.configWatchVersion, watchDuration,
-        steadyNow() + watchDuration + watchTimeoutMargin, [&entry](const store_result &result) {
+        entry.ports.codec.configTable, entry.configWatchVersion, duration,
+        beganAt + duration + watchTimeoutMargin, [&entry, beganAt](const store_result &result) {
             if (result.outcome != store_outcome::done) {
                 // Changes may have been missed, so the whole configuration is read again.
                 entry.configWatchVersion = 0;
@@ -318,12 +320,52 @@
             }
             setStoreReachable(entry, true);
             entry.configWatchVersion = std::max(entry.configWatchVersion, result.version);
-            entry.configReadAt = steadyNow();
-            applyConfig(entry, result.rows);
+            applyConfigResult(entry, beganAt, result, entry.configFeedVersion);
             watchConfig(entry);
         });
 }
 
+void applyConfigRow(entry_state &entry, const stored_row &row)
+{
+    cell::cell_config config;
+    if (!entry.ports.codec.decodeConfig(row, config)) {
+        logEvent(entry, "config_unreadable", {{"row", std::to_string(row.version)}});
+        return;
+    }
+    if (config.version <= entry.config.version) {
+        return;
+    }
+    logEvent(entry, "config_adopted",
+             {{"version", std::to_string(config.version)},
+              {"before", std::to_string(entry.config.version)},
+              {"queues", std::to_string(config.queues.size())}});
+    entry.config = std::move(config);
+    if (entry.leaderState) {
+        cell::changeConfig(entry.leaderState->cell, entry.config);
+        requestDecision(entry);
+    }
+    onConfigAdopted(entry, row);
+}
+
+void refreshConfig(entry_state &entry)
+{
+    const timestamp now = steadyNow();
+    if (entry.isRefreshingConfig || now < entry.nextConfigRefreshAt) {
+        return;
+    }
+    entry.isRefreshingConfig = true;
+    entry.nextConfigRefreshAt = now + configRefreshInterval;
+    const std::string key = entry.ports.codec.configKey;
+    entry.ports.store.read({entry.ports.codec.configTable, key, key + "!", false},
+                           now + readTimeout, [&entry, now](const store_result &result) {
+                               entry.isRefreshingConfig = false;
+                               if (result.outcome == store_outcome::done) {
+                                   std::int64_t rowVersion = 0;
+                                   applyConfigResult(entry, now, result, rowVersion);
+                               }
+                           });
+}
+
 void watchWorkers(entry_state &entry, std::int64_t epoch)
 {
     readWorkers(entry, epoch, "", std::make_shared<registry_read>());
--- a/src/entry/writes.cpp
+++ b/src/entry/writes.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 
+#include "entry/authentication/admission.h"
 #include "entry/entry.h"
 
 namespace bramleygrade::entry {
@@ -64,7 +65,7 @@
 void addEndRows(leader_state &leaderState, const cell::job_state &job, table_write &write)
 {
     const std::string &id = job.spec.id;
-    const std::string value = encodeEnded({*job.finalPhase, wallNow()});
+    const std::string value = encodeEnded({*job.finalPhase, wallNow(), job.spec.team});
     if (endsInPlace(leaderState, job)) {
         write.puts.push_back({jobTable, id, value, 0, false});
         leaderState.endedInPlace.push_back(id);
@@ -131,7 +132,8 @@
     leaderState.writeStartedAt = steadyNow();
 }
 
-void answerStoredWaiters(entry_state &entry, const std::vector<std::string> &ids)
+void answerStoredWaiters(entry_state &entry, const std::vector<std::string> &ids,
+                         answer_kind kind = answer_kind::accepted)
 {
     leader_state &leaderState = *entry.leaderState;
     for (const std::string &id : ids) {
@@ -145,7 +147,7 @@
                 continue;
             }
             caller_answer answer;
-            answer.kind = answer_kind::accepted;
+            answer.kind = kind;
             waiter->second.answer(answer);
             waiter = leaderState.waiters.erase(waiter);
         }
@@ -188,7 +190,8 @@
 }
 
 /// Withdraws the submitted jobs that have already ended under an earlier scheduler, and answers
-/// their callers that the job is accepted. The rest of the write is built again.
+/// their callers that the job is accepted, or that it is another team's. The rest of the write is
+/// built again.
 void dropEndedJobs(entry_state &entry, const std::vector<stored_row> &rows)
 {
     leader_state &leaderState = *entry.leaderState;
@@ -196,11 +199,15 @@
     leaderState.membersChanged = true;
     leaderState.write.reset();
     for (const stored_row &row : rows) {
+        const cell::job_state *job = cell::findJob(leaderState.cell, row.key);
+        const std::string team = job == nullptr ? "" : job->spec.team;
         if (row.table == endedTable && row.version != 0
             && cell::withdrawJob(leaderState.cell, row.key)) {
             leaderState.acceptedWall.erase(row.key);
             logEvent(entry, "job_ended_before", {{"job", row.key}});
-            answerStoredWaiters(entry, {row.key});
+            const bool isOwnJob = mayUseJob(currentKeys(entry), decodeJobTeam(row.value), team);
+            answerStoredWaiters(entry, {row.key},
+                                isOwnJob ? answer_kind::accepted : answer_kind::forbidden);
         }
     }
 }
