Tests of keys with several entries and at one entry

Cause: nothing showed that a revoked key ends at an entry that cannot read the configuration. Change: cell_admission (one entry, fakes) and cell_keys_cluster (entries in real time, a configuration store with faults).

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -70,7 +70,7 @@
 
 
 # Unit tests of the cell scheduler and its formats, and randomised histories in virtual time.
-foreach(unit advice_dispatch caller_keys changing_capacity claim_order entry handover membership observation placement_round
+foreach(unit admission advice_dispatch caller_keys changing_capacity claim_order entry handover membership observation placement_round
              run_times scheduler storing rows takeover waiting_jobs watches writes)
     add_executable(cell_${unit}_test test/cell/${unit}_test.cpp)
     target_include_directories(cell_${unit}_test PRIVATE ${CMAKE_SOURCE_DIR} ${CMAKE_SOURCE_DIR}/test/cell)
@@ -181,3 +181,10 @@
 add_test(NAME cell_histories_of_crashing_tasks COMMAND cell_histories 101 100 deadly)
 set_tests_properties(cell_histories_of_crashing_tasks PROPERTIES COST 500)
 add_test(NAME budget_count_lost_at_takeovers COMMAND cell_histories 70 1 deadly)
+
+# Several entries, one of them cut off from the configuration in one way or another, in real time.
+add_executable(cell_keys_cluster_test test/cell/keys_cluster_test.cpp testing/cell/memory_table.cpp)
+target_include_directories(cell_keys_cluster_test PRIVATE ${CMAKE_SOURCE_DIR} ${CMAKE_SOURCE_DIR}/test/cell)
+target_link_libraries(cell_keys_cluster_test PRIVATE bramleygrade_platform Boost::headers)
+add_test(NAME cell_keys_cluster COMMAND cell_keys_cluster_test)
+set_tests_properties(cell_keys_cluster PROPERTIES RUN_SERIAL TRUE COST 1)
--- a/test/cell/cluster_fixture.h
+++ b/test/cell/cluster_fixture.h
@@ -216,6 +216,7 @@
             + std::to_string(firstPort + (getpid() % processes) * portsPerProcess + used++);
     }
 
+protected:
     boost::asio::io_context clientLoop;
     net::http_client client {clientLoop, entry::steadyNow};
 };
