A scheduler that was paused verifies its leadership before it sends orders

Cause: a scheduler that had been frozen for 0.6 s counted as confirmed, as it had asked within the last 2.5 s. Its successor had claimed meanwhile. It gave starts to workers that had just restarted under their ids and so had seen no fencing token of the successor: two runs of one task.

Change: after a pause of the event loop of more than 300 ms no order is sent until a write built since, or replies of all members to heartbeats sent since, show that there is no successor. Every order is checked right before it is sent. Orders built before the pause are held; a long decision of a busy scheduler would otherwise lose its orders each time. The HTTP client no longer writes a request after its deadline, as it did when the process was paused while it connected.

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -108,6 +108,15 @@
 add_test(NAME twice_workers_restart_around_a_takeover COMMAND cell_restarted_workers_cluster_test)
 set_tests_properties(twice_workers_restart_around_a_takeover PROPERTIES RUN_SERIAL TRUE COST 1)
 
+# A scheduler that was paused and may have been replaced meanwhile.
+add_executable(cell_confirmation_test test/cell/confirmation_test.cpp)
+target_link_libraries(cell_confirmation_test PRIVATE bramleygrade_entry Boost::headers)
+foreach(failure twice_orders_of_a_scheduler_that_was_paused
+                twice_answers_to_questions_from_before_a_pause
+                twice_verification_by_some_members_only lost_verification_beside_silent_members)
+    add_test(NAME ${failure} COMMAND cell_confirmation_test --run_test=${failure})
+endforeach()
+
 # Calls that one entry forwards to the scheduler; each failure is a test of its own.
 add_executable(cell_forwarding_test test/cell/forwarding_test.cpp testing/cell/memory_table.cpp)
 target_include_directories(cell_forwarding_test PRIVATE ${CMAKE_SOURCE_DIR}
@@ -125,7 +134,9 @@
 
 add_executable(platform_worker_calls_test platform/test/worker_calls_test.cpp)
 target_link_libraries(platform_worker_calls_test PRIVATE bramleygrade_platform Boost::headers)
-add_test(NAME platform_worker_calls COMMAND platform_worker_calls_test)
+add_test(NAME platform_worker_calls COMMAND platform_worker_calls_test "--run_test=!twice_start_*")
+add_test(NAME twice_start_sent_after_a_pause
+         COMMAND platform_worker_calls_test --run_test=twice_start_sent_after_a_pause)
 
 add_executable(cell_histories testing/cell/cell_history.cpp testing/cell/histories_main.cpp
                               testing/cell/crashing_tasks.cpp testing/cell/history_events.cpp
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -120,7 +120,19 @@
     /// When the newest store write or heartbeat that confirmed the leadership was sent. The time of
     /// its answer proves nothing, as the answer may have waited while the process was paused.
     timestamp confirmedAt = distantPast;
-    /// Leadership has been unconfirmed for too long; no decisions are made.
+    /// When the event loop was last seen running, and when it ran again after its newest pause in
+    /// which another entry may have taken over.
+    timestamp runningAt = distantPast;
+    timestamp resumedAt = distantPast;
+    /// When a message was sent that proved that there was no successor: a write, or heartbeats
+    /// to all members. No order leaves while this is before `resumedAt`.
+    timestamp verifiedAt = distantPast;
+    /// Members that have not replied to a heartbeat sent since `resumedAt`, and whether any has.
+    std::set<std::string> unverifiedMembers;
+    bool isVerifiedByMember = false;
+    /// Orders that wait for the verification; each is sent by a call.
+    std::vector<std::function<void()>> heldOrders;
+    /// Leadership has been unconfirmed for too long or is to be verified; no decisions are made.
     bool suspended = false;
     timestamp nextHeartbeatAt = distantPast;
     timestamp nextMemberListAt = distantPast;
@@ -315,13 +327,34 @@
 /// Loads the rows and starts to act as the scheduler of `entry.epoch`. `headVersion`: version of
 /// the head row written by the claim, which was sent at `claimedAt`.
 void startLeading(entry_state &entry, std::int64_t headVersion, timestamp claimedAt);
-/// Records that an answer to a message sent at `askedAt` showed no other scheduler.
-void confirmLeadership(leader_state &leaderState, timestamp askedAt);
 /// Runs a decision on the event loop as soon as the spacing of decisions allows.
 void requestDecision(entry_state &entry);
 void runOrders(entry_state &entry, const cell::orders &orders);
 void tickLeader(entry_state &entry, timestamp now);
 
+// confirmation.cpp
+/// Reply of a member to a heartbeat. One that is claiming may have taken over a moment later.
+enum class member_reply { none, claiming, follows };
+
+/// Begins to lead after a claim that was sent at `claimedAt`.
+void beginConfirmation(entry_state &entry, timestamp claimedAt);
+/// Records a write that was built at `startedAt` and has taken effect.
+void confirmByWrite(entry_state &entry, timestamp startedAt);
+/// Records the reply to a heartbeat sent at `askedAt`, which showed no other scheduler.
+void confirmByMember(entry_state &entry, const std::string &name, timestamp askedAt,
+                     member_reply reply);
+/// Records that the event loop of the scheduler runs. After a pause the leadership is verified, and
+/// orders are held back until it is.
+void recordRunning(entry_state &entry, timestamp now);
+/// Whether the leadership is to be verified, as the process was paused.
+bool needsVerification(const entry_state &entry);
+/// Keeps an order for later if the leadership is to be verified. Returns false if the order may be
+/// sent now. Call it right before sending, as the process may be paused at any time.
+bool holdOrder(entry_state &entry, timestamp now, std::function<void()> send);
+/// Passes the time of the last confirmation to the scheduler, and suspends it if that is too old or
+/// the leadership is to be verified.
+void updateConfirmation(entry_state &entry, timestamp now);
+
 // writes.cpp
 /// Returns true if the write under way takes so long that the store must be down or slow.
 bool isStoreSlow(const leader_state &leaderState, timestamp now);
--- a/src/entry/leader.cpp
+++ b/src/entry/leader.cpp
@@ -18,8 +18,6 @@
 constexpr microseconds shortDecisionLimit = 500;
 constexpr microseconds decisionPauseFactor = 2;
 constexpr microseconds loadRetryDelay = 100 * millisecond;
-/// A scheduler whose leadership is unconfirmed for this long stops giving orders.
-constexpr microseconds confirmationTimeout = 2'500 * millisecond;
 /// Entries hear of a takeover by the successor's first heartbeat or one of its repetitions. Until
 /// then they may confirm the predecessor.
 constexpr microseconds takeoverNoticeTime = 500 * millisecond;
@@ -161,6 +159,9 @@
 void sendStart(entry_state &entry, const cell::start_order &order)
 {
     const timestamp sentAt = steadyNow();
+    if (holdOrder(entry, sentAt, [&entry, order] { sendStart(entry, order); })) {
+        return;
+    }
     logEvent(entry, "start_ordered",
              {{"job", order.task.job},
               {"task", formatTask(order.task)},
@@ -187,6 +188,9 @@
 void sendStop(entry_state &entry, const cell::stop_order &order)
 {
     const timestamp sentAt = steadyNow();
+    if (holdOrder(entry, sentAt, [&entry, order] { sendStop(entry, order); })) {
+        return;
+    }
     logEvent(entry, "stop_ordered",
              {{"job", order.task.job}, {"task", formatTask(order.task)}, {"worker", order.worker}});
     entry.ports.workers.stop(addressOf(entry, order.worker), order, sentAt + orderTimeout,
@@ -201,6 +205,9 @@
 void requestReport(entry_state &entry, const cell::poll_order &order)
 {
     const timestamp sentAt = steadyNow();
+    if (holdOrder(entry, sentAt, [&entry, order] { requestReport(entry, order); })) {
+        return;
+    }
     ++entry.metrics.counters["looks_total"];
     entry.ports.workers.poll(
         addressOf(entry, order.worker), order, sentAt + order.wait + reportTimeoutMargin,
@@ -240,32 +247,14 @@
     });
 }
 
-/// Passes the time of the last confirmation to the scheduler, and suspends it if that is too old.
-void updateConfirmation(entry_state &entry, timestamp now)
-{
-    leader_state &leaderState = *entry.leaderState;
-    const bool alone = entry.members.size() < 2;
-    leaderState.cell.confirmedAt = alone ? distantFuture : leaderState.confirmedAt;
-    const bool suspended = !alone && now > leaderState.confirmedAt + confirmationTimeout;
-    if (suspended == leaderState.suspended) {
-        return;
-    }
-    leaderState.suspended = suspended;
-    logEvent(entry, suspended ? "scheduler_suspended" : "scheduler_resumed",
-             {{"epoch", std::to_string(entry.epoch)},
-              {"confirmed_ms_ago", std::to_string((now - leaderState.confirmedAt) / millisecond)}});
-    if (!suspended) {
-        requestDecision(entry);
-    }
-}
-
 void decideNow(entry_state &entry)
 {
     const timestamp now = steadyNow();
     net::setDuty(&entry.meter, net::duty::decide);
     entry.leaderState->isDecisionPosted = false;
     entry.leaderState->decideWakeAt = distantFuture;
-    updateConfirmation(entry, now); // a process resumed after a pause must not act on stale state
+    recordRunning(entry, now);
+    updateConfirmation(entry, now);
     if (entry.leaderState->suspended) {
         return;
     }
@@ -303,11 +292,6 @@
 
 } // namespace
 
-void confirmLeadership(leader_state &leaderState, timestamp askedAt)
-{
-    leaderState.confirmedAt = std::max(leaderState.confirmedAt, askedAt);
-}
-
 void startLeading(entry_state &entry, std::int64_t headVersion, timestamp claimedAt)
 {
     entry.role = entry_role::loading;
@@ -324,7 +308,8 @@
     cell::beginEpoch(leaderState.cell, entry.epoch, now);
     cell::changeConfig(leaderState.cell, entry.config);
     leaderState.writtenAt = now;
-    confirmLeadership(leaderState, claimedAt);
+    beginConfirmation(entry, claimedAt);
+    recordRunning(entry, now);
     entry.scheduler = self(entry);
     entry.schedulerSeenAt = now;
     ++entry.metrics.counters["takeovers_total"];
@@ -387,6 +372,7 @@
     if (!entry.leaderState) {
         return;
     }
+    recordRunning(entry, now);
     if (now >= entry.leaderState->nextHeartbeatAt) {
         const net::duty_scope scope(&entry.meter, net::duty::peer_message);
         sendHeartbeats(entry, now);
--- a/src/entry/peers.cpp
+++ b/src/entry/peers.cpp
@@ -142,6 +142,7 @@
                     entry.leaderState->membersChanged = true;
                     logEvent(entry, "member_forgotten", {{"member", name}});
                 }
+                confirmByMember(entry, name, sentAt, member_reply::none);
                 return;
             }
             if (missed > 0) {
@@ -151,7 +152,9 @@
             if (memberStatus->epoch > epoch) {
                 recordScheduler(entry, memberStatus->epoch, {}, steadyNow());
             } else {
-                confirmLeadership(*entry.leaderState, sentAt);
+                confirmByMember(entry, name, sentAt,
+                                memberStatus->isClaiming ? member_reply::claiming
+                                                         : member_reply::follows);
             }
         });
 }
--- a/src/entry/writes.cpp
+++ b/src/entry/writes.cpp
@@ -173,7 +173,7 @@
     leaderState.sequence = leaderState.writeSequence;
     leaderState.write.reset();
     leaderState.writtenAt = now;
-    confirmLeadership(leaderState, leaderState.writeStartedAt);
+    confirmByWrite(entry, leaderState.writeStartedAt);
     leaderState.nextWriteAt = now + writeInterval;
     cell::onWritten(leaderState.cell, now);
     for (const std::string &id : leaderState.endedInPlace) {
@@ -270,10 +270,11 @@
     }
 }
 
-bool isWriteDue(const leader_state &leaderState, timestamp now)
+bool isWriteDue(const entry_state &entry, timestamp now)
 {
-    if (leaderState.write) {
-        return true; // to be retried
+    const leader_state &leaderState = *entry.leaderState;
+    if (leaderState.write || needsVerification(entry)) {
+        return true; // to be retried, or to verify the leadership
     }
     if (leaderState.membersChanged && now > leaderState.writtenAt + maxBackgroundWriteDelay) {
         return true;
@@ -316,7 +317,7 @@
     const timestamp now = steadyNow();
     const microseconds hedgeDelay = std::max(minHedgeDelay, 2 * leaderState.averageWriteTime);
     const bool isOverdue = leaderState.writeInFlight && now > leaderState.attemptedAt + hedgeDelay;
-    if ((leaderState.writeInFlight && !isOverdue) || !isWriteDue(leaderState, now)) {
+    if ((leaderState.writeInFlight && !isOverdue) || !isWriteDue(entry, now)) {
         return;
     }
     leaderState.writeMayHaveCommitted = leaderState.writeMayHaveCommitted || isOverdue;
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -155,6 +155,12 @@
 
     void write()
     {
+        // The process may have been paused while the connection was being established. The timer
+        // may not have run yet.
+        if (client->now() >= call.deadline) {
+            finish({sent ? call_outcome::unanswered : call_outcome::not_sent, 0, ""});
+            return;
+        }
         sent = true;
         http::async_write(conn->socket, message,
                           [self = shared_from_this()](error_code error, std::size_t) {
