Acknowledgements use only connections that lead to the process that listed the ends

Cause: a poll with an acknowledgement was sent on any open connection. A start may have opened it to a worker that had restarted, before the scheduler knew; the new life then discarded ends that nobody had read, and tasks ran again after they were done.

Change: such a poll uses only connections that were opened before the newest answered poll was written. They lead to the process that has answered or are closed. The simulated workers of the cluster test delivered these polls to any process, also where no connection could exist; they refuse them now.

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -134,9 +134,11 @@
 
 add_executable(platform_worker_calls_test platform/test/worker_calls_test.cpp)
 target_link_libraries(platform_worker_calls_test PRIVATE bramleygrade_platform Boost::headers)
-add_test(NAME platform_worker_calls COMMAND platform_worker_calls_test "--run_test=!twice_start_*")
-add_test(NAME twice_start_sent_after_a_pause
-         COMMAND platform_worker_calls_test --run_test=twice_start_sent_after_a_pause)
+add_test(NAME platform_worker_calls COMMAND platform_worker_calls_test)
+foreach(failure twice_acknowledgement_on_another_connection twice_start_sent_after_a_pause
+                twice_acknowledgement_on_the_connection_of_a_start)
+    add_test(NAME ${failure} COMMAND platform_worker_calls_test --run_test=${failure})
+endforeach()
 
 add_executable(cell_histories testing/cell/cell_history.cpp testing/cell/histories_main.cpp
                               testing/cell/crashing_tasks.cpp testing/cell/history_events.cpp
--- a/src/cell/scheduler.h
+++ b/src/cell/scheduler.h
@@ -59,6 +59,9 @@
     std::string worker;
     std::int64_t fencingToken = 0;
     std::int64_t acknowledgedEnd = 0;
+    /// The acknowledgement is sent only on a connection opened until this local time. One opened
+    /// later may lead to a process that has not listed the ends.
+    timestamp connectedBefore = distantFuture;
     /// End of the lease on the worker's clock, microseconds; 0: the lease is not renewed, as the
     /// clock is not known yet or the worker does not answer.
     std::int64_t leaseUntil = 0;
--- a/src/cell/scheduler_decide.cpp
+++ b/src/cell/scheduler_decide.cpp
@@ -38,6 +38,7 @@
     poll.worker = worker.entry.id;
     poll.fencingToken = fencingToken(cell, worker);
     poll.acknowledgedEnd = nextAcknowledgement(worker.life);
+    poll.connectedBefore = poll.acknowledgedEnd == 0 ? distantFuture : worker.life.askedAt;
     poll.fence = fence;
     poll.life = worker.life.number;
     // Leases are not renewed while polls go unanswered, so that they expire and the runs can be
--- a/src/cell/types.h
+++ b/src/cell/types.h
@@ -254,6 +254,9 @@
     std::int64_t workerClock = 0;
     std::vector<reported_run> running;
     std::vector<reported_end> ended;
+    /// Local time at which the request was written that this report answers; `distantPast` if it is
+    /// not known.
+    timestamp askedAt = distantPast;
 };
 
 enum class job_phase { queued, running, completed, failed, cancelled };
--- a/src/cell/workers/scheduler_workers.cpp
+++ b/src/cell/workers/scheduler_workers.cpp
@@ -288,6 +288,7 @@
     (order.fence ? worker.life.fenceInFlight : worker.life.pollInFlight) = false;
     worker.life.unansweredPolls = 0;
     worker.life.connectionRefused = false;
+    worker.life.askedAt = std::max({worker.life.askedAt, sentAt, report.askedAt});
     recordAnswer(cell, worker, sentAt, now, out);
     worker.life.clock = report.workerClock;
     worker.life.clockReadAt = now;
--- a/src/cell/workers/worker_state.h
+++ b/src/cell/workers/worker_state.h
@@ -4,8 +4,8 @@
 #include <set>
 
 #include "cell/jobs/job_state.h"
-#include "cell/workers/run_times.h"
 #include "cell/types.h"
+#include "cell/workers/run_times.h"
 
 namespace bramleygrade::cell {
 
@@ -55,6 +55,9 @@
     /// The newest poll could not connect to the worker.
     bool connectionRefused = false;
     timestamp answeredAt = distantPast;
+    /// When the newest answered poll was written. A connection opened until then leads to this life
+    /// or is closed.
+    timestamp askedAt = distantPast;
 
     /// The process has ended without leaving, and its crash is counted.
     bool crashed = false;
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -1,5 +1,7 @@
 #include "net/http_client.h"
 
+#include <algorithm>
+#include <iterator>
 #include <map>
 #include <optional>
 
@@ -47,6 +49,7 @@
     }
     tcp::socket socket;
     boost::beast::flat_buffer buffer;
+    timestamp openedAt = distantPast;
     /// When the newest response was read.
     timestamp usedAt = distantPast;
 };
@@ -88,9 +91,12 @@
             && idleConnections.back()->usedAt < call.reuseConnectionsSince) {
             idleConnections.clear();
         }
-        if (!idleConnections.empty()) {
-            conn = idleConnections.back();
-            idleConnections.pop_back();
+        const auto usable =
+            std::find_if(idleConnections.rbegin(), idleConnections.rend(),
+                         [&](const auto &idle) { return idle->openedAt <= call.connectedBefore; });
+        if (usable != idleConnections.rend()) {
+            conn = *usable;
+            idleConnections.erase(std::next(usable).base());
             reused = true;
             write();
             return;
@@ -147,6 +153,7 @@
                 self->finish({call_outcome::not_sent, 0, ""});
                 return;
             }
+            self->conn->openedAt = self->client->now();
             error_code ignored;
             self->conn->socket.set_option(tcp::no_delay(true), ignored);
             self->write();
@@ -157,7 +164,8 @@
     {
         // The process may have been paused while the connection was being established. The timer
         // may not have run yet.
-        if (client->now() >= call.deadline) {
+        writtenAt = client->now();
+        if (writtenAt >= call.deadline) {
             finish({sent ? call_outcome::unanswered : call_outcome::not_sent, 0, ""});
             return;
         }
@@ -208,7 +216,7 @@
             client->meter->of(callDuty).bytesReceived += response.body().size();
         }
         call_result result {call_outcome::answered, static_cast<int>(response.result_int()),
-                            std::move(response.body())};
+                            std::move(response.body()), writtenAt};
         conn.reset();
         finish(std::move(result));
     }
@@ -236,6 +244,7 @@
     http::request<http::string_body> message;
     std::optional<http::response_parser<http::string_body>> parser;
     duty callDuty = duty::other;
+    timestamp writtenAt = distantPast;
     bool reused = false;
     bool sent = false;
     bool finished = false;
--- a/src/net/http_message.h
+++ b/src/net/http_message.h
@@ -44,6 +44,8 @@
     bool idempotent = false;
     /// Idle connections last used before this time are not reused.
     timestamp reuseConnectionsSince = distantPast;
+    /// Idle connections opened after this time are not reused; they may lead to another process.
+    timestamp connectedBefore = distantFuture;
     /// Whether the request may be sent on a new connection, which another process of the peer may
     /// accept; otherwise it is not sent if no connection is idle.
     bool mayConnect = true;
@@ -60,6 +62,8 @@
     call_outcome outcome = call_outcome::unanswered;
     int status = 0;
     std::string body;
+    /// When the writing of the request began, on the connection that has carried the answer.
+    timestamp writtenAt = distantPast;
 };
 
 /// Returns the value of the header, or an empty text; the case of `name` does not matter.
--- a/test/cell/loaded_cluster.h
+++ b/test/cell/loaded_cluster.h
@@ -235,6 +235,11 @@
                                            const poll_completion &done) {
             ++counts.workerCalls;
             const timestamp now = entry::steadyNow();
+            // The process has no connections from before its start.
+            if (order.connectedBefore < workers.at(address).clockZero) {
+                boost::asio::post(loop, [done] { done(cell::order_outcome::not_sent, {}); });
+                return;
+            }
             heldPolls[address].push_back({&loop, order, now + order.wait, done});
             answerPolls(address, now);
         };
