Caps of teams: no start takes a team past its cap

Nothing limited what the jobs of one team could use on all workers together.

The scheduler keeps running totals by team, changed wherever a run is added to or released from a worker. A placement round starts at most what the cap has room for; a gang all or nothing. Workers that have not reported since a takeover, have unexpected runs, or are in a new life that was not fenced count as a whole for every capped team. Steps at the cap hold no capacity, ask for no advice and preempt nothing (wait reason team_cap). A gang that is next in its team's order keeps the room. Jobs that can never fit are refused at submission. Metrics show the 24 largest teams and other.

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -71,7 +71,7 @@
 
 # Unit tests of the cell scheduler and its formats, and randomised histories in virtual time.
 foreach(unit advice_dispatch changing_capacity claim_order entry handover membership observation placement_round
-             run_times scheduler storing rows takeover waiting_jobs watches writes)
+             run_times scheduler storing rows takeover team_caps team_takeover waiting_jobs watches writes)
     add_executable(cell_${unit}_test test/cell/${unit}_test.cpp)
     target_include_directories(cell_${unit}_test PRIVATE ${CMAKE_SOURCE_DIR} ${CMAKE_SOURCE_DIR}/test/cell)
     target_link_libraries(cell_${unit}_test PRIVATE bramleygrade_platform Boost::headers)
@@ -129,6 +129,7 @@
 
 add_executable(cell_histories testing/cell/cell_history.cpp testing/cell/histories_main.cpp
                               testing/cell/crashing_tasks.cpp testing/cell/history_events.cpp
+                              testing/cell/history_teams.cpp
                               testing/cell/history_workers.cpp testing/cell/simulated_worker.cpp)
 target_include_directories(cell_histories PRIVATE ${CMAKE_SOURCE_DIR})
 target_link_libraries(cell_histories PRIVATE bramleygrade_entry)
@@ -151,6 +152,8 @@
 set_tests_properties(cell_histories_of_takeovers PROPERTIES COST 500)
 add_test(NAME cell_histories_of_capacity_changes COMMAND cell_histories 1 200 capacity)
 set_tests_properties(cell_histories_of_capacity_changes PROPERTIES COST 500)
+add_test(NAME cell_histories_of_teams COMMAND cell_histories 1 500 teams)
+set_tests_properties(cell_histories_of_teams PROPERTIES COST 500)
 add_test(NAME cell_histories_of_crashes_at_takeovers COMMAND cell_histories 1 1 takeovers crashes)
 
 add_executable(cell_advice_clients_test test/cell/advice_clients_test.cpp)
--- a/src/cell/advice/advice.cpp
+++ b/src/cell/advice/advice.cpp
@@ -2,6 +2,7 @@
 #include <limits>
 
 #include "cell/placement/placement.h"
+#include "cell/teams/capped_placement.h"
 
 namespace bramleygrade::cell {
 
@@ -203,8 +204,8 @@
     }
     step_state &step =
         job->occurrences.at(order.step.occurrence).steps[static_cast<std::size_t>(order.step.step)];
-    const auto waiting = makeWaitingStep(*job, order.step.occurrence, order.step.step, now);
-    if (!waiting) {
+    auto waiting = makeWaitingStep(*job, order.step.occurrence, order.step.step, now);
+    if (!waiting || !fitsCap(cell, *waiting)) {
         step.advicePending = false;
         return false;
     }
--- a/src/cell/ends/scheduler_ends.cpp
+++ b/src/cell/ends/scheduler_ends.cpp
@@ -241,6 +241,9 @@
 void eraseExpiredJobs(scheduler &cell, timestamp now)
 {
     while (!cell.jobExpiries.empty() && cell.jobExpiries.begin()->first <= now) {
+        if (const job_state *job = findJob(cell, cell.jobExpiries.begin()->second)) {
+            removeTeamRuns(cell, *job);
+        }
         cell.jobs.erase(cell.jobExpiries.begin()->second);
         cell.jobExpiries.erase(cell.jobExpiries.begin());
     }
--- a/src/cell/jobs/job_state.h
+++ b/src/cell/jobs/job_state.h
@@ -4,8 +4,8 @@
 #include <optional>
 #include <set>
 
-#include "cell/workers/run_times.h"
 #include "cell/types.h"
+#include "cell/workers/run_times.h"
 
 namespace bramleygrade::cell {
 
@@ -81,6 +81,9 @@
     /// Time before which the step is not planned again.
     timestamp planNotBefore = distantPast;
     bool advicePending = false;
+    /// In the newest placement round the cap of the job's team kept all waiting tasks from
+    /// starting.
+    bool waitsForTeamCap = false;
     /// The gang was within the budget for held capacity in an earlier placement round.
     bool holdsCapacity = false;
     timestamp adviceNotBefore = distantPast;
--- a/src/cell/jobs/scheduler_jobs.cpp
+++ b/src/cell/jobs/scheduler_jobs.cpp
@@ -30,6 +30,7 @@
         return;
     }
     cell.config = config;
+    applyTeams(cell);
     for (auto &[id, job] : cell.jobs) {
         if (const queue_policy *policy = findQueue(config, job.spec.queue)) {
             job.policy = *policy;
--- a/src/cell/placement/placement_round.cpp
+++ b/src/cell/placement/placement_round.cpp
@@ -3,6 +3,7 @@
 #include "cell/ends/crashes.h"
 #include "cell/placement/placement.h"
 #include "cell/scheduler.h"
+#include "cell/teams/capped_placement.h"
 
 namespace bramleygrade::cell {
 
@@ -142,6 +143,7 @@
     waiting.job->startedAny = true;
     recordStart(cell, worker, id, isSuspected(step), now);
     addRun(worker, id, reservedDemand(stepSpec(waiting)));
+    addTeamRun(cell, *waiting.job, waiting.step);
     headroom.free = headroom.free - reservedDemand(stepSpec(waiting));
     ++cell.counters.starts;
     const auto advice = step.advice.find(worker.entry.id);
@@ -369,17 +371,18 @@
         return;
     }
     cell.needsPlacement = false;
-    const std::vector<waiting_step> waiting = collectWaitingSteps(cell, now);
+    std::vector<waiting_step> waiting = collectWaitingSteps(cell, now);
     if (waiting.empty()) {
         return;
     }
+    beginCappedRound(cell, waiting, now);
     headroom_map headrooms = collectHeadroom(cell, now);
     std::map<std::string, std::int64_t> gangBudgets = makeGangBudgets(cell);
     deductReservations(waiting, headrooms, now);
     const headroom_limits limits = maxHeadroomByService(headrooms);
     bool urgentDone = false;
     int plans = 0;
-    for (const waiting_step &step : waiting) {
+    for (waiting_step &step : waiting) {
         if (!urgentDone && !isUrgent(step)) {
             recordHeadroom(headrooms, &worker_state::headroomOfUrgent);
             urgentDone = true;
@@ -391,12 +394,18 @@
             cell.needsPlacement = true;
             break;
         }
+        if (!limitToCap(cell, step)) {
+            continue;
+        }
         const std::size_t startsBefore = out.starts.size();
         std::int64_t &gangBudget = gangBudgets[step.job->policy.service];
         const bool planned = stepSpec(step).gang
             ? placeGang(cell, step, headrooms, gangBudget, now, out)
             : placeIndependent(cell, step, headrooms, now, out);
         plans += planned ? 1 : 0;
+        if (out.starts.size() == startsBefore) {
+            holdCapForGang(cell, step, now);
+        }
         if (planned && cell.isRoundLimited && out.starts.size() == startsBefore
             && !stepSpec(step).gang) {
             stepState(step).planNotBefore = now + fruitlessPlanPause;
--- a/src/cell/placement/waiting_jobs.cpp
+++ b/src/cell/placement/waiting_jobs.cpp
@@ -165,6 +165,9 @@
             });
         return isStopping ? wait_reason::runs_not_ended : wait_reason::order_unanswered;
     }
+    if (cell.teams.hasCaps && step.waitsForTeamCap) {
+        return wait_reason::team_cap;
+    }
     worker_counts counts;
     for (const auto &[id, worker] : cell.workers) {
         if (isEligible(job, spec, worker)) {
@@ -244,6 +247,8 @@
         return "allowed_workers_full";
     case wait_reason::reserved_for_gang:
         return "reserved_for_gang";
+    case wait_reason::team_cap:
+        return "team_cap";
     case wait_reason::no_capacity:
         break;
     }
--- a/src/cell/placement/waiting_jobs.h
+++ b/src/cell/placement/waiting_jobs.h
@@ -27,6 +27,7 @@
     allowed_workers_full,
     reserved_for_gang, ///< the free capacity is reserved for a gang
     no_capacity,
+    team_cap, ///< the cap of the job's team has no room for a task, or for the whole gang
 };
 
 /// Returns the reason's name, as used in metrics and log lines.
--- a/src/cell/scheduler.h
+++ b/src/cell/scheduler.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "cell/jobs/job_state.h"
+#include "cell/teams/team_usage.h"
 #include "cell/workers/run_times.h"
 #include "cell/workers/worker_state.h"
 
@@ -189,6 +190,7 @@
     /// present.
     timestamp confirmedAt = distantFuture;
     cell_config config;
+    team_table teams;
     std::map<std::string, worker_state> workers;
     /// Highest fence number issued so far. A worker that was erased and returns starts with this
     /// number, as it refuses lower fencing tokens than it has seen.
--- a/src/cell/scheduler_decide.cpp
+++ b/src/cell/scheduler_decide.cpp
@@ -70,7 +70,8 @@
             releaseAllRuns(cell, worker, now, out);
         }
         if (noPollInFlight && !worker.listed && worker.life.runs.empty()
-            && (worker.life.reconciled || worker.life.fenced) && !mayHaveCrashed(worker, now)) {
+            && (worker.life.reconciled || worker.life.fenced) && !mayHaveCrashed(worker, now)
+            && !(cell.teams.hasCaps && mayHoldUnknownRuns(worker, now))) {
             recordChange(cell, workerListChange, false);
             it = cell.workers.erase(it);
             continue;
--- a/src/cell/workers/scheduler_workers.cpp
+++ b/src/cell/workers/scheduler_workers.cpp
@@ -43,6 +43,7 @@
     step.gangAttempt = std::max(step.gangAttempt, run.attempt);
     step.gangStartedAt = std::max(step.gangStartedAt, sentAt);
     addRun(worker, run.task, reservedDemand(stepOf(job, run.task.step)));
+    addTeamRun(cell, job, run.task.step);
 }
 
 void stopUnexpectedRun(scheduler &cell, worker_state &worker, const reported_run &run, orders &out)
@@ -178,6 +179,7 @@
     worker.life.nextPollAt = now;
     worker.life.leasesExpiredAt = predecessorLeaseExpiry(cell);
     worker.life.born = entry.born;
+    worker.life.largestCapacity = entry.capacity;
 }
 
 void changeWorkers(scheduler &cell, const std::vector<worker_entry> &entries, timestamp now)
@@ -235,6 +237,9 @@
     if (worker != cell.workers.end()) {
         removeRun(worker->second, id, reservedDemand(stepOf(job, id.step)));
     }
+    if (task.phase != run_phase::none) {
+        removeTeamRun(cell, job, id.step);
+    }
     task.phase = run_phase::none;
     task.worker.clear();
     task.trialLife.clear();
--- a/src/cell/workers/worker_state.cpp
+++ b/src/cell/workers/worker_state.cpp
@@ -99,6 +99,12 @@
         worker.life.capacityRefusals = 0;
         worker.life.fullUntil = distantPast;
     }
+    if (!worker.life.reconciled) {
+        resources &largest = worker.life.largestCapacity;
+        largest = {std::max(largest.cpuMilli, entry.capacity.cpuMilli),
+                   std::max(largest.memoryMb, entry.capacity.memoryMb),
+                   std::max(largest.accelerators, entry.capacity.accelerators)};
+    }
     worker.entry = entry;
 }
 
--- a/src/cell/workers/worker_state.h
+++ b/src/cell/workers/worker_state.h
@@ -4,8 +4,8 @@
 #include <set>
 
 #include "cell/jobs/job_state.h"
-#include "cell/workers/run_times.h"
 #include "cell/types.h"
+#include "cell/workers/run_times.h"
 
 namespace bramleygrade::cell {
 
@@ -29,6 +29,8 @@
     /// Sum of the reserved demands of all runs that may exist on the worker.
     resources used;
     std::set<task_id> runs;
+    /// Largest capacity that the worker was seen to have before it was reconciled.
+    resources largestCapacity;
     /// Number of runs in the newest report that should not exist; their demand is unknown.
     int unexpectedRuns = 0;
 
--- a/src/entry/calls.cpp
+++ b/src/entry/calls.cpp
@@ -1,3 +1,4 @@
+#include "cell/teams/admission.h"
 #include "entry/entry.h"
 
 namespace bramleygrade::entry {
@@ -44,6 +45,25 @@
     answer(reply);
 }
 
+void refuseForTeam(entry_state &entry, const caller_call &call, const answer_function &answer,
+                   const cell::job_spec &spec, const cell::team_refusal &refusal)
+{
+    logEvent(entry, "call_refused",
+             {{"job", call.job},
+              {"queue", call.queue},
+              {"team", spec.team},
+              {"why", refusal.reason},
+              {"beyond_share", spec.beyondShare ? "yes" : "no"},
+              {"retry_after_ms", std::to_string(refusal.retryAfter / millisecond)},
+              {"config", std::to_string(entry.config.version)},
+              {"config_age_ms", std::to_string((steadyNow() - entry.configReadAt) / millisecond)}});
+    caller_answer reply;
+    reply.kind = answer_kind::refused;
+    reply.retryAfter = refusal.retryAfter;
+    reply.reason = refusal.reason;
+    answer(reply);
+}
+
 void answerFromStore(entry_state &entry, const caller_call &call, const answer_function &answer)
 {
     lookUpJob(entry, call.job, [kind = call.kind, answer](const job_lookup &lookup) {
@@ -95,6 +115,10 @@
     cell::job_spec spec = call.spec;
     spec.id = call.job;
     spec.queue = call.queue;
+    if (const auto refusal = cell::refuseByTeam(leaderState.cell, spec, *policy, now)) {
+        refuseForTeam(entry, call, answer, spec, *refusal);
+        return;
+    }
     cell::acceptJob(leaderState.cell, spec, *policy, now);
     cell::job_state *job = cell::findJob(leaderState.cell, call.job);
     const std::int64_t wall = wallNow();
--- a/src/entry/observation.cpp
+++ b/src/entry/observation.cpp
@@ -134,7 +134,8 @@
                   {"why", cell::waitReasonName(waiting.newest.reason)},
                   {"waiting_ms", toMs(now - waiting.since)},
                   {"objective_in_ms", toMs(job.objectiveAt - now)},
-                  {"queued", cell.runnableJobs.count(id) > 0 ? "yes" : "no"}});
+                  {"queued", cell.runnableJobs.count(id) > 0 ? "yes" : "no"},
+                  {"team", job.spec.team}});
     }
 }
 
--- a/src/entry/state_dump.cpp
+++ b/src/entry/state_dump.cpp
@@ -1,6 +1,7 @@
 #include "entry/state_dump.h"
 
 #include "entry/json_text.h"
+#include "entry/team_metrics.h"
 
 namespace bramleygrade::entry {
 
@@ -154,6 +155,7 @@
     gauges["log_lines_written"] = static_cast<std::int64_t>(entry.log.written);
     gauges["log_lines_dropped"] = static_cast<std::int64_t>(entry.log.dropped);
     gauges["log_lines_suppressed"] = static_cast<std::int64_t>(entry.log.suppressed);
+    refreshTeamMetrics(entry.metrics, entry.leaderState ? &entry.leaderState->cell.teams : nullptr);
     if (!entry.leaderState) {
         removeSchedulerGauges(entry.metrics);
         return;
--- a/src/tools/explain.cpp
+++ b/src/tools/explain.cpp
@@ -123,7 +123,8 @@
          "the job was never stored: look for store_lost, call_given_up and "
          "call_refused; a refused job has not run"},
         {"start_ordered",
-         "no task was ever started: look for advice_asked, start_refused and "
+         "no task was ever started: look for job_waiting (its why is team_cap where the cap of "
+         "the job's team has no room), advice_asked, start_refused and "
          "worker_settled; otherwise the workers had no free capacity"},
         {"job_ended",
          "the job's end is not in these lines: it still runs, or the log of a later "
--- a/testing/cell/cell_history.cpp
+++ b/testing/cell/cell_history.cpp
@@ -21,6 +21,8 @@
 constexpr microseconds takeoverNoticeTime = 500 * millisecond;
 /// Time after the faults stop within which all jobs must end.
 constexpr microseconds drainTimeout = 60 * second;
+/// The same where teams have caps, which leave a team a sixth of the workers.
+constexpr microseconds cappedDrainTimeout = 120 * second;
 constexpr std::size_t maxRowsPerWrite = 30;
 /// Probability that a write of an ended job stores a tombstone in place of the job's row.
 constexpr double tombstoneProbability = 0.5;
@@ -63,12 +65,10 @@
     successor->cell.settings.pollWait = pollWait;
     successor->cell.settings.predecessorGrace = takeoverNoticeTime;
     cell::beginEpoch(successor->cell, ++store.epoch, now);
-    cell::cell_config config;
-    config.version = 1;
-    const bool needsAdvice = injectedFaults.allowedWorkerShare > 0;
-    config.queues.push_back(makePolicy(0, needsAdvice));
-    config.queues.push_back(makePolicy(1, needsAdvice));
-    cell::changeConfig(successor->cell, config);
+    const std::size_t versions = record.capVersions.size();
+    const bool isLate = versions > 1 && drawBool(0.5)
+        && now < record.capVersions.back().storedAt + configAdoptionTime;
+    cell::changeConfig(successor->cell, makeConfig(isLate ? versions - 2 : versions - 1));
     for (const auto &[id, value] : store.jobs) {
         if (const auto ended = entry::decodeEnded(value)) {
             cell::restoreEndedJob(successor->cell, id, ended->phase, now);
@@ -91,6 +91,9 @@
         schedulers.back()->confirmedUntil = now + drawBetween(0, takeoverNoticeTime);
     }
     schedulers.push_back(successor);
+    if (isLate) {
+        adoptConfig(successor);
+    }
     cutOffWorker();
     ++counts.takeovers;
     lastTakeoverAt = now;
@@ -115,6 +118,7 @@
         cell::orders out;
         cell::changeWorkers(scheduler->cell, readRegistry(scheduler->cell), now);
         cell::decide(scheduler->cell, now, out);
+        checkTotals(scheduler->cell);
         sendOrders(scheduler, out);
         writeChanges(scheduler);
     }
@@ -370,6 +374,10 @@
 void cell_history::run(microseconds length)
 {
     state &history = *m_state;
+    const bool hasCaps = history.injectedFaults.capChangeInterval > 0;
+    if (hasCaps) {
+        history.storeConfig(1, 1);
+    }
     history.takeOver();
     history.scheduleFaults();
     history.scheduleRecurring(history.injectedFaults.submitInterval,
@@ -378,7 +386,7 @@
         history.checkWaitingJobs();
     }
     const timestamp faultsEndAt = history.now + length;
-    const timestamp endAt = faultsEndAt + drainTimeout;
+    const timestamp endAt = faultsEndAt + (hasCaps ? cappedDrainTimeout : drainTimeout);
     history.scheduleAt(faultsEndAt, [&history] {
         history.faultsStopped = true;
         history.store.up = true;
@@ -386,6 +394,9 @@
         history.workersCutOffFrom.clear();
         history.unregisteredWorkers.clear();
         history.restoreCapacities();
+        if (!history.record.capVersions.empty()) {
+            history.storeConfig(1, 1);
+        }
     });
     while (!history.events.empty() && history.events.begin()->first < endAt) {
         const auto first = history.events.begin();
--- a/testing/cell/cell_history.h
+++ b/testing/cell/cell_history.h
@@ -51,6 +51,10 @@
     int maxTasksPerStep = 5;
     /// Share of the workers that the advisory service allows for a step; 0: no queue needs advice.
     double allowedWorkerShare = 0;
+    /// Most jobs belong to one of three teams, two of which have caps. 0: jobs have no teams.
+    /// Otherwise, mean time between new versions of the configuration, which lower the caps or
+    /// restore them.
+    microseconds capChangeInterval = 0;
     /// Workers hold polls, and every job that could run is checked to do so once the faults have
     /// stopped.
     bool isLargeCell = false;
@@ -81,6 +85,10 @@
     std::uint64_t failedInnocent = 0;
     std::uint64_t starts = 0;
     std::uint64_t startsRefusedForCapacity = 0;
+    /// Starts of tasks of capped teams, and those of them after which a team used over 80 % of its
+    /// cap.
+    std::uint64_t cappedStarts = 0;
+    std::uint64_t startsNearCap = 0;
 };
 
 /// Runs the cell scheduler in virtual time against simulated workers, a simulated store and random
--- a/testing/cell/histories_main.cpp
+++ b/testing/cell/histories_main.cpp
@@ -42,12 +42,12 @@
 } // namespace
 
 /// Runs randomised histories of the cell scheduler: cell_histories FIRST_SEED COUNT [takeovers
-/// [crashes] | capacity | deadly | restarts]. The defaults are 1 and 100. With `takeovers` the cell
-/// has 350 workers and wide steps, and schedulers replace one another every second or two; with
-/// `crashes` workers crash as well. With `capacity` in their place, the workers' capacities shrink
-/// and grow; with `deadly`, the tasks of some jobs crash the workers that start them; with
-/// `restarts`, most of the crashed workers start again under their ids. Exit code 1 if a history
-/// violates a rule.
+/// [crashes] | capacity | deadly | restarts | teams]. The defaults are 1 and 100. With `takeovers`
+/// the cell has 350 workers and wide steps, and schedulers replace one another every second or two;
+/// with `crashes` workers crash as well. With `capacity` in their place, the workers' capacities
+/// shrink and grow; with `deadly`, the tasks of some jobs crash the workers that start them; with
+/// `restarts`, most of the crashed workers start again under their ids; with `teams`, jobs belong
+/// to teams with caps that change. Exit code 1 if a history violates a rule.
 int main(int argc, char **argv)
 {
     const std::uint64_t first = argc > 1 ? std::strtoull(argv[1], nullptr, 10) : 1;
@@ -68,6 +68,13 @@
         faults.restartWaveInterval = 7 * second;
         faults.crashingJobShare = 0.02;
     }
+    if (kind == "teams") {
+        faults.capChangeInterval = 2 * second;
+        faults.schedulerCrashInterval = 4 * second;
+        faults.successorPartitionShare = 0.7;
+        faults.scavengingStepShare = 0.1;
+        faults.restartUnderIdShare = 0.4;
+    }
     int failed = 0;
     testing::history_counts total;
     for (std::uint64_t seed = first; seed < first + count; ++seed) {
@@ -81,6 +88,8 @@
         total.starts += counts.starts;
         total.startsRefusedForCapacity += counts.startsRefusedForCapacity;
         total.failedInnocent += counts.failedInnocent;
+        total.cappedStarts += counts.cappedStarts;
+        total.startsNearCap += counts.startsNearCap;
         if (!history.violations().empty()) {
             ++failed;
             std::cout << "seed " << seed << ": " << history.violations().front() << " ("
@@ -91,7 +100,8 @@
               << ", starts " << total.starts << ", takeovers " << total.takeovers << ", crashes "
               << total.workerCrashes << ", starts refused for capacity "
               << total.startsRefusedForCapacity << ", failed without a fault of their own "
-              << total.failedInnocent << std::endl;
+              << total.failedInnocent << ", starts of capped teams " << total.cappedStarts
+              << ", of them near the cap " << total.startsNearCap << std::endl;
     std::cout << count - static_cast<std::uint64_t>(failed) << " passed, " << failed << " failed"
               << std::endl;
     return failed == 0 ? 0 : 1;
--- a/testing/cell/history_events.cpp
+++ b/testing/cell/history_events.cpp
@@ -64,6 +64,9 @@
     if (injectedFaults.crashingJobShare > 0 && drawBool(injectedFaults.crashingJobShare)) {
         record.behaviour[{spec.id, 0, 0, 0}].crashesWorker = true;
     }
+    if (injectedFaults.capChangeInterval > 0) {
+        spec.team = drawTeam(spec);
+    }
     record.jobs[spec.id] = spec;
     record.maxAttempts[spec.id] = policy.maxAttempts;
     if (policy.needsAdvice) {
@@ -117,6 +120,12 @@
         }
     });
     scheduleRecurring(injectedFaults.capacityChangeInterval, [this] { changeRandomCapacity(); });
+    scheduleRecurring(injectedFaults.capChangeInterval, [this] {
+        constexpr double shares[] = {1.0, 1.0, 0.5, 0.25};
+        const auto draw = [&] { return shares[drawBetween(0, 3)]; };
+        const double ofFirst = draw();
+        storeConfig(ofFirst, draw());
+    });
     scheduleRecurring(injectedFaults.workerPartitionInterval, [this] {
         auto victim = workers.begin();
         std::advance(victim, drawBetween(0, static_cast<microseconds>(workers.size()) - 1));
@@ -278,6 +287,8 @@
         }
     }
     counts.starts = record.starts;
+    counts.cappedStarts = record.cappedStarts;
+    counts.startsNearCap = record.startsNearCap;
     counts.startsRefusedForCapacity = record.startsRefusedForCapacity;
 }
 
--- a/testing/cell/history_state.h
+++ b/testing/cell/history_state.h
@@ -110,6 +110,18 @@
     void sendPollNow(const scheduler_pointer &scheduler, const cell::poll_order &order,
                      timestamp sentAt);
     void writeChanges(const scheduler_pointer &scheduler);
+    /// Returns the configuration with this index of `record.capVersions`; without teams if there is
+    /// none.
+    cell::cell_config makeConfig(std::size_t version) const;
+    /// Stores a version of the configuration with these shares of the usual caps, and schedules its
+    /// adoption.
+    void storeConfig(double shareOfFirst, double shareOfSecond);
+    /// Schedules the adoption of the newest version of the configuration.
+    void adoptConfig(const scheduler_pointer &scheduler);
+    /// Checks the running totals of the teams against those computed from all tasks.
+    void checkTotals(const cell::scheduler &cell);
+    /// Draws the team of a job; none if the job would never fit the team's cap.
+    std::string drawTeam(const cell::job_spec &spec);
     /// Submits a random job to the newest live scheduler.
     void submitJob();
     void scheduleFaults();
--- a/testing/cell/simulated_worker.cpp
+++ b/testing/cell/simulated_worker.cpp
@@ -47,6 +47,25 @@
     }
 }
 
+const cell::step_spec &findStep(const execution_record &record, const cell::task_id &task)
+{
+    return record.jobs.at(task.job).steps[static_cast<std::size_t>(task.step)];
+}
+
+/// Adds `sign` times the demand of the task to what its team uses.
+void addTeamUsage(execution_record &record, const cell::task_id &task, std::int64_t sign)
+{
+    const auto job = record.jobs.find(task.job);
+    if (job == record.jobs.end() || job->second.team.empty()) {
+        return;
+    }
+    const cell::resources demand = findStep(record, task).demand;
+    cell::resources &used = record.usedByTeam[job->second.team];
+    used = used
+        + cell::resources {sign * demand.cpuMilli, sign * demand.memoryMb,
+                           sign * demand.accelerators};
+}
+
 void endRun(simulated_worker &worker, execution_record &record, const cell::task_id &task,
             end_kind how)
 {
@@ -63,6 +82,7 @@
     }
     worker.runs.erase(found);
     record.runningOn[task].erase(worker.entry.id);
+    addTeamUsage(record, task, -1);
 }
 
 int percentDone(const simulated_run &run, timestamp now)
@@ -70,11 +90,6 @@
     return static_cast<int>(100 * (now - run.startedAt) / (run.endsAt - run.startedAt));
 }
 
-const cell::step_spec &findStep(const execution_record &record, const cell::task_id &task)
-{
-    return record.jobs.at(task.job).steps[static_cast<std::size_t>(task.step)];
-}
-
 /// Returns the largest amounts that an order sent at `sentAt` may rely on.
 cell::resources countedCapacity(const simulated_worker &worker, timestamp sentAt)
 {
@@ -139,6 +154,54 @@
     }
 }
 
+/// Returns the highest caps among the versions that may be in force for an order sent at `sentAt`;
+/// 0: no limit.
+cell::resources highestCap(const execution_record &record, const std::string &team,
+                           timestamp sentAt)
+{
+    cell::resources highest;
+    for (std::size_t index = 0; index < record.capVersions.size(); ++index) {
+        const cap_version &version = record.capVersions[index];
+        const bool isLast = index + 1 == record.capVersions.size();
+        const bool mayBeInForce = version.storedAt <= sentAt
+            && (isLast || record.capVersions[index + 1].storedAt + configAdoptionTime >= sentAt);
+        const auto cap = version.caps.find(team);
+        if (mayBeInForce && cap != version.caps.end()) {
+            highest.cpuMilli = std::max(highest.cpuMilli, cap->second.cpuMilli);
+            highest.memoryMb = std::max(highest.memoryMb, cap->second.memoryMb);
+        }
+    }
+    return highest;
+}
+
+/// Checks that the start, which is counted already, takes its team past 1.1 times its cap by at
+/// most one task.
+void checkCap(execution_record &record, const cell::start_order &order, timestamp now,
+              timestamp sentAt)
+{
+    const std::string &team = record.jobs.at(order.task.job).team;
+    const cell::resources cap = highestCap(record, team, sentAt);
+    if (cap == cell::resources {}) {
+        return;
+    }
+    const cell::resources demand = findStep(record, order.task).demand;
+    const cell::resources used = record.usedByTeam[team];
+    const auto isExceeded = [](std::int64_t amount, std::int64_t task, std::int64_t limit) {
+        return limit > 0 && 10 * (amount - task) > 11 * limit;
+    };
+    ++record.cappedStarts;
+    record.startsNearCap += 5 * used.cpuMilli > 4 * cap.cpuMilli ? 1 : 0;
+    if (isExceeded(used.cpuMilli, demand.cpuMilli, cap.cpuMilli)
+        || isExceeded(used.memoryMb, demand.memoryMb, cap.memoryMb)) {
+        addViolation(record,
+                     "start takes " + team + " to cpu=" + std::to_string(used.cpuMilli)
+                         + " memMb=" + std::to_string(used.memoryMb)
+                         + ", past its cap cpu=" + std::to_string(cap.cpuMilli)
+                         + " memMb=" + std::to_string(cap.memoryMb) + ":",
+                     order.task, now);
+    }
+}
+
 void acknowledge(simulated_worker &worker, execution_record &record, std::int64_t until)
 {
     while (!worker.ended.empty() && worker.ended.front().sequence <= until) {
@@ -241,6 +304,8 @@
                                fails ? end_kind::failed : end_kind::done,
                                cell::reservedDemand(findStep(record, order.task))};
     record.runningOn[order.task].insert(worker.entry.id);
+    addTeamUsage(record, order.task, 1);
+    checkCap(record, order, now, std::min(sentAt, now));
     return order_outcome::accepted;
 }
 
@@ -295,6 +360,7 @@
 {
     for (const auto &[task, run] : worker.runs) {
         record.runningOn[task].erase(worker.entry.id);
+        addTeamUsage(record, task, -1);
         ++record.crashes[task];
     }
     worker.runs.clear();
--- a/testing/cell/simulated_worker.h
+++ b/testing/cell/simulated_worker.h
@@ -72,6 +72,17 @@
     std::map<cell::task_id, int> closedAttempt;
 };
 
+/// Time after which a stored version of the configuration is in force everywhere.
+constexpr microseconds configAdoptionTime = 3 * second;
+
+/// Caps of the teams, by name, in a version of the configuration.
+struct cap_version
+{
+    /// Time at which the store acknowledged the version.
+    timestamp storedAt = distantPast;
+    std::map<std::string, cell::resources> caps;
+};
+
 /// What all workers did under all schedulers of a history. Accepted starts are checked against it;
 /// rule violations are added to `violations`.
 struct execution_record
@@ -98,6 +109,12 @@
     std::map<cell::task_id, int> crashes;
     /// Starts of each task that crashes workers, after three have crashed with it.
     std::map<cell::task_id, int> startsAfterCrashes;
+    /// Full demand of the runs on all workers, by team.
+    std::map<std::string, cell::resources> usedByTeam;
+    /// All versions of the configuration, oldest first; empty: there are no teams.
+    std::vector<cap_version> capVersions;
+    std::uint64_t cappedStarts = 0;
+    std::uint64_t startsNearCap = 0;
     std::uint64_t starts = 0;
     std::uint64_t startsRefusedForCapacity = 0;
     violation_list violations;
