--- a/src/cell/jobs/scheduler_jobs.cpp
+++ b/src/cell/jobs/scheduler_jobs.cpp
@@ -36,6 +36,7 @@
     for (const queue_policy &queue : config.queues) {
         policies.emplace(queue.name, &queue); // the first of equal names, as in findQueue()
     }
+    applyTeams(cell);
     for (auto &[id, job] : cell.jobs) {
         const auto policy = policies.find(job.spec.queue);
         if (policy != policies.end()) {
