Load simulation: workers of uneven speed

The simulation now counts the core-seconds that preemption costs, repeated preemptions and the waits of gangs; a stopped run may lose the work since its last checkpoint.

--- a/testing/cell/load_presets.cpp
+++ b/testing/cell/load_presets.cpp
@@ -151,8 +151,60 @@
     return bookings;
 }
 
+void addStragglers(load_class &jobClass)
+{
+    jobClass.stragglingShare = 0.03;
+    jobClass.straggling = 7;
+}
+
+load_class makeUnevenGangs()
+{
+    load_class gangs = makeGangs();
+    gangs.jobsPerSecond = 5.24;
+    gangs.runSeconds = {3.4, 0.5, 8.5};
+    addStragglers(gangs);
+    return gangs;
+}
+
+load_class makeUnevenBatches()
+{
+    load_class batches = makeBatches();
+    batches.policy.name = "batch";
+    batches.jobsPerSecond = 8.66;
+    batches.runSeconds = {2.3, 0.5, 5.6};
+    addStragglers(batches);
+    return batches;
+}
+
+load_class makeLookups()
+{
+    load_class lookups = makeBookings();
+    lookups.policy.name = "lookups";
+    lookups.jobsPerSecond = 121;
+    lookups.runSeconds = {0.54, 0.5, 1.35};
+    lookups.tasks = {3, 0.8, 18};
+    addStragglers(lookups);
+    return lookups;
+}
+
 } // namespace
 
+load_settings makeUnevenSpeeds()
+{
+    load_settings settings = makeWideSteps();
+    settings.speeds = {0.55, 1.2, 1.2, 1.2};
+    settings.kinds = {"kind-a", "kind-b", "kind-b", "kind-b"};
+    settings.savesWhenStopped = false;
+    settings.length = 45 * second;
+    settings.classes = {makeUnevenGangs(), makeUnevenBatches(), makeLookups()};
+    settings.bursts = {};
+    for (std::size_t index = 0; index < settings.classes.size(); ++index) {
+        settings.bursts.push_back({index, 7'500 * millisecond, 7'500 * millisecond, 1.55});
+        settings.bursts.push_back({index, 22'500 * millisecond, 7'500 * millisecond, 1.55});
+    }
+    return settings;
+}
+
 load_settings makeWideSteps()
 {
     load_settings settings;
@@ -206,6 +258,7 @@
         total.worthOwed += served.worthOwed;
         total.worthEarned += served.worthEarned;
         total.wastedCoreSeconds += served.wastedCoreSeconds;
+        total.preemptedCoreSeconds += served.preemptedCoreSeconds;
     }
     return total;
 }
--- a/testing/cell/load_presets.h
+++ b/testing/cell/load_presets.h
@@ -14,6 +14,10 @@
 /// low or almost twice too high.
 load_settings makeLargeCell();
 
+/// 350 workers of which one in four runs at 0.55 of the mean speed and the others at 1.2; 3 % of
+/// the tasks take seven times as long, and the load swings by 55 % in 15 s.
+load_settings makeUnevenSpeeds();
+
 /// Returns the share of the class's worth that was earned.
 double earnedShare(const load_class_outcome &outcome);
 
--- a/testing/cell/load_simulation.cpp
+++ b/testing/cell/load_simulation.cpp
@@ -73,6 +73,8 @@
     timestamp objectiveAt = 0;
     double worthFactor = 1;
     std::set<int> stepsDone;
+    /// Time of the newest stop order for each task.
+    std::map<cell::task_id, timestamp> preemptedAt;
 };
 
 struct load_run
@@ -87,6 +89,7 @@
     double resumedShare = 0;
     bool fails = false;
     timestamp stoppingUntil = 0;
+    timestamp stopOrderedAt = 0;
     std::uint64_t number = 0;
 };
 
@@ -205,6 +208,10 @@
         worker.entry.address = worker.entry.id;
         worker.entry.rack = "rack-" + std::to_string(index / m_settings.workersPerRack);
         worker.entry.capacity = m_settings.capacity;
+        if (!m_settings.kinds.empty()) {
+            const std::size_t turn = static_cast<std::size_t>(index) % m_settings.kinds.size();
+            worker.entry.labels = {m_settings.kinds[turn], worker.entry.rack};
+        }
         worker.speed =
             m_settings.speeds[static_cast<std::size_t>(index) % m_settings.speeds.size()];
         entries.push_back(worker.entry);
@@ -253,11 +260,17 @@
             runSeconds
             * drawUniform(random, 1 - jobClass.estimateError, 1 + jobClass.estimateError));
         std::vector<load_task> tasks(static_cast<std::size_t>(step.count));
+        const bool gangStraggles =
+            jobClass.stragglingShare > 0 && drawUniform(random, 0, 1) < jobClass.stragglingShare;
         const bool gangFails = drawUniform(random, 0, 1) < jobClass.failingShare;
         double longest = 0;
         for (load_task &task : tasks) {
             task.runSeconds =
                 runSeconds * drawUniform(random, 1 - jobClass.unevenness, 1 + jobClass.unevenness);
+            const bool straggles = step.gang ? gangStraggles
+                                             : jobClass.stragglingShare > 0
+                    && drawUniform(random, 0, 1) < jobClass.stragglingShare;
+            task.runSeconds *= straggles ? jobClass.straggling : 1;
             const bool fails = drawUniform(random, 0, 1) < jobClass.failingShare;
             task.failingRuns = !step.gang && fails ? 1 : 0;
             longest = std::max(longest, task.runSeconds * (1 + task.failingRuns));
@@ -485,6 +498,10 @@
 {
     const auto members = m_gangs.at({task.job, task.step, attempt});
     const auto &tasks = m_jobs.at(task.job).tasks[static_cast<std::size_t>(task.step)];
+    if (task.step == 0 && m_jobs.at(task.job).stepsDone.insert(0).second) {
+        outcomeOf(task).gangWaitSeconds.push_back(
+            toSeconds(m_driver.now - m_jobs.at(task.job).submittedAt));
+    }
     double longest = 0;
     for (const auto &[index, id] : members) {
         longest = std::max(
@@ -554,13 +571,21 @@
     }
     const load_run run = found->second;
     worker.runs.erase(found);
-    const bool saves = how == end_kind::stopped && stepOf(task).checkpointing;
+    const bool saves =
+        how == end_kind::stopped && stepOf(task).checkpointing && m_settings.savesWhenStopped;
     const double saved = saves ? progressOf(run) : savedShareOf(run);
     const double cores = static_cast<double>(stepOf(task).demand.cpuMilli) / 1000;
     if (how != end_kind::done && how != end_kind::failed) {
         outcomeOf(task).wastedCoreSeconds +=
             cores * toSeconds(run.duration) * (progressOf(run) - saved);
     }
+    if (how == end_kind::stopped && run.stopOrderedAt != 0 && !stepOf(task).gang) {
+        const double lost = toSeconds(run.duration) * (progressOf(run) - saved);
+        const microseconds restore = saved > 0 ? m_settings.restoreTime : 0;
+        outcomeOf(task).preemptedCoreSeconds += cores
+            * std::max(lost + toSeconds(restore),
+                       toSeconds(m_driver.now - run.stopOrderedAt + restore));
+    }
     if (stepOf(task).gang) {
         const timestamp until = run.workingFrom == 0 ? m_driver.now : run.workingFrom;
         outcomeOf(task).wastedCoreSeconds += cores * toSeconds(until - run.presentAt);
@@ -616,6 +641,14 @@
         return;
     }
     load_run &run = found->second;
+    run.stopOrderedAt = m_driver.now;
+    const auto [preempted, isFirst] =
+        m_jobs.at(order.task.job).preemptedAt.emplace(order.task, m_driver.now);
+    if (!isFirst && !stepOf(order.task).gang) {
+        m_outcome.repeatedPreemptions +=
+            m_driver.now < preempted->second + repeatedPreemption ? 1 : 0;
+        preempted->second = m_driver.now;
+    }
     run.stoppingUntil = m_driver.now
         + toMicroseconds(toSeconds(m_settings.stopTimeout) * drawUniform(m_random, 0.2, 1));
     schedule(run.stoppingUntil, [this, id = order.worker, task = order.task, number = run.number] {
--- a/testing/cell/load_simulation.h
+++ b/testing/cell/load_simulation.h
@@ -43,6 +43,9 @@
     double failingShare = 0;
     /// Share of the workers that the advisory service allows for a step.
     double allowedShare = 1;
+    /// Share of the tasks, or of the gangs, that take `straggling` times as long.
+    double stragglingShare = 0;
+    double straggling = 1;
 };
 
 /// Raises the arrival rate of one class for some time.
@@ -61,6 +64,14 @@
     cell::resources capacity;
     /// Speeds of the workers, in turn.
     std::vector<double> speeds = {1.0};
+    /// Kinds of the workers, in turn; empty: workers have no kind. The registry shows the kind as a
+    /// label.
+    std::vector<std::string> kinds;
+    /// A stopped run that checkpoints saves all its work; otherwise the work since its last
+    /// checkpoint is lost.
+    bool savesWhenStopped = true;
+    /// As `scheduler_settings::workerSpeeds`.
+    bool workerSpeeds = true;
     /// Entries that call the advisory service; the service answers the calls of each in turn.
     int entries = 1;
     std::vector<load_class> classes;
@@ -82,12 +93,22 @@
     double worthEarned = 0;
     /// Core-seconds of work that was stopped or broken off and not saved.
     double wastedCoreSeconds = 0;
+    /// Core-seconds that preemption costs the stopped runs: work that was not saved, the time from
+    /// the order to the end, and the time to restore the checkpoint.
+    double preemptedCoreSeconds = 0;
+    /// Times from a gang's submission to the beginning of its work, for steps that depend on none.
+    std::vector<double> gangWaitSeconds;
 };
 
+/// Time within which a second preemption of a task's run counts as repeated.
+constexpr microseconds repeatedPreemption = 5 * second;
+
 struct load_outcome
 {
     std::vector<load_class_outcome> classes;
     cell::scheduler_counters counters;
+    /// Runs that were preempted more than once within `repeatedPreemption`.
+    int repeatedPreemptions = 0;
     double refusedTickets = 0;
     /// Mean share of the workers' processors with a run or a reservation.
     double meanUsedShare = 0;
