Learn the speeds of workers together with those of queues

Cause: `slowness` is the record of one worker life, compares with a mean over the queue's tasks that moves with the workers they run on, and says nothing about a worker without ten runs of its own. Change: a table in the scheduler holds a factor per queue and per worker, learned together, and kept over the lives of a worker while its registry entry shows the same service, kind, capacity and rack; once a second it computes each service's spread, without the estimates' own error, and estimates of unknown workers from their kind or rack if those explain the speeds. Setting `workerSpeeds`.

--- a/src/cell/ends/scheduler_ends.cpp
+++ b/src/cell/ends/scheduler_ends.cpp
@@ -35,7 +35,7 @@
 
 /// Records the time of a successful run from its beginning.
 void recordRun(scheduler &cell, worker_state &worker, const job_state &job, const step_spec &spec,
-               step_state &step, microseconds observed)
+               step_state &step, microseconds observed, timestamp now)
 {
     const double slowness = spec.gang ? slownessOfGang(cell, step) : worker.life.slowness;
     step.longestRun = std::max(step.longestRun, observed);
@@ -45,6 +45,22 @@
         recordRunOnWorker(cell.taskRunTimes[job.spec.queue], worker.life.runTimes, spec.estimate,
                           observed);
         worker.life.slowness = slownessOf(worker.life.runTimes);
+        if (cell.settings.workerSpeeds) {
+            recordWorkerSpeed(cell.speeds, worker.entry, job.spec.queue, spec.estimate, observed,
+                              now);
+        }
+    }
+}
+
+/// Updates the speeds that decisions use, and reports when they begin or cease to be used.
+void updateSpeeds(scheduler &cell, timestamp now, orders &out)
+{
+    for (const std::string &name : refreshWorkerSpeeds(cell.speeds, cell.workers, now)) {
+        const service_speeds &service = cell.speeds.services.at(name);
+        out.events.push_back({"worker_speeds", "",
+                              "service=" + name + " used=" + (service.used ? "yes" : "no")
+                                  + " workers=" + std::to_string(service.knownWorkers)
+                                  + " spread=" + std::to_string(service.spread)});
     }
 }
 
@@ -269,7 +285,8 @@
     recordCheckpoint(*job, end, *task);
     if (end.how == end_kind::done && task->phase == run_phase::running
         && task->attempt == end.attempt && !task->resumed && task->confirmedAt != distantPast) {
-        recordRun(cell, worker, *job, stepOf(*job, end.task.step), step, now - task->confirmedAt);
+        recordRun(cell, worker, *job, stepOf(*job, end.task.step), step, now - task->confirmedAt,
+                  now);
     }
     if (task->phase != run_phase::none && task->worker == worker.entry.id
         && task->attempt == end.attempt) {
@@ -387,6 +404,9 @@
         }
     }
     eraseExpiredJobs(cell, now);
+    if (cell.settings.workerSpeeds) {
+        updateSpeeds(cell, now, out);
+    }
     // Due occurrences, expired tickets and workers whose avoidance period is over allow new
     // placements without any event.
     cell.needsPlacement = cell.needsPlacement || !cell.runnableJobs.empty();
--- a/src/cell/scheduler.h
+++ b/src/cell/scheduler.h
@@ -9,6 +9,7 @@
 
 #include "cell/jobs/job_state.h"
 #include "cell/workers/run_times.h"
+#include "cell/workers/worker_speeds.h"
 #include "cell/workers/worker_state.h"
 
 /// \file
@@ -135,6 +136,8 @@
     /// Time after the takeover for which another process may still confirm the leadership of a
     /// previous scheduler, as it has not heard of this one yet.
     microseconds predecessorGrace = 0;
+    /// Learned speeds of workers are used in decisions where they differ by a wide margin.
+    bool workerSpeeds = true;
 };
 
 /// Decaying counts of the workers asked about and allowed in a queue's advice calls.
@@ -212,6 +215,7 @@
     std::map<std::string, run_time_record> runTimes;
     /// Run times of single tasks on all workers relative to the declared ones, by queue name.
     std::map<std::string, run_time_ratio> taskRunTimes;
+    speed_table speeds;
     scheduler_counters counters;
     timestamp nextCheckAt = distantPast;
     timestamp nextObjectiveUpdateAt = distantPast;
--- /dev/null
+++ b/src/cell/workers/worker_speeds.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "cell/workers/run_times.h"
+#include "cell/workers/worker_state.h"
+
+/// \file
+/// Speeds of workers, learned from the run times of their tasks. The run time of a task relative to
+/// the declared one is the product of a factor of its queue and a factor of its worker; both are
+/// learned together, so that the speeds stay right where a queue's tasks run on fast workers only.
+/// The speeds of a service are used only while they differ by a wide margin. All times are natural
+/// logarithms here. The table lives in the scheduler's memory; a successor learns the speeds anew,
+/// and decides as on workers of like speed until then.
+
+namespace bramleygrade::cell {
+
+/// What is known of the speed of one worker, over all its lives. `service`, `kind`, `rack` and
+/// `capacity` are those of the registry; it starts anew when one of them changes.
+struct worker_speed
+{
+    std::string service;
+    /// The worker's labels except its rack.
+    std::string kind;
+    std::string rack;
+    resources capacity;
+    std::string address;
+    int runs = 0;
+    /// Mean run time, relative to that of the queues' tasks on all workers.
+    double mean = 0;
+    /// Time at which the cell last had the worker.
+    timestamp seenAt = distantPast;
+};
+
+/// Speeds of the workers of one service.
+struct service_speeds
+{
+    /// Workers with enough runs for their speed to be known.
+    int knownWorkers = 0;
+    /// Standard deviation of the known workers' run times, without the error of the estimates.
+    double spread = 0;
+    /// The speeds are used in decisions.
+    bool used = false;
+};
+
+struct speed_table
+{
+    std::map<std::string, run_time_ratio> queues;
+    std::unordered_map<std::string, worker_speed> workers;
+    std::map<std::string, service_speeds> services;
+    /// Variance of single runs around the means of their queue and worker.
+    double runVariance = 0.25;
+    timestamp nextRefreshAt = distantPast;
+};
+
+/// Adds a run of a task that is not part of a gang. Does nothing if one of the times is not
+/// positive.
+void recordWorkerSpeed(speed_table &table, const worker_entry &entry, const std::string &queue,
+                       microseconds declared, microseconds observed, timestamp now);
+
+/// Recomputes the spread of each service's speeds and `worker_state::logRunTime` of its workers;
+/// does nothing if that was done within the last second. Returns the services whose speeds have
+/// begun or ceased to be used.
+std::vector<std::string> refreshWorkerSpeeds(speed_table &table,
+                                             std::map<std::string, worker_state> &workers,
+                                             timestamp now);
+
+/// Ceases to use any speeds and forgets them.
+void clearWorkerSpeeds(speed_table &table, std::map<std::string, worker_state> &workers);
+
+} // namespace bramleygrade::cell
--- a/src/cell/workers/worker_state.h
+++ b/src/cell/workers/worker_state.h
@@ -1,11 +1,12 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <set>
 
 #include "cell/jobs/job_state.h"
-#include "cell/workers/run_times.h"
 #include "cell/types.h"
+#include "cell/workers/run_times.h"
 
 namespace bramleygrade::cell {
 
@@ -102,6 +103,9 @@
     /// after all steps.
     resources headroomOfUrgent;
     resources headroomOfOthers;
+    /// Expected run time relative to the mean of the service, as a natural logarithm; empty unless
+    /// the service's speeds are used in decisions.
+    std::optional<double> logRunTime;
 };
 
 /// Length of a lease, unless the workers' limit is shorter.
--- a/testing/cell/load_simulation.cpp
+++ b/testing/cell/load_simulation.cpp
@@ -781,6 +781,7 @@
 {
     m_outcome.classes.resize(m_settings.classes.size());
     m_driver.cell.settings.gangTimeout = m_settings.gangTimeout;
+    m_driver.cell.settings.workerSpeeds = m_settings.workerSpeeds;
     m_driver.cell.settings.stopTimeout = m_settings.stopTimeout;
     addQueues();
     addWorkers();
