Place work by the learned speeds of workers

Cause: best fit by processors puts urgent short tasks on workers that take twice as long, and mixes fast and slow members in gangs, which are as slow as their slowest member. Change: where the speeds of a service are used, urgent tasks, the last tasks of a step, retried tasks and gangs prefer fast workers; work with time to spare prefers slow ones; a gang uses the slowest class of like workers that it needs first, and then faster ones.

--- a/src/cell/placement/placement.cpp
+++ b/src/cell/placement/placement.cpp
@@ -4,6 +4,7 @@
 #include <numeric>
 
 #include "cell/ends/crashes.h"
+#include "cell/placement/speed_placement.h"
 
 namespace bramleygrade::cell {
 
@@ -58,6 +59,7 @@
     const bool onReservedOnly = spec.gang && holdsReservation(step, now);
     const bool needsTrial = isSuspected(step) && (!spec.gang || hasRecentCrash(step, now));
     const std::string &job = waiting.job->spec.id;
+    const double speedFactor = speedCostFactor(waiting, now);
     std::vector<candidate> found;
     const auto consider = [&](const std::string &id, const worker_headroom &headroom,
                               bool ticketValid) {
@@ -72,8 +74,9 @@
             slots = std::min(slots, spec.maxPerWorker - countRuns(step, id));
         }
         if (slots > 0) {
-            found.push_back(
-                {&id, &headroom, slots, placementCost(spec, first, headroom), ticketValid});
+            const double cost =
+                placementCost(spec, first, headroom) + speedCost(speedFactor, *headroom.worker);
+            found.push_back({&id, &headroom, slots, cost, ticketValid});
         }
     };
     const bool needsAdvice = waiting.job->policy.needsAdvice;
@@ -116,6 +119,23 @@
     }
 }
 
+/// Moves the workers to the front on which a gang ends soonest: the slowest class that it has to
+/// use, as faster members would wait for it, and then the faster ones.
+void preferLikeSpeeds(std::vector<candidate> &candidates, std::int64_t needed)
+{
+    std::vector<class_slots> available;
+    for (const candidate &option : candidates) {
+        available.push_back({speedClass(*option.headroom->worker), option.slots});
+    }
+    const int slowest = slowestClassNeeded(std::move(available), needed);
+    std::stable_sort(candidates.begin(), candidates.end(),
+                     [&](const candidate &a, const candidate &b) {
+                         const int ofA = speedClass(*a.headroom->worker);
+                         const int ofB = speedClass(*b.headroom->worker);
+                         return std::pair(ofA > slowest, -ofA) < std::pair(ofB > slowest, -ofB);
+                     });
+}
+
 /// Sorts workers with the most slots first, so that a gang runs on few workers. Removes workers
 /// without a valid ticket if the others suffice; otherwise a gang would request new tickets again
 /// and again.
@@ -133,6 +153,7 @@
     }
     std::stable_sort(candidates.begin(), candidates.end(),
                      [](const candidate &a, const candidate &b) { return a.slots > b.slots; });
+    preferLikeSpeeds(candidates, needed);
 }
 
 /// Returns the tasks of the step that may be started now; none while members of a broken gang are
