Preempt only where it gains more than it throws away

Change: where speeds are used, a gang preempts only if it can meet its objective by that and is not expected to by waiting for runs to end, and if its work is worth three times the work thrown away since the victims' checkpoints. A run is not preempted within 12 s of another preemption of its task, nor if its own job would miss its objective by the delay.

--- a/src/cell/jobs/job_state.h
+++ b/src/cell/jobs/job_state.h
@@ -4,8 +4,8 @@
 #include <optional>
 #include <set>
 
-#include "cell/workers/run_times.h"
 #include "cell/types.h"
+#include "cell/workers/run_times.h"
 
 namespace bramleygrade::cell {
 
@@ -42,6 +42,10 @@
     /// Time at which `percent` last changed.
     timestamp progressAt = distantPast;
     std::string checkpoint;
+    /// Time at which a new checkpoint of the newest run was last reported.
+    timestamp checkpointAt = distantPast;
+    /// Time of the newest preemption of a run of the task.
+    timestamp preemptedAt = distantPast;
     /// The newest run did not work from its beginning, as it resumed from a checkpoint or was
     /// adopted.
     bool resumed = false;
--- a/src/cell/placement/preemption.cpp
+++ b/src/cell/placement/preemption.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 
 #include "cell/placement/placement.h"
+#include "cell/placement/preemption_gain.h"
 
 namespace bramleygrade::cell {
 
@@ -26,6 +27,8 @@
     task_id task;
     resources demand;
     int percent = 0;
+    /// Processor time thrown away if the run is stopped; computed only where speeds are used.
+    std::int64_t lost = 0;
 };
 
 /// A worker with the runs that may be preempted there; `slots`: tasks of the gang that would fit
@@ -47,6 +50,7 @@
                                 const worker_state &worker, timestamp now)
 {
     std::vector<victim> victims;
+    const bool byGain = usesSpeeds(cell, waiting);
     for (const task_id &id : worker.life.runs) {
         job_state *job = findJob(cell, id.job);
         const task_state *task = job == nullptr ? nullptr : findTask(*job, id);
@@ -54,15 +58,20 @@
             || !mayPreempt(waiting, *job, now)) {
             continue;
         }
+        if (byGain && isProtected(cell, *job, id, *task, now)) {
+            continue;
+        }
         const step_spec &spec = stepOf(*job, id.step);
         if (spec.checkpointing && !spec.gang && !spec.longRunning
             && task->percent < nearlyDonePercent) {
-            victims.push_back({id, reservedDemand(spec), task->percent});
+            victims.push_back({id, reservedDemand(spec), task->percent,
+                               byGain ? workLostByStopping(cell, spec, *task, now) : 0});
         }
     }
     // Least progress first, as runs with more progress end sooner anyway.
-    std::sort(victims.begin(), victims.end(),
-              [](const victim &a, const victim &b) { return a.percent < b.percent; });
+    std::sort(victims.begin(), victims.end(), [](const victim &a, const victim &b) {
+        return std::tie(a.lost, a.percent) < std::tie(b.lost, b.percent);
+    });
     return victims;
 }
 
@@ -84,6 +93,21 @@
     return result;
 }
 
+/// Returns the processor time that `preemptRuns` would throw away.
+std::int64_t workLost(const waiting_step &waiting, const preemption_target &chosen,
+                      std::int64_t slots, resources free)
+{
+    std::int64_t lost = 0;
+    for (const victim &run : chosen.victims) {
+        if (tasksThatFit(stepSpec(waiting), free) >= slots) {
+            break;
+        }
+        free = free + run.demand;
+        lost += run.lost;
+    }
+    return lost;
+}
+
 /// Stops only as many runs as it takes for `slots` tasks of the step to fit, together with the
 /// capacity in `free`.
 void preemptRuns(scheduler &cell, const waiting_step &waiting, const preemption_target &chosen,
@@ -98,6 +122,7 @@
         task_state *task = findTask(*job, run.task);
         free = free + run.demand;
         ++cell.counters.preemptedRuns;
+        task->preemptedAt = now;
         out.events.push_back({"run_preempted", run.task.job,
                               "worker=" + chosen.id + " for=" + waiting.job->spec.id
                                   + " percent=" + std::to_string(run.percent)});
@@ -105,6 +130,20 @@
     }
 }
 
+/// Returns the processor time that preemption on the targets, in this order, throws away.
+std::int64_t sumWorkLost(const waiting_step &waiting, const std::vector<preemption_target> &targets,
+                         const headroom_map &headrooms)
+{
+    std::int64_t lost = 0;
+    auto missing = static_cast<std::int64_t>(waiting.tasks.size());
+    for (const preemption_target &chosen : targets) {
+        const std::int64_t taken = std::min(missing, chosen.slots);
+        lost += workLost(waiting, chosen, taken, headrooms.at(chosen.id).free);
+        missing -= taken;
+    }
+    return lost;
+}
+
 } // namespace
 
 std::vector<std::string> preemptForGang(scheduler &cell, const waiting_step &waiting,
@@ -122,6 +161,10 @@
         return {};
     }
     step.preemptNotBefore = now + preemptRetryInterval;
+    const bool byGain = usesSpeeds(cell, waiting);
+    if (byGain && !needsPreemption(cell, waiting, headrooms, now)) {
+        return {};
+    }
     std::vector<preemption_target> targets;
     std::int64_t slots = 0;
     for (const auto &[id, headroom] : headrooms) {
@@ -142,6 +185,9 @@
                   return a.slots - static_cast<std::int64_t>(a.victims.size()) / 4
                       > b.slots - static_cast<std::int64_t>(b.victims.size()) / 4;
               });
+    if (byGain && !gainsByPreemption(waiting, sumWorkLost(waiting, targets, headrooms))) {
+        return {};
+    }
     std::vector<std::string> plan;
     step.reservations.clear();
     step.reservedUntil = now + reservationDuration;
--- a/src/cell/workers/scheduler_workers.cpp
+++ b/src/cell/workers/scheduler_workers.cpp
@@ -52,11 +52,12 @@
     out.events.push_back({"stop_unexpected_run", run.task.job, "worker=" + worker.entry.id});
 }
 
-void recordCheckpoint(job_state &job, const reported_run &run, task_state &task)
+void recordCheckpoint(job_state &job, const reported_run &run, task_state &task, timestamp now)
 {
     if (run.checkpoint.empty()) {
         return;
     }
+    task.checkpointAt = task.checkpoint == run.checkpoint ? task.checkpointAt : now;
     task.checkpoint = run.checkpoint;
     if (stepOf(job, run.task.step).gang) {
         auto &tasks = ensureOccurrence(job, run.task.occurrence)
@@ -97,7 +98,7 @@
         task->percent = run.percent;
         task->progressAt = now;
     }
-    recordCheckpoint(*job, run, *task);
+    recordCheckpoint(*job, run, *task, now);
 }
 
 /// Returns the time after which every lease granted by previous schedulers has expired. The newest
