Ask the advisory service about workers of the speed that suits the step

Cause: a step gets tickets for the workers with the most free slots, so that urgent steps and gangs are confined to slow workers however their placement weighs speed. Change: where speeds are used, workers with a free slot are asked about in the order of speed classes that the step prefers, then by free slots.

--- a/src/cell/advice/advice.cpp
+++ b/src/cell/advice/advice.cpp
@@ -2,6 +2,7 @@
 #include <limits>
 
 #include "cell/placement/placement.h"
+#include "cell/placement/speed_placement.h"
 
 namespace bramleygrade::cell {
 
@@ -56,14 +57,31 @@
     return workers;
 }
 
-/// Returns the workers never asked about for the step, with their negated free slots, those with
-/// the most slots first.
-std::vector<std::pair<std::int64_t, std::string>> findUnaskedWorkers(const waiting_step &waiting,
-                                                                     const headroom_map &headrooms)
+/// A worker that the step may ask about.
+struct unasked_worker
 {
+    bool isFull = false;
+    /// Rank by speed, lower is better; 0 while speeds are not used.
+    double rank = 0;
+    std::int64_t slots = 0;
+    std::string id;
+
+    friend bool operator<(const unasked_worker &a, const unasked_worker &b)
+    {
+        return std::tie(a.isFull, a.rank, b.slots, a.id)
+            < std::tie(b.isFull, b.rank, a.slots, b.id);
+    }
+};
+
+/// Returns the workers never asked about for the step, those with a free slot first, then by how
+/// well their speed suits the step, then those with the most slots.
+std::vector<unasked_worker> findUnaskedWorkers(const waiting_step &waiting,
+                                               const headroom_map &headrooms, timestamp now)
+{
+    const double speedFactor = speedCostFactor(waiting, now);
     const step_spec &spec = stepSpec(waiting);
     const step_state &step = stepState(waiting);
-    std::vector<std::pair<std::int64_t, std::string>> found;
+    std::vector<unasked_worker> found;
     const resources demand = reservedDemand(spec);
     for (const auto &[id, headroom] : headrooms) {
         if ((!spec.gang && !fits(demand, headroom.free))
@@ -76,7 +94,8 @@
             slots = std::min<std::int64_t>(slots, spec.maxPerWorker);
         }
         if (slots > 0 || spec.gang) {
-            found.emplace_back(-slots, id);
+            found.push_back(
+                {slots <= 0, speedFactor * speedClass(*headroom.worker), slots, id});
         }
     }
     std::sort(found.begin(), found.end());
@@ -112,12 +131,12 @@
     const double share = allowedShare(cell, waiting.job->spec.queue);
     double needed = stepSpec(waiting).gang ? std::numeric_limits<double>::max()
                                            : static_cast<double>(plan.unplaced) * askedSlotsFactor;
-    for (const auto &[negativeSlots, id] : findUnaskedWorkers(waiting, headrooms)) {
+    for (const unasked_worker &worker : findUnaskedWorkers(waiting, headrooms, now)) {
         if (needed <= 0 || toAsk.size() >= maxWorkersPerCall) {
             break;
         }
-        toAsk.push_back(id);
-        needed -= static_cast<double>(-negativeSlots) * share;
+        toAsk.push_back(worker.id);
+        needed -= static_cast<double>(worker.slots) * share;
     }
     return toAsk;
 }
