Show the spread of the workers' speeds and whether they are used

Change: setting worker_speeds (true or false; default true), gauges worker_speeds_known, worker_speeds_spread_milli and worker_speeds_used per service, field worker_speeds of scheduler_load.

--- a/src/cell/workers/worker_speeds.cpp
+++ b/src/cell/workers/worker_speeds.cpp
@@ -278,12 +278,4 @@
     return changed;
 }
 
-void clearWorkerSpeeds(speed_table &table, std::map<std::string, worker_state> &workers)
-{
-    table = {};
-    for (auto &[id, worker] : workers) {
-        worker.logRunTime.reset();
-    }
-}
-
 } // namespace bramleygrade::cell
--- a/src/cell/workers/worker_speeds.h
+++ b/src/cell/workers/worker_speeds.h
@@ -68,7 +68,4 @@
                                              std::map<std::string, worker_state> &workers,
                                              timestamp now);
 
-/// Ceases to use any speeds and forgets them.
-void clearWorkerSpeeds(speed_table &table, std::map<std::string, worker_state> &workers);
-
 } // namespace bramleygrade::cell
--- a/src/entry/entry_settings.cpp
+++ b/src/entry/entry_settings.cpp
@@ -55,6 +55,16 @@
     {"log_lines_per_second", &cell_settings::logLinesPerSecond, 1, 1, 1'000'000},
 };
 
+struct bool_field
+{
+    const char *name;
+    bool cell_settings::*field;
+};
+
+const bool_field boolFields[] = {
+    {"worker_speeds", &cell_settings::workerSpeeds},
+};
+
 std::size_t lineAt(const std::string &text, std::size_t offset)
 {
     return 1
@@ -120,6 +130,18 @@
         settings.*definition.field =
             static_cast<microseconds>(value * static_cast<double>(definition.unit));
     }
+    for (const bool_field &definition : boolFields) {
+        const auto member = document.FindMember(definition.name);
+        if (member == document.MemberEnd()) {
+            continue;
+        }
+        if (!member->value.IsBool()) {
+            return makeError(origin, lineOfField(text, definition.name),
+                             std::string("'") + definition.name
+                                 + "' must be true or false; change it or leave it out");
+        }
+        settings.*definition.field = member->value.GetBool();
+    }
     return settings;
 }
 
--- a/src/entry/entry_settings.h
+++ b/src/entry/entry_settings.h
@@ -42,6 +42,8 @@
     /// jobs that the team may send in it beyond its weight.
     microseconds teamWindow = 5 * second;
     std::int64_t teamWindowSlack = 20;
+    /// Learned speeds of workers are used where they differ by a wide margin.
+    bool workerSpeeds = true;
 };
 
 /// Why the settings cannot be used; `message` names the line or field and the remedy.
--- a/src/entry/leader.cpp
+++ b/src/entry/leader.cpp
@@ -319,6 +319,7 @@
     leaderState.cell.settings.gangTimeout = entry.settings.gangTimeout;
     leaderState.cell.settings.stopTimeout = entry.settings.stopTimeout;
     leaderState.cell.settings.endedKept = entry.settings.endedKept;
+    leaderState.cell.settings.workerSpeeds = entry.settings.workerSpeeds;
     leaderState.cell.settings.predecessorGrace = takeoverNoticeTime;
     const timestamp now = steadyNow();
     cell::beginEpoch(leaderState.cell, entry.epoch, now);
--- a/src/entry/observation.cpp
+++ b/src/entry/observation.cpp
@@ -1,6 +1,8 @@
 #include "entry/observation.h"
 
 #include <algorithm>
+#include <iomanip>
+#include <sstream>
 
 #include "entry/entry.h"
 
@@ -52,6 +54,18 @@
               {"advice_queue", leading == nullptr ? "" : size(countQueuedAdvice(*leading))}});
 }
 
+/// Returns the services with known speeds, for example "booking:used:0.34".
+std::string formatSpeeds(const cell::speed_table &speeds)
+{
+    std::ostringstream text;
+    text << std::fixed << std::setprecision(2);
+    for (const auto &[name, service] : speeds.services) {
+        text << (text.tellp() > 0 ? " " : "") << name << (service.used ? ":used:" : ":unused:")
+             << service.spread;
+    }
+    return text.str();
+}
+
 void reportLoad(entry_state &entry, timestamp now)
 {
     entry_observation &observed = entry.observed;
@@ -78,6 +92,7 @@
               {"starts", std::to_string(newStarts)},
               {"jobs_open", std::to_string(leading.cell.runnableJobs.size())},
               {"jobs_waiting", std::to_string(observed.waits.size())},
+              {"worker_speeds", formatSpeeds(leading.cell.speeds)},
               {"advice_queue", std::to_string(countQueuedAdvice(leading))},
               {"unsaved_changes", std::to_string(leading.cell.unstored.size())},
               {"workers_unreconciled", std::to_string(countUnreconciledWorkers(leading.cell))},
--- a/src/entry/state_dump.cpp
+++ b/src/entry/state_dump.cpp
@@ -91,6 +91,18 @@
     }
 }
 
+void refreshSpeedGauges(entry_state &entry)
+{
+    auto &gauges = entry.metrics.gauges;
+    for (const auto &[name, service] : entry.leaderState->cell.speeds.services) {
+        const std::string label = "{service=\"" + name + "\"}";
+        gauges["worker_speeds_known" + label] = service.knownWorkers;
+        gauges["worker_speeds_spread_milli" + label] =
+            static_cast<std::int64_t>(service.spread * 1'000);
+        gauges["worker_speeds_used" + label] = service.used ? 1 : 0;
+    }
+}
+
 void refreshQueueGauges(entry_state &entry)
 {
     auto &gauges = entry.metrics.gauges;
@@ -144,6 +156,7 @@
     auto &gauges = entry.metrics.gauges;
     refreshUsage(entry);
     removeFamily(entry.metrics, "jobs_waiting");
+    removeFamily(entry.metrics, "worker_speeds");
     gauges["scheduler_seen_ms_ago"] = entry.leaderState ? 0 : ageMs(entry.schedulerSeenAt);
     gauges["epoch"] = entry.epoch;
     gauges["is_scheduler"] = entry.leaderState ? 1 : 0;
@@ -159,6 +172,7 @@
         return;
     }
     refreshQueueGauges(entry);
+    refreshSpeedGauges(entry);
     const cell::scheduler &cell = entry.leaderState->cell;
     gauges["jobs_in_memory"] = static_cast<std::int64_t>(cell.jobs.size());
     gauges["jobs_open"] = static_cast<std::int64_t>(cell.runnableJobs.size());
