Tests of learned speeds, and of decisions with and without them

Records of workers whose registry entry shows another machine are dropped at the next refresh; the test found that a worker that had changed its service still counted in the former one.

--- a/src/cell/workers/worker_speeds.cpp
+++ b/src/cell/workers/worker_speeds.cpp
@@ -73,6 +73,17 @@
     return speed;
 }
 
+/// Drops the records of workers whose registry entry shows another machine now.
+void dropOutdated(speed_table &table, const std::map<std::string, worker_state> &workers)
+{
+    for (const auto &[id, worker] : workers) {
+        const auto found = table.workers.find(id);
+        if (found != table.workers.end() && !describes(found->second, worker.entry)) {
+            table.workers.erase(found);
+        }
+    }
+}
+
 /// Returns the variance of the error of a mean of `runs` runs.
 double errorVariance(double runVariance, int runs)
 {
@@ -236,6 +247,7 @@
         return {};
     }
     table.nextRefreshAt = now + refreshInterval;
+    dropOutdated(table, workers);
     const std::map<std::string, service_sums> services = sumKnownWorkers(table, workers);
     std::map<std::string, speed_prior> priors;
     std::vector<std::string> changed;
--- a/test/cell/observation_test.cpp
+++ b/test/cell/observation_test.cpp
@@ -234,11 +234,32 @@
     BOOST_TEST(exposeMetrics(entry.metrics).find("jobs_open ") == std::string::npos);
 }
 
+// Guards against decisions that depend on learned speeds without an operator being able to see it,
+// and against the gauges of a former scheduler staying.
+BOOST_AUTO_TEST_CASE(spread_of_worker_speeds_is_shown_by_the_scheduler_only)
+{
+    boost::asio::io_context loop;
+    entry_state entry(loop, {});
+    entry.leaderState = std::make_unique<leader_state>();
+    entry.leaderState->cell.speeds.services["booking"] = {350, 0.3375, true};
+    refreshGauges(entry);
+    const std::string text = exposeMetrics(entry.metrics);
+    for (const char *line : {"worker_speeds_known{service=\"booking\"} 350\n",
+                             "worker_speeds_spread_milli{service=\"booking\"} 337\n",
+                             "worker_speeds_used{service=\"booking\"} 1\n"}) {
+        BOOST_TEST(text.find(std::string("\nbramleygrade_") + line) != std::string::npos, line);
+    }
+    entry.leaderState.reset();
+    refreshGauges(entry);
+    BOOST_TEST(exposeMetrics(entry.metrics).find("worker_speeds") == std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(each_metric_has_a_help_text)
 {
     boost::asio::io_context loop;
     entry_state entry(loop, {});
     entry.leaderState = std::make_unique<leader_state>();
+    entry.leaderState->cell.speeds.services["booking"] = {350, 0.34, true};
     refreshGauges(entry);
     const std::string text = exposeMetrics(entry.metrics);
     const std::string type = "# TYPE bramleygrade_";
--- a/test/cell/rows_test.cpp
+++ b/test/cell/rows_test.cpp
@@ -152,6 +152,9 @@
         {validPrefix + "\"long\"}", "f:9: 'longest_lease_ms' must be a number"},
         {validPrefix + "5}", "f:9: 'longest_lease_ms' must be a number from 1000"},
         {validPrefix + "6000", "f:9:"},
+        {validPrefix + "6000,\n\"worker_speeds\": false}", ""},
+        {validPrefix + "6000,\n\"worker_speeds\": 1}",
+         "f:10: 'worker_speeds' must be true or false"},
         {"{\n\"name\":\"e\"\n}", "'host' is missing or not a text; add it"},
         {"[]", "must be one JSON object"},
     };
--- a/testing/cell/load_simulation.cpp
+++ b/testing/cell/load_simulation.cpp
@@ -151,6 +151,7 @@
 
     void requestDecision();
     void decide();
+    void addToHash(const cell::task_id &task, const std::string &worker);
     void send(const cell::orders &out);
     void write();
     void finishStoredJobs(const std::vector<std::string> &written);
@@ -364,8 +365,27 @@
     }
 }
 
+void load_simulation::addToHash(const cell::task_id &task, const std::string &worker)
+{
+    const std::string text = std::to_string(m_driver.now) + task.job + "."
+        + std::to_string(task.step) + "." + std::to_string(task.index) + "@" + worker;
+    for (const char character : text) {
+        m_outcome.ordersHash =
+            (m_outcome.ordersHash ^ static_cast<unsigned char>(character)) * 1'099'511'628'211ULL;
+    }
+}
+
 void load_simulation::send(const cell::orders &out)
 {
+    for (const auto &order : out.stops) {
+        addToHash(order.task, order.worker);
+    }
+    for (const auto &order : out.starts) {
+        addToHash(order.task, order.worker);
+    }
+    for (const auto &order : out.advice) {
+        addToHash(order.step, "");
+    }
     for (const auto &order : out.stops) {
         sendStop(order);
     }
@@ -738,6 +758,9 @@
         cell::advice_order order = std::move(next->second);
         queue.erase(next);
         if (cell::prepareAdvice(m_driver.cell, order, m_driver.now)) {
+            for (const std::string &worker : order.workers) {
+                addToHash(order.step, worker);
+            }
             callAdvice(order, m_clients[*chosen]);
         }
     }
@@ -797,6 +820,9 @@
         action();
     }
     m_outcome.counters = m_driver.cell.counters;
+    for (const auto &[name, service] : m_driver.cell.speeds.services) {
+        m_outcome.speedsUsed = m_outcome.speedsUsed || service.used;
+    }
     m_outcome.meanUsedShare = m_usedShareSum / std::max(m_usedShareSamples, 1);
     return m_outcome;
 }
--- a/testing/cell/load_simulation.h
+++ b/testing/cell/load_simulation.h
@@ -109,6 +109,11 @@
     cell::scheduler_counters counters;
     /// Runs that were preempted more than once within `repeatedPreemption`.
     int repeatedPreemptions = 0;
+    /// Hash over all starts, stops and advice calls with their times; equal for two runs that have
+    /// decided alike.
+    std::uint64_t ordersHash = 14'695'981'039'346'656'037ULL;
+    /// Speeds of the workers were used at the end.
+    bool speedsUsed = false;
     double refusedTickets = 0;
     /// Mean share of the workers' processors with a run or a reservation.
     double meanUsedShare = 0;
