--- a/test/cell/worker_speeds_test.cpp
+++ b/test/cell/worker_speeds_test.cpp
@@ -381,3 +381,140 @@
     BOOST_REQUIRE(last.starts.size() == 2U);
     BOOST_TEST(cell.countSlow(last) == 0);
 }
+
+namespace {
+
+/// Runs of a job of lower priority fill all workers when a gang arrives; `used`: the speeds of the
+/// workers are used.
+struct preemption_case
+{
+    const char *name;
+    bool used;
+    /// Time since the victims' newest checkpoint.
+    microseconds unsaved;
+    /// Declared time and progress of the victims.
+    microseconds victimEstimate;
+    int percent;
+    /// Time since a former preemption of the victims; 0: there was none.
+    microseconds preemptedAgo;
+    /// Objective of the gang, which takes 4 s, and of the victims' job, from now on.
+    microseconds gangObjective;
+    microseconds victimObjective;
+    bool preempts;
+};
+
+const preemption_case preemptionCases[] = {
+    {"gain", true, 100 * millisecond, 20 * second, 10, 0, 6 * second, 600 * second, true},
+    {"like workers", false, 10 * second, 20 * second, 50, second, 500 * millisecond, 30 * second,
+     true},
+    {"more is thrown away", true, 10 * second, 20 * second, 10, 0, 6 * second, 600 * second, false},
+    {"runs end soon enough", true, 100 * millisecond, 8 * second, 79, 0, 5'900 * millisecond,
+     600 * second, false},
+    {"gang is late all the same", true, 100 * millisecond, 20 * second, 10, 0, 4 * second,
+     600 * second, false},
+    {"preempted shortly before", true, 100 * millisecond, 20 * second, 10, 5 * second, 6 * second,
+     600 * second, false},
+    {"preempted long before", true, 100 * millisecond, 20 * second, 10, 30 * second, 6 * second,
+     600 * second, true},
+    {"victims would be late", true, 100 * millisecond, 20 * second, 10, 0, 6 * second, 25 * second,
+     false},
+};
+
+std::ostream &operator<<(std::ostream &out, const preemption_case &given)
+{
+    return out << given.name;
+}
+
+} // namespace
+
+// Guards against preemption that throws away more than the gang gains, that only moves the delay to
+// another job, and that hits the same run's work again and again; and against a change where
+// workers are alike.
+BOOST_DATA_TEST_CASE(gang_preempts_only_where_it_gains,
+                     boost::unit_test::data::make(preemptionCases), given)
+{
+    uneven_fixture cell;
+    cell.useSpeeds(given.used);
+    cell.policy.priority = 2;
+    step_spec victims = cell.makeStep(24, 8'000);
+    victims.checkpointing = true;
+    victims.estimate = given.victimEstimate;
+    const orders running = cell.run(cell.makeJob("victims", {victims}));
+    BOOST_REQUIRE(running.starts.size() == 24U);
+    for (const start_order &order : running.starts) {
+        cell.confirm(order);
+    }
+    cell.now += given.victimEstimate * given.percent / 100;
+    job_state &job = cell.cell.jobs.at("victims");
+    for (task_state &task : job.occurrences.at(0).steps[0].tasks) {
+        task.percent = given.percent;
+        task.progressAt = cell.now;
+        task.checkpointAt = cell.now - given.unsaved;
+        task.preemptedAt = given.preemptedAgo > 0 ? cell.now - given.preemptedAgo : distantPast;
+    }
+    cell.cell.nextCheckAt = distantFuture; // objectives stay as they are set here
+    job.objectiveAt = cell.now + given.victimObjective;
+    cell.policy.priority = 0;
+    step_spec gang = cell.makeStep(4, 8'000);
+    gang.gang = true;
+    gang.estimate = 4 * second;
+    acceptJob(cell.cell, cell.makeJob("gang", {gang}), cell.policy, cell.now);
+    cell.store();
+    cell.cell.jobs.at("gang").objectiveAt = cell.now + given.gangObjective;
+    const orders out = cell.decide();
+    BOOST_TEST(out.stops.size() == (given.preempts ? 4U : 0U));
+}
+
+namespace {
+
+/// Two gangs of one priority for which there is room for one.
+struct order_case
+{
+    const char *name;
+    bool used;
+    int wideTasks;
+    /// How long the wide gang has waited, and the time left to the objectives.
+    microseconds waited;
+    microseconds wideObjective;
+    microseconds narrowObjective;
+    bool wideFirst;
+};
+
+const order_case orderCases[] = {
+    {"like workers: by objective", false, 20, 0, 10 * second, 20 * second, true},
+    {"narrow gang first", true, 20, 0, 10 * second, 20 * second, false},
+    {"every second of waiting counts", true, 4, 25 * second, 60 * second, 60 * second, true},
+    {"late gang behind one on time", true, 4, 25 * second, 500 * millisecond, 60 * second, false},
+    {"late gang after the bound", true, 4, 31 * second, -5 * second, 60 * second, true},
+};
+
+std::ostream &operator<<(std::ostream &out, const order_case &given)
+{
+    return out << given.name;
+}
+
+} // namespace
+
+// Guards against gangs that each make the next one late, and against a gang that waits for ever
+// behind smaller or later ones.
+BOOST_DATA_TEST_CASE(gangs_go_by_the_time_they_hold, boost::unit_test::data::make(orderCases),
+                     given)
+{
+    uneven_fixture cell;
+    cell.useSpeeds(given.used);
+    step_spec gang = cell.makeStep(given.wideTasks, 8'000);
+    gang.gang = true;
+    acceptJob(cell.cell, cell.makeJob("wide", {gang}), cell.policy, cell.now - given.waited);
+    gang.count = 3;
+    acceptJob(cell.cell, cell.makeJob("narrow", {gang}), cell.policy, cell.now);
+    std::vector<waiting_step> waiting;
+    for (const auto &[id, objective] :
+         {std::pair("wide", given.wideObjective), std::pair("narrow", given.narrowObjective)}) {
+        job_state &job = cell.cell.jobs.at(id);
+        job.objectiveAt = cell.now + objective;
+        ensureOccurrence(job, 0);
+        waiting.push_back(*makeWaitingStep(job, 0, 0, cell.now));
+    }
+    orderGangs(cell.cell, waiting, cell.now);
+    BOOST_TEST((waiting[0] < waiting[1]) == given.wideFirst);
+}
