Place scavenging tasks where processor time is left over

Cause: no processors are reserved for scavenging tasks, so that best fit places them on the fullest workers, all tasks of a step on one; their run times also counted as the speed of the worker. Change: where speeds are used, scavenging tasks go to workers with the largest share of their demand free, and away from workers on which such tasks took longer than elsewhere; a round places as many on a worker as fit into its free processors, at least one. Their run times are recorded apart.

--- a/src/cell/ends/scheduler_ends.cpp
+++ b/src/cell/ends/scheduler_ends.cpp
@@ -46,8 +46,8 @@
                           observed);
         worker.life.slowness = slownessOf(worker.life.runTimes);
         if (cell.settings.workerSpeeds) {
-            recordWorkerSpeed(cell.speeds, worker.entry, job.spec.queue, spec.estimate, observed,
-                              now);
+            const auto record = spec.scavenging ? recordScavengedRun : recordWorkerSpeed;
+            record(cell.speeds, worker.entry, job.spec.queue, spec.estimate, observed, now);
         }
     }
 }
--- a/src/cell/placement/placement.cpp
+++ b/src/cell/placement/placement.cpp
@@ -73,9 +73,10 @@
         if (spec.maxPerWorker > 0) {
             slots = std::min(slots, spec.maxPerWorker - countRuns(step, id));
         }
+        slots = limitScavenging(spec, headroom, slots);
         if (slots > 0) {
             const double cost =
-                placementCost(spec, first, headroom) + speedCost(speedFactor, *headroom.worker);
+                placementCost(spec, first, headroom) + speedCost(spec, speedFactor, headroom);
             found.push_back({&id, &headroom, slots, cost, ticketValid});
         }
     };
--- a/src/cell/placement/speed_placement.cpp
+++ b/src/cell/placement/speed_placement.cpp
@@ -19,6 +19,12 @@
 /// The waiting tasks of a step are its last ones if they are at most this share of it.
 constexpr int lastTasksDivisor = 4;
 constexpr double classWidth = 0.25;
+/// Weight of the share of a scavenging task's processors that is free now. Best fit counts what
+/// stays free as a cost of at most 1, which this outweighs.
+constexpr double leftOverFactor = 3.0;
+/// Weight of the run times seen of scavenging tasks; it outweighs what is free now, as their own
+/// use is not part of that.
+constexpr double scavengedFactor = 2.0;
 
 } // namespace
 
@@ -26,7 +32,7 @@
 {
     const step_spec &spec = stepSpec(waiting);
     const step_state &step = stepState(waiting);
-    if (spec.longRunning || spec.scavenging) {
+    if (spec.longRunning) {
         return slowFactor;
     }
     const bool isLast = waiting.tasks.size() * lastTasksDivisor <= step.tasks.size();
@@ -44,6 +50,30 @@
     return waiting.late || left > slackForSlowWorkers * expected ? slowFactor : fastFactor;
 }
 
+double speedCost(const step_spec &step, double factor, const worker_headroom &headroom)
+{
+    const worker_state &worker = *headroom.worker;
+    if (!worker.logRunTime) {
+        return 0.0;
+    }
+    if (!step.scavenging) {
+        return factor * *worker.logRunTime;
+    }
+    const auto wanted = static_cast<double>(std::max<std::int64_t>(step.demand.cpuMilli, 1));
+    const double share = std::clamp(static_cast<double>(headroom.free.cpuMilli) / wanted, 0.0, 1.0);
+    return scavengedFactor * worker.logScavenged - leftOverFactor * share;
+}
+
+std::int64_t limitScavenging(const step_spec &step, const worker_headroom &headroom,
+                             std::int64_t slots)
+{
+    if (!step.scavenging || !headroom.worker->logRunTime || step.demand.cpuMilli <= 0) {
+        return slots;
+    }
+    return std::min(slots,
+                    std::max<std::int64_t>(headroom.free.cpuMilli / step.demand.cpuMilli, 1));
+}
+
 int speedClass(const worker_state &worker)
 {
     return worker.logRunTime ? static_cast<int>(std::lround(*worker.logRunTime / classWidth)) : 0;
--- a/src/cell/placement/speed_placement.h
+++ b/src/cell/placement/speed_placement.h
@@ -15,11 +15,14 @@
 /// workers, negative for those that leave them to others.
 double speedCostFactor(const waiting_step &waiting, timestamp now);
 
-/// The cost that a worker's speed adds to `placementCost`.
-inline double speedCost(double factor, const worker_state &worker)
-{
-    return worker.logRunTime ? factor * *worker.logRunTime : 0.0;
-}
+/// The cost that a worker's speed adds to `placementCost`; for scavenging tasks, the processor time
+/// that is left over there now, and that such tasks have got there.
+double speedCost(const step_spec &step, double factor, const worker_headroom &headroom);
+
+/// Returns how many of `slots` scavenging tasks a worker may take in one round, so that they spread
+/// over the processor time left over; at least one.
+std::int64_t limitScavenging(const step_spec &step, const worker_headroom &headroom,
+                             std::int64_t slots);
 
 /// Number of the class of like workers: they differ by less than a quarter in speed. Lower is
 /// faster; 0 while speeds are not in use.
--- a/src/cell/workers/worker_speeds.cpp
+++ b/src/cell/workers/worker_speeds.cpp
@@ -15,6 +15,12 @@
 /// Bound on the deviation of a single run from the expected time. Tasks that take many times as
 /// long for reasons of their own would otherwise make their workers look slow.
 constexpr double maxDeviation = 1.0;
+/// Weight of the newest scavenging run once enough have been seen, and bound on their deviation.
+/// What others leave changes within a minute, and may be next to nothing.
+constexpr double newestScavengedWeight = 0.1;
+constexpr double maxScavengedDeviation = 3.0;
+/// Runs that weigh as much as the assumption that a worker leaves as much as the others.
+constexpr double scavengedPriorRuns = 3;
 /// Bound on the run times of workers, relative to the mean.
 constexpr double maxLogRunTime = 1.4;
 /// Weight of the newest run in `speed_table::runVariance`.
@@ -61,12 +67,18 @@
     if (!inserted && describes(speed, entry)) {
         return speed;
     }
-    speed = {entry.service, kindOf(entry), entry.rack, entry.capacity, entry.address};
+    speed = {};
+    speed.service = entry.service;
+    speed.kind = kindOf(entry);
+    speed.rack = entry.rack;
+    speed.capacity = entry.capacity;
+    speed.address = entry.address;
     if (!entry.address.empty()) {
         for (const auto &[id, former] : table.workers) {
             if (id != entry.id && former.address == entry.address && describes(former, entry)) {
                 speed.runs = former.runs;
                 speed.mean = former.mean;
+                speed.scavenged = former.scavenged;
             }
         }
     }
@@ -240,6 +252,27 @@
         * std::clamp(value - ofWorker - ofQueue.mean, -bound, bound);
 }
 
+void recordScavengedRun(speed_table &table, const worker_entry &entry, const std::string &queue,
+                        microseconds declared, microseconds observed, timestamp now)
+{
+    if (declared <= 0 || observed <= 0) {
+        return;
+    }
+    run_time_ratio &ofQueue = table.scavengingQueues[queue];
+    worker_speed &speed = ensureSpeed(table, entry);
+    speed.seenAt = now;
+    const double value = std::log(static_cast<double>(observed) / static_cast<double>(declared));
+    const auto add = [](run_time_ratio &record, double deviation) {
+        ++record.runs;
+        record.mean += std::max(newestScavengedWeight, 1.0 / record.runs)
+            * std::clamp(deviation, -maxScavengedDeviation, maxScavengedDeviation);
+    };
+    if (ofQueue.runs >= minRuns) {
+        add(speed.scavenged, value - ofQueue.mean - speed.scavenged.mean);
+    }
+    add(ofQueue, value - speed.scavenged.mean - ofQueue.mean);
+}
+
 std::vector<std::string>
 refreshWorkerSpeeds(speed_table &table, std::map<std::string, worker_state> &workers, timestamp now)
 {
@@ -276,14 +309,17 @@
     for (auto &[id, worker] : workers) {
         const auto service = table.services.find(worker.entry.service);
         worker.logRunTime.reset();
+        worker.logScavenged = 0;
         const auto speed = table.workers.find(id);
         if (speed != table.workers.end()) {
             speed->second.seenAt = now;
         }
         if (service != table.services.end() && service->second.used) {
+            const worker_speed &known = ensureSpeed(table, worker.entry);
             worker.logRunTime =
-                estimate(table, priors.at(service->first), services.at(service->first),
-                         ensureSpeed(table, worker.entry));
+                estimate(table, priors.at(service->first), services.at(service->first), known);
+            worker.logScavenged = known.scavenged.mean * known.scavenged.runs
+                / (known.scavenged.runs + scavengedPriorRuns);
         }
     }
     forgetWorkersThatLeft(table, now);
--- a/src/cell/workers/worker_speeds.h
+++ b/src/cell/workers/worker_speeds.h
@@ -31,6 +31,8 @@
     int runs = 0;
     /// Mean run time, relative to that of the queues' tasks on all workers.
     double mean = 0;
+    /// Run times of scavenging tasks, which depend on the processor time that others leave.
+    run_time_ratio scavenged;
     /// Time at which the cell last had the worker.
     timestamp seenAt = distantPast;
 };
@@ -49,6 +51,8 @@
 struct speed_table
 {
     std::map<std::string, run_time_ratio> queues;
+    /// As `queues`, of scavenging tasks.
+    std::map<std::string, run_time_ratio> scavengingQueues;
     std::unordered_map<std::string, worker_speed> workers;
     std::map<std::string, service_speeds> services;
     /// Variance of single runs around the means of their queue and worker.
@@ -56,12 +60,16 @@
     timestamp nextRefreshAt = distantPast;
 };
 
-/// Adds a run of a task that is not part of a gang. Does nothing if one of the times is not
+/// Adds a run of a task that is neither part of a gang nor scavenging. Does nothing if one of the times is not
 /// positive.
 void recordWorkerSpeed(speed_table &table, const worker_entry &entry, const std::string &queue,
                        microseconds declared, microseconds observed, timestamp now);
 
-/// Recomputes the spread of each service's speeds and `worker_state::logRunTime` of its workers;
+/// Adds a run of a scavenging task; it tells nothing about the speed of the worker itself.
+void recordScavengedRun(speed_table &table, const worker_entry &entry, const std::string &queue,
+                        microseconds declared, microseconds observed, timestamp now);
+
+/// Recomputes the spread of each service's speeds and `logRunTime` and `logScavenged` of its workers;
 /// does nothing if that was done within the last second. Returns the services whose speeds have
 /// begun or ceased to be used.
 std::vector<std::string> refreshWorkerSpeeds(speed_table &table,
--- a/src/cell/workers/worker_state.h
+++ b/src/cell/workers/worker_state.h
@@ -106,6 +106,8 @@
     /// Expected run time relative to the mean of the service, as a natural logarithm; empty unless
     /// the service's speeds are used in decisions.
     std::optional<double> logRunTime;
+    /// The same of scavenging tasks, as far as their run times are known; 0: they are not.
+    double logScavenged = 0;
 };
 
 /// Length of a lease, unless the workers' limit is shorter.
--- a/test/cell/worker_speeds_test.cpp
+++ b/test/cell/worker_speeds_test.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cmath>
 #include <random>
+#include <set>
 
 #include "cell/placement/gang_order.h"
 #include "cell/placement/placement.h"
@@ -518,3 +519,88 @@
     orderGangs(cell.cell, waiting, cell.now);
     BOOST_TEST((waiting[0] < waiting[1]) == given.wideFirst);
 }
+
+namespace {
+
+/// What a worker leaves to scavenging tasks: its free processors, and how long such tasks took
+/// there as a multiple of the usual time.
+struct left_over_case
+{
+    const char *name;
+    std::int64_t freeElsewhere;
+    std::int64_t freeHere;
+    double takenHere;
+    bool startsHere;
+};
+
+const left_over_case leftOverCases[] = {
+    {"most processors free", 1'000, 6'000, 1, true},
+    {"fewest processors free", 6'000, 1'000, 1, false},
+    {"tasks took shorter than elsewhere", 4'000, 4'000, 0.5, true},
+    {"tasks took longer than elsewhere", 4'000, 4'000, 2, false},
+    {"free processors of which tasks got nothing", 4'000, 6'000, 8, false},
+};
+
+std::ostream &operator<<(std::ostream &out, const left_over_case &given)
+{
+    return out << given.name;
+}
+
+} // namespace
+
+// Guards against scavenging tasks on the fullest workers, where best fit places them as no
+// processors are reserved for them, and on workers where they are seen to get little.
+BOOST_DATA_TEST_CASE(scavenging_task_goes_where_processor_time_is_left_over,
+                     boost::unit_test::data::make(leftOverCases), given)
+{
+    uneven_fixture cell;
+    const std::string here = cell.entries[13].id;
+    for (const auto &entry : cell.entries) {
+        const bool isHere = entry.id == here;
+        worker_state &worker = cell.cell.workers.at(entry.id);
+        worker.life.used.cpuMilli = 8'000 - (isHere ? given.freeHere : given.freeElsewhere);
+        worker.logScavenged = isHere ? std::log(given.takenHere) : 0;
+    }
+    step_spec step = cell.makeStep(1, 4'000);
+    step.scavenging = true;
+    const orders out = cell.run(cell.makeJob("job", {step}));
+    BOOST_REQUIRE(out.starts.size() == 1U);
+    BOOST_TEST((out.starts[0].worker == here) == given.startsHere);
+}
+
+// Guards against run times of scavenging tasks counting as the speed of their worker, and against
+// not learning from them how much is left over.
+BOOST_AUTO_TEST_CASE(scavenging_runs_tell_what_is_left_over_and_not_the_speed)
+{
+    learning_workers cell(1);
+    for (int index = 0; index < 40; ++index) {
+        cell.add("worker-" + std::to_string(index), index % 4 == 0 ? 0.55 : 1.2, "kind", "rack");
+    }
+    cell.runOnAll("queue", 60);
+    cell.refresh();
+    const double before = *cell.workers.at("worker-1").logRunTime;
+    for (int run = 0; run < 30; ++run) {
+        for (const auto &[id, worker] : cell.workers) {
+            recordScavengedRun(cell.table, worker.entry, "spare", second,
+                               id == "worker-1" ? 8 * second : 2 * second, cell.now);
+        }
+    }
+    cell.refresh();
+    BOOST_TEST(*cell.workers.at("worker-1").logRunTime == before);
+    BOOST_TEST(cell.workers.at("worker-1").logScavenged > std::log(2.0));
+    BOOST_TEST(std::abs(cell.workers.at("worker-2").logScavenged) < 0.2);
+}
+
+// Guards against all tasks of a scavenging step on the one worker with the most processors free.
+BOOST_AUTO_TEST_CASE(scavenging_tasks_spread_over_what_is_left_over)
+{
+    uneven_fixture cell;
+    step_spec step = cell.makeStep(24, 8'000);
+    step.scavenging = true;
+    const orders out = cell.run(cell.makeJob("job", {step}));
+    std::set<std::string> workers;
+    for (const start_order &order : out.starts) {
+        workers.insert(order.worker);
+    }
+    BOOST_TEST(workers.size() == 24U);
+}
