--- a/src/cell/workers/worker_speeds.h
+++ b/src/cell/workers/worker_speeds.h
@@ -60,8 +60,8 @@
     timestamp nextRefreshAt = distantPast;
 };
 
-/// Adds a run of a task that is neither part of a gang nor scavenging. Does nothing if one of the times is not
-/// positive.
+/// Adds a run of a task that is neither part of a gang nor scavenging. Does nothing if one of the
+/// times is not positive.
 void recordWorkerSpeed(speed_table &table, const worker_entry &entry, const std::string &queue,
                        microseconds declared, microseconds observed, timestamp now);
 
@@ -69,9 +69,9 @@
 void recordScavengedRun(speed_table &table, const worker_entry &entry, const std::string &queue,
                         microseconds declared, microseconds observed, timestamp now);
 
-/// Recomputes the spread of each service's speeds and `logRunTime` and `logScavenged` of its workers;
-/// does nothing if that was done within the last second. Returns the services whose speeds have
-/// begun or ceased to be used.
+/// Recomputes the spread of each service's speeds and `logRunTime` and `logScavenged` of its
+/// workers; does nothing if that was done within the last second. Returns the services whose speeds
+/// have begun or ceased to be used.
 std::vector<std::string> refreshWorkerSpeeds(speed_table &table,
                                              std::map<std::string, worker_state> &workers,
                                              timestamp now);
