--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -71,7 +71,8 @@
 
 # Unit tests of the cell scheduler and its formats, and randomised histories in virtual time.
 foreach(unit admission advice_dispatch caller_keys changing_capacity claim_order entry handover membership observation
-             placement_round run_times scheduler storing rows takeover team_caps team_takeover waiting_jobs watches writes)
+             placement_round run_times scheduler storing rows takeover team_caps team_takeover waiting_jobs watches
+             worker_speeds writes)
     add_executable(cell_${unit}_test test/cell/${unit}_test.cpp)
     target_include_directories(cell_${unit}_test PRIVATE ${CMAKE_SOURCE_DIR} ${CMAKE_SOURCE_DIR}/test/cell)
     target_link_libraries(cell_${unit}_test PRIVATE bramleygrade_platform Boost::headers)
@@ -161,6 +162,12 @@
 add_executable(short_wide_steps_test test/cell/short_wide_steps_test.cpp)
 target_link_libraries(short_wide_steps_test PRIVATE cell_load_simulation Boost::headers)
 add_test(NAME short_wide_steps COMMAND short_wide_steps_test)
+add_executable(uneven_speeds_test test/cell/uneven_speeds_test.cpp)
+target_link_libraries(uneven_speeds_test PRIVATE cell_load_simulation Boost::headers)
+foreach(part like_workers_are_served_as_before uneven_workers_throw_away_half_of_the_work)
+    add_test(NAME uneven_speeds_${part} COMMAND uneven_speeds_test --run_test=${part})
+    set_tests_properties(uneven_speeds_${part} PROPERTIES COST 30)
+endforeach()
 add_test(NAME cell_histories_of_takeovers COMMAND cell_histories 1 8 takeovers)
 set_tests_properties(cell_histories_of_takeovers PROPERTIES COST 500)
 add_test(NAME cell_histories_of_capacity_changes COMMAND cell_histories 1 200 capacity)
