--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -71,7 +71,7 @@
 
 # Unit tests of the cell scheduler and its formats, and randomised histories in virtual time.
 foreach(unit admission advice_dispatch caller_keys changing_capacity claim_order entry handover membership observation placement_round
-             run_times scheduler storing rows takeover waiting_jobs watches writes)
+             run_times scheduler scheduler_admission storing rows takeover waiting_jobs watches writes)
     add_executable(cell_${unit}_test test/cell/${unit}_test.cpp)
     target_include_directories(cell_${unit}_test PRIVATE ${CMAKE_SOURCE_DIR} ${CMAKE_SOURCE_DIR}/test/cell)
     target_link_libraries(cell_${unit}_test PRIVATE bramleygrade_platform Boost::headers)
@@ -123,6 +123,10 @@
 target_link_libraries(platform_formats_test PRIVATE bramleygrade_platform Boost::headers)
 add_test(NAME platform_formats COMMAND platform_formats_test)
 
+add_executable(platform_configuration_test platform/test/configuration_test.cpp)
+target_link_libraries(platform_configuration_test PRIVATE bramleygrade_platform Boost::headers)
+add_test(NAME platform_configuration COMMAND platform_configuration_test)
+
 add_executable(platform_worker_calls_test platform/test/worker_calls_test.cpp)
 target_link_libraries(platform_worker_calls_test PRIVATE bramleygrade_platform Boost::headers)
 add_test(NAME platform_worker_calls COMMAND platform_worker_calls_test)
--- a/src/entry/authentication/admission.cpp
+++ b/src/entry/authentication/admission.cpp
@@ -14,6 +14,8 @@
 /// Maximum number of log lines about the faults of one configuration.
 constexpr std::size_t maxProblemLines = 50;
 
+} // namespace
+
 std::string formatConfigAge(const entry_state &entry)
 {
     return entry.confirmation.confirmedAt == distantPast
@@ -21,6 +23,8 @@
         : std::to_string((steadyNow() - entry.confirmation.confirmedAt) / millisecond);
 }
 
+namespace {
+
 caller_answer makeAnswer(answer_kind kind, std::string reason, microseconds retryAfter = 0)
 {
     caller_answer answer;
--- a/src/entry/authentication/admission.h
+++ b/src/entry/authentication/admission.h
@@ -38,6 +38,9 @@
 bool answerIfForbidden(entry_state &entry, const caller_call &call, const std::string &jobTeam,
                        const answer_function &answer);
 
+/// Returns the age of the configuration's confirmation in ms; empty if there is none.
+std::string formatConfigAge(const entry_state &entry);
+
 /// Follows the adoption of a configuration: indexes and checks its teams, and applies it to the
 /// calls that wait.
 void onConfigAdopted(entry_state &entry, const stored_row &row);
--- a/src/entry/authentication/confirmation_exchange.cpp
+++ b/src/entry/authentication/confirmation_exchange.cpp
@@ -1,18 +1,13 @@
 #include "entry/authentication/confirmation_exchange.h"
 
+#include "entry/authentication/admission.h"
+
 namespace bramleygrade::entry {
 
 namespace {
 
 constexpr microseconds askTimeout = 400 * millisecond;
 
-std::string formatAge(const config_confirmation &confirmation, timestamp now)
-{
-    return confirmation.confirmedAt == distantPast
-        ? ""
-        : std::to_string((now - confirmation.confirmedAt) / millisecond);
-}
-
 /// Logs a change between confirmed and unconfirmed.
 void reportState(entry_state &entry, timestamp now)
 {
@@ -25,7 +20,7 @@
     confirmation.isReportedConfirmed = isConfirmed;
     logEvent(entry, isConfirmed ? "config_confirmed" : "config_unconfirmed",
              {{"version", std::to_string(entry.config.version)},
-              {"age_ms", formatAge(confirmation, now)},
+              {"age_ms", formatConfigAge(entry)},
               {"by", confirmation.by}});
 }
 
--- a/src/entry/metrics.cpp
+++ b/src/entry/metrics.cpp
@@ -72,6 +72,7 @@
     {"log_lines_written", "Log lines written."},
     {"scheduler_seen_ms_ago", "Time since the scheduler was last seen, -1: never."},
     {"config_version", "Version of the configuration in force."},
+    {"config_confirmed_ms_ago", "Time since the keys in force were known to be the newest."},
     {"members", "Entries known."},
     {"stepped_down_total", "Times this entry lost leadership."},
     {"handovers_asked", "Requests to other entries to take over."},
--- a/src/entry/state_dump.cpp
+++ b/src/entry/state_dump.cpp
@@ -120,6 +120,9 @@
         put(out, "heard_ms_ago", ageMs(entry.schedulerSeenAt));
         put(out, "config", entry.config.version);
         put(out, "config_read_ms_ago", ageMs(entry.configReadAt));
+        if (entry.config.requiresKeys) {
+            put(out, "config_confirmed_ms_ago", ageMs(entry.confirmation.confirmedAt));
+        }
         put(out, "store_reachable", entry.storeReachable);
         put(out, "calls_waiting", static_cast<std::int64_t>(entry.forwardedCalls.size()));
         out.Key("members");
@@ -148,6 +151,9 @@
     gauges["epoch"] = entry.epoch;
     gauges["is_scheduler"] = entry.leaderState ? 1 : 0;
     gauges["config_version"] = entry.config.version;
+    if (entry.config.requiresKeys) {
+        gauges["config_confirmed_ms_ago"] = ageMs(entry.confirmation.confirmedAt);
+    }
     gauges["calls_waiting"] = static_cast<std::int64_t>(entry.forwardedCalls.size());
     gauges["members"] = static_cast<std::int64_t>(entry.members.size());
     gauges["connections_opened"] = static_cast<std::int64_t>(entry.client.connectionsOpened());
