A submission that may have taken effect gets 504, not 404, when its queue is removed

Cause: an earlier unanswered attempt may have been stored, so that 404 would be untrue. Change: with keys, 401 and 404 of a submission or cancellation become 504 after an unanswered attempt. Result: cell_admission, cell_forwarding, cell_keys_cluster, cell_cluster and four lost_* tests pass.

--- a/src/entry/callers.cpp
+++ b/src/entry/callers.cpp
@@ -52,8 +52,10 @@
         return;
     }
     call->answered = true;
-    const bool isRejected = answer.kind == answer_kind::refused
-        || (answer.kind == answer_kind::unauthenticated && !changesNothing(call->call));
+    const bool isNotAdmitted = answer.kind == answer_kind::unauthenticated
+        || (answer.kind == answer_kind::no_such_queue && entry.config.requiresKeys);
+    const bool isRejected =
+        answer.kind == answer_kind::refused || (isNotAdmitted && !changesNothing(call->call));
     if (isRejected && call->mayHaveTakenEffect) {
         // An earlier attempt may have taken effect, so a refusal could be wrong.
         answer.kind = answer_kind::unknown;
--- a/test/cell/admission_test.cpp
+++ b/test/cell/admission_test.cpp
@@ -128,15 +128,29 @@
 // Guards against answers from the rows, which every entry can read, to another team.
 // Guards against a repeated submission of a job that has ended, by a team that it does not belong
 // to.
-// Guards against a 401 for a submission whose earlier attempt may have taken effect.
-BOOST_FIXTURE_TEST_CASE(a_call_that_may_have_taken_effect_is_not_rejected, admission_fixture)
+// Guards against a 401 or 404 for a submission whose earlier attempt may have taken effect.
+BOOST_AUTO_TEST_CASE(a_call_that_may_have_taken_effect_is_not_rejected)
 {
-    const auto submission = serve("POST", jobPath, "r2");
+    for (const char *queues : {privateQueue, ""}) {
+        admission_fixture fixture;
+        entry_state &entry = fixture.entry;
+        const auto submission = fixture.serve("POST", jobPath, "r2");
+        entry.forwardedCalls.back()->mayHaveTakenEffect = true;
+        applyConfigRow(entry, makeRow(3, R"(["r1"])", queues));
+        BOOST_TEST(submission->status == 0);
+        fixture.lead(); // this entry becomes the scheduler and checks the call
+        expireForwarded(entry, steadyNow());
+        BOOST_TEST(submission->status == 504);
+    }
+}
+
+// Guards against a state call that goes on with a revoked key because it was sent before.
+BOOST_FIXTURE_TEST_CASE(a_call_that_changes_nothing_is_rejected_at_any_time, admission_fixture)
+{
+    const auto state = serve("GET", jobPath, "r2");
     entry.forwardedCalls.back()->mayHaveTakenEffect = true;
     applyConfigRow(entry, makeRow(3, R"(["r1"])", privateQueue));
-    lead(); // this entry becomes the scheduler and checks the call
-    expireForwarded(entry, steadyNow());
-    BOOST_TEST(submission->status == 504);
+    BOOST_TEST(state->status == 401);
 }
 
 // Guards against calls that wait at an entry while their key is revoked or their queue is removed.
