Test that reads and long polls confirm as of their beginning

Cause: a trial that counted them from their answer could not be told by any test. Result: cell_admission passes, and fails where the time is that of the answer or a page with more to come is counted.

--- a/test/cell/admission_test.cpp
+++ b/test/cell/admission_test.cpp
@@ -78,6 +78,46 @@
     BOOST_TEST(serve("GET", "/p/", "r1")->status == 200); // no limit is set
 }
 
+// Guards against an answer that waited in the socket of a frozen process and confirms what was
+// true only when the poll or read began.
+BOOST_FIXTURE_TEST_CASE(reads_and_polls_confirm_as_of_their_beginning, admission_fixture)
+{
+    store_completion answerWatch;
+    microseconds duration = 0;
+    entry.ports.store.watch = [&](const std::string &, std::int64_t, microseconds wait, timestamp,
+                                  const store_completion &done) {
+        answerWatch = done;
+        duration = wait;
+    };
+    entry.confirmation = {};
+    isConfigReadable = false;
+    watchConfig(entry); // reads first
+    const timestamp readBeganBy = steadyNow();
+    const auto wait = [this] { loop.run_for(std::chrono::milliseconds(20)); };
+    store_result result;
+    result.outcome = store_outcome::done;
+    result.version = 2;
+    result.rows = {makeRow(2, R"(["r1","r2"])", privateQueue)};
+    wait();
+    pendingReads.back()(result);
+    BOOST_TEST(entry.confirmation.confirmedAt <= readBeganBy);
+    BOOST_REQUIRE(answerWatch);
+    BOOST_TEST(duration == 750 * millisecond);
+    const timestamp pollBeganBy = steadyNow();
+    const timestamp confirmedByRead = entry.confirmation.confirmedAt;
+    result.rows.clear(); // unchanged
+    loop.restart();
+    wait();
+    std::exchange(answerWatch, {})(result);
+    BOOST_TEST(entry.confirmation.confirmedAt > confirmedByRead);
+    BOOST_TEST(entry.confirmation.confirmedAt <= pollBeganBy);
+    // A page that others follow may lack the configuration row.
+    const timestamp confirmedByPoll = entry.confirmation.confirmedAt;
+    result.hasMore = true;
+    std::exchange(answerWatch, {})(result);
+    BOOST_TEST(entry.confirmation.confirmedAt == confirmedByPoll);
+}
+
 // A read that shows an older row than the one in force is stale and confirms nothing.
 BOOST_FIXTURE_TEST_CASE(stale_reads_do_not_confirm, admission_fixture)
 {
