--- a/test/cell/admission_test.cpp
+++ b/test/cell/admission_test.cpp
@@ -78,6 +78,46 @@
     BOOST_TEST(serve("GET", "/p/", "r1")->status == 200); // no limit is set
 }
 
+// Guards against an answer that waited in the socket of a frozen process and confirms what was
+// true only when the poll or read began.
+BOOST_FIXTURE_TEST_CASE(reads_and_polls_confirm_as_of_their_beginning, admission_fixture)
+{
+    store_completion answerWatch;
+    microseconds duration = 0;
+    entry.ports.store.watch = [&](const std::string &, std::int64_t, microseconds wait, timestamp,
+                                  const store_completion &done) {
+        answerWatch = done;
+        duration = wait;
+    };
+    entry.confirmation = {};
+    isConfigReadable = false;
+    watchConfig(entry); // reads first
+    const timestamp readBeganBy = steadyNow();
+    const auto wait = [this] { loop.run_for(std::chrono::milliseconds(20)); };
+    store_result result;
+    result.outcome = store_outcome::done;
+    result.version = 2;
+    result.rows = {makeRow(2, R"(["r1","r2"])", privateQueue)};
+    wait();
+    pendingReads.back()(result);
+    BOOST_TEST(entry.confirmation.confirmedAt <= readBeganBy);
+    BOOST_REQUIRE(answerWatch);
+    BOOST_TEST(duration == 750 * millisecond);
+    const timestamp pollBeganBy = steadyNow();
+    const timestamp confirmedByRead = entry.confirmation.confirmedAt;
+    result.rows.clear(); // unchanged
+    loop.restart();
+    wait();
+    std::exchange(answerWatch, {})(result);
+    BOOST_TEST(entry.confirmation.confirmedAt > confirmedByRead);
+    BOOST_TEST(entry.confirmation.confirmedAt <= pollBeganBy);
+    // A page that others follow may lack the configuration row.
+    const timestamp confirmedByPoll = entry.confirmation.confirmedAt;
+    result.hasMore = true;
+    std::exchange(answerWatch, {})(result);
+    BOOST_TEST(entry.confirmation.confirmedAt == confirmedByPoll);
+}
+
 // A read that shows an older row than the one in force is stale and confirms nothing.
 BOOST_FIXTURE_TEST_CASE(stale_reads_do_not_confirm, admission_fixture)
 {
@@ -128,15 +168,29 @@
 // Guards against answers from the rows, which every entry can read, to another team.
 // Guards against a repeated submission of a job that has ended, by a team that it does not belong
 // to.
-// Guards against a 401 for a submission whose earlier attempt may have taken effect.
-BOOST_FIXTURE_TEST_CASE(a_call_that_may_have_taken_effect_is_not_rejected, admission_fixture)
+// Guards against a 401 or 404 for a submission whose earlier attempt may have taken effect.
+BOOST_AUTO_TEST_CASE(a_call_that_may_have_taken_effect_is_not_rejected)
+{
+    for (const char *queues : {privateQueue, ""}) {
+        admission_fixture fixture;
+        entry_state &entry = fixture.entry;
+        const auto submission = fixture.serve("POST", jobPath, "r2");
+        entry.forwardedCalls.back()->mayHaveTakenEffect = true;
+        applyConfigRow(entry, makeRow(3, R"(["r1"])", queues));
+        BOOST_TEST(submission->status == 0);
+        fixture.lead(); // this entry becomes the scheduler and checks the call
+        expireForwarded(entry, steadyNow());
+        BOOST_TEST(submission->status == 504);
+    }
+}
+
+// Guards against a state call that goes on with a revoked key because it was sent before.
+BOOST_FIXTURE_TEST_CASE(a_call_that_changes_nothing_is_rejected_at_any_time, admission_fixture)
 {
-    const auto submission = serve("POST", jobPath, "r2");
+    const auto state = serve("GET", jobPath, "r2");
     entry.forwardedCalls.back()->mayHaveTakenEffect = true;
     applyConfigRow(entry, makeRow(3, R"(["r1"])", privateQueue));
-    lead(); // this entry becomes the scheduler and checks the call
-    expireForwarded(entry, steadyNow());
-    BOOST_TEST(submission->status == 504);
+    BOOST_TEST(state->status == 401);
 }
 
 // Guards against calls that wait at an entry while their key is revoked or their queue is removed.
