Shares of teams and admission by expected wait

A team that sent more than it is owed delayed the jobs of all others.

Jobs over the team's weight in a sliding window are marked beyondShare when they are accepted, wait behind all others and preempt none of their runs. Among in-share work the queue's priority comes first, then teams with less than is due to them by weighted dominant share, then the others. Wide steps are started in turns of 8 tasks while several teams wait. A job beyond its share that is not expected to end within 3 times its objective is refused with the time after which it would; one within its share at twice that wait. Nothing is refused while workers are unreconciled or in the first 2 s of a scheduler.

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -71,7 +71,7 @@
 
 # Unit tests of the cell scheduler and its formats, and randomised histories in virtual time.
 foreach(unit advice_dispatch changing_capacity claim_order entry handover membership observation placement_round
-             run_times scheduler storing rows takeover team_caps team_takeover waiting_jobs watches writes)
+             run_times scheduler storing rows takeover team_caps team_shares team_takeover waiting_jobs watches writes)
     add_executable(cell_${unit}_test test/cell/${unit}_test.cpp)
     target_include_directories(cell_${unit}_test PRIVATE ${CMAKE_SOURCE_DIR} ${CMAKE_SOURCE_DIR}/test/cell)
     target_link_libraries(cell_${unit}_test PRIVATE bramleygrade_platform Boost::headers)
@@ -148,6 +148,13 @@
 add_executable(short_wide_steps_test test/cell/short_wide_steps_test.cpp)
 target_link_libraries(short_wide_steps_test PRIVATE cell_load_simulation Boost::headers)
 add_test(NAME short_wide_steps COMMAND short_wide_steps_test)
+add_executable(team_loads_test test/cell/team_loads_test.cpp)
+target_link_libraries(team_loads_test PRIVATE cell_load_simulation Boost::headers)
+foreach(load nineteen_teams_lose_nothing_to_the_twentieth
+             bursts_of_all_teams_cost_no_more_than_without_teams
+             all_teams_burst_and_none_is_starved)
+    add_test(NAME team_${load} COMMAND team_loads_test --run_test=${load})
+endforeach()
 add_test(NAME cell_histories_of_takeovers COMMAND cell_histories 1 8 takeovers)
 set_tests_properties(cell_histories_of_takeovers PROPERTIES COST 500)
 add_test(NAME cell_histories_of_capacity_changes COMMAND cell_histories 1 200 capacity)
--- a/src/cell/advice/advice.cpp
+++ b/src/cell/advice/advice.cpp
@@ -25,6 +25,8 @@
 constexpr microseconds emptyCallPause = 50 * millisecond;
 /// Added to the priority of late jobs; larger than the priority of any queue.
 constexpr int latePriorityOffset = 1'000;
+/// The same for jobs beyond their team's share, late or not.
+constexpr int beyondSharePriorityOffset = 2 * latePriorityOffset;
 /// Factor applied to the counts of asked and allowed workers before each answer is added.
 constexpr double shareDecay = 0.97;
 
@@ -205,6 +207,9 @@
     step_state &step =
         job->occurrences.at(order.step.occurrence).steps[static_cast<std::size_t>(order.step.step)];
     auto waiting = makeWaitingStep(*job, order.step.occurrence, order.step.step, now);
+    if (waiting && cell.teams.active) {
+        waiting->beyondShare = job->spec.beyondShare;
+    }
     if (!waiting || !fitsCap(cell, *waiting)) {
         step.advicePending = false;
         return false;
@@ -276,7 +281,8 @@
     advice_order order;
     order.step = {waiting.job->spec.id, waiting.occurrence, waiting.step, 0};
     order.expected = timing.base + timing.perWorker * static_cast<microseconds>(workers.size());
-    order.priority = waiting.priority + (waiting.late ? latePriorityOffset : 0);
+    order.priority = waiting.priority + (waiting.late ? latePriorityOffset : 0)
+        + (waiting.beyondShare ? beyondSharePriorityOffset : 0);
     order.late = waiting.late;
     order.queue = waiting.job->spec.queue;
     order.longCall = timing.base + usualWorkersPerCall * timing.perWorker > longCallThreshold;
--- a/src/cell/placement/placement.h
+++ b/src/cell/placement/placement.h
@@ -28,13 +28,17 @@
 
 /// A ready step with tasks to be placed. Sorts steps on time before late ones, then by `priority`,
 /// gangs that hold capacity before others, then by `objectiveAt`, job id, occurrence and step,
-/// ascending.
+/// ascending. Where the configuration has teams, `orderByShares` sorts them anew.
 struct waiting_step
 {
     /// The step has missed its objective or is not expected to meet it.
     bool late = false;
     int priority = 0;
     bool holdsCapacity = false;
+    /// Set by `orderByShares`, only where the configuration has teams: the job is beyond its team's
+    /// share, and what the team has of what is due to it, 1 or less being equal.
+    bool beyondShare = false;
+    double teamShare = 0;
     timestamp objectiveAt = distantFuture;
     job_state *job = nullptr;
     int occurrence = 0;
@@ -64,10 +68,11 @@
 /// are still active. The occurrence must exist.
 std::optional<waiting_step> makeWaitingStep(job_state &job, int number, int index, timestamp now);
 
-/// Whether the step is of the highest priority and on time; it is placed before all others.
+/// Whether the step is of the highest priority, on time and within its team's share; it is placed
+/// before all others.
 inline bool isUrgent(const waiting_step &waiting)
 {
-    return !waiting.late && waiting.priority == 0;
+    return !waiting.beyondShare && !waiting.late && waiting.priority == 0;
 }
 
 /// Whether service and label of the worker match the step; ignores capacity and advice.
--- a/src/cell/placement/placement_round.cpp
+++ b/src/cell/placement/placement_round.cpp
@@ -4,6 +4,7 @@
 #include "cell/placement/placement.h"
 #include "cell/scheduler.h"
 #include "cell/teams/capped_placement.h"
+#include "cell/teams/team_shares.h"
 
 namespace bramleygrade::cell {
 
@@ -380,6 +381,10 @@
     std::map<std::string, std::int64_t> gangBudgets = makeGangBudgets(cell);
     deductReservations(waiting, headrooms, now);
     const headroom_limits limits = maxHeadroomByService(headrooms);
+    orderByShares(cell, waiting, [&](const waiting_step &step) {
+        return !isUnplaceable(step, limits) && mayHaveTicket(step, now)
+            && !stepState(step).waitsForTeamCap;
+    });
     bool urgentDone = false;
     int plans = 0;
     for (waiting_step &step : waiting) {
@@ -406,6 +411,7 @@
         if (out.starts.size() == startsBefore) {
             holdCapForGang(cell, step, now);
         }
+        skipOtherParts(cell, step, out.starts.size() - startsBefore, now);
         if (planned && cell.isRoundLimited && out.starts.size() == startsBefore
             && !stepSpec(step).gang) {
             stepState(step).planNotBefore = now + fruitlessPlanPause;
--- a/src/cell/placement/preemption.cpp
+++ b/src/cell/placement/preemption.cpp
@@ -39,6 +39,9 @@
 
 bool mayPreempt(const waiting_step &waiting, const job_state &other, timestamp now)
 {
+    if (waiting.beyondShare && !other.spec.beyondShare) {
+        return false;
+    }
     const bool late = now > other.objectiveAt;
     return other.policy.priority > waiting.priority || (late && !waiting.late);
 }
--- a/src/cell/scheduler.h
+++ b/src/cell/scheduler.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "cell/jobs/job_state.h"
+#include "cell/teams/admission.h"
 #include "cell/teams/team_usage.h"
 #include "cell/workers/run_times.h"
 #include "cell/workers/worker_state.h"
@@ -136,6 +137,10 @@
     /// Time after the takeover for which another process may still confirm the leadership of a
     /// previous scheduler, as it has not heard of this one yet.
     microseconds predecessorGrace = 0;
+    /// Length of the window in which a team's submissions count, and the jobs that it may send in
+    /// it beyond its weight.
+    microseconds teamWindow = 5 * second;
+    std::int64_t teamWindowSlack = 20;
 };
 
 /// Decaying counts of the workers asked about and allowed in a queue's advice calls.
@@ -191,6 +196,7 @@
     timestamp confirmedAt = distantFuture;
     cell_config config;
     team_table teams;
+    queued_work queued;
     std::map<std::string, worker_state> workers;
     /// Highest fence number issued so far. A worker that was erased and returns starts with this
     /// number, as it refuses lower fencing tokens than it has seen.
--- a/src/cell/teams/team_usage.cpp
+++ b/src/cell/teams/team_usage.cpp
@@ -92,6 +92,11 @@
     }
 }
 
+team_state &stateOf(team_table &teams, const std::string &team)
+{
+    return team.empty() ? teams.withoutTeam : teams.byName[team];
+}
+
 bool hasRun(const task_state &task)
 {
     return task.phase != run_phase::none;
@@ -135,6 +140,8 @@
     table.hasCaps = false;
     if (!wasActive) {
         table.byName = recomputeTeamUsage(cell);
+        table.withoutTeam = std::move(table.byName[""]);
+        table.byName.erase("");
     }
     for (auto &[name, team] : table.byName) {
         team.configured = false;
@@ -155,21 +162,22 @@
 
 void addTeamRun(scheduler &cell, const job_state &job, int step)
 {
-    if (cell.teams.active && !job.spec.team.empty()) {
-        addDemand(cell.teams.byName[job.spec.team], stepOf(job, step), 1);
+    if (cell.teams.active) {
+        addDemand(stateOf(cell.teams, job.spec.team), stepOf(job, step), 1);
+        removeQueuedWork(cell, job, step);
     }
 }
 
 void removeTeamRun(scheduler &cell, const job_state &job, int step)
 {
-    if (cell.teams.active && !job.spec.team.empty()) {
-        addDemand(cell.teams.byName[job.spec.team], stepOf(job, step), -1);
+    if (cell.teams.active) {
+        addDemand(stateOf(cell.teams, job.spec.team), stepOf(job, step), -1);
     }
 }
 
 void removeTeamRuns(scheduler &cell, const job_state &job)
 {
-    if (cell.teams.active && !job.spec.team.empty()) {
+    if (cell.teams.active) {
         forEachTask(job, hasRun, [&](int step) { removeTeamRun(cell, job, step); });
     }
 }
@@ -178,11 +186,9 @@
 {
     std::unordered_map<std::string, team_state> totals;
     for (const auto &[id, job] : cell.jobs) {
-        if (!job.spec.team.empty()) {
-            forEachTask(job, hasRun, [&, &counted = job](int step) {
-                addDemand(totals[counted.spec.team], stepOf(counted, step), 1);
-            });
-        }
+        forEachTask(job, hasRun, [&, &counted = job](int step) {
+            addDemand(totals[counted.spec.team], stepOf(counted, step), 1);
+        });
     }
     return totals;
 }
--- a/src/cell/teams/team_usage.h
+++ b/src/cell/teams/team_usage.h
@@ -33,6 +33,11 @@
     std::int64_t unknownScavengingCpu = 0;
     /// Room under the cap that the current placement round keeps for waiting gangs.
     resources held;
+    /// Times at which jobs within the share were accepted, oldest first; lost at a takeover.
+    std::deque<timestamp> inShareSubmissions;
+    std::uint64_t jobsAccepted = 0;
+    std::uint64_t jobsBeyondShare = 0;
+    std::uint64_t jobsRefused = 0;
 };
 
 /// All teams of the configuration, and those whose jobs are known although it lacks them.
@@ -43,6 +48,8 @@
     /// At least one team has a cap.
     bool hasCaps = false;
     std::unordered_map<std::string, team_state> byName;
+    /// All jobs without a team: those of public queues, and older ones.
+    team_state withoutTeam;
     /// What may run on all workers together without the scheduler knowing of it, as of the newest
     /// placement round. It may belong to any team.
     resources unknown;
@@ -60,8 +67,8 @@
 /// has an unexpected run, whose worker counts as a whole.
 void removeTeamRuns(scheduler &cell, const job_state &job);
 
-/// Returns the totals by team, computed from the tasks of all jobs; used by tests and when the
-/// configuration gets teams.
+/// Returns the totals by team, with an empty name for jobs without one, computed from the tasks of
+/// all jobs; used by tests and when the configuration gets teams.
 std::unordered_map<std::string, team_state> recomputeTeamUsage(const scheduler &cell);
 
 /// Whether runs that the scheduler does not know may exist on the worker: it has not reported since
--- a/src/entry/calls.cpp
+++ b/src/entry/calls.cpp
@@ -53,6 +53,7 @@
               {"queue", call.queue},
               {"team", spec.team},
               {"why", refusal.reason},
+              {"expected_wait_ms", std::to_string(refusal.expectedWait / millisecond)},
               {"beyond_share", spec.beyondShare ? "yes" : "no"},
               {"retry_after_ms", std::to_string(refusal.retryAfter / millisecond)},
               {"config", std::to_string(entry.config.version)},
@@ -115,7 +116,7 @@
     cell::job_spec spec = call.spec;
     spec.id = call.job;
     spec.queue = call.queue;
-    if (const auto refusal = cell::refuseByTeam(leaderState.cell, spec, *policy, now)) {
+    if (const auto refusal = cell::admitOrRefuse(leaderState.cell, spec, *policy, now)) {
         refuseForTeam(entry, call, answer, spec, *refusal);
         return;
     }
--- a/src/entry/leader.cpp
+++ b/src/entry/leader.cpp
@@ -320,6 +320,8 @@
     leaderState.cell.settings.stopTimeout = entry.settings.stopTimeout;
     leaderState.cell.settings.endedKept = entry.settings.endedKept;
     leaderState.cell.settings.predecessorGrace = takeoverNoticeTime;
+    leaderState.cell.settings.teamWindow = entry.settings.teamWindow;
+    leaderState.cell.settings.teamWindowSlack = entry.settings.teamWindowSlack;
     const timestamp now = steadyNow();
     cell::beginEpoch(leaderState.cell, entry.epoch, now);
     cell::changeConfig(leaderState.cell, entry.config);
--- a/src/entry/team_metrics.cpp
+++ b/src/entry/team_metrics.cpp
@@ -10,6 +10,11 @@
 /// Teams that are shown one by one.
 constexpr std::size_t maxTeamsShown = 24;
 
+std::int64_t signedCount(std::uint64_t count)
+{
+    return static_cast<std::int64_t>(count);
+}
+
 struct team_gauge
 {
     const char *family;
@@ -20,6 +25,12 @@
     {"team_cpu_milli_cap", [](const cell::team_state &team) { return team.cap.cpuMilli; }},
     {"team_mem_mb_used", [](const cell::team_state &team) { return team.used.memoryMb; }},
     {"team_mem_mb_cap", [](const cell::team_state &team) { return team.cap.memoryMb; }},
+    {"team_jobs_accepted",
+     [](const cell::team_state &team) { return signedCount(team.jobsAccepted); }},
+    {"team_jobs_beyond_share",
+     [](const cell::team_state &team) { return signedCount(team.jobsBeyondShare); }},
+    {"team_jobs_refused",
+     [](const cell::team_state &team) { return signedCount(team.jobsRefused); }},
 };
 
 void removeTeamGauges(entry_metrics &metrics)
--- a/test/cell/team_fixture.h
+++ b/test/cell/team_fixture.h
@@ -46,7 +46,8 @@
     {
         const auto recomputed = cell::recomputeTeamUsage(cell);
         const auto expected = recomputed.find(team);
-        const cell::resources used = cell.teams.byName[team].used;
+        const cell::resources used =
+            team.empty() ? cell.teams.withoutTeam.used : cell.teams.byName[team].used;
         if (!(used
               == (expected == recomputed.end() ? cell::resources {} : expected->second.used))) {
             throw std::logic_error("the running total of " + team + " is wrong");
--- a/test/cell/team_takeover_test.cpp
+++ b/test/cell/team_takeover_test.cpp
@@ -160,7 +160,7 @@
     report.running = {makeRun("older-1", 0)};
     fixture.report("worker-9", report);
     BOOST_TEST(fixture.decide().starts.size() == 5U);
-    BOOST_TEST(fixture.usedBy("").cpuMilli == 0);
+    BOOST_TEST(fixture.usedBy("a").cpuMilli == 0);
     BOOST_TEST(fixture.countNewStarts("a") == 4U);
 }
 
--- a/testing/cell/history_teams.cpp
+++ b/testing/cell/history_teams.cpp
@@ -48,9 +48,14 @@
 
 void cell_history::state::checkTotals(const cell::scheduler &cell)
 {
+    if (!cell.teams.active) {
+        return;
+    }
     for (const auto &[name, expected] : cell::recomputeTeamUsage(cell)) {
         const auto team = cell.teams.byName.find(name);
-        if (team == cell.teams.byName.end() || !(team->second.used == expected.used)) {
+        const cell::team_state &state =
+            team == cell.teams.byName.end() ? cell.teams.withoutTeam : team->second;
+        if (!(state.used == expected.used)) {
             record.violations.push_back("the running total of " + name + " is wrong at "
                                         + std::to_string(now / millisecond) + " ms");
         }
--- a/testing/cell/load_simulation.cpp
+++ b/testing/cell/load_simulation.cpp
@@ -221,6 +221,9 @@
     for (load_class &jobClass : m_settings.classes) {
         jobClass.policy.service = "booking";
         config.queues.push_back(jobClass.policy);
+        if (m_settings.hasTeams && !jobClass.team.name.empty()) {
+            config.teams.push_back(jobClass.team);
+        }
     }
     cell::changeConfig(m_driver.cell, config);
 }
@@ -319,7 +322,14 @@
     load_class_outcome &outcome = m_outcome.classes[job.classIndex];
     ++outcome.jobs;
     outcome.worthOwed += job.worthFactor * classOf(job).worth;
-    cell::acceptJob(m_driver.cell, job.spec, classOf(job).policy, m_driver.now);
+    job.spec.team = classOf(job).team.name;
+    const cell::queue_policy &policy = classOf(job).policy;
+    if (cell::admitOrRefuse(m_driver.cell, job.spec, policy, m_driver.now)) {
+        ++outcome.refused;
+        return;
+    }
+    outcome.beyondShare += job.spec.beyondShare ? 1 : 0;
+    cell::acceptJob(m_driver.cell, job.spec, policy, m_driver.now);
     m_jobs.emplace(job.spec.id, std::move(job));
     requestDecision();
 }
--- a/testing/cell/load_simulation.h
+++ b/testing/cell/load_simulation.h
@@ -43,6 +43,8 @@
     double failingShare = 0;
     /// Share of the workers that the advisory service allows for a step.
     double allowedShare = 1;
+    /// Team of the jobs; empty: none. Classes of one team have the same policy.
+    cell::team_policy team;
 };
 
 /// Raises the arrival rate of one class for some time.
@@ -70,6 +72,8 @@
     microseconds restoreTime = 0;
     microseconds stopTimeout = 0;
     microseconds gangTimeout = 4 * second;
+    /// The configuration has the teams of the classes; otherwise it has none.
+    bool hasTeams = false;
 };
 
 /// What the jobs of one class have earned. The worth of a job grows with its work.
@@ -82,6 +86,8 @@
     double worthEarned = 0;
     /// Core-seconds of work that was stopped or broken off and not saved.
     double wastedCoreSeconds = 0;
+    int refused = 0;
+    int beyondShare = 0;
 };
 
 struct load_outcome
