--- a/bench/cell_decision_cost.cpp
+++ b/bench/cell_decision_cost.cpp
@@ -89,6 +89,63 @@
     }
 };
 
+/// A cell in which 17 tasks run on each worker and `waiting` jobs of 180 teams wait, half of them
+/// for the cap of their team.
+struct cell_with_teams : full_cell
+{
+    cell_with_teams(int workers, int waiting)
+        : full_cell(workers, 0)
+    {
+        cell::cell_config config = cell.config;
+        ++config.version;
+        for (int team = 0; team < teamCount; ++team) {
+            config.teams.push_back({nameOf(team), {}, 1.0, {team % 2 == 0 ? 0 : workerCpu, 0, 0}});
+        }
+        cell::changeConfig(cell, config);
+        cell::orders out;
+        for (int number = 0; number < workers; ++number) {
+            cell::cancelJob(cell, "filler-" + std::to_string(number), now, out);
+        }
+        for (auto &[id, worker] : cell.workers) {
+            cell::releaseAllRuns(cell, worker, now, out);
+        }
+        submitForTeams("running-", workers, 17, 1'850);
+        store();
+        for (int round = 0; round < 20; ++round) {
+            now += bramleygrade::millisecond;
+            decide();
+        }
+        submitForTeams("waiting-", waiting, 3, 5'000);
+        store();
+    }
+
+    static constexpr int teamCount = 180;
+
+    static std::string nameOf(int team) { return "team-" + std::to_string(team % teamCount); }
+
+    void submitForTeams(const std::string &prefix, int jobs, int count, std::int64_t cpu)
+    {
+        for (int number = 0; number < jobs; ++number) {
+            const cell::queue_policy &policy = cell.config.queues[0];
+            cell::job_spec spec =
+                makeJob(prefix + std::to_string(number), policy.name, count, cpu, false);
+            spec.team = nameOf(number);
+            cell::acceptJob(cell, spec, policy, now);
+        }
+    }
+};
+
+void placementRoundWithTeams(benchmark::State &state)
+{
+    cell_with_teams fixture(static_cast<int>(state.range(0)), static_cast<int>(state.range(1)));
+    for (auto step : state) {
+        (void)step;
+        fixture.now += 1;
+        benchmark::DoNotOptimize(fixture.decide());
+    }
+    state.counters["starts"] = static_cast<double>(fixture.cell.counters.starts);
+}
+
 void placementRoundInFullCell(benchmark::State &state)
 {
     full_cell fixture(static_cast<int>(state.range(0)), static_cast<int>(state.range(1)));
@@ -100,6 +157,12 @@
 
 } // namespace
 
+BENCHMARK(placementRoundWithTeams)
+    ->ArgNames({"workers", "waiting"})
+    ->Args({350, 0})
+    ->Args({350, 400})
+    ->Args({350, 4'000});
+
 BENCHMARK(placementRoundInFullCell)
     ->ArgNames({"workers", "waiting"})
     ->Args({48, 0})
--- a/src/cell/teams/team_usage.cpp
+++ b/src/cell/teams/team_usage.cpp
@@ -119,8 +119,8 @@
                             [](const step_spec &step) { return step.scavenging; })) {
             continue;
         }
-        forEachTask(job, mayRunUnknown, [&, state = &team->second](int step) {
-            const step_spec &spec = stepOf(job, step);
+        forEachTask(job, mayRunUnknown, [&counted = job, state = &team->second](int step) {
+            const step_spec &spec = stepOf(counted, step);
             state->unknownScavengingCpu += spec.scavenging ? spec.demand.cpuMilli : 0;
         });
     }
