--- a/src/cell/scheduler.h
+++ b/src/cell/scheduler.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "cell/jobs/job_state.h"
+#include "cell/teams/admission.h"
 #include "cell/teams/team_usage.h"
 #include "cell/workers/run_times.h"
 #include "cell/workers/worker_speeds.h"
@@ -142,6 +143,10 @@
     microseconds predecessorGrace = 0;
     /// Learned speeds of workers are used in decisions where they differ by a wide margin.
     bool workerSpeeds = true;
+    /// Length of the window in which a team's submissions count, and the jobs that it may send in
+    /// it beyond its weight.
+    microseconds teamWindow = 5 * second;
+    std::int64_t teamWindowSlack = 20;
 };
 
 /// Decaying counts of the workers asked about and allowed in a queue's advice calls.
@@ -197,6 +202,7 @@
     timestamp confirmedAt = distantFuture;
     cell_config config;
     team_table teams;
+    queued_work queued;
     std::map<std::string, worker_state> workers;
     /// Highest fence number issued so far. A worker that was erased and returns starts with this
     /// number, as it refuses lower fencing tokens than it has seen.
--- a/testing/cell/load_simulation.h
+++ b/testing/cell/load_simulation.h
@@ -46,6 +46,8 @@
     /// Share of the tasks, or of the gangs, that take `straggling` times as long.
     double stragglingShare = 0;
     double straggling = 1;
+    /// Team of the jobs; empty: none. Classes of one team have the same policy.
+    cell::team_policy team;
 };
 
 /// Raises the arrival rate of one class for some time.
@@ -81,6 +83,8 @@
     microseconds restoreTime = 0;
     microseconds stopTimeout = 0;
     microseconds gangTimeout = 4 * second;
+    /// The configuration has the teams of the classes; otherwise it has none.
+    bool hasTeams = false;
 };
 
 /// What the jobs of one class have earned. The worth of a job grows with its work.
@@ -98,6 +102,8 @@
     double preemptedCoreSeconds = 0;
     /// Times from a gang's submission to the beginning of its work, for steps that depend on none.
     std::vector<double> gangWaitSeconds;
+    int refused = 0;
+    int beyondShare = 0;
 };
 
 /// Time within which a second preemption of a task's run counts as repeated.
