--- a/test/cell/worker_speeds_test.cpp
+++ b/test/cell/worker_speeds_test.cpp
@@ -90,6 +90,7 @@
     {"spread 0.34, 350 workers", 350, {0.55, 1.2, 1.2, 1.2}, true},
     {"spread 0.34, 24 workers", 24, {0.55, 1.2, 1.2, 1.2}, true},
     {"spread 0.34, 19 workers", 19, {0.55, 1.2, 1.2, 1.2}, false},
+    {"spread 0.24, 350 workers", 350, {0.745, 1.0, 1.34}, false},
     {"spread 0.18, 350 workers", 350, {0.8, 1.0, 1.25}, false},
     {"spread 0.18, 24 workers", 24, {0.8, 1.0, 1.25}, false},
     {"spread 0.12, 350 workers", 350, {1.0, 1.0, 1.3}, false},
@@ -162,6 +163,24 @@
     BOOST_TEST(difference < 1.25 * std::log(1.2 / 0.55));
 }
 
+// Guards against a worker that looks slow as some of its tasks took seven times as long.
+BOOST_AUTO_TEST_CASE(stragglers_in_a_row_do_not_change_the_class_of_their_worker)
+{
+    learning_workers cell(1);
+    for (int index = 0; index < 40; ++index) {
+        cell.add("worker-" + std::to_string(index), index % 4 == 0 ? 0.55 : 1.2, "kind", "rack");
+    }
+    cell.runOnAll("queue", 100);
+    cell.refresh();
+    const double before = cell.table.workers.at("worker-1").mean;
+    for (int run = 0; run < 5; ++run) {
+        recordWorkerSpeed(cell.table, cell.workers.at("worker-1").entry, "queue", second,
+                          7 * second, cell.now);
+    }
+    // Half of the difference between the fast and the slow workers would be 0.39.
+    BOOST_TEST(cell.table.workers.at("worker-1").mean - before < 0.2);
+}
+
 namespace {
 
 /// A worker that no task has run on, in a service whose speeds follow from kinds or racks.
@@ -355,6 +374,31 @@
     BOOST_TEST(cell.countSlow(out) == given.onSlow);
 }
 
+// Guards against calls for advice that give urgent steps and gangs tickets for slow workers first.
+BOOST_AUTO_TEST_CASE(advice_is_asked_about_fast_workers_first)
+{
+    for (const bool isGang : {false, true}) {
+        uneven_fixture cell;
+        cell.policy.needsAdvice = true;
+        cell.policy.advice = {20 * millisecond, millisecond, 2 * second};
+        cell.policy.priority = isGang ? 1 : 0;
+        cell.policy.latencyTarget = 60 * second;
+        step_spec step = cell.makeStep(24, 8'000);
+        step.gang = isGang;
+        orders out = cell.run(cell.makeJob("job", {step}));
+        BOOST_REQUIRE(out.advice.size() == 1U);
+        BOOST_REQUIRE(prepareAdvice(cell.cell, out.advice[0], cell.now));
+        const std::vector<std::string> &asked = out.advice[0].workers;
+        BOOST_TEST_CONTEXT((isGang ? "gang" : "urgent step"))
+        {
+            BOOST_REQUIRE(asked.size() == 24U);
+            const auto slow = std::find_if(asked.begin(), asked.end(),
+                                           [&](const auto &id) { return cell.isSlow(id); });
+            BOOST_TEST((slow - asked.begin() == 18));
+        }
+    }
+}
+
 // Guards against the next attempt of a failed task, and a step's last tasks, on a slow worker.
 BOOST_AUTO_TEST_CASE(next_attempt_and_last_tasks_go_to_fast_workers)
 {
