--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -71,7 +71,7 @@
 
 # Unit tests of the cell scheduler and its formats, and randomised histories in virtual time.
 foreach(unit advice_dispatch changing_capacity claim_order entry handover membership observation placement_round
-             run_times scheduler storing rows takeover waiting_jobs watches worker_speeds writes)
+             run_times scheduler storing rows takeover uneven_workers waiting_jobs watches worker_speeds writes)
     add_executable(cell_${unit}_test test/cell/${unit}_test.cpp)
     target_include_directories(cell_${unit}_test PRIVATE ${CMAKE_SOURCE_DIR} ${CMAKE_SOURCE_DIR}/test/cell)
     target_link_libraries(cell_${unit}_test PRIVATE bramleygrade_platform Boost::headers)
--- a/src/cell/ends/scheduler_ends.cpp
+++ b/src/cell/ends/scheduler_ends.cpp
@@ -52,18 +52,6 @@
     }
 }
 
-/// Updates the speeds that decisions use, and reports when they begin or cease to be used.
-void updateSpeeds(scheduler &cell, timestamp now, orders &out)
-{
-    for (const std::string &name : refreshWorkerSpeeds(cell.speeds, cell.workers, now)) {
-        const service_speeds &service = cell.speeds.services.at(name);
-        out.events.push_back({"worker_speeds", "",
-                              "service=" + name + " used=" + (service.used ? "yes" : "no")
-                                  + " workers=" + std::to_string(service.knownWorkers)
-                                  + " spread=" + std::to_string(service.spread)});
-    }
-}
-
 void markDone(scheduler &cell, job_state &job, const reported_end &end, timestamp now, orders &out)
 {
     occurrence_state &occurrence = ensureOccurrence(job, end.task.occurrence);
--- a/src/cell/scheduler.h
+++ b/src/cell/scheduler.h
@@ -351,6 +351,9 @@
               orders &out);
 /// Returns the specification of a step; `step` must be a valid index.
 const step_spec &stepOf(const job_state &job, int step);
+/// Updates the speeds that decisions use, and reports when those of a service begin or cease to be
+/// used.
+void updateSpeeds(scheduler &cell, timestamp now, orders &out);
 /// Runs one placement round if anything that affects placement has changed.
 void placeWaiting(scheduler &cell, timestamp now, orders &out);
 /// Stops gangs that do not become complete and runs without progress, repeats unanswered stops and
--- a/src/cell/workers/worker_speeds.cpp
+++ b/src/cell/workers/worker_speeds.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "cell/scheduler.h"
+
 namespace bramleygrade::cell {
 
 namespace {
@@ -326,4 +328,15 @@
     return changed;
 }
 
+void updateSpeeds(scheduler &cell, timestamp now, orders &out)
+{
+    for (const std::string &name : refreshWorkerSpeeds(cell.speeds, cell.workers, now)) {
+        const service_speeds &service = cell.speeds.services.at(name);
+        out.events.push_back({"worker_speeds", "",
+                              "service=" + name + " used=" + (service.used ? "yes" : "no")
+                                  + " workers=" + std::to_string(service.knownWorkers)
+                                  + " spread=" + std::to_string(service.spread)});
+    }
+}
+
 } // namespace bramleygrade::cell
