Crashes are attributed only to runs that are known, and stored before the next start

Crashes whose proof came after a takeover were forgotten, so that a task that crashes its workers started a third time after three crashes.

Change: the end of a trial is stored. A crash is attributed only to a run that this scheduler has started and the worker confirmed; for others it is counted. A task with a crash starts again only when that is stored. After a life that a predecessor used has ended unheard, starts of restored tasks are stored.

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -188,9 +188,13 @@
 endforeach()
 add_test(NAME cell_histories_of_restarts COMMAND cell_histories 1 300 restarts)
 add_test(NAME cell_histories_of_restarts_from_256 COMMAND cell_histories 256 76 restarts)
-set_tests_properties(cell_histories_of_restarts cell_histories_of_restarts_from_256 PROPERTIES COST 500)
+add_test(NAME cell_histories_of_restarts_to_180 COMMAND cell_histories 1 180 restarts)
+add_test(NAME cell_histories_of_restarts_from_326 COMMAND cell_histories 326 277 restarts)
+set_tests_properties(cell_histories_of_restarts cell_histories_of_restarts_from_256
+                     cell_histories_of_restarts_to_180 cell_histories_of_restarts_from_326
+                     PROPERTIES COST 500)
 
 # Jobs whose tasks crash the workers that start them.
-add_test(NAME cell_histories_of_crashing_tasks COMMAND cell_histories 101 100 deadly)
+add_test(NAME cell_histories_of_crashing_tasks COMMAND cell_histories 1 400 deadly)
 set_tests_properties(cell_histories_of_crashing_tasks PROPERTIES COST 500)
 add_test(NAME budget_count_lost_at_takeovers COMMAND cell_histories 70 1 deadly)
--- a/src/cell/ends/crashes.cpp
+++ b/src/cell/ends/crashes.cpp
@@ -24,7 +24,7 @@
 /// Time after a crash in which workers are polled more often after starts.
 constexpr microseconds alertDuration = 10 * second;
 
-/// Calls `visit` for each task that a previous scheduler started on the worker after a crash.
+/// Calls `visit` for each task without a run whose stored trial on the worker has no known end.
 template <typename Visit>
 void forEachRestoredTrial(scheduler &cell, const worker_state &worker, Visit visit)
 {
@@ -44,27 +44,29 @@
     }
 }
 
-/// Returns the tasks that may have crashed the worker, and the newest start of each.
-std::map<task_id, timestamp> collectRuns(scheduler &cell, const worker_state &worker)
+/// Returns the runs that may have crashed the worker.
+std::map<task_id, suspected_run> collectRuns(scheduler &cell, const worker_state &worker)
 {
-    std::map<task_id, timestamp> runs = worker.life.lostRuns;
+    std::map<task_id, suspected_run> runs = worker.life.lostRuns;
     for (const task_id &id : worker.life.runs) {
         job_state *job = findJob(cell, id.job);
         const task_state *task = job == nullptr ? nullptr : findTask(*job, id);
         if (task != nullptr) {
-            runs[id] = task->startedAt;
+            runs[id] = suspectedRun(cell, *job, *task);
         }
     }
-    forEachRestoredTrial(cell, worker, [&](const task_id &id) { runs.emplace(id, distantPast); });
+    forEachRestoredTrial(cell, worker, [&](const task_id &id) {
+        runs.emplace(id, suspected_run {distantPast, false});
+    });
     return runs;
 }
 
 /// Removes the runs that were under way for long when the worker last answered, unless there are no
 /// others. Returns whether the others are recent starts of one job.
-bool keepLikelyCauses(const worker_state &worker, std::map<task_id, timestamp> &runs)
+bool keepLikelyCauses(const worker_state &worker, std::map<task_id, suspected_run> &runs)
 {
     const auto isRecent = [&](const auto &run) {
-        return run.second + startTrial > worker.life.aliveAt;
+        return run.second.startedAt + startTrial > worker.life.aliveAt;
     };
     if (std::none_of(runs.begin(), runs.end(), isRecent)) {
         return false;
@@ -75,6 +77,21 @@
     return runs.begin()->first.job == runs.rbegin()->first.job; // sorted by job
 }
 
+/// Ends the trials of the job's runs on the worker, which has survived their starts.
+void endTrialsOf(scheduler &cell, const worker_state &worker, const std::string &jobId)
+{
+    job_state *job = findJob(cell, jobId);
+    if (job == nullptr) {
+        return;
+    }
+    for (const task_id &id : worker.life.runs) {
+        task_state *task = id.job == jobId ? findTask(*job, id) : nullptr;
+        if (task != nullptr) {
+            endTrial(cell, id, *task);
+        }
+    }
+}
+
 void addCrash(scheduler &cell, const worker_state &worker, const task_id &id, bool attributed,
               timestamp now, orders &out)
 {
@@ -84,11 +101,13 @@
         return;
     }
     task->crashedLives.insert(lifeName(worker));
-    ensureOccurrence(*job, id.occurrence).steps[static_cast<std::size_t>(id.step)].crashedAt = now;
+    step_state &step =
+        ensureOccurrence(*job, id.occurrence).steps[static_cast<std::size_t>(id.step)];
+    step.crashedAt = now;
     if (attributed) {
         task->attributedCrashes.insert(lifeName(worker));
     }
-    recordChange(cell, id.job, false);
+    step.crashChange = recordChange(cell, id.job, true);
     if (task->attributedCrashes.size() < maxAttributedCrashes
         && task->crashedLives.size() < maxCrashes) {
         return;
@@ -103,13 +122,29 @@
 
 } // namespace
 
+suspected_run suspectedRun(const scheduler &cell, const job_state &job, const task_state &task)
+{
+    const bool isOwnStart = task.attempt > (cell.epoch - job.acceptedEpoch) * attemptsPerEpoch;
+    return {task.startedAt, isOwnStart && task.confirmedAt != distantPast};
+}
+
+void endTrial(scheduler &cell, const task_id &id, task_state &task)
+{
+    if (!task.trialLife.empty()) {
+        task.trialLife.clear();
+        recordChange(cell, id.job, false);
+    }
+}
+
 void countCrash(scheduler &cell, worker_state &worker, timestamp now, orders &out)
 {
     if (!worker.life.crashed && !worker.entry.draining) {
         worker.life.crashed = true;
+        worker.life.trialJob.clear(); // the trial is over
         cell.lastCrashAt = now;
+        cell.hasUnknownCrash = cell.hasUnknownCrash || worker.life.answeredAt == distantPast;
         ++cell.counters.crashedWorkers;
-        std::map<task_id, timestamp> runs = collectRuns(cell, worker);
+        std::map<task_id, suspected_run> runs = collectRuns(cell, worker);
         const std::size_t all = runs.size();
         const bool attributed = !runs.empty() && keepLikelyCauses(worker, runs);
         out.events.push_back({"worker_crashed", runs.empty() ? "" : runs.begin()->first.job,
@@ -117,8 +152,8 @@
                                   + " suspects=" + std::to_string(runs.size())
                                   + " attributed=" + (attributed ? "yes" : "no") + " silent_ms="
                                   + std::to_string((now - worker.life.answeredAt) / millisecond)});
-        for (const auto &[id, startedAt] : runs) {
-            addCrash(cell, worker, id, attributed, now, out);
+        for (const auto &[id, run] : runs) {
+            addCrash(cell, worker, id, attributed && run.confirmed, now, out);
         }
     }
 }
@@ -154,8 +189,12 @@
 {
     worker.life.aliveAt = std::max(worker.life.aliveAt, at);
     for (auto it = worker.life.recentStarts.begin(); it != worker.life.recentStarts.end();) {
-        it = worker.life.aliveAt >= it->second + startTrial ? worker.life.recentStarts.erase(it)
-                                                            : std::next(it);
+        if (worker.life.aliveAt < it->second + startTrial) {
+            ++it;
+            continue;
+        }
+        endTrialsOf(cell, worker, it->first);
+        it = worker.life.recentStarts.erase(it);
     }
     if (!worker.life.trialJob.empty()
         && worker.life.aliveAt >= worker.life.trialStartedAt + startTrial) {
@@ -170,6 +209,15 @@
         && now < worker.life.answeredAt + crashProofTimeout;
 }
 
+bool areCrashesStored(const scheduler &cell, const job_state &job, const step_state &step)
+{
+    const auto isOpen = [&](const std::map<std::string, unstored_change> &changes) {
+        const auto change = changes.find(job.spec.id);
+        return change != changes.end() && change->second.number <= step.crashChange;
+    };
+    return step.crashChange == 0 || (!isOpen(cell.unstored) && !isOpen(cell.inWrite));
+}
+
 bool isSuspected(const step_state &step)
 {
     return std::any_of(step.tasks.begin(), step.tasks.end(), [](const task_state &task) {
@@ -207,14 +255,16 @@
                  timestamp now)
 {
     worker.life.recentStarts[id.job] = now;
-    if (!suspected) {
-        return;
+    if (suspected) {
+        worker.life.trialJob = id.job;
+        worker.life.trialStartedAt = now;
+        worker.life.trialUntil = now + trialTimeout;
+    }
+    job_state &job = cell.jobs.at(id.job);
+    if (suspected || (job.restored && cell.hasUnknownCrash)) {
+        findTask(job, id)->trialLife = lifeName(worker);
+        recordChange(cell, id.job, true);
     }
-    worker.life.trialJob = id.job;
-    worker.life.trialStartedAt = now;
-    worker.life.trialUntil = now + trialTimeout;
-    findTask(cell.jobs.at(id.job), id)->trialLife = lifeName(worker);
-    recordChange(cell, id.job, false);
 }
 
 void limitTrials(const scheduler &cell, const job_state &job, const step_state &step,
--- a/src/cell/ends/crashes.h
+++ b/src/cell/ends/crashes.h
@@ -9,8 +9,11 @@
 /// Finds the tasks that crash the workers on which they start, and gives them up. Every crash
 /// counts for the tasks that may have caused it: those that were started shortly before the
 /// worker's last answer or later, or all tasks on the worker if there is no such start. It is
-/// attributed to them if all are of one job. A task with a crash is then tried on a worker without
-/// recent starts of other jobs, where no other job starts until the worker has answered again.
+/// attributed to them if all are of one job, but not to a run that this scheduler has not started
+/// or that the worker has not confirmed: such a run may have ended, or never have begun. Two
+/// attributed crashes or four in all give a task up. A task with a crash is then tried on a worker
+/// without recent starts of other jobs, where no other job starts until the worker has answered
+/// again.
 
 namespace bramleygrade::cell {
 
@@ -30,6 +33,9 @@
 /// Whether the worker was lost with runs and it can still become known that it crashed.
 bool mayHaveCrashed(const worker_state &worker, timestamp now);
 
+/// Whether the crashes counted for the step are in the store. Its tasks start only then, as a
+/// takeover would forget the crashes otherwise.
+bool areCrashesStored(const scheduler &cell, const job_state &job, const step_state &step);
 /// Whether a worker has crashed with a task of the step that is not done.
 bool isSuspected(const step_state &step);
 /// Whether little time has passed since the newest crash that a task of the step may have caused.
@@ -49,6 +55,11 @@
 /// on trial at a time.
 void limitTrials(const scheduler &cell, const job_state &job, const step_state &step,
                  std::vector<std::string> &workers, timestamp now);
+/// Returns what a crash of the task's worker would show about the task's run.
+suspected_run suspectedRun(const scheduler &cell, const job_state &job, const task_state &task);
+/// Records that the trial of the task is over without a crash, so that a successor does not
+/// attribute a later crash of the worker to it.
+void endTrial(scheduler &cell, const task_id &id, task_state &task);
 /// Records that the worker was alive at this time.
 void recordAlive(scheduler &cell, worker_state &worker, timestamp at);
 
--- a/src/cell/jobs/job_state.h
+++ b/src/cell/jobs/job_state.h
@@ -4,8 +4,8 @@
 #include <optional>
 #include <set>
 
-#include "cell/workers/run_times.h"
 #include "cell/types.h"
+#include "cell/workers/run_times.h"
 
 namespace bramleygrade::cell {
 
@@ -51,8 +51,8 @@
     std::set<std::string> crashedLives;
     /// Those of `crashedLives` that no task of another job can have crashed at its start.
     std::set<std::string> attributedCrashes;
-    /// Life of the worker of the newest run if it started after a crash; stored, as the worker may
-    /// crash around a takeover.
+    /// Life of the worker of the newest run if that may crash it, until the worker has survived the
+    /// start or the run has ended; stored, as the worker may crash around a takeover.
     std::string trialLife;
 };
 
@@ -98,6 +98,8 @@
     bool gangBroken = false;
     /// Time of the newest crash of a worker that a task of the step may have caused.
     timestamp crashedAt = distantPast;
+    /// Number of the change that stores it; 0: it is stored.
+    std::uint64_t crashChange = 0;
 };
 
 struct occurrence_state
--- a/src/cell/placement/placement_round.cpp
+++ b/src/cell/placement/placement_round.cpp
@@ -384,7 +384,8 @@
             recordHeadroom(headrooms, &worker_state::headroomOfUrgent);
             urgentDone = true;
         }
-        if (isUnplaceable(step, limits) || now < stepState(step).planNotBefore) {
+        if (isUnplaceable(step, limits) || now < stepState(step).planNotBefore
+            || !areCrashesStored(cell, *step.job, stepState(step))) {
             continue;
         }
         if (plans == maxPlansPerRound) {
--- a/src/cell/scheduler.h
+++ b/src/cell/scheduler.h
@@ -223,6 +223,9 @@
     /// The newest placement round ended at the limit of planned steps.
     bool isRoundLimited = false;
     timestamp lastCrashAt = distantPast;
+    /// A life that a previous scheduler used has ended, or its leases have, before it answered this
+    /// one. Restored tasks may have crashed it.
+    bool hasUnknownCrash = false;
     /// Calls for advice that were ordered and not yet prepared to be sent.
     std::size_t queuedLongCalls = 0;
     std::size_t queuedShortCalls = 0;
--- a/src/cell/scheduler_decide.cpp
+++ b/src/cell/scheduler_decide.cpp
@@ -68,6 +68,7 @@
             !worker.listed && worker.entry.draining && worker.life.connectionRefused;
         if ((leasesExpired || hasLeft) && (!worker.life.runs.empty() || !worker.life.reconciled)) {
             ++cell.counters.lostWorkers;
+            cell.hasUnknownCrash = cell.hasUnknownCrash || !worker.life.reconciled;
             releaseAllRuns(cell, worker, now, out);
         }
         if (noPollInFlight && !worker.listed && worker.life.runs.empty()
--- a/src/cell/workers/scheduler_workers.cpp
+++ b/src/cell/workers/scheduler_workers.cpp
@@ -237,7 +237,7 @@
     }
     task.phase = run_phase::none;
     task.worker.clear();
-    task.trialLife.clear();
+    endTrial(cell, id, task);
     task.percent = 0;
     task.confirmedAt = distantPast;
     markRunnable(cell, job);
@@ -255,8 +255,10 @@
         }
         ensureOccurrence(*job, id.occurrence).steps[static_cast<std::size_t>(id.step)].gangBroken =
             true;
-        worker.life.lostRuns[id] = task->startedAt;
+        worker.life.lostRuns[id] = suspectedRun(cell, *job, *task);
+        const std::string trialLife = task->trialLife;
         releaseRun(cell, id, *job, *task);
+        task->trialLife = trialLife; // the worker may have crashed
     }
     worker.life.runs.clear();
     worker.life.used = {};
--- a/src/cell/workers/worker_state.h
+++ b/src/cell/workers/worker_state.h
@@ -9,6 +9,14 @@
 
 namespace bramleygrade::cell {
 
+/// A run that may have crashed its worker.
+struct suspected_run
+{
+    timestamp startedAt = distantPast;
+    /// This scheduler has started the run, and the worker has confirmed it.
+    bool confirmed = false;
+};
+
 /// What the scheduler knows of one life of a worker: of one process that ran under the worker's id.
 /// Nothing of it holds for the next process under that id, so it is replaced as a whole.
 struct worker_life
@@ -61,8 +69,8 @@
 
     /// The process has ended without leaving, and its crash is counted.
     bool crashed = false;
-    /// Runs released while the worker was silent, and their starts; it may have crashed with them.
-    std::map<task_id, timestamp> lostRuns;
+    /// Runs released while the worker was silent; it may have crashed with them.
+    std::map<task_id, suspected_run> lostRuns;
     /// A call sent at this time or earlier was answered.
     timestamp aliveAt = distantPast;
     /// Newest start of each job whose tasks have not run for `startTrial` yet.
--- a/src/entry/rows.cpp
+++ b/src/entry/rows.cpp
@@ -183,8 +183,8 @@
     for (std::size_t index = 0; index < step.tasks.size(); ++index) {
         const cell::task_state &task = step.tasks[index];
         if (task.done
-            || (task.failedAttempts.empty() && task.checkpoint.empty()
-                && task.crashedLives.empty())) {
+            || (task.failedAttempts.empty() && task.checkpoint.empty() && task.crashedLives.empty()
+                && task.trialLife.empty())) {
             continue;
         }
         out.StartObject();
--- a/test/cell/scheduler_test.cpp
+++ b/test/cell/scheduler_test.cpp
@@ -237,6 +237,7 @@
     orders ignored;
     onPollFailed(fixture.cell, fixture.makePoll(out.starts[0].worker),
                  order_outcome::refused_incarnation, fixture.now, ignored);
+    fixture.store(); // a task starts again only when its crash is stored
     const auto again = fixture.decide();
     BOOST_REQUIRE(again.starts.size() == 1U);
     BOOST_TEST(again.starts[0].worker != out.starts[0].worker);
