--- a/src/cell/advice/advice.cpp
+++ b/src/cell/advice/advice.cpp
@@ -97,8 +97,7 @@
             slots = std::min<std::int64_t>(slots, spec.maxPerWorker);
         }
         if (slots > 0 || spec.gang) {
-            found.push_back(
-                {slots <= 0, speedFactor * speedClass(*headroom.worker), slots, id});
+            found.push_back({slots <= 0, speedFactor * speedClass(*headroom.worker), slots, id});
         }
     }
     std::sort(found.begin(), found.end());
--- a/src/entry/calls.cpp
+++ b/src/entry/calls.cpp
@@ -1,5 +1,5 @@
-#include "entry/authentication/admission.h"
 #include "cell/teams/admission.h"
+#include "entry/authentication/admission.h"
 #include "entry/entry.h"
 
 namespace bramleygrade::entry {
