--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -70,8 +70,9 @@
 
 
 # Unit tests of the cell scheduler and its formats, and randomised histories in virtual time.
-foreach(unit advice_dispatch changing_capacity claim_order entry handover membership observation placement_round
-             run_times scheduler storing rows takeover waiting_jobs watches writes)
+foreach(unit admission advice_dispatch caller_keys changing_capacity claim_order entry handover membership observation
+             placement_round run_times scheduler scheduler_admission storing rows takeover team_caps team_shares
+             team_takeover uneven_workers waiting_jobs watches worker_speeds writes)
     add_executable(cell_${unit}_test test/cell/${unit}_test.cpp)
     target_include_directories(cell_${unit}_test PRIVATE ${CMAKE_SOURCE_DIR} ${CMAKE_SOURCE_DIR}/test/cell)
     target_link_libraries(cell_${unit}_test PRIVATE bramleygrade_platform Boost::headers)
@@ -108,6 +109,15 @@
 add_test(NAME twice_workers_restart_around_a_takeover COMMAND cell_restarted_workers_cluster_test)
 set_tests_properties(twice_workers_restart_around_a_takeover PROPERTIES RUN_SERIAL TRUE COST 1)
 
+# A scheduler that was paused and may have been replaced meanwhile.
+add_executable(cell_confirmation_test test/cell/confirmation_test.cpp)
+target_link_libraries(cell_confirmation_test PRIVATE bramleygrade_entry Boost::headers)
+foreach(failure twice_orders_of_a_scheduler_that_was_paused
+                twice_answers_to_questions_from_before_a_pause
+                twice_verification_by_some_members_only lost_verification_beside_silent_members)
+    add_test(NAME ${failure} COMMAND cell_confirmation_test --run_test=${failure})
+endforeach()
+
 # Calls that one entry forwards to the scheduler; each failure is a test of its own.
 add_executable(cell_forwarding_test test/cell/forwarding_test.cpp testing/cell/memory_table.cpp)
 target_include_directories(cell_forwarding_test PRIVATE ${CMAKE_SOURCE_DIR}
@@ -123,12 +133,21 @@
 target_link_libraries(platform_formats_test PRIVATE bramleygrade_platform Boost::headers)
 add_test(NAME platform_formats COMMAND platform_formats_test)
 
+add_executable(platform_configuration_test platform/test/configuration_test.cpp)
+target_link_libraries(platform_configuration_test PRIVATE bramleygrade_platform Boost::headers)
+add_test(NAME platform_configuration COMMAND platform_configuration_test)
+
 add_executable(platform_worker_calls_test platform/test/worker_calls_test.cpp)
 target_link_libraries(platform_worker_calls_test PRIVATE bramleygrade_platform Boost::headers)
 add_test(NAME platform_worker_calls COMMAND platform_worker_calls_test)
+foreach(failure twice_acknowledgement_on_another_connection twice_start_sent_after_a_pause
+                twice_acknowledgement_on_the_connection_of_a_start)
+    add_test(NAME ${failure} COMMAND platform_worker_calls_test --run_test=${failure})
+endforeach()
 
 add_executable(cell_histories testing/cell/cell_history.cpp testing/cell/histories_main.cpp
                               testing/cell/crashing_tasks.cpp testing/cell/history_events.cpp
+                              testing/cell/history_teams.cpp
                               testing/cell/history_workers.cpp testing/cell/simulated_worker.cpp)
 target_include_directories(cell_histories PRIVATE ${CMAKE_SOURCE_DIR})
 target_link_libraries(cell_histories PRIVATE bramleygrade_entry)
@@ -147,10 +166,25 @@
 add_executable(short_wide_steps_test test/cell/short_wide_steps_test.cpp)
 target_link_libraries(short_wide_steps_test PRIVATE cell_load_simulation Boost::headers)
 add_test(NAME short_wide_steps COMMAND short_wide_steps_test)
+add_executable(uneven_speeds_test test/cell/uneven_speeds_test.cpp)
+target_link_libraries(uneven_speeds_test PRIVATE cell_load_simulation Boost::headers)
+foreach(part like_workers_are_served_as_before uneven_workers_throw_away_half_of_the_work)
+    add_test(NAME uneven_speeds_${part} COMMAND uneven_speeds_test --run_test=${part})
+    set_tests_properties(uneven_speeds_${part} PROPERTIES COST 30)
+endforeach()
+add_executable(team_loads_test test/cell/team_loads_test.cpp)
+target_link_libraries(team_loads_test PRIVATE cell_load_simulation Boost::headers)
+foreach(load nineteen_teams_lose_nothing_to_the_twentieth
+             bursts_of_all_teams_cost_no_more_than_without_teams
+             all_teams_burst_and_none_is_starved)
+    add_test(NAME team_${load} COMMAND team_loads_test --run_test=${load})
+endforeach()
 add_test(NAME cell_histories_of_takeovers COMMAND cell_histories 1 8 takeovers)
 set_tests_properties(cell_histories_of_takeovers PROPERTIES COST 500)
 add_test(NAME cell_histories_of_capacity_changes COMMAND cell_histories 1 200 capacity)
 set_tests_properties(cell_histories_of_capacity_changes PROPERTIES COST 500)
+add_test(NAME cell_histories_of_teams COMMAND cell_histories 1 500 teams)
+set_tests_properties(cell_histories_of_teams PROPERTIES COST 500)
 add_test(NAME cell_histories_of_crashes_at_takeovers COMMAND cell_histories 1 1 takeovers crashes)
 
 add_executable(cell_advice_clients_test test/cell/advice_clients_test.cpp)
@@ -175,10 +209,14 @@
 endforeach()
 add_test(NAME cell_histories_of_restarts COMMAND cell_histories 1 300 restarts)
 add_test(NAME cell_histories_of_restarts_from_256 COMMAND cell_histories 256 76 restarts)
-set_tests_properties(cell_histories_of_restarts cell_histories_of_restarts_from_256 PROPERTIES COST 500)
+add_test(NAME cell_histories_of_restarts_to_180 COMMAND cell_histories 1 180 restarts)
+add_test(NAME cell_histories_of_restarts_from_326 COMMAND cell_histories 326 277 restarts)
+set_tests_properties(cell_histories_of_restarts cell_histories_of_restarts_from_256
+                     cell_histories_of_restarts_to_180 cell_histories_of_restarts_from_326
+                     PROPERTIES COST 500)
 
 # Jobs whose tasks crash the workers that start them.
-add_test(NAME cell_histories_of_crashing_tasks COMMAND cell_histories 101 100 deadly)
+add_test(NAME cell_histories_of_crashing_tasks COMMAND cell_histories 1 400 deadly)
 set_tests_properties(cell_histories_of_crashing_tasks PROPERTIES COST 500)
 add_test(NAME budget_count_lost_at_takeovers COMMAND cell_histories 70 1 deadly)
 
@@ -194,3 +232,10 @@
 add_executable(platform_config_check_test platform/test/config_check_test.cpp src/tools/check_config.cpp)
 target_link_libraries(platform_config_check_test PRIVATE bramleygrade_platform Boost::headers)
 add_test(NAME platform_config_check COMMAND platform_config_check_test)
+
+# Several entries, one of them cut off from the configuration in one way or another, in real time.
+add_executable(cell_keys_cluster_test test/cell/keys_cluster_test.cpp testing/cell/memory_table.cpp)
+target_include_directories(cell_keys_cluster_test PRIVATE ${CMAKE_SOURCE_DIR} ${CMAKE_SOURCE_DIR}/test/cell)
+target_link_libraries(cell_keys_cluster_test PRIVATE bramleygrade_platform Boost::headers)
+add_test(NAME cell_keys_cluster COMMAND cell_keys_cluster_test)
+set_tests_properties(cell_keys_cluster PROPERTIES RUN_SERIAL TRUE COST 1)
--- a/src/cell/advice/advice.cpp
+++ b/src/cell/advice/advice.cpp
@@ -3,6 +3,8 @@
 
 #include "cell/interference/scheduler_interference.h"
 #include "cell/placement/placement.h"
+#include "cell/placement/speed_placement.h"
+#include "cell/teams/capped_placement.h"
 
 namespace bramleygrade::cell {
 
@@ -25,6 +27,8 @@
 constexpr microseconds emptyCallPause = 50 * millisecond;
 /// Added to the priority of late jobs; larger than the priority of any queue.
 constexpr int latePriorityOffset = 1'000;
+/// The same for jobs beyond their team's share, late or not.
+constexpr int beyondSharePriorityOffset = 2 * latePriorityOffset;
 /// Factor applied to the counts of asked and allowed workers before each answer is added.
 constexpr double shareDecay = 0.97;
 
@@ -57,14 +61,31 @@
     return workers;
 }
 
-/// Worker never asked about: negated free slots, whether it has clashing images, and id.
-using unasked_worker = std::tuple<std::int64_t, bool, std::string>;
+/// A worker that the step may ask about.
+struct unasked_worker
+{
+    bool isFull = false;
+    /// Rank by speed, lower is better; 0 while speeds are not used.
+    double rank = 0;
+    std::int64_t slots = 0;
+    /// The worker has images that the step should not run beside.
+    bool clashes = false;
+    std::string id;
+
+    friend bool operator<(const unasked_worker &a, const unasked_worker &b)
+    {
+        return std::tie(a.isFull, a.rank, b.slots, a.clashes, a.id)
+            < std::tie(b.isFull, b.rank, a.slots, b.clashes, b.id);
+    }
+};
 
-/// Returns the workers never asked about for the step, those with the most slots first, and of
-/// equal ones those without clashing images.
+/// Returns the workers never asked about for the step, those with a free slot first, then by how
+/// well their speed suits the step, then those with the most slots, and of equal ones those without
+/// clashing images.
 std::vector<unasked_worker> findUnaskedWorkers(const waiting_step &waiting,
-                                               const headroom_map &headrooms)
+                                               const headroom_map &headrooms, timestamp now)
 {
+    const double speedFactor = speedCostFactor(waiting, now);
     const step_spec &spec = stepSpec(waiting);
     const step_state &step = stepState(waiting);
     std::vector<unasked_worker> found;
@@ -80,8 +101,9 @@
             slots = std::min<std::int64_t>(slots, spec.maxPerWorker);
         }
         if (slots > 0 || spec.gang) {
-            found.emplace_back(-slots, (headroom.worker->images.present & waiting.clashing) != 0,
-                               id);
+            const bool clashes = (headroom.worker->images.present & waiting.clashing) != 0;
+            found.push_back(
+                {slots <= 0, speedFactor * speedClass(*headroom.worker), slots, clashes, id});
         }
     }
     std::sort(found.begin(), found.end());
@@ -117,12 +139,12 @@
     const double share = allowedShare(cell, waiting.job->spec.queue);
     double needed = stepSpec(waiting).gang ? std::numeric_limits<double>::max()
                                            : static_cast<double>(plan.unplaced) * askedSlotsFactor;
-    for (const auto &[negativeSlots, clashes, id] : findUnaskedWorkers(waiting, headrooms)) {
+    for (const unasked_worker &worker : findUnaskedWorkers(waiting, headrooms, now)) {
         if (needed <= 0 || toAsk.size() >= maxWorkersPerCall) {
             break;
         }
-        toAsk.push_back(id);
-        needed -= static_cast<double>(-negativeSlots) * share;
+        toAsk.push_back(worker.id);
+        needed -= static_cast<double>(worker.slots) * share;
     }
     return toAsk;
 }
@@ -132,6 +154,7 @@
 headroom_map collectUnclaimedHeadroom(scheduler &cell, bool urgent, timestamp now)
 {
     headroom_map headrooms;
+    headrooms.reserve(cell.workers.size());
     for (auto &[id, worker] : cell.workers) {
         if (!isUsable(worker, now) || worker.life.clock == 0) {
             continue;
@@ -141,7 +164,8 @@
         const resources usable {std::min(left.cpuMilli, free.cpuMilli),
                                 std::min(left.memoryMb, free.memoryMb),
                                 std::min(left.accelerators, free.accelerators)};
-        headrooms.emplace(id, worker_headroom {&worker, usable - worker.expectedDemand});
+        headrooms.emplace_hint(headrooms.end(), id,
+                               worker_headroom {&worker, usable - worker.expectedDemand});
     }
     return headrooms;
 }
@@ -209,7 +233,10 @@
     step_state &step =
         job->occurrences.at(order.step.occurrence).steps[static_cast<std::size_t>(order.step.step)];
     auto waiting = makeWaitingStep(*job, order.step.occurrence, order.step.step, now);
-    if (!waiting) {
+    if (waiting && cell.teams.active) {
+        waiting->beyondShare = job->spec.beyondShare;
+    }
+    if (!waiting || !fitsCap(cell, *waiting)) {
         step.advicePending = false;
         return false;
     }
@@ -281,7 +308,8 @@
     advice_order order;
     order.step = {waiting.job->spec.id, waiting.occurrence, waiting.step, 0};
     order.expected = timing.base + timing.perWorker * static_cast<microseconds>(workers.size());
-    order.priority = waiting.priority + (waiting.late ? latePriorityOffset : 0);
+    order.priority = waiting.priority + (waiting.late ? latePriorityOffset : 0)
+        + (waiting.beyondShare ? beyondSharePriorityOffset : 0);
     order.late = waiting.late;
     order.queue = waiting.job->spec.queue;
     order.longCall = timing.base + usualWorkersPerCall * timing.perWorker > longCallThreshold;
--- a/src/cell/ends/scheduler_ends.cpp
+++ b/src/cell/ends/scheduler_ends.cpp
@@ -36,7 +36,7 @@
 
 /// Records the time of a successful run from its beginning.
 void recordRun(scheduler &cell, worker_state &worker, const job_state &job, const step_spec &spec,
-               step_state &step, microseconds observed)
+               step_state &step, microseconds observed, timestamp now)
 {
     const double slowness = spec.gang ? slownessOfGang(cell, step) : worker.life.slowness;
     step.longestRun = std::max(step.longestRun, observed);
@@ -46,6 +46,13 @@
         recordRunOnWorker(cell.taskRunTimes[job.spec.queue], worker.life.runTimes, spec.estimate,
                           observed);
         worker.life.slowness = slownessOf(worker.life.runTimes);
+        if (cell.settings.workerSpeeds && spec.scavenging) {
+            recordScavengedRun(cell.speeds, worker.entry, job.spec.queue, spec.estimate, observed,
+                               now);
+        } else if (cell.settings.workerSpeeds) {
+            recordWorkerSpeed(cell.speeds, worker.entry, job.spec.queue, job.spec.id, spec.estimate,
+                              observed, now);
+        }
     }
 }
 
@@ -242,6 +249,9 @@
 void eraseExpiredJobs(scheduler &cell, timestamp now)
 {
     while (!cell.jobExpiries.empty() && cell.jobExpiries.begin()->first <= now) {
+        if (const job_state *job = findJob(cell, cell.jobExpiries.begin()->second)) {
+            removeTeamRuns(cell, *job);
+        }
         cell.jobs.erase(cell.jobExpiries.begin()->second);
         cell.jobExpiries.erase(cell.jobExpiries.begin());
     }
@@ -270,7 +280,8 @@
     recordCheckpoint(*job, end, *task);
     if (end.how == end_kind::done && task->phase == run_phase::running
         && task->attempt == end.attempt && !task->resumed && task->confirmedAt != distantPast) {
-        recordRun(cell, worker, *job, stepOf(*job, end.task.step), step, now - task->confirmedAt);
+        recordRun(cell, worker, *job, stepOf(*job, end.task.step), step, now - task->confirmedAt,
+                  now);
         learnInterference(cell, worker, job->spec, end.task, now - task->confirmedAt, now);
     }
     if (task->phase != run_phase::none && task->worker == worker.entry.id
@@ -390,6 +401,9 @@
         }
     }
     eraseExpiredJobs(cell, now);
+    if (cell.settings.workerSpeeds) {
+        updateSpeeds(cell, now, out);
+    }
     // Due occurrences, expired tickets and workers whose avoidance period is over allow new
     // placements without any event.
     cell.needsPlacement = cell.needsPlacement || !cell.runnableJobs.empty();
--- a/src/cell/jobs/job_state.h
+++ b/src/cell/jobs/job_state.h
@@ -4,8 +4,8 @@
 #include <optional>
 #include <set>
 
-#include "cell/workers/run_times.h"
 #include "cell/types.h"
+#include "cell/workers/run_times.h"
 
 namespace bramleygrade::cell {
 
@@ -42,6 +42,10 @@
     /// Time at which `percent` last changed.
     timestamp progressAt = distantPast;
     std::string checkpoint;
+    /// Time at which a new checkpoint of the newest run was last reported.
+    timestamp checkpointAt = distantPast;
+    /// Time of the newest preemption of a run of the task.
+    timestamp preemptedAt = distantPast;
     /// The newest run did not work from its beginning, as it resumed from a checkpoint or was
     /// adopted.
     bool resumed = false;
@@ -51,8 +55,8 @@
     std::set<std::string> crashedLives;
     /// Those of `crashedLives` that no task of another job can have crashed at its start.
     std::set<std::string> attributedCrashes;
-    /// Life of the worker of the newest run if it started after a crash; stored, as the worker may
-    /// crash around a takeover.
+    /// Life of the worker of the newest run if that may crash it, until the worker has survived the
+    /// start or the run has ended; stored, as the worker may crash around a takeover.
     std::string trialLife;
 };
 
@@ -81,6 +85,9 @@
     /// Time before which the step is not planned again.
     timestamp planNotBefore = distantPast;
     bool advicePending = false;
+    /// In the newest placement round the cap of the job's team kept all waiting tasks from
+    /// starting.
+    bool waitsForTeamCap = false;
     /// The gang was within the budget for held capacity in an earlier placement round.
     bool holdsCapacity = false;
     timestamp adviceNotBefore = distantPast;
@@ -98,6 +105,8 @@
     bool gangBroken = false;
     /// Time of the newest crash of a worker that a task of the step may have caused.
     timestamp crashedAt = distantPast;
+    /// Number of the change that stores it; 0: it is stored.
+    std::uint64_t crashChange = 0;
 };
 
 struct occurrence_state
--- a/src/cell/jobs/scheduler_jobs.cpp
+++ b/src/cell/jobs/scheduler_jobs.cpp
@@ -1,4 +1,6 @@
 #include <algorithm>
+#include <string_view>
+#include <unordered_map>
 
 #include "cell/ends/crashes.h"
 
@@ -30,9 +32,15 @@
         return;
     }
     cell.config = config;
+    std::unordered_map<std::string_view, const queue_policy *> policies;
+    for (const queue_policy &queue : config.queues) {
+        policies.emplace(queue.name, &queue); // the first of equal names, as in findQueue()
+    }
+    applyTeams(cell);
     for (auto &[id, job] : cell.jobs) {
-        if (const queue_policy *policy = findQueue(config, job.spec.queue)) {
-            job.policy = *policy;
+        const auto policy = policies.find(job.spec.queue);
+        if (policy != policies.end()) {
+            job.policy = *policy->second;
         }
     }
     cell.needsPlacement = true;
@@ -194,14 +202,33 @@
     return true;
 }
 
+namespace {
+
+bool isPending(const job_state &job)
+{
+    return job.stored && !job.startedAny && !job.finalPhase;
+}
+
+} // namespace
+
 std::int64_t countPendingJobs(const scheduler &cell, const std::string &queue)
 {
     return std::count_if(cell.jobs.begin(), cell.jobs.end(), [&](const auto &entry) {
-        const job_state &job = entry.second;
-        return job.spec.queue == queue && job.stored && !job.startedAny && !job.finalPhase;
+        return isPending(entry.second) && entry.second.spec.queue == queue;
     });
 }
 
+std::map<std::string, std::int64_t> countPendingByQueue(const scheduler &cell)
+{
+    std::map<std::string, std::int64_t> counts;
+    for (const auto &[id, job] : cell.jobs) {
+        if (isPending(job)) {
+            ++counts[job.spec.queue];
+        }
+    }
+    return counts;
+}
+
 std::vector<std::string> beginWrite(scheduler &cell, std::size_t maxRows,
                                     const rows_of_change &rowsOf)
 {
--- a/src/cell/placement/placement.cpp
+++ b/src/cell/placement/placement.cpp
@@ -1,9 +1,6 @@
 #include "cell/placement/placement.h"
 
 #include <algorithm>
-#include <numeric>
-
-#include "cell/ends/crashes.h"
 
 namespace bramleygrade::cell {
 
@@ -19,214 +16,9 @@
 constexpr double failureScoreCost = 1.0;
 /// A step is late if this share of its expected time to the end of the job exceeds the time left.
 constexpr double latenessShare = 0.5;
-/// Cost of a worker with an image that clashes with the step's. It outweighs the CPU share left
-/// free and nothing else.
-constexpr double clashCost = 1.0;
 /// Cost of a worker that has none of the processors that a scavenging task could use.
 constexpr double noProcessorCost = 4.0;
 
-std::int64_t countRuns(const step_state &step, const std::string &worker)
-{
-    return std::count_if(step.tasks.begin(), step.tasks.end(), [&](const task_state &task) {
-        return task.phase != run_phase::none && task.worker == worker;
-    });
-}
-
-bool isAllowed(const waiting_step &waiting, const step_state &step, const std::string &worker)
-{
-    if (!waiting.job->policy.needsAdvice) {
-        return true;
-    }
-    const auto adviceIt = step.advice.find(worker);
-    return adviceIt != step.advice.end() && adviceIt->second.allowed;
-}
-
-/// A worker that may take `slots` tasks of the step.
-struct candidate
-{
-    const std::string *id = nullptr;
-    const worker_headroom *headroom = nullptr;
-    std::int64_t slots = 0;
-    double cost = 0;
-    bool ticketValid = false;
-    /// Images on the worker with which the step clashes.
-    image_set clashing = 0;
-};
-
-void sortByCost(std::vector<candidate> &candidates)
-{
-    std::sort(candidates.begin(), candidates.end(), [](const candidate &a, const candidate &b) {
-        return std::tie(b.ticketValid, a.cost, *a.id) < std::tie(a.ticketValid, b.cost, *b.id);
-    });
-}
-
-std::vector<candidate> findCandidates(const waiting_step &waiting, const headroom_map &headrooms,
-                                      timestamp now)
-{
-    const step_spec &spec = stepSpec(waiting);
-    const step_state &step = stepState(waiting);
-    const task_state *first = &step.tasks[static_cast<std::size_t>(waiting.tasks.front())];
-    const resources demand = reservedDemand(spec);
-    const bool onReservedOnly = spec.gang && holdsReservation(step, now);
-    const bool needsTrial = isSuspected(step) && (!spec.gang || hasRecentCrash(step, now));
-    const std::string &job = waiting.job->spec.id;
-    std::vector<candidate> found;
-    const auto consider = [&](const std::string &id, const worker_headroom &headroom,
-                              bool ticketValid) {
-        if (!fits(demand, headroom.free) || !isEligible(*waiting.job, spec, *headroom.worker)
-            || (onReservedOnly && step.reservations.count(id) == 0)
-            || isOnTrialOfOther(*headroom.worker, job, now)
-            || (needsTrial && hasRecentStartsOfOthers(*headroom.worker, job))) {
-            return;
-        }
-        std::int64_t slots = tasksThatFit(spec, headroom.free);
-        if (spec.maxPerWorker > 0) {
-            slots = std::min(slots, spec.maxPerWorker - countRuns(step, id));
-        }
-        if (slots > 0) {
-            found.push_back({&id, &headroom, slots, placementCost(spec, first, headroom),
-                             ticketValid, headroom.worker->images.present & waiting.clashing});
-        }
-    };
-    const bool needsAdvice = waiting.job->policy.needsAdvice;
-    static const std::map<std::string, worker_advice> noAdvice;
-    if (!needsAdvice) {
-        for (const auto &[id, headroom] : headrooms) {
-            consider(id, headroom, true);
-        }
-    }
-    for (const auto &[id, advice] : needsAdvice ? step.advice : noAdvice) {
-        const auto headroom = advice.allowed ? headrooms.find(id) : headrooms.end();
-        if (headroom != headrooms.end()) {
-            consider(headroom->first, headroom->second, advice.validUntil > now + ticketMargin);
-        }
-    }
-    sortByCost(found);
-    return found;
-}
-
-/// Keeps only the candidates of the lowest-cost rack that can take all `needed` tasks; keeps all
-/// candidates if no rack can.
-void keepOneRack(std::vector<candidate> &candidates, std::int64_t needed)
-{
-    std::map<std::string, std::int64_t> slots;
-    for (const candidate &option : candidates) {
-        slots[option.headroom->worker->entry.rack] += option.slots;
-    }
-    for (const candidate &option : candidates) {
-        const std::string rack = option.headroom->worker->entry.rack;
-        if (slots[rack] >= needed) {
-            candidates.erase(std::remove_if(candidates.begin(), candidates.end(),
-                                            [&](const candidate &other) {
-                                                return other.headroom->worker->entry.rack != rack;
-                                            }),
-                             candidates.end());
-            return;
-        }
-    }
-}
-
-/// Sorts workers with the most slots first, so that a gang runs on few workers. Removes workers
-/// without a valid ticket if the others suffice; otherwise a gang would request new tickets again
-/// and again. Workers without clashing images come first if they suffice.
-void sortForGang(std::vector<candidate> &candidates, std::int64_t needed, bool avoidsClashes)
-{
-    std::int64_t withTicket = 0;
-    for (const candidate &option : candidates) {
-        withTicket += option.ticketValid ? option.slots : 0;
-    }
-    if (withTicket >= needed) {
-        candidates.erase(
-            std::remove_if(candidates.begin(), candidates.end(),
-                           [](const candidate &option) { return !option.ticketValid; }),
-            candidates.end());
-    }
-    std::stable_sort(candidates.begin(), candidates.end(),
-                     [](const candidate &a, const candidate &b) { return a.slots > b.slots; });
-    std::int64_t withoutClash = 0;
-    for (const candidate &option : candidates) {
-        withoutClash += option.clashing == 0 ? option.slots : 0;
-    }
-    if (avoidsClashes && withoutClash >= needed) {
-        std::stable_partition(candidates.begin(), candidates.end(),
-                              [](const candidate &option) { return option.clashing == 0; });
-    }
-}
-
-/// Assigns the tasks to the candidates, in their order; `avoided` of the plan lists the clashes
-/// that it has.
-placement_plan assignTasks(const waiting_step &waiting, std::vector<candidate> candidates,
-                           bool avoidsClashes)
-{
-    const step_spec &spec = stepSpec(waiting);
-    if (spec.gang) {
-        sortForGang(candidates, static_cast<std::int64_t>(waiting.tasks.size()), avoidsClashes);
-    }
-    if (spec.sameRack) {
-        keepOneRack(candidates, static_cast<std::int64_t>(waiting.tasks.size()));
-    }
-    placement_plan plan;
-    auto it = candidates.begin();
-    for (std::size_t index = 0; index < waiting.tasks.size(); ++index) {
-        while (it != candidates.end() && it->slots == 0) {
-            ++it;
-        }
-        if (it == candidates.end()) {
-            break;
-        }
-        --it->slots;
-        plan.workers.push_back(*it->id);
-        plan.ticketsValid = plan.ticketsValid && it->ticketValid;
-        if (it->clashing != 0) {
-            plan.avoided.push_back(it->clashing);
-        }
-    }
-    plan.unplaced = waiting.tasks.size() - plan.workers.size();
-    return plan;
-}
-
-/// Splits the slots of each worker into one and the rest if the step clashes with itself. Gangs
-/// stay on few workers nevertheless.
-std::vector<candidate> splitSlots(const waiting_step &waiting,
-                                  const std::vector<candidate> &candidates)
-{
-    if ((waiting.clashing & waiting.ownImage) == 0 || stepSpec(waiting).gang) {
-        return candidates;
-    }
-    std::vector<candidate> split;
-    for (const candidate &option : candidates) {
-        split.push_back(option);
-        if (option.slots > 1 && option.clashing == 0) {
-            split.back().slots = 1;
-            split.push_back(option);
-            --split.back().slots;
-            split.back().clashing = waiting.ownImage;
-        }
-    }
-    return split;
-}
-
-/// Plans the step beside as few clashing images as its workers allow. All candidates have room, so
-/// that only their order changes.
-placement_plan planAwayFromClashes(const waiting_step &waiting, std::vector<candidate> candidates)
-{
-    candidates = splitSlots(waiting, candidates);
-    placement_plan usual = assignTasks(waiting, candidates, false);
-    for (candidate &option : candidates) {
-        option.cost += option.clashing != 0 ? clashCost : 0;
-    }
-    sortByCost(candidates);
-    placement_plan plan = assignTasks(waiting, candidates, true);
-    if (plan.avoided.size() >= usual.avoided.size() || plan.unplaced > usual.unplaced
-        || (usual.ticketsValid && !plan.ticketsValid)) {
-        usual.avoided.clear();
-        return usual;
-    }
-    usual.avoided.resize(usual.avoided.size() - plan.avoided.size());
-    plan.avoided = std::move(usual.avoided);
-    return plan;
-}
-
 /// Returns the tasks of the step that may be started now; none while members of a broken gang are
 /// still active.
 std::vector<int> findWaitingTasks(const step_spec &spec, const step_state &step)
@@ -260,6 +52,7 @@
     waiting.objectiveAt = occurrence.dueAt == distantPast
         ? job.objectiveAt
         : occurrence.dueAt + (job.objectiveAt - job.receivedAt);
+    waiting.orderAt = waiting.objectiveAt;
     const microseconds remaining = job.expectedToEnd[static_cast<std::size_t>(index)];
     waiting.late = now + static_cast<microseconds>(latenessShare * static_cast<double>(remaining))
         > waiting.objectiveAt;
@@ -329,13 +122,6 @@
     return cost;
 }
 
-placement_plan planStep(const waiting_step &waiting, const headroom_map &headrooms, timestamp now)
-{
-    std::vector<candidate> candidates = findCandidates(waiting, headrooms, now);
-    return waiting.clashing == 0 ? assignTasks(waiting, std::move(candidates), false)
-                                 : planAwayFromClashes(waiting, std::move(candidates));
-}
-
 std::int64_t withholdForGang(const waiting_step &waiting, std::size_t missing,
                              headroom_map &headrooms)
 {
@@ -343,11 +129,24 @@
     const step_state &step = stepState(waiting);
     const resources demand = reservedDemand(spec);
     std::vector<worker_headroom *> partial;
-    for (auto &[id, headroom] : headrooms) {
+    const auto consider = [&](worker_headroom &headroom) {
         if (headroom.free.cpuMilli > 0 && fits(demand, headroom.worker->entry.capacity)
-            && isEligible(*waiting.job, spec, *headroom.worker) && isAllowed(waiting, step, id)) {
+            && isEligible(*waiting.job, spec, *headroom.worker)) {
             partial.push_back(&headroom);
         }
+    };
+    if (waiting.job->policy.needsAdvice) {
+        // Looks only at the allowed workers, which are far fewer than all.
+        for (const auto &[id, advice] : step.advice) {
+            const auto headroom = advice.allowed ? headrooms.find(id) : headrooms.end();
+            if (headroom != headrooms.end()) {
+                consider(headroom->second);
+            }
+        }
+    } else {
+        for (auto &[id, headroom] : headrooms) {
+            consider(headroom);
+        }
     }
     std::sort(partial.begin(), partial.end(),
               [](const worker_headroom *a, const worker_headroom *b) {
--- a/src/cell/placement/placement.h
+++ b/src/cell/placement/placement.h
@@ -5,6 +5,8 @@
 #include <string>
 #include <vector>
 
+#include <boost/container/flat_map.hpp>
+
 #include "cell/scheduler.h"
 
 namespace bramleygrade::cell {
@@ -16,8 +18,9 @@
     resources free;
 };
 
-/// Headroom by worker id, for the workers that may take new tasks.
-using headroom_map = std::map<std::string, worker_headroom>;
+/// Headroom by worker id, for the workers that may take new tasks. Contiguous, as a round builds it
+/// once and then iterates over it for every step.
+using headroom_map = boost::container::flat_map<std::string, worker_headroom>;
 
 /// Upper bound on each resource free on any single worker, by service. A task that needs more of
 /// a resource cannot be placed. Remains an upper bound while headroom shrinks.
@@ -28,14 +31,20 @@
 
 /// A ready step with tasks to be placed. Sorts steps on time before late ones, then by `priority`,
 /// gangs that hold capacity before others, then by `objectiveAt`, job id, occurrence and step,
-/// ascending.
+/// ascending. Where the configuration has teams, `orderByShares` sorts them anew.
 struct waiting_step
 {
     /// The step has missed its objective or is not expected to meet it.
     bool late = false;
     int priority = 0;
     bool holdsCapacity = false;
+    /// Set by `orderByShares`, only where the configuration has teams: the job is beyond its team's
+    /// share, and what the team has of what is due to it, 1 or less being equal.
+    bool beyondShare = false;
+    double teamShare = 0;
     timestamp objectiveAt = distantFuture;
+    /// Sorts steps of equal priority; the objective, unless `orderGangs` sets another time.
+    timestamp orderAt = distantFuture;
     job_state *job = nullptr;
     int occurrence = 0;
     int step = 0;
@@ -47,10 +56,10 @@
 
     friend bool operator<(const waiting_step &a, const waiting_step &b)
     {
-        return std::tie(a.late, a.priority, b.holdsCapacity, a.objectiveAt, a.job->spec.id,
+        return std::tie(a.late, a.priority, b.holdsCapacity, a.orderAt, a.job->spec.id,
                         a.occurrence, a.step)
-            < std::tie(b.late, b.priority, a.holdsCapacity, b.objectiveAt, b.job->spec.id,
-                       b.occurrence, b.step);
+            < std::tie(b.late, b.priority, a.holdsCapacity, b.orderAt, b.job->spec.id, b.occurrence,
+                       b.step);
     }
 };
 
@@ -70,10 +79,11 @@
 /// are still active. The occurrence must exist.
 std::optional<waiting_step> makeWaitingStep(job_state &job, int number, int index, timestamp now);
 
-/// Whether the step is of the highest priority and on time; it is placed before all others.
+/// Whether the step is of the highest priority, on time and within its team's share; it is placed
+/// before all others.
 inline bool isUrgent(const waiting_step &waiting)
 {
-    return !waiting.late && waiting.priority == 0;
+    return !waiting.beyondShare && !waiting.late && waiting.priority == 0;
 }
 
 /// Whether service and label of the worker match the step; ignores capacity and advice.
--- a/src/cell/placement/placement_round.cpp
+++ b/src/cell/placement/placement_round.cpp
@@ -2,8 +2,11 @@
 
 #include "cell/ends/crashes.h"
 #include "cell/interference/scheduler_interference.h"
+#include "cell/placement/gang_order.h"
 #include "cell/placement/placement.h"
 #include "cell/scheduler.h"
+#include "cell/teams/capped_placement.h"
+#include "cell/teams/team_shares.h"
 
 namespace bramleygrade::cell {
 
@@ -22,9 +25,11 @@
 headroom_map collectHeadroom(scheduler &cell, timestamp now)
 {
     headroom_map headrooms;
+    headrooms.reserve(cell.workers.size());
     for (auto &[id, worker] : cell.workers) {
         if (isUsable(worker, now) && worker.life.clock != 0) {
-            headrooms.emplace(id, worker_headroom {&worker, freeCapacity(worker)});
+            headrooms.emplace_hint(headrooms.end(), id,
+                                   worker_headroom {&worker, freeCapacity(worker)});
         }
     }
     return headrooms;
@@ -114,6 +119,7 @@
         }
         it = found.size() == before && !hasMore ? cell.runnableJobs.erase(it) : std::next(it);
     }
+    orderGangs(cell, found, now);
     std::sort(found.begin(), found.end());
     return found;
 }
@@ -145,6 +151,7 @@
     recordStart(cell, worker, id, isSuspected(step), now);
     addRun(worker, id, reservedDemand(stepSpec(waiting)));
     noteRunAdded(cell, worker, id, waiting.job->spec, now, out);
+    addTeamRun(cell, *waiting.job, waiting.step);
     headroom.free = headroom.free - reservedDemand(stepSpec(waiting));
     ++cell.counters.starts;
     const auto advice = step.advice.find(worker.entry.id);
@@ -376,34 +383,47 @@
         return;
     }
     cell.needsPlacement = false;
-    const std::vector<waiting_step> waiting = collectWaitingSteps(cell, now);
+    std::vector<waiting_step> waiting = collectWaitingSteps(cell, now);
     if (waiting.empty()) {
         return;
     }
+    beginCappedRound(cell, waiting, now);
     headroom_map headrooms = collectHeadroom(cell, now);
     std::map<std::string, std::int64_t> gangBudgets = makeGangBudgets(cell);
     deductReservations(waiting, headrooms, now);
     const headroom_limits limits = maxHeadroomByService(headrooms);
+    orderByShares(cell, waiting, [&](const waiting_step &step) {
+        return !isUnplaceable(step, limits) && mayHaveTicket(step, now)
+            && !stepState(step).waitsForTeamCap;
+    });
     bool urgentDone = false;
     int plans = 0;
-    for (const waiting_step &step : waiting) {
+    for (waiting_step &step : waiting) {
         if (!urgentDone && !isUrgent(step)) {
             recordHeadroom(headrooms, &worker_state::headroomOfUrgent);
             urgentDone = true;
         }
-        if (isUnplaceable(step, limits) || now < stepState(step).planNotBefore) {
+        if (isUnplaceable(step, limits) || now < stepState(step).planNotBefore
+            || !areCrashesStored(cell, *step.job, stepState(step))) {
             continue;
         }
         if (plans == maxPlansPerRound) {
             cell.needsPlacement = true;
             break;
         }
+        if (!limitToCap(cell, step)) {
+            continue;
+        }
         const std::size_t startsBefore = out.starts.size();
         std::int64_t &gangBudget = gangBudgets[step.job->policy.service];
         const bool planned = stepSpec(step).gang
             ? placeGang(cell, step, headrooms, gangBudget, now, out)
             : placeIndependent(cell, step, headrooms, now, out);
         plans += planned ? 1 : 0;
+        if (out.starts.size() == startsBefore) {
+            holdCapForGang(cell, step, now);
+        }
+        skipOtherParts(cell, step, out.starts.size() - startsBefore, now);
         if (planned && cell.isRoundLimited && out.starts.size() == startsBefore
             && !stepSpec(step).gang) {
             stepState(step).planNotBefore = now + fruitlessPlanPause;
--- a/src/cell/scheduler.h
+++ b/src/cell/scheduler.h
@@ -9,7 +9,10 @@
 
 #include "cell/interference/interference.h"
 #include "cell/jobs/job_state.h"
+#include "cell/teams/admission.h"
+#include "cell/teams/team_usage.h"
 #include "cell/workers/run_times.h"
+#include "cell/workers/worker_speeds.h"
 #include "cell/workers/worker_state.h"
 
 /// \file
@@ -60,6 +63,9 @@
     std::string worker;
     std::int64_t fencingToken = 0;
     std::int64_t acknowledgedEnd = 0;
+    /// The acknowledgement is sent only on a connection opened until this local time. One opened
+    /// later may lead to a process that has not listed the ends.
+    timestamp connectedBefore = distantFuture;
     /// End of the lease on the worker's clock, microseconds; 0: the lease is not renewed, as the
     /// clock is not known yet or the worker does not answer.
     std::int64_t leaseUntil = 0;
@@ -139,6 +145,12 @@
     /// Tasks whose images are seen to slow each other down are placed on different workers where
     /// there is room.
     bool separateClashingTasks = true;
+    /// Learned speeds of workers are used in decisions where they differ by a wide margin.
+    bool workerSpeeds = true;
+    /// Length of the window in which a team's submissions count, and the jobs that it may send in
+    /// it beyond its weight.
+    microseconds teamWindow = 5 * second;
+    std::int64_t teamWindowSlack = 20;
 };
 
 /// Decaying counts of the workers asked about and allowed in a queue's advice calls.
@@ -193,6 +205,8 @@
     /// present.
     timestamp confirmedAt = distantFuture;
     cell_config config;
+    team_table teams;
+    queued_work queued;
     std::map<std::string, worker_state> workers;
     /// Highest fence number issued so far. A worker that was erased and returns starts with this
     /// number, as it refuses lower fencing tokens than it has seen.
@@ -216,6 +230,7 @@
     std::map<std::string, run_time_record> runTimes;
     /// Run times of single tasks on all workers relative to the declared ones, by queue name.
     std::map<std::string, run_time_ratio> taskRunTimes;
+    speed_table speeds;
     /// How much images slow each other down.
     interference_table interference;
     scheduler_counters counters;
@@ -226,6 +241,9 @@
     /// The newest placement round ended at the limit of planned steps.
     bool isRoundLimited = false;
     timestamp lastCrashAt = distantPast;
+    /// A life that a previous scheduler used has ended, or its leases have, before it answered this
+    /// one. Restored tasks may have crashed it.
+    bool hasUnknownCrash = false;
     /// Calls for advice that were ordered and not yet prepared to be sent.
     std::size_t queuedLongCalls = 0;
     std::size_t queuedShortCalls = 0;
@@ -272,6 +290,9 @@
 job_state *findJob(scheduler &cell, const std::string &id);
 /// Returns the number of stored jobs of the queue that have neither started a task nor ended.
 std::int64_t countPendingJobs(const scheduler &cell, const std::string &queue);
+/// As `countPendingJobs`, for all queues in one pass over the jobs; queues without pending jobs are
+/// left out.
+std::map<std::string, std::int64_t> countPendingByQueue(const scheduler &cell);
 /// Pseudo job id under which changes of the worker list are recorded.
 constexpr char workerListChange[] = "";
 
@@ -353,6 +374,9 @@
               orders &out);
 /// Returns the specification of a step; `step` must be a valid index.
 const step_spec &stepOf(const job_state &job, int step);
+/// Updates the speeds that decisions use, and reports when those of a service begin or cease to be
+/// used.
+void updateSpeeds(scheduler &cell, timestamp now, orders &out);
 /// Runs one placement round if anything that affects placement has changed.
 void placeWaiting(scheduler &cell, timestamp now, orders &out);
 /// Stops gangs that do not become complete and runs without progress, repeats unanswered stops and
--- a/src/cell/scheduler_decide.cpp
+++ b/src/cell/scheduler_decide.cpp
@@ -39,6 +39,7 @@
     poll.worker = worker.entry.id;
     poll.fencingToken = fencingToken(cell, worker);
     poll.acknowledgedEnd = nextAcknowledgement(worker.life);
+    poll.connectedBefore = poll.acknowledgedEnd == 0 ? distantFuture : worker.life.askedAt;
     poll.fence = fence;
     poll.life = worker.life.number;
     // Leases are not renewed while polls go unanswered, so that they expire and the runs can be
@@ -68,10 +69,12 @@
             !worker.listed && worker.entry.draining && worker.life.connectionRefused;
         if ((leasesExpired || hasLeft) && (!worker.life.runs.empty() || !worker.life.reconciled)) {
             ++cell.counters.lostWorkers;
+            cell.hasUnknownCrash = cell.hasUnknownCrash || !worker.life.reconciled;
             releaseAllRuns(cell, worker, now, out);
         }
         if (noPollInFlight && !worker.listed && worker.life.runs.empty()
-            && (worker.life.reconciled || worker.life.fenced) && !mayHaveCrashed(worker, now)) {
+            && (worker.life.reconciled || worker.life.fenced) && !mayHaveCrashed(worker, now)
+            && !(cell.teams.hasCaps && mayHoldUnknownRuns(worker, now))) {
             recordChange(cell, workerListChange, false);
             it = cell.workers.erase(it);
             continue;
--- a/src/cell/workers/scheduler_workers.cpp
+++ b/src/cell/workers/scheduler_workers.cpp
@@ -44,6 +44,7 @@
     step.gangAttempt = std::max(step.gangAttempt, run.attempt);
     step.gangStartedAt = std::max(step.gangStartedAt, sentAt);
     addRun(worker, run.task, reservedDemand(stepOf(job, run.task.step)));
+    addTeamRun(cell, job, run.task.step);
     noteRunAdded(cell, worker, run.task, job.spec, sentAt, out);
 }
 
@@ -54,11 +55,12 @@
     out.events.push_back({"stop_unexpected_run", run.task.job, "worker=" + worker.entry.id});
 }
 
-void recordCheckpoint(job_state &job, const reported_run &run, task_state &task)
+void recordCheckpoint(job_state &job, const reported_run &run, task_state &task, timestamp now)
 {
     if (run.checkpoint.empty()) {
         return;
     }
+    task.checkpointAt = task.checkpoint == run.checkpoint ? task.checkpointAt : now;
     task.checkpoint = run.checkpoint;
     if (stepOf(job, run.task.step).gang) {
         auto &tasks = ensureOccurrence(job, run.task.occurrence)
@@ -99,7 +101,7 @@
         task->percent = run.percent;
         task->progressAt = now;
     }
-    recordCheckpoint(*job, run, *task);
+    recordCheckpoint(*job, run, *task, now);
 }
 
 /// Returns the time after which every lease granted by previous schedulers has expired. The newest
@@ -180,6 +182,7 @@
     worker.life.nextPollAt = now;
     worker.life.leasesExpiredAt = predecessorLeaseExpiry(cell);
     worker.life.born = entry.born;
+    worker.life.largestCapacity = entry.capacity;
 }
 
 void changeWorkers(scheduler &cell, const std::vector<worker_entry> &entries, timestamp now)
@@ -238,9 +241,12 @@
         removeRun(worker->second, id, reservedDemand(stepOf(job, id.step)));
         noteRunRemoved(cell, worker->second, id);
     }
+    if (task.phase != run_phase::none) {
+        removeTeamRun(cell, job, id.step);
+    }
     task.phase = run_phase::none;
     task.worker.clear();
-    task.trialLife.clear();
+    endTrial(cell, id, task);
     task.percent = 0;
     task.confirmedAt = distantPast;
     markRunnable(cell, job);
@@ -258,8 +264,10 @@
         }
         ensureOccurrence(*job, id.occurrence).steps[static_cast<std::size_t>(id.step)].gangBroken =
             true;
-        worker.life.lostRuns[id] = task->startedAt;
+        worker.life.lostRuns[id] = suspectedRun(cell, *job, *task);
+        const std::string trialLife = task->trialLife;
         releaseRun(cell, id, *job, *task);
+        task->trialLife = trialLife; // the worker may have crashed
     }
     worker.life.runs.clear();
     worker.life.used = {};
@@ -292,6 +300,7 @@
     (order.fence ? worker.life.fenceInFlight : worker.life.pollInFlight) = false;
     worker.life.unansweredPolls = 0;
     worker.life.connectionRefused = false;
+    worker.life.askedAt = std::max({worker.life.askedAt, sentAt, report.askedAt});
     recordAnswer(cell, worker, sentAt, now, out);
     worker.life.clock = report.workerClock;
     worker.life.clockReadAt = now;
--- a/src/cell/workers/worker_state.h
+++ b/src/cell/workers/worker_state.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <set>
 
 #include "cell/interference/presence.h"
@@ -10,6 +11,14 @@
 
 namespace bramleygrade::cell {
 
+/// A run that may have crashed its worker.
+struct suspected_run
+{
+    timestamp startedAt = distantPast;
+    /// This scheduler has started the run, and the worker has confirmed it.
+    bool confirmed = false;
+};
+
 /// What the scheduler knows of one life of a worker: of one process that ran under the worker's id.
 /// Nothing of it holds for the next process under that id, so it is replaced as a whole.
 struct worker_life
@@ -30,6 +39,8 @@
     /// Sum of the reserved demands of all runs that may exist on the worker.
     resources used;
     std::set<task_id> runs;
+    /// Largest capacity that the worker was seen to have before it was reconciled.
+    resources largestCapacity;
     /// Number of runs in the newest report that should not exist; their demand is unknown.
     int unexpectedRuns = 0;
 
@@ -56,11 +67,14 @@
     /// The newest poll could not connect to the worker.
     bool connectionRefused = false;
     timestamp answeredAt = distantPast;
+    /// When the newest answered poll was written. A connection opened until then leads to this life
+    /// or is closed.
+    timestamp askedAt = distantPast;
 
     /// The process has ended without leaving, and its crash is counted.
     bool crashed = false;
-    /// Runs released while the worker was silent, and their starts; it may have crashed with them.
-    std::map<task_id, timestamp> lostRuns;
+    /// Runs released while the worker was silent; it may have crashed with them.
+    std::map<task_id, suspected_run> lostRuns;
     /// A call sent at this time or earlier was answered.
     timestamp aliveAt = distantPast;
     /// Newest start of each job whose tasks have not run for `startTrial` yet.
@@ -103,6 +117,11 @@
     /// after all steps.
     resources headroomOfUrgent;
     resources headroomOfOthers;
+    /// Expected run time relative to the mean of the service, as a natural logarithm; empty unless
+    /// the service's speeds are used in decisions.
+    std::optional<double> logRunTime;
+    /// The same of scavenging tasks, as far as their run times are known; 0: they are not.
+    double logScavenged = 0;
     /// Images of the runs on the worker.
     worker_images images;
 };
--- a/src/entry/calls.cpp
+++ b/src/entry/calls.cpp
@@ -1,3 +1,5 @@
+#include "cell/teams/admission.h"
+#include "entry/authentication/admission.h"
 #include "entry/entry.h"
 
 namespace bramleygrade::entry {
@@ -44,13 +46,36 @@
     answer(reply);
 }
 
+void refuseForTeam(entry_state &entry, const caller_call &call, const answer_function &answer,
+                   const cell::job_spec &spec, const cell::team_refusal &refusal)
+{
+    logEvent(entry, "call_refused",
+             {{"job", call.job},
+              {"queue", call.queue},
+              {"team", spec.team},
+              {"why", refusal.reason},
+              {"expected_wait_ms", std::to_string(refusal.expectedWait / millisecond)},
+              {"beyond_share", spec.beyondShare ? "yes" : "no"},
+              {"retry_after_ms", std::to_string(refusal.retryAfter / millisecond)},
+              {"config", std::to_string(entry.config.version)},
+              {"config_age_ms", std::to_string((steadyNow() - entry.configReadAt) / millisecond)}});
+    caller_answer reply;
+    reply.kind = answer_kind::refused;
+    reply.retryAfter = refusal.retryAfter;
+    reply.reason = refusal.reason;
+    answer(reply);
+}
+
 void answerFromStore(entry_state &entry, const caller_call &call, const answer_function &answer)
 {
-    lookUpJob(entry, call.job, [kind = call.kind, answer](const job_lookup &lookup) {
+    lookUpJob(entry, call.job, [&entry, call, answer](const job_lookup &lookup) {
+        const call_kind kind = call.kind;
         if (lookup.outcome == lookup_outcome::failed) {
             answerSimple(answer, answer_kind::unknown);
         } else if (lookup.outcome == lookup_outcome::no_such_job) {
             answerSimple(answer, answer_kind::no_such_job);
+        } else if (answerIfForbidden(entry, call, lookup.team, answer)) {
+            return;
         } else if (kind != call_kind::cancel) {
             answerPhase(answer, lookup.phase);
         } else {
@@ -68,12 +93,23 @@
     entry.leaderState->waiters.emplace(call.job, write_waiter {call.kind, deadline, answer});
 }
 
+/// Returns the policy of the queue, or null if there is no such queue.
+const cell::queue_policy *findQueue(entry_state &entry, const std::string &name)
+{
+    const auto &queues = currentKeys(entry).queues;
+    const auto found = queues.find(name);
+    return found == queues.end() ? nullptr : &entry.config.queues[found->second.position];
+}
+
 void submit(entry_state &entry, const caller_call &call, timestamp deadline,
             const answer_function &answer)
 {
     leader_state &leaderState = *entry.leaderState;
     const timestamp now = steadyNow();
     if (const cell::job_state *known = cell::findJob(leaderState.cell, call.job)) {
+        if (answerIfForbidden(entry, call, known->spec.team, answer)) {
+            return;
+        }
         if (known->stored) {
             answerSimple(answer, answer_kind::accepted);
         } else {
@@ -81,7 +117,7 @@
         }
         return;
     }
-    const cell::queue_policy *policy = cell::findQueue(entry.config, call.queue);
+    const cell::queue_policy *policy = findQueue(entry, call.queue);
     if (policy == nullptr) {
         answerSimple(answer, answer_kind::no_such_queue);
         return;
@@ -95,6 +131,11 @@
     cell::job_spec spec = call.spec;
     spec.id = call.job;
     spec.queue = call.queue;
+    spec.team = call.team;
+    if (const auto refusal = cell::admitOrRefuse(leaderState.cell, spec, *policy, now)) {
+        refuseForTeam(entry, call, answer, spec, *refusal);
+        return;
+    }
     cell::acceptJob(leaderState.cell, spec, *policy, now);
     cell::job_state *job = cell::findJob(leaderState.cell, call.job);
     const std::int64_t wall = wallNow();
@@ -103,6 +144,7 @@
     logEvent(entry, "job_received",
              {{"job", call.job},
               {"queue", call.queue},
+              {"team", call.team},
               {"steps", std::to_string(spec.steps.size())},
               {"objective_ms", std::to_string((job->objectiveAt - now) / millisecond)},
               {"config", std::to_string(entry.config.version)},
@@ -120,6 +162,9 @@
         answerFromStore(entry, call, answer);
         return;
     }
+    if (answerIfForbidden(entry, call, known->spec.team, answer)) {
+        return;
+    }
     if (known->finalStored) {
         answerSimple(answer, answer_kind::accepted);
         return;
@@ -132,25 +177,10 @@
     requestDecision(entry);
 }
 
-} // namespace
-
-void handleCall(entry_state &entry, const caller_call &call, timestamp deadline,
-                const answer_function &answer)
+/// Handles a call whose key has been checked.
+void handleAdmittedCall(entry_state &entry, const caller_call &call, timestamp deadline,
+                        const answer_function &answer)
 {
-    if (!entry.leaderState) {
-        answerSimple(answer, answer_kind::not_scheduler);
-        return;
-    }
-    if (entry.role == entry_role::loading) {
-        if (entry.leaderState->deferredCalls.size() >= maxDeferredCalls) {
-            refuse(entry, call, answer,
-                   "too many calls are queued while the scheduler loads its rows; retry later");
-            return;
-        }
-        entry.leaderState->deferredCalls.emplace_back(
-            [&entry, call, deadline, answer] { handleCall(entry, call, deadline, answer); });
-        return;
-    }
     switch (call.kind) {
     case call_kind::submit:
         submit(entry, call, deadline, answer);
@@ -169,6 +199,9 @@
         break;
     }
     const cell::job_state *known = cell::findJob(entry.leaderState->cell, call.job);
+    if (known != nullptr && answerIfForbidden(entry, call, known->spec.team, answer)) {
+        return;
+    }
     if (known != nullptr && known->stored) {
         answerPhase(answer, cell::visiblePhase(*known));
     } else {
@@ -176,4 +209,30 @@
     }
 }
 
+} // namespace
+
+void handleCall(entry_state &entry, const caller_call &call, timestamp deadline,
+                const answer_function &answer)
+{
+    if (!entry.leaderState) {
+        answerSimple(answer, answer_kind::not_scheduler);
+        return;
+    }
+    if (entry.role == entry_role::loading) {
+        if (entry.leaderState->deferredCalls.size() >= maxDeferredCalls) {
+            refuse(entry, call, answer,
+                   "too many calls are queued while the scheduler loads its rows; retry later");
+            return;
+        }
+        entry.leaderState->deferredCalls.emplace_back(
+            [&entry, call, deadline, answer] { handleCall(entry, call, deadline, answer); });
+        return;
+    }
+    if (!needsSchedulerCheck(entry, call)) {
+        handleAdmittedCall(entry, call, deadline, answer);
+    } else if (const auto admitted = admitAtScheduler(entry, call, deadline, answer)) {
+        handleAdmittedCall(entry, *admitted, deadline, answer);
+    }
+}
+
 } // namespace bramleygrade::entry
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -13,6 +13,8 @@
 
 #include "cell/advice/advice_clients.h"
 #include "cell/scheduler.h"
+#include "entry/authentication/caller_keys.h"
+#include "entry/authentication/config_confirmation.h"
 #include "entry/entry_settings.h"
 #include "entry/event_log.h"
 #include "entry/liveness.h"
@@ -50,6 +52,8 @@
 {
     lookup_outcome outcome = lookup_outcome::failed;
     cell::job_phase phase = cell::job_phase::queued;
+    /// Team that the job belongs to; empty if none.
+    std::string team;
 };
 
 using lookup_completion = std::function<void(job_lookup)>;
@@ -62,6 +66,14 @@
     answer_function answer;
 };
 
+/// A call that the scheduler holds until it has the configuration that admitted the call.
+struct held_call
+{
+    caller_call call;
+    timestamp deadline = distantFuture;
+    answer_function answer;
+};
+
 /// Calls to the advisory service that one entry makes on behalf of the scheduler.
 struct advice_client_state
 {
@@ -120,7 +132,19 @@
     /// When the newest store write or heartbeat that confirmed the leadership was sent. The time of
     /// its answer proves nothing, as the answer may have waited while the process was paused.
     timestamp confirmedAt = distantPast;
-    /// Leadership has been unconfirmed for too long; no decisions are made.
+    /// When the event loop was last seen running, and when it ran again after its newest pause in
+    /// which another entry may have taken over.
+    timestamp runningAt = distantPast;
+    timestamp resumedAt = distantPast;
+    /// When a message was sent that proved that there was no successor: a write, or heartbeats
+    /// to all members. No order leaves while this is before `resumedAt`.
+    timestamp verifiedAt = distantPast;
+    /// Members that have not replied to a heartbeat sent since `resumedAt`, and whether any has.
+    std::set<std::string> unverifiedMembers;
+    bool isVerifiedByMember = false;
+    /// Orders that wait for the verification; each is sent by a call.
+    std::vector<std::function<void()>> heldOrders;
+    /// Leadership has been unconfirmed for too long or is to be verified; no decisions are made.
     bool suspended = false;
     timestamp nextHeartbeatAt = distantPast;
     timestamp nextMemberListAt = distantPast;
@@ -190,6 +214,18 @@
     cell::cell_config config;
     std::int64_t configWatchVersion = 0;
     timestamp configReadAt = distantPast;
+    /// Version of the row of the configuration in force, and its text if other entries may need it.
+    std::int64_t configRowVersion = 0;
+    std::string configRow;
+    /// Version of the configuration row in this entry's newest reads; lower if they are stale.
+    std::int64_t configFeedVersion = 0;
+    bool isRefreshingConfig = false;
+    timestamp nextConfigRefreshAt = distantPast;
+    /// A configuration adopted by this process has required keys.
+    bool hasRequiredKeys = false;
+    caller_keys keys;
+    config_confirmation confirmation;
+    std::list<held_call> heldCalls;
 
     entry_role role = entry_role::follower;
     /// Highest epoch seen, and the scheduler of that epoch.
@@ -253,6 +289,8 @@
                  const net::http_server::responder &respond);
 /// Sends the forwarded calls to the new scheduler after a change of leadership.
 void resendForwarded(entry_state &entry);
+/// Checks the forwarded calls that cannot have taken effect against a new configuration.
+void recheckForwarded(entry_state &entry);
 /// Answers calls whose deadline has come, and sends those that are not under way.
 void expireForwarded(entry_state &entry, timestamp now);
 
@@ -315,13 +353,34 @@
 /// Loads the rows and starts to act as the scheduler of `entry.epoch`. `headVersion`: version of
 /// the head row written by the claim, which was sent at `claimedAt`.
 void startLeading(entry_state &entry, std::int64_t headVersion, timestamp claimedAt);
-/// Records that an answer to a message sent at `askedAt` showed no other scheduler.
-void confirmLeadership(leader_state &leaderState, timestamp askedAt);
 /// Runs a decision on the event loop as soon as the spacing of decisions allows.
 void requestDecision(entry_state &entry);
 void runOrders(entry_state &entry, const cell::orders &orders);
 void tickLeader(entry_state &entry, timestamp now);
 
+// confirmation.cpp
+/// Reply of a member to a heartbeat. One that is claiming may have taken over a moment later.
+enum class member_reply { none, claiming, follows };
+
+/// Begins to lead after a claim that was sent at `claimedAt`.
+void beginConfirmation(entry_state &entry, timestamp claimedAt);
+/// Records a write that was built at `startedAt` and has taken effect.
+void confirmByWrite(entry_state &entry, timestamp startedAt);
+/// Records the reply to a heartbeat sent at `askedAt`, which showed no other scheduler.
+void confirmByMember(entry_state &entry, const std::string &name, timestamp askedAt,
+                     member_reply reply);
+/// Records that the event loop of the scheduler runs. After a pause the leadership is verified, and
+/// orders are held back until it is.
+void recordRunning(entry_state &entry, timestamp now);
+/// Whether the leadership is to be verified, as the process was paused.
+bool needsVerification(const entry_state &entry);
+/// Keeps an order for later if the leadership is to be verified. Returns false if the order may be
+/// sent now. Call it right before sending, as the process may be paused at any time.
+bool holdOrder(entry_state &entry, timestamp now, std::function<void()> send);
+/// Passes the time of the last confirmation to the scheduler, and suspends it if that is too old or
+/// the leadership is to be verified.
+void updateConfirmation(entry_state &entry, timestamp now);
+
 // writes.cpp
 /// Returns true if the write under way takes so long that the store must be down or slow.
 bool isStoreSlow(const leader_state &leaderState, timestamp now);
@@ -347,6 +406,10 @@
 /// Calls `run` on the entry's event loop after the pause, unless the loop has stopped.
 void runAfter(entry_state &entry, microseconds pause, const std::function<void()> &run);
 void watchConfig(entry_state &entry);
+/// Adopts the configuration in the row if its version is higher than that of the one in force.
+void applyConfigRow(entry_state &entry, const stored_row &row);
+/// Reads the configuration beside the watch, unless that was done a moment ago.
+void refreshConfig(entry_state &entry);
 void watchWorkers(entry_state &entry, std::int64_t epoch);
 
 // advice_dispatch.cpp
--- a/src/entry/entry_settings.cpp
+++ b/src/entry/entry_settings.cpp
@@ -63,6 +63,7 @@
 
 const bool_field boolFields[] = {
     {"separate_clashing_tasks", &cell_settings::separateClashingTasks},
+    {"worker_speeds", &cell_settings::workerSpeeds},
 };
 
 std::size_t lineAt(const std::string &text, std::size_t offset)
--- a/src/entry/entry_settings.h
+++ b/src/entry/entry_settings.h
@@ -44,6 +44,8 @@
     std::int64_t teamWindowSlack = 20;
     /// Tasks that are seen to slow each other down are kept apart where there is room.
     bool separateClashingTasks = true;
+    /// Learned speeds of workers are used where they differ by a wide margin.
+    bool workerSpeeds = true;
 };
 
 /// Why the settings cannot be used; `message` names the line or field and the remedy.
--- a/src/entry/rows.cpp
+++ b/src/entry/rows.cpp
@@ -183,8 +183,8 @@
     for (std::size_t index = 0; index < step.tasks.size(); ++index) {
         const cell::task_state &task = step.tasks[index];
         if (task.done
-            || (task.failedAttempts.empty() && task.checkpoint.empty()
-                && task.crashedLives.empty())) {
+            || (task.failedAttempts.empty() && task.checkpoint.empty() && task.crashedLives.empty()
+                && task.trialLife.empty())) {
             continue;
         }
         out.StartObject();
@@ -337,24 +337,6 @@
     return true;
 }
 
-std::string encodeEnded(const ended_row &row)
-{
-    return writeObject([&](json_writer &out) {
-        put(out, "phase", static_cast<int>(row.phase));
-        put(out, "wall", row.endedWall);
-    });
-}
-
-std::optional<ended_row> decodeEnded(const std::string &value)
-{
-    rapidjson::Document document;
-    if (!parseObject(value, document) || findField(document, "phase") == nullptr) {
-        return std::nullopt;
-    }
-    return ended_row {static_cast<cell::job_phase>(integerField(document, "phase")),
-                      integerField(document, "wall")};
-}
-
 std::string encodeCall(const call_message &message)
 {
     const caller_call &call = message.call;
@@ -363,6 +345,15 @@
         put(out, "kind", static_cast<int>(call.kind));
         put(out, "queue", call.queue);
         put(out, "job", call.job);
+        if (!call.team.empty()) {
+            put(out, "team", call.team);
+        }
+        if (!call.key.empty()) {
+            put(out, "key", call.key);
+        }
+        if (call.configVersion != 0) {
+            put(out, "config", call.configVersion);
+        }
         if (call.kind == call_kind::submit) {
             out.Key("spec");
             out.StartObject();
@@ -384,6 +375,9 @@
     call.kind = static_cast<call_kind>(integerField(document, "kind"));
     call.queue = textField(document, "queue");
     call.job = textField(document, "job");
+    call.team = textField(document, "team");
+    call.key = textField(document, "key");
+    call.configVersion = integerField(document, "config");
     const auto *spec = findField(document, "spec");
     if (spec == nullptr) {
         return call.kind == call_kind::submit ? std::nullopt : std::optional(message);
--- a/src/entry/state_dump.cpp
+++ b/src/entry/state_dump.cpp
@@ -2,6 +2,7 @@
 
 #include "entry/interference_view.h"
 #include "entry/json_text.h"
+#include "entry/team_metrics.h"
 
 namespace bramleygrade::entry {
 
@@ -93,6 +94,18 @@
     }
 }
 
+void refreshSpeedGauges(entry_state &entry)
+{
+    auto &gauges = entry.metrics.gauges;
+    for (const auto &[name, service] : entry.leaderState->cell.speeds.services) {
+        const std::string label = "{service=\"" + name + "\"}";
+        gauges["worker_speeds_known" + label] = service.knownWorkers;
+        gauges["worker_speeds_spread_milli" + label] =
+            static_cast<std::int64_t>(service.spread * 1'000);
+        gauges["worker_speeds_used" + label] = service.used ? 1 : 0;
+    }
+}
+
 void refreshQueueGauges(entry_state &entry)
 {
     auto &gauges = entry.metrics.gauges;
@@ -122,6 +135,9 @@
         put(out, "heard_ms_ago", ageMs(entry.schedulerSeenAt));
         put(out, "config", entry.config.version);
         put(out, "config_read_ms_ago", ageMs(entry.configReadAt));
+        if (entry.config.requiresKeys) {
+            put(out, "config_confirmed_ms_ago", ageMs(entry.confirmation.confirmedAt));
+        }
         put(out, "store_reachable", entry.storeReachable);
         put(out, "calls_waiting", static_cast<std::int64_t>(entry.forwardedCalls.size()));
         out.Key("members");
@@ -148,21 +164,27 @@
     refreshUsage(entry);
     removeFamily(entry.metrics, "jobs_waiting");
     removeFamily(entry.metrics, "interference_slowdown_percent");
+    removeFamily(entry.metrics, "worker_speeds");
     gauges["scheduler_seen_ms_ago"] = entry.leaderState ? 0 : ageMs(entry.schedulerSeenAt);
     gauges["epoch"] = entry.epoch;
     gauges["is_scheduler"] = entry.leaderState ? 1 : 0;
     gauges["config_version"] = entry.config.version;
+    if (entry.config.requiresKeys) {
+        gauges["config_confirmed_ms_ago"] = ageMs(entry.confirmation.confirmedAt);
+    }
     gauges["calls_waiting"] = static_cast<std::int64_t>(entry.forwardedCalls.size());
     gauges["members"] = static_cast<std::int64_t>(entry.members.size());
     gauges["connections_opened"] = static_cast<std::int64_t>(entry.client.connectionsOpened());
     gauges["log_lines_written"] = static_cast<std::int64_t>(entry.log.written);
     gauges["log_lines_dropped"] = static_cast<std::int64_t>(entry.log.dropped);
     gauges["log_lines_suppressed"] = static_cast<std::int64_t>(entry.log.suppressed);
+    refreshTeamMetrics(entry.metrics, entry.leaderState ? &entry.leaderState->cell.teams : nullptr);
     if (!entry.leaderState) {
         removeSchedulerGauges(entry.metrics);
         return;
     }
     refreshQueueGauges(entry);
+    refreshSpeedGauges(entry);
     const cell::scheduler &cell = entry.leaderState->cell;
     gauges["jobs_in_memory"] = static_cast<std::int64_t>(cell.jobs.size());
     gauges["jobs_open"] = static_cast<std::int64_t>(cell.runnableJobs.size());
--- a/test/cell/clashing_placement_test.cpp
+++ b/test/cell/clashing_placement_test.cpp
@@ -161,6 +161,54 @@
     BOOST_TEST(out.starts[0].worker == "worker-1");
 }
 
+namespace {
+
+/// Speeds of the three workers, of which the first has image `noisy`, and where a task of image
+/// `slow` is expected.
+struct speed_case
+{
+    const char *name;
+    double logRunTimes[3];
+    bool longRunning;
+    const char *expected;
+};
+
+const speed_case speedCases[] = {
+    {"the only fast worker has a clash", {-0.4, 0.4, 0.4}, false, "worker-1"},
+    {"another worker is as fast", {-0.4, 0.4, -0.4}, false, "worker-3"},
+    {"the only worker that is slow has a clash", {0.4, -0.4, -0.4}, true, "worker-1"},
+    {"another worker is as slow", {0.4, -0.4, 0.4}, true, "worker-3"},
+};
+
+std::ostream &operator<<(std::ostream &out, const speed_case &given)
+{
+    return out << given.name;
+}
+
+} // namespace
+
+// Guards against a clash that moves a task to a worker whose speed suits it less: the speeds of
+// workers come first, and clashes decide among workers of one speed only.
+BOOST_DATA_TEST_CASE(clash_outweighs_the_speed_of_workers, boost::unit_test::data::make(speedCases),
+                     given)
+{
+    clash_fixture fixture;
+    fixture.cell.settings.workerSpeeds = false; // keeps the speeds that are set here
+    fixture.notice("slow", "noisy");
+    const auto noisy = fixture.workersOf(
+        fixture.run(clash_fixture::makeJob("noisy", {fixture.makeImageStep("noisy", 1, 2'000)})));
+    BOOST_REQUIRE(noisy == std::vector<std::string> {"worker-1"});
+    for (int index = 0; index < 3; ++index) {
+        fixture.cell.workers.at("worker-" + std::to_string(index + 1)).logRunTime =
+            given.logRunTimes[index];
+    }
+    step_spec step = fixture.makeImageStep("slow", 1, 2'000);
+    step.longRunning = given.longRunning;
+    const auto workers = fixture.workersOf(fixture.run(clash_fixture::makeJob("slow", {step})));
+    BOOST_TEST(workers == std::vector<std::string> {given.expected},
+               boost::test_tools::per_element());
+}
+
 // What is known is lost when another scheduler takes over; runs that it adopts count as neighbours.
 BOOST_AUTO_TEST_CASE(adopted_run_is_overlooked_as_a_neighbour)
 {
--- a/test/cell/rows_test.cpp
+++ b/test/cell/rows_test.cpp
@@ -155,6 +155,9 @@
         {validPrefix + "6000,\n\"separate_clashing_tasks\": false}", ""},
         {validPrefix + "6000,\n\"separate_clashing_tasks\": \"no\"}",
          "f:10: 'separate_clashing_tasks' must be true or false"},
+        {validPrefix + "6000,\n\"worker_speeds\": false}", ""},
+        {validPrefix + "6000,\n\"worker_speeds\": 1}",
+         "f:10: 'worker_speeds' must be true or false"},
         {"{\n\"name\":\"e\"\n}", "'host' is missing or not a text; add it"},
         {"[]", "must be one JSON object"},
     };
--- a/testing/cell/load_simulation.cpp
+++ b/testing/cell/load_simulation.cpp
@@ -73,6 +73,8 @@
     timestamp objectiveAt = 0;
     double worthFactor = 1;
     std::set<int> stepsDone;
+    /// Time of the newest stop order for each task.
+    std::map<cell::task_id, timestamp> preemptedAt;
 };
 
 struct load_run
@@ -87,6 +89,7 @@
     double resumedShare = 0;
     bool fails = false;
     timestamp stoppingUntil = 0;
+    timestamp stopOrderedAt = 0;
     std::uint64_t number = 0;
     /// Work done until `pacedFrom`, as a time without clashes, and the factor since then.
     microseconds worked = 0;
@@ -153,6 +156,7 @@
 
     void requestDecision();
     void decide();
+    void addToHash(const std::string &text);
     void send(const cell::orders &out);
     void write();
     void finishStoredJobs(const std::vector<std::string> &written);
@@ -173,6 +177,7 @@
     void pace(load_worker &worker);
     void countSlowedTime(const load_run &run);
     void hashOrders(const cell::orders &out);
+    void hashAdvice(const cell::advice_order &order);
     double progressOf(const load_run &run) const;
     double savedShareOf(const load_run &run) const;
 
@@ -218,6 +223,10 @@
         worker.entry.address = worker.entry.id;
         worker.entry.rack = "rack-" + std::to_string(index / m_settings.workersPerRack);
         worker.entry.capacity = m_settings.capacity;
+        if (!m_settings.kinds.empty()) {
+            const std::size_t turn = static_cast<std::size_t>(index) % m_settings.kinds.size();
+            worker.entry.labels = {m_settings.kinds[turn], worker.entry.rack};
+        }
         worker.speed =
             m_settings.speeds[static_cast<std::size_t>(index) % m_settings.speeds.size()];
         entries.push_back(worker.entry);
@@ -234,6 +243,9 @@
     for (load_class &jobClass : m_settings.classes) {
         jobClass.policy.service = "booking";
         config.queues.push_back(jobClass.policy);
+        if (m_settings.hasTeams && !jobClass.team.name.empty()) {
+            config.teams.push_back(jobClass.team);
+        }
     }
     cell::changeConfig(m_driver.cell, config);
 }
@@ -266,11 +278,17 @@
             runSeconds
             * drawUniform(random, 1 - jobClass.estimateError, 1 + jobClass.estimateError));
         std::vector<load_task> tasks(static_cast<std::size_t>(step.count));
+        const bool gangStraggles =
+            jobClass.stragglingShare > 0 && drawUniform(random, 0, 1) < jobClass.stragglingShare;
         const bool gangFails = drawUniform(random, 0, 1) < jobClass.failingShare;
         double longest = 0;
         for (load_task &task : tasks) {
             task.runSeconds =
                 runSeconds * drawUniform(random, 1 - jobClass.unevenness, 1 + jobClass.unevenness);
+            const bool straggles = step.gang ? gangStraggles
+                                             : jobClass.stragglingShare > 0
+                    && drawUniform(random, 0, 1) < jobClass.stragglingShare;
+            task.runSeconds *= straggles ? jobClass.straggling : 1;
             const bool fails = drawUniform(random, 0, 1) < jobClass.failingShare;
             task.failingRuns = !step.gang && fails ? 1 : 0;
             longest = std::max(longest, task.runSeconds * (1 + task.failingRuns));
@@ -332,7 +350,14 @@
     load_class_outcome &outcome = m_outcome.classes[job.classIndex];
     ++outcome.jobs;
     outcome.worthOwed += job.worthFactor * classOf(job).worth;
-    cell::acceptJob(m_driver.cell, job.spec, classOf(job).policy, m_driver.now);
+    job.spec.team = classOf(job).team.name;
+    const cell::queue_policy &policy = classOf(job).policy;
+    if (cell::admitOrRefuse(m_driver.cell, job.spec, policy, m_driver.now)) {
+        ++outcome.refused;
+        return;
+    }
+    outcome.beyondShare += job.spec.beyondShare ? 1 : 0;
+    cell::acceptJob(m_driver.cell, job.spec, policy, m_driver.now);
     m_jobs.emplace(job.spec.id, std::move(job));
     requestDecision();
 }
@@ -364,17 +389,20 @@
     }
 }
 
+void load_simulation::addToHash(const std::string &text)
+{
+    for (const char character : text) {
+        m_outcome.ordersHash =
+            (m_outcome.ordersHash ^ static_cast<unsigned char>(character)) * 1'099'511'628'211ULL;
+    }
+}
+
 void load_simulation::hashOrders(const cell::orders &out)
 {
-    const auto add = [this](const std::string &text) {
-        for (const char character : text) {
-            m_outcome.ordersHash = (m_outcome.ordersHash ^ static_cast<unsigned char>(character))
-                * 1'099'511'628'211ULL;
-        }
-    };
     const auto addTask = [&](const cell::task_id &task, int attempt, const std::string &worker) {
-        add(std::to_string(m_driver.now) + " " + task.job + "." + std::to_string(task.step) + "."
-            + std::to_string(task.index) + "#" + std::to_string(attempt) + "@" + worker);
+        addToHash(std::to_string(m_driver.now) + " " + task.job + "." + std::to_string(task.step)
+                  + "." + std::to_string(task.index) + "#" + std::to_string(attempt) + "@"
+                  + worker);
     };
     for (const auto &order : out.starts) {
         addTask(order.task, order.attempt, order.worker);
@@ -383,13 +411,10 @@
         addTask(order.task, order.attempt, order.worker);
     }
     for (const auto &order : out.polls) {
-        add(std::to_string(m_driver.now) + order.worker + std::to_string(order.leaseUntil));
+        addToHash(std::to_string(m_driver.now) + order.worker + std::to_string(order.leaseUntil));
     }
     for (const auto &order : out.advice) {
-        addTask(order.step, order.priority, "");
-        for (const std::string &worker : order.workers) {
-            add(worker);
-        }
+        hashAdvice(order);
     }
     for (const auto &event : out.events) {
         if (event.event.rfind("interference_", 0) == 0) {
@@ -398,6 +423,16 @@
     }
 }
 
+void load_simulation::hashAdvice(const cell::advice_order &order)
+{
+    addToHash(std::to_string(m_driver.now) + " " + order.step.job + "."
+              + std::to_string(order.step.step) + "." + std::to_string(order.step.index) + "#"
+              + std::to_string(order.priority));
+    for (const std::string &worker : order.workers) {
+        addToHash("@" + worker);
+    }
+}
+
 void load_simulation::send(const cell::orders &out)
 {
     hashOrders(out);
@@ -540,6 +575,10 @@
 {
     const auto members = m_gangs.at({task.job, task.step, attempt});
     const auto &tasks = m_jobs.at(task.job).tasks[static_cast<std::size_t>(task.step)];
+    if (task.step == 0 && m_jobs.at(task.job).stepsDone.insert(0).second) {
+        outcomeOf(task).gangWaitSeconds.push_back(
+            toSeconds(m_driver.now - m_jobs.at(task.job).submittedAt));
+    }
     double longest = 0;
     for (const auto &[index, id] : members) {
         longest = std::max(
@@ -681,13 +720,21 @@
     worker.runs.erase(found);
     countSlowedTime(run);
     pace(worker);
-    const bool saves = how == end_kind::stopped && stepOf(task).checkpointing;
+    const bool saves =
+        how == end_kind::stopped && stepOf(task).checkpointing && m_settings.savesWhenStopped;
     const double saved = saves ? progressOf(run) : savedShareOf(run);
     const double cores = static_cast<double>(stepOf(task).demand.cpuMilli) / 1000;
     if (how != end_kind::done && how != end_kind::failed) {
         outcomeOf(task).wastedCoreSeconds +=
             cores * toSeconds(run.duration) * (progressOf(run) - saved);
     }
+    if (how == end_kind::stopped && run.stopOrderedAt != 0 && !stepOf(task).gang) {
+        const double lost = toSeconds(run.duration) * (progressOf(run) - saved);
+        const microseconds restore = saved > 0 ? m_settings.restoreTime : 0;
+        outcomeOf(task).preemptedCoreSeconds += cores
+            * std::max(lost + toSeconds(restore),
+                       toSeconds(m_driver.now - run.stopOrderedAt + restore));
+    }
     if (stepOf(task).gang) {
         const timestamp until = run.workingFrom == 0 ? m_driver.now : run.workingFrom;
         outcomeOf(task).wastedCoreSeconds += cores * toSeconds(until - run.presentAt);
@@ -743,6 +790,14 @@
         return;
     }
     load_run &run = found->second;
+    run.stopOrderedAt = m_driver.now;
+    const auto [preempted, isFirst] =
+        m_jobs.at(order.task.job).preemptedAt.emplace(order.task, m_driver.now);
+    if (!isFirst && !stepOf(order.task).gang) {
+        m_outcome.repeatedPreemptions +=
+            m_driver.now < preempted->second + repeatedPreemption ? 1 : 0;
+        preempted->second = m_driver.now;
+    }
     run.stoppingUntil = m_driver.now
         + toMicroseconds(toSeconds(m_settings.stopTimeout) * drawUniform(m_random, 0.2, 1));
     schedule(run.stoppingUntil, [this, id = order.worker, task = order.task, number = run.number] {
@@ -832,6 +887,7 @@
         cell::advice_order order = std::move(next->second);
         queue.erase(next);
         if (cell::prepareAdvice(m_driver.cell, order, m_driver.now)) {
+            hashAdvice(order);
             callAdvice(order, m_clients[*chosen]);
         }
     }
@@ -875,6 +931,7 @@
 {
     m_outcome.classes.resize(m_settings.classes.size());
     m_driver.cell.settings.gangTimeout = m_settings.gangTimeout;
+    m_driver.cell.settings.workerSpeeds = m_settings.workerSpeeds;
     m_driver.cell.settings.stopTimeout = m_settings.stopTimeout;
     m_driver.cell.settings.separateClashingTasks = m_settings.separateClashingTasks;
     addQueues();
@@ -896,6 +953,9 @@
     }
     m_outcome.separatedTasks = m_driver.cell.interference.separatedTasks;
     m_outcome.slowedShare = m_clashingTime > 0 ? m_slowedTime / m_clashingTime : 0;
+    for (const auto &[name, service] : m_driver.cell.speeds.services) {
+        m_outcome.speedsUsed = m_outcome.speedsUsed || service.used;
+    }
     m_outcome.meanUsedShare = m_usedShareSum / std::max(m_usedShareSamples, 1);
     return m_outcome;
 }
--- a/testing/cell/load_simulation.h
+++ b/testing/cell/load_simulation.h
@@ -43,6 +43,11 @@
     double failingShare = 0;
     /// Share of the workers that the advisory service allows for a step.
     double allowedShare = 1;
+    /// Share of the tasks, or of the gangs, that take `straggling` times as long.
+    double stragglingShare = 0;
+    double straggling = 1;
+    /// Team of the jobs; empty: none. Classes of one team have the same policy.
+    cell::team_policy team;
 };
 
 /// Raises the arrival rate of one class for some time.
@@ -70,6 +75,14 @@
     cell::resources capacity;
     /// Speeds of the workers, in turn.
     std::vector<double> speeds = {1.0};
+    /// Kinds of the workers, in turn; empty: workers have no kind. The registry shows the kind as a
+    /// label.
+    std::vector<std::string> kinds;
+    /// A stopped run that checkpoints saves all its work; otherwise the work since its last
+    /// checkpoint is lost.
+    bool savesWhenStopped = true;
+    /// As `scheduler_settings::workerSpeeds`.
+    bool workerSpeeds = true;
     /// Entries that call the advisory service; the service answers the calls of each in turn.
     int entries = 1;
     std::vector<load_class> classes;
@@ -81,6 +94,8 @@
     microseconds gangTimeout = 4 * second;
     std::vector<load_clash> clashes;
     bool separateClashingTasks = true;
+    /// The configuration has the teams of the classes; otherwise it has none.
+    bool hasTeams = false;
 };
 
 /// What the jobs of one class have earned. The worth of a job grows with its work.
@@ -93,17 +108,32 @@
     double worthEarned = 0;
     /// Core-seconds of work that was stopped or broken off and not saved.
     double wastedCoreSeconds = 0;
+    /// Core-seconds that preemption costs the stopped runs: work that was not saved, the time from
+    /// the order to the end, and the time to restore the checkpoint.
+    double preemptedCoreSeconds = 0;
+    /// Times from a gang's submission to the beginning of its work, for steps that depend on none.
+    std::vector<double> gangWaitSeconds;
+    int refused = 0;
+    int beyondShare = 0;
 };
 
+/// Time within which a second preemption of a task's run counts as repeated.
+constexpr microseconds repeatedPreemption = 5 * second;
+
 struct load_outcome
 {
     std::vector<load_class_outcome> classes;
     cell::scheduler_counters counters;
+    /// Runs that were preempted more than once within `repeatedPreemption`.
+    int repeatedPreemptions = 0;
+    /// Hash over all starts, stops, polls and advice calls with their times; equal for two runs
+    /// that have decided alike.
+    std::uint64_t ordersHash = 14'695'981'039'346'656'037ULL;
+    /// Speeds of the workers were used at the end.
+    bool speedsUsed = false;
     double refusedTickets = 0;
     /// Mean share of the workers' processors with a run or a reservation.
     double meanUsedShare = 0;
-    /// Hash of all orders with their times.
-    std::uint64_t ordersHash = 0;
     /// Share of the time of runs of `load_clash::slowedClass` beside tasks that slow them.
     double slowedShare = 0;
     std::uint64_t separatedTasks = 0;
