The expected wait for a team's cap counts only the team's work that goes first

Cause: a team at its cap had its most urgent jobs refused for its own work of lower priority. Change: the work of a team is kept by order, as that of a service is.

--- a/src/cell/teams/admission.cpp
+++ b/src/cell/teams/admission.cpp
@@ -54,7 +54,7 @@
         cell.queued.byService[policy.service].work[{spec.beyondShare, policy.priority}] += work;
     }
     if (isCapped(cell, spec.team)) {
-        cell.queued.byTeam[spec.team] += work;
+        cell.queued.byTeam[spec.team][{spec.beyondShare, policy.priority}] += work;
     }
 }
 
@@ -106,10 +106,10 @@
 }
 
 /// Returns the work that the order of the steps puts ahead of a new job.
-cpu_work workAhead(const service_queue &queue, int priority, bool beyondShare)
+cpu_work workAhead(const work_by_order &queued, int priority, bool beyondShare)
 {
     cpu_work ahead = 0;
-    for (const auto &[kind, work] : queue.work) {
+    for (const auto &[kind, work] : queued) {
         const bool isAhead = kind.first == beyondShare ? kind.second <= priority : beyondShare;
         ahead += isAhead ? work : 0;
     }
@@ -196,7 +196,7 @@
     }
     const auto team = cell.queued.byTeam.find(job.spec.team);
     if (team != cell.queued.byTeam.end()) {
-        take(team->second);
+        take(team->second[{job.spec.beyondShare, job.policy.priority}]);
     }
 }
 
@@ -206,12 +206,14 @@
     double wait = 0;
     const auto queue = cell.queued.byService.find(policy.service);
     if (queue != cell.queued.byService.end() && queue->second.cpuMilli > 0) {
-        wait = workAhead(queue->second, policy.priority, beyondShare) / queue->second.cpuMilli;
+        wait = workAhead(queue->second.work, policy.priority, beyondShare) / queue->second.cpuMilli;
     }
     const auto ofTeam = cell.queued.byTeam.find(team);
     if (ofTeam != cell.queued.byTeam.end() && isCapped(cell, team)) {
         const resources &cap = cell.teams.byName.at(team).cap;
-        wait = std::max(wait, ofTeam->second / static_cast<double>(cap.cpuMilli));
+        wait = std::max(wait,
+                        workAhead(ofTeam->second, policy.priority, beyondShare)
+                            / static_cast<double>(cap.cpuMilli));
     }
     return static_cast<microseconds>(wait);
 }
--- a/src/cell/teams/admission.h
+++ b/src/cell/teams/admission.h
@@ -19,11 +19,13 @@
 /// Processor time that tasks wait for, in thousandths of a processor times microseconds.
 using cpu_work = double;
 
+/// Work by whether it is beyond a share, and by the priority of its queue.
+using work_by_order = std::map<std::pair<bool, int>, cpu_work>;
+
 /// What waits for the workers of one service, and the processors that work it off.
 struct service_queue
 {
-    /// Work by whether it is beyond a share, and by the priority of its queue.
-    std::map<std::pair<bool, int>, cpu_work> work;
+    work_by_order work;
     /// Processors of the usable workers without those of long-running tasks, in thousandths.
     double cpuMilli = 0;
 };
@@ -33,7 +35,7 @@
 {
     std::map<std::string, service_queue> byService;
     /// Work of each team with a cap, wherever it waits.
-    std::map<std::string, cpu_work> byTeam;
+    std::map<std::string, work_by_order> byTeam;
     timestamp updatedAt = distantPast;
 };
 
