--- a/test/cell/worker_speeds_test.cpp
+++ b/test/cell/worker_speeds_test.cpp
@@ -212,8 +212,8 @@
     cell.refresh();
     const double before = cell.table.workers.at("worker-1").mean;
     for (int run = 0; run < 5; ++run) {
-        recordWorkerSpeed(cell.table, cell.workers.at("worker-1").entry, "queue", second,
-                          7 * second, cell.now);
+        recordWorkerSpeed(cell.table, cell.workers.at("worker-1").entry, "queue",
+                          "straggler-" + std::to_string(run), second, 7 * second, cell.now);
     }
     // Half of the difference between the fast and the slow workers would be 0.39.
     BOOST_TEST(cell.table.workers.at("worker-1").mean - before < 0.2);
