--- a/src/cell/placement/step_plan.cpp
+++ b/src/cell/placement/step_plan.cpp
@@ -116,6 +116,7 @@
 void preferLikeSpeeds(std::vector<candidate> &candidates, std::int64_t needed)
 {
     std::vector<class_slots> available;
+    available.reserve(candidates.size());
     for (const candidate &option : candidates) {
         available.push_back({speedClass(*option.headroom->worker), option.slots});
     }
