--- a/test/cell/team_loads_test.cpp
+++ b/test/cell/team_loads_test.cpp
@@ -6,7 +6,6 @@
 #include "testing/cell/load_simulation.h"
 
 using namespace bramleygrade;
-using bramleygrade::testing::load_burst;
 using bramleygrade::testing::load_class;
 using bramleygrade::testing::load_class_outcome;
 using bramleygrade::testing::load_outcome;
