--- a/testing/cell/load_simulation.cpp
+++ b/testing/cell/load_simulation.cpp
@@ -250,6 +250,25 @@
     cell::changeConfig(m_driver.cell, config);
 }
 
+/// Draws the step at position `index` of a job, which waits for the one before it.
+cell::step_spec drawStep(std::mt19937_64 &random, const load_class &jobClass, double runSeconds,
+                         int index)
+{
+    cell::step_spec step;
+    step.count = std::max(1, static_cast<int>(std::lround(draw(random, jobClass.tasks))));
+    step.demand = {static_cast<std::int64_t>(draw(random, jobClass.cpuMilli)),
+                   static_cast<std::int64_t>(draw(random, jobClass.memoryMb)), 0};
+    step.gang = drawUniform(random, 0, 1) < jobClass.gangShare;
+    step.checkpointing = drawUniform(random, 0, 1) < jobClass.checkpointingShare;
+    step.maxPerWorker = drawUniform(random, 0, 1) < jobClass.spreadShare ? 1 : 0;
+    if (index > 0) {
+        step.after.push_back(index - 1);
+    }
+    step.estimate = toMicroseconds(
+        runSeconds * drawUniform(random, 1 - jobClass.estimateError, 1 + jobClass.estimateError));
+    return step;
+}
+
 load_job load_simulation::makeJob(std::size_t classIndex)
 {
     const load_class &jobClass = m_settings.classes[classIndex];
@@ -264,19 +283,7 @@
     double work = 0;
     double chain = 0;
     for (int index = 0; index < steps; ++index) {
-        cell::step_spec step;
-        step.count = std::max(1, static_cast<int>(std::lround(draw(random, jobClass.tasks))));
-        step.demand = {static_cast<std::int64_t>(draw(random, jobClass.cpuMilli)),
-                       static_cast<std::int64_t>(draw(random, jobClass.memoryMb)), 0};
-        step.gang = drawUniform(random, 0, 1) < jobClass.gangShare;
-        step.checkpointing = drawUniform(random, 0, 1) < jobClass.checkpointingShare;
-        step.maxPerWorker = drawUniform(random, 0, 1) < jobClass.spreadShare ? 1 : 0;
-        if (index > 0) {
-            step.after.push_back(index - 1);
-        }
-        step.estimate = toMicroseconds(
-            runSeconds
-            * drawUniform(random, 1 - jobClass.estimateError, 1 + jobClass.estimateError));
+        const cell::step_spec step = drawStep(random, jobClass, runSeconds, index);
         std::vector<load_task> tasks(static_cast<std::size_t>(step.count));
         const bool gangStraggles =
             jobClass.stragglingShare > 0 && drawUniform(random, 0, 1) < jobClass.stragglingShare;
