Worker speeds: instance instead of machine in comments and a test name

Ruled out: other files of the list (decision_core.h names a state machine). No code changes; before and after the same program. Conclusion: words only.

--- a/src/cell/workers/worker_speeds.cpp
+++ b/src/cell/workers/worker_speeds.cpp
@@ -87,7 +87,7 @@
     return speed;
 }
 
-/// Drops the records of workers whose registry entry shows another machine now.
+/// Drops the records of workers whose registry entry shows another instance now.
 void dropOutdated(speed_table &table, const std::map<std::string, worker_state> &workers)
 {
     for (const auto &[id, worker] : workers) {
--- a/test/cell/worker_speeds_test.cpp
+++ b/test/cell/worker_speeds_test.cpp
@@ -306,9 +306,9 @@
 
 } // namespace
 
-// Guards against a machine's speed being forgotten whenever its process restarts, and against its
-// being taken for that of another machine.
-BOOST_DATA_TEST_CASE(speed_is_kept_across_lives_of_the_same_machine,
+// Guards against an instance's speed being forgotten whenever its process restarts, and against its
+// being taken for that of another instance.
+BOOST_DATA_TEST_CASE(speed_is_kept_across_lives_of_the_same_instance,
                      boost::unit_test::data::make(lifeCases), given)
 {
     learning_workers cell(1);
