The list of workers takes as many rows as it needs

A read of the head leaves these rows out. Tests: lost_list_of_workers_that_is_larger_than_a_row, rows_of_workers_that_are_needed_no_longer_are_written_empty; both new and green, as are rows, writes, membership, takeover, entry, handover and cluster.

--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -161,6 +161,8 @@
     std::map<std::string, int> missedHeartbeats;
     /// The members row in the store is out of date.
     bool membersChanged = true;
+    /// Number of rows of workers that the store may hold.
+    std::size_t workerRowsInUse = 1;
     std::map<std::string, advice_client_state> adviceClients;
     cell::advice_queue longAdviceQueue;
     cell::advice_queue shortAdviceQueue;
--- a/src/entry/membership.cpp
+++ b/src/entry/membership.cpp
@@ -151,7 +151,8 @@
     entry_state &entry,
     const std::function<void(store_result, std::optional<head_row>, std::int64_t version)> &done)
 {
-    const row_range range {headTable, "", "", true};
+    // Without the rows of workers, the largest ones, which are last.
+    const row_range range {headTable, "", workersKey, true};
     entry.ports.store.read(range, steadyNow() + headTimeout,
                            [&entry, done](const store_result &result) {
                                entry.storeReachable = result.outcome == store_outcome::done;
--- a/src/entry/messages.cpp
+++ b/src/entry/messages.cpp
@@ -115,44 +115,6 @@
     return result;
 }
 
-std::string encodeWorkers(const std::map<std::string, cell::worker_state> &workers)
-{
-    return writeObject([&](json_writer &out) {
-        out.Key("workers");
-        out.StartArray();
-        for (const auto &[id, worker] : workers) {
-            out.StartArray();
-            putText(out, id);
-            putText(out, worker.entry.address);
-            putText(out, worker.entry.service);
-            out.Int64(worker.life.born);
-            out.EndArray();
-        }
-        out.EndArray();
-    });
-}
-
-std::vector<cell::worker_entry> decodeWorkers(const std::string &value)
-{
-    rapidjson::Document document;
-    const auto *rows = parseObject(value, document) ? arrayField(document, "workers") : nullptr;
-    std::vector<cell::worker_entry> workers;
-    if (rows == nullptr) {
-        return workers;
-    }
-    for (const auto &row : rows->GetArray()) {
-        if (row.IsArray() && row.Size() >= 3) {
-            cell::worker_entry worker;
-            worker.id = textOf(row[0]);
-            worker.address = textOf(row[1]);
-            worker.service = textOf(row[2]);
-            worker.born = row.Size() >= 4 ? integerOf(row[3]) : 0;
-            workers.push_back(std::move(worker));
-        }
-    }
-    return workers;
-}
-
 std::string encodeMembers(const std::map<std::string, std::string> &members)
 {
     return writeObject([&](json_writer &out) {
--- a/src/entry/rows.h
+++ b/src/entry/rows.h
@@ -106,6 +106,18 @@
 std::string encodeWorkers(const std::map<std::string, cell::worker_state> &workers);
 std::vector<cell::worker_entry> decodeWorkers(const std::string &value);
 
+/// As `encodeWorkers`, in as many rows as the size of a row requires; one at least.
+std::vector<std::string> encodeWorkerRows(const std::map<std::string, cell::worker_state> &workers);
+/// Returns the number of rows that `encodeWorkerRows` returns.
+std::size_t countWorkerRows(const std::map<std::string, cell::worker_state> &workers);
+/// Key of the row at position `index`.
+std::string workersRowKey(std::size_t index);
+bool isWorkersRowKey(const std::string &key);
+/// Adds the rows to the write. `rowsInUse`: number of rows that the store may hold, which grows as
+/// needed; those that are needed no longer are written empty.
+void putWorkerRows(const std::map<std::string, cell::worker_state> &workers, std::size_t &rowsInUse,
+                   table_write &write);
+
 /// Encodes the entries' peer addresses by name, for an entry that has just started.
 std::string encodeMembers(const std::map<std::string, std::string> &members);
 std::vector<member> decodeMembers(const std::string &value);
--- a/src/entry/writes.cpp
+++ b/src/entry/writes.cpp
@@ -37,9 +37,12 @@
     return leaderState.backlogExceedsWrite && job.finalPhase && job.stored && !job.finalStored;
 }
 
-/// Returns the number of rows that `addJobRows` adds for the job, or one for the list of workers.
+/// Returns the number of rows that `addJobRows` adds for the job, or those of the list of workers.
 std::size_t rowCountOf(leader_state &leaderState, const std::string &id)
 {
+    if (id == cell::workerListChange) {
+        return std::max(leaderState.workerRowsInUse, countWorkerRows(leaderState.cell.workers));
+    }
     const cell::job_state *job = cell::findJob(leaderState.cell, id);
     if (job == nullptr || endsInPlace(leaderState, *job)) {
         return 1;
@@ -120,8 +123,7 @@
              leaderState.cell, changeRowsPerWrite,
              [&leaderState](const std::string &job) { return rowCountOf(leaderState, job); })) {
         if (id == cell::workerListChange) {
-            write.puts.push_back(
-                {headTable, workersKey, encodeWorkers(leaderState.cell.workers), 0, false});
+            putWorkerRows(leaderState.cell.workers, leaderState.workerRowsInUse, write);
         } else if (const cell::job_state *job = cell::findJob(leaderState.cell, id)) {
             addJobRows(entry, *job, write);
         }
--- a/test/cell/rows_test.cpp
+++ b/test/cell/rows_test.cpp
@@ -1,6 +1,8 @@
 #define BOOST_TEST_MODULE rows
 #include <boost/test/included/unit_test.hpp>
 
+#include <set>
+
 #include "cell_fixture.h"
 #include "entry/entry_settings.h"
 #include "entry/metrics.h"
@@ -216,3 +218,56 @@
         BOOST_TEST(workerList[0].born == given.born, given.row);
     }
 }
+
+// Guards against a row that the store refuses: with 1,500 workers the list took one row of more
+// than 65,536 bytes, so that no write succeeded and nothing was accepted.
+BOOST_AUTO_TEST_CASE(lost_list_of_workers_that_is_larger_than_a_row)
+{
+    constexpr std::size_t maxRowBytes = 65'536;
+    const std::size_t workerCounts[] = {0, 1, 350, 680, 1'500, 3'000};
+    for (const std::size_t count : workerCounts) {
+        std::map<std::string, cell::worker_state> workers;
+        for (std::size_t number = 0; number < count; ++number) {
+            const std::string id = "i-" + std::to_string(1'000'000'000 + number);
+            cell::worker_state &worker = workers[id];
+            worker.entry.id = id;
+            worker.entry.address = "10.255.255.255:65535";
+            worker.entry.service = "a-service-with-a-longer-name";
+            worker.life.born = 1'790'000'000'000;
+        }
+        std::size_t rowsInUse = 0;
+        entry::table_write write;
+        entry::putWorkerRows(workers, rowsInUse, write);
+        BOOST_TEST(rowsInUse == entry::countWorkerRows(workers), count);
+        std::set<std::string> decoded;
+        for (std::size_t index = 0; index < write.puts.size(); ++index) {
+            const entry::stored_row &row = write.puts[index];
+            BOOST_TEST(row.key == entry::workersRowKey(index));
+            BOOST_TEST(entry::isWorkersRowKey(row.key));
+            BOOST_TEST(row.value.size() <= maxRowBytes, count << " workers, row " << index);
+            for (const cell::worker_entry &worker : entry::decodeWorkers(row.value)) {
+                decoded.insert(worker.id);
+            }
+        }
+        BOOST_TEST(decoded.size() == count);
+    }
+    for (const char *key : {"head", "members", "workersx"}) {
+        BOOST_TEST(!entry::isWorkersRowKey(key), key);
+    }
+}
+
+// Guards against workers that a takeover reads although they have left: rows that are needed no
+// longer must not keep them.
+BOOST_AUTO_TEST_CASE(rows_of_workers_that_are_needed_no_longer_are_written_empty)
+{
+    std::map<std::string, cell::worker_state> workers;
+    workers["a"].entry.id = "a";
+    std::size_t rowsInUse = 3;
+    entry::table_write write;
+    entry::putWorkerRows(workers, rowsInUse, write);
+    BOOST_REQUIRE(write.puts.size() == 3U);
+    BOOST_TEST(rowsInUse == 3U);
+    BOOST_TEST(entry::decodeWorkers(write.puts[0].value).size() == 1U);
+    BOOST_TEST(entry::decodeWorkers(write.puts[1].value).empty());
+    BOOST_TEST(entry::decodeWorkers(write.puts[2].value).empty());
+}
