What is learned from a run is a file of its own

scheduler_ends.cpp had 412 lines and mixed the handling of ends with what is learned from them. Moved to ends/finished_runs; an unused alias is removed.

--- a/src/cell/ends/scheduler_ends.cpp
+++ b/src/cell/ends/scheduler_ends.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 
 #include "cell/ends/crashes.h"
+#include "cell/ends/finished_runs.h"
 #include "cell/interference/scheduler_interference.h"
 
 namespace bramleygrade::cell {
@@ -19,43 +20,6 @@
 /// rules.
 constexpr microseconds refusalPause = 800 * millisecond;
 
-using step_tasks = std::vector<task_state>;
-
-/// Slowness of the slowest worker of the gang, which determines the run time of all members.
-double slownessOfGang(const scheduler &cell, const step_state &step)
-{
-    double slowest = 0;
-    for (const task_state &task : step.tasks) {
-        const auto worker = cell.workers.find(task.worker);
-        if (task.phase != run_phase::none && worker != cell.workers.end()) {
-            slowest = std::max(slowest, worker->second.life.slowness);
-        }
-    }
-    return slowest > 0 ? slowest : 1.0;
-}
-
-/// Records the time of a successful run from its beginning.
-void recordRun(scheduler &cell, worker_state &worker, const job_state &job, const step_spec &spec,
-               step_state &step, microseconds observed, timestamp now)
-{
-    const double slowness = spec.gang ? slownessOfGang(cell, step) : worker.life.slowness;
-    step.longestRun = std::max(step.longestRun, observed);
-    step.longestSoundRun = std::max(
-        step.longestSoundRun, static_cast<microseconds>(static_cast<double>(observed) / slowness));
-    if (!spec.gang) {
-        recordRunOnWorker(cell.taskRunTimes[job.spec.queue], worker.life.runTimes, spec.estimate,
-                          observed);
-        worker.life.slowness = slownessOf(worker.life.runTimes);
-        if (cell.settings.workerSpeeds && spec.scavenging) {
-            recordScavengedRun(cell.speeds, worker.entry, job.spec.queue, spec.estimate, observed,
-                               now);
-        } else if (cell.settings.workerSpeeds) {
-            recordWorkerSpeed(cell.speeds, worker.entry, job.spec.queue, job.spec.id, spec.estimate,
-                              observed, now);
-        }
-    }
-}
-
 void markDone(scheduler &cell, job_state &job, const reported_end &end, timestamp now, orders &out)
 {
     occurrence_state &occurrence = ensureOccurrence(job, end.task.occurrence);
@@ -280,9 +244,7 @@
     recordCheckpoint(*job, end, *task);
     if (end.how == end_kind::done && task->phase == run_phase::running
         && task->attempt == end.attempt && !task->resumed && task->confirmedAt != distantPast) {
-        recordRun(cell, worker, *job, stepOf(*job, end.task.step), step, now - task->confirmedAt,
-                  now);
-        learnInterference(cell, worker, job->spec, end.task, now - task->confirmedAt, now);
+        learnFromRun(cell, worker, *job, end.task, step, now - task->confirmedAt, now);
     }
     if (task->phase != run_phase::none && task->worker == worker.entry.id
         && task->attempt == end.attempt) {
