Transfers of the configuration are logged and counted

A read that is given up left no trace, store_lost is written once, and bytes of abandoned answers were counted nowhere.

config_transfer_failed gives the bytes that had arrived, the time, and for how long it has gone on; it is written at the first failure and every 5 s, and config_transfer_recovered ends it. New metrics: config_newest_version, config_transfers_total and config_transfer_bytes_total by source and outcome, peer_message_bytes_total by message. An incomplete response reports the bytes that have arrived. Nothing is decided differently.

--- a/src/entry/authentication/confirmation_exchange.cpp
+++ b/src/entry/authentication/confirmation_exchange.cpp
@@ -40,8 +40,14 @@
 {
     const auto reply = result.status == 200 ? decodeConfirmReply(result.body) : std::nullopt;
     if (!reply) {
+        if (result.receivedBytes > 0) {
+            recordConfigTransfer(entry, {"peer", askedAt, false, result.receivedBytes});
+        }
         return;
     }
+    if (!reply->row.empty()) {
+        recordConfigTransfer(entry, {"peer", askedAt, true, result.receivedBytes});
+    }
     if (reply->version > entry.config.version && !reply->row.empty()) {
         applyConfigRow(entry,
                        {entry.ports.codec.configTable, entry.ports.codec.configKey, reply->row,
--- a/src/entry/daemon.cpp
+++ b/src/entry/daemon.cpp
@@ -75,11 +75,12 @@
                        const net::http_server::responder &respond)
 {
     ++entry.metrics.counters["peer_calls_total{side=\"server\"}"];
-    entry.metrics.counters["peer_bytes_total{direction=\"received\"}"] += request.body.size();
-    servePeer(entry, request, [&entry, respond](net::http_response response) {
-        entry.metrics.counters["peer_bytes_total{direction=\"sent\"}"] += response.body.size();
-        respond(std::move(response));
-    });
+    countPeerBytes(entry, request.target, "received", request.body.size());
+    servePeer(entry, request,
+              [&entry, respond, target = request.target](net::http_response response) {
+                  countPeerBytes(entry, target, "sent", response.body.size());
+                  respond(std::move(response));
+              });
 }
 
 std::string startServers(entry_state &entry)
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -15,6 +15,7 @@
 #include "cell/scheduler.h"
 #include "entry/authentication/caller_keys.h"
 #include "entry/authentication/config_confirmation.h"
+#include "entry/config_transfer.h"
 #include "entry/entry_settings.h"
 #include "entry/event_log.h"
 #include "entry/liveness.h"
@@ -223,6 +224,7 @@
     std::int64_t configFeedVersion = 0;
     bool isRefreshingConfig = false;
     timestamp nextConfigRefreshAt = distantPast;
+    config_transfers configTransfers;
     /// A configuration adopted by this process has required keys.
     bool hasRequiredKeys = false;
     caller_keys keys;
@@ -305,6 +307,9 @@
 /// the member list only when it is due.
 heartbeat_message makeHeartbeat(const entry_state &entry);
 void sendHeartbeats(entry_state &entry, timestamp now);
+/// Counts bytes of a message between entries. `direction`: "sent" or "received".
+void countPeerBytes(entry_state &entry, const std::string &target, const char *direction,
+                    std::size_t bytes);
 /// Posts `body` to `path` of another entry. `done` is called once, after `timeout` at the latest.
 void sendPeer(entry_state &entry, const std::string &address, const std::string &path,
               std::string body, microseconds timeout, bool idempotent,
--- a/src/entry/peers.cpp
+++ b/src/entry/peers.cpp
@@ -169,6 +169,18 @@
 
 } // namespace
 
+void countPeerBytes(entry_state &entry, const std::string &target, const char *direction,
+                    std::size_t bytes)
+{
+    static const std::set<std::string> messages {"/beat",  "/call",     "/confirm", "/advice",
+                                                 "/hello", "/handover", "/word"};
+    const std::string message = messages.count(target) > 0 ? target.substr(1) : "other";
+    const std::string label = std::string("direction=\"") + direction + "\"}";
+    entry.metrics.counters["peer_bytes_total{" + label] += bytes;
+    entry.metrics.counters["peer_message_bytes_total{message=\"" + message + "\"," + label] +=
+        bytes;
+}
+
 void sendPeer(entry_state &entry, const std::string &address, const std::string &path,
               std::string body, microseconds timeout, bool idempotent,
               std::function<void(net::call_result)> done)
@@ -187,11 +199,11 @@
     const net::duty_scope scope(&entry.meter, dutyOfPeerPath(call.target));
     call.method = "POST";
     ++entry.metrics.counters["peer_calls_total{side=\"client\"}"];
-    entry.metrics.counters["peer_bytes_total{direction=\"sent\"}"] += call.body.size();
+    countPeerBytes(entry, call.target, "sent", call.body.size());
+    const std::string target = call.target;
     entry.client.send(std::move(call),
-                      [&entry, done = std::move(done)](const net::call_result &result) {
-                          entry.metrics.counters["peer_bytes_total{direction=\"received\"}"] +=
-                              result.body.size();
+                      [&entry, target, done = std::move(done)](const net::call_result &result) {
+                          countPeerBytes(entry, target, "received", result.receivedBytes);
                           done(result);
                       });
 }
--- a/src/entry/ports.h
+++ b/src/entry/ports.h
@@ -54,6 +54,8 @@
     std::vector<stored_row> rows;
     std::int64_t version = 0;
     bool hasMore = false;
+    /// Bytes of the answer that have arrived, also if the rest has not.
+    std::size_t receivedBytes = 0;
 };
 
 using store_completion = std::function<void(store_result)>;
--- a/src/entry/state_dump.cpp
+++ b/src/entry/state_dump.cpp
@@ -169,6 +169,8 @@
     gauges["epoch"] = entry.epoch;
     gauges["is_scheduler"] = entry.leaderState ? 1 : 0;
     gauges["config_version"] = entry.config.version;
+    gauges["config_newest_version"] =
+        std::max(entry.config.version, entry.confirmation.newestVersion);
     if (entry.config.requiresKeys) {
         gauges["config_confirmed_ms_ago"] = ageMs(entry.confirmation.confirmedAt);
     }
--- a/src/entry/watches.cpp
+++ b/src/entry/watches.cpp
@@ -33,6 +33,16 @@
 
 constexpr microseconds configRefreshInterval = 200 * millisecond;
 
+/// Records a read or long poll of the configuration that began at `beganAt`, unless it has shown
+/// that nothing has changed, or was refused.
+void recordStoreTransfer(entry_state &entry, timestamp beganAt, const store_result &result)
+{
+    const bool isComplete = result.outcome == store_outcome::done;
+    if ((isComplete && !result.rows.empty()) || result.outcome == store_outcome::unanswered) {
+        recordConfigTransfer(entry, {"store", beganAt, isComplete, result.receivedBytes});
+    }
+}
+
 /// Applies what a read or long poll that began at `beganAt` has returned. `rowVersion`: version of
 /// the configuration row in the reads before it, 0 if they showed none; it is brought up to date.
 void applyConfigResult(entry_state &entry, timestamp beganAt, const store_result &result,
@@ -60,6 +70,7 @@
         {entry.ports.codec.configTable, key, key + "!", false}, beganAt + readTimeout,
         [&entry, beganAt](const store_result &result) {
             const bool done = result.outcome == store_outcome::done;
+            recordStoreTransfer(entry, beganAt, result);
             setStoreReachable(entry, done);
             if (done) {
                 entry.configWatchVersion = result.version;
@@ -312,6 +323,7 @@
     entry.ports.store.watch(
         entry.ports.codec.configTable, entry.configWatchVersion, duration,
         beganAt + duration + watchTimeoutMargin, [&entry, beganAt](const store_result &result) {
+            recordStoreTransfer(entry, beganAt, result);
             if (result.outcome != store_outcome::done) {
                 // Changes may have been missed, so the whole configuration is read again.
                 entry.configWatchVersion = 0;
@@ -359,6 +371,7 @@
     entry.ports.store.read({entry.ports.codec.configTable, key, key + "!", false},
                            now + readTimeout, [&entry, now](const store_result &result) {
                                entry.isRefreshingConfig = false;
+                               recordStoreTransfer(entry, now, result);
                                if (result.outcome == store_outcome::done) {
                                    std::int64_t rowVersion = 0;
                                    applyConfigResult(entry, now, result, rowVersion);
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -217,6 +217,7 @@
         }
         call_result result {call_outcome::answered, static_cast<int>(response.result_int()),
                             std::move(response.body()), writtenAt};
+        result.receivedBytes = result.body.size();
         conn.reset();
         finish(std::move(result));
     }
@@ -228,6 +229,9 @@
         }
         finished = true;
         timer.cancel();
+        if (result.outcome == call_outcome::unanswered && parser) {
+            result.receivedBytes = parser->get().body().size();
+        }
         if (conn) {
             error_code ignored;
             conn->socket.set_option(asio::socket_base::linger(true, 0), ignored);
--- a/src/net/http_message.h
+++ b/src/net/http_message.h
@@ -64,6 +64,8 @@
     std::string body;
     /// When the writing of the request began, on the connection that has carried the answer.
     timestamp writtenAt = distantPast;
+    /// Bytes of the response's body that have arrived, also if the rest has not.
+    std::size_t receivedBytes = 0;
 };
 
 /// Returns the value of the header, or an empty text; the case of `name` does not matter.
