Failing tests: entries on slow links never get a large configuration

Three entries in real time, one behind a link of 10 Mbit/s (testing/cell/throttled_link, a TCP proxy), with the configuration served over HTTP. Seen on this commit, all three failing: a row of 0.79 MB and one of 1.19 MB are not adopted after 3 s, while 3.6 MB have crossed the link; 75 of 198 calls with a key are answered; a heartbeat grows from 96 to 75,696 bytes with 4,200 queues that have no jobs. The bounds are the deployment's: a version is in force within 3 s, and valid keys work.

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -239,3 +239,14 @@
 target_link_libraries(cell_keys_cluster_test PRIVATE bramleygrade_platform Boost::headers)
 add_test(NAME cell_keys_cluster COMMAND cell_keys_cluster_test)
 set_tests_properties(cell_keys_cluster PROPERTIES RUN_SERIAL TRUE COST 1)
+
+# Entries on slow links, in real time; each failure is a test of its own.
+add_executable(cell_slow_links_cluster_test test/cell/slow_links_cluster_test.cpp testing/cell/memory_table.cpp
+                                            testing/cell/throttled_link.cpp)
+target_include_directories(cell_slow_links_cluster_test PRIVATE ${CMAKE_SOURCE_DIR} ${CMAKE_SOURCE_DIR}/test/cell)
+target_link_libraries(cell_slow_links_cluster_test PRIVATE bramleygrade_platform Boost::headers)
+foreach(failure lost_entries_that_never_complete_a_large_configuration
+                lost_answers_of_entries_behind_a_large_configuration
+                lost_links_filled_by_heartbeats_that_name_idle_queues)
+    add_test(NAME ${failure} COMMAND cell_slow_links_cluster_test --run_test=${failure})
+endforeach()
--- a/test/cell/cluster_fixture.h
+++ b/test/cell/cluster_fixture.h
@@ -205,6 +205,7 @@
         }
     }
 
+protected:
     /// Returns an unused address. Concurrent test processes use different port ranges.
     std::string nextAddress()
     {
@@ -216,7 +217,6 @@
             + std::to_string(firstPort + (getpid() % processes) * portsPerProcess + used++);
     }
 
-protected:
     boost::asio::io_context clientLoop;
     net::http_client client {clientLoop, entry::steadyNow};
 };
