A large configuration reaches entries on slow links

Cause: a transfer was bounded by a time that does not depend on its size, and began again from the first byte when that time was over. A read of the row had 800 ms for 0.78 MB, over a link of 1.25 MB/s. The reads, up to two further copies a second from peers, given up after 400 ms each, and heartbeats that named every queue (20 to 57 kB, 6.7 times a second) filled the link, so that none was ever complete.

Change: a read ends at its deadline only if its answer has not begun; while the answer arrives, it ends a second after the last part, or after 30 s. This holds for every read of rows that may be large, also those of a takeover. A question between entries brings the row only if it asks for it, from one peer at a time, while the store is not sending it. Heartbeats name only queues that have pending jobs, every 450 ms.

The store ports take the limits of a read in place of a deadline; tests pass them on unchanged. heartbeats_carry_pending_counts_only_after_the_rows_are_loaded checks the version that was counted, in place of a zero for each queue, which is not sent now.

--- a/src/entry/authentication/confirmation_exchange.cpp
+++ b/src/entry/authentication/confirmation_exchange.cpp
@@ -35,27 +35,74 @@
     }
 }
 
+/// Applies a peer's answer to a question asked at `askedAt`.
+void applyConfirmReply(entry_state &entry, const std::string &peer, timestamp askedAt,
+                       const confirm_reply &reply)
+{
+    if (reply.version > entry.config.version && !reply.row.empty()) {
+        applyConfigRow(entry,
+                       {entry.ports.codec.configTable, entry.ports.codec.configKey, reply.row,
+                        reply.rowVersion, false});
+    }
+    if (reply.version == entry.config.version && reply.age >= 0) {
+        entry.confirmation.hasLastAskFailed = false;
+        confirmAsOf(entry, askedAt - reply.age, peer);
+    }
+}
+
+std::optional<confirm_reply> decodeReply(const net::call_result &result)
+{
+    return result.status == 200 ? decodeConfirmReply(result.body) : std::nullopt;
+}
+
+void onRowReply(entry_state &entry, const std::string &peer, timestamp askedAt,
+                const net::call_result &result)
+{
+    const auto reply = decodeReply(result);
+    const bool hasRow = reply && !reply->row.empty();
+    if (hasRow || result.outcome != net::call_outcome::answered) {
+        recordConfigTransfer(entry, {"peer", askedAt, hasRow, result.receivedBytes});
+    }
+    if (reply) {
+        applyConfirmReply(entry, peer, askedAt, *reply);
+    }
+}
+
+/// Reads the row from a peer, unless the store or another peer is sending it.
+void fetchRow(entry_state &entry, const std::string &peer)
+{
+    const timestamp now = steadyNow();
+    const auto member = entry.members.find(peer);
+    if (member == entry.members.end() || entry.configTransfers.isPeerSending
+        || isStoreDelivering(entry.configTransfers, now)) {
+        return;
+    }
+    const read_limits limits = largeReadLimits(now + askTimeout);
+    net::http_call call;
+    call.address = member->second;
+    call.target = "/confirm";
+    call.body = encodeConfirmQuery({entry.settings.name, entry.config.version, true});
+    call.deadline = limits.answerBy;
+    call.completeBy = limits.completeBy;
+    call.idempotent = true;
+    entry.configTransfers.isPeerSending = true;
+    sendPeer(entry, std::move(call), [&entry, peer, now](const net::call_result &result) {
+        entry.configTransfers.isPeerSending = false;
+        onRowReply(entry, peer, now, result);
+    });
+}
+
 void onConfirmReply(entry_state &entry, const std::string &peer, timestamp askedAt,
                     const net::call_result &result)
 {
-    const auto reply = result.status == 200 ? decodeConfirmReply(result.body) : std::nullopt;
+    const auto reply = decodeReply(result);
     if (!reply) {
-        if (result.receivedBytes > 0) {
-            recordConfigTransfer(entry, {"peer", askedAt, false, result.receivedBytes});
-        }
         return;
     }
-    if (!reply->row.empty()) {
-        recordConfigTransfer(entry, {"peer", askedAt, true, result.receivedBytes});
-    }
-    if (reply->version > entry.config.version && !reply->row.empty()) {
-        applyConfigRow(entry,
-                       {entry.ports.codec.configTable, entry.ports.codec.configKey, reply->row,
-                        reply->rowVersion, false});
-    }
-    if (reply->version == entry.config.version && reply->age >= 0) {
-        entry.confirmation.hasLastAskFailed = false;
-        confirmAsOf(entry, askedAt - reply->age, peer);
+    applyConfirmReply(entry, peer, askedAt, *reply);
+    if (reply->version > entry.config.version) {
+        hearOfVersion(entry, reply->version, announcedVersionDelay);
+        fetchRow(entry, peer);
     }
 }
 
@@ -88,7 +135,8 @@
     if (!isAskDue(confirmation, entry.config.version, limit, now)) {
         return;
     }
-    const std::string query = encodeConfirmQuery({entry.settings.name, entry.config.version});
+    const std::string query =
+        encodeConfirmQuery({entry.settings.name, entry.config.version, false});
     for (const auto &[name, address] : beginAsk(confirmation, entry.config.version, entry.members,
                                                 entry.settings.name, entry.scheduler.name, now)) {
         sendPeer(entry, address, "/confirm", query, askTimeout, true,
@@ -106,7 +154,8 @@
     if (entry.confirmation.confirmedAt != distantPast) {
         reply.age = std::max<microseconds>(steadyNow() - entry.confirmation.confirmedAt, 0);
     }
-    if (query.version < entry.config.version) {
+    if (query.wantsRow && query.version < entry.config.version
+        && mayServeRow(entry.configTransfers, entry.configRow.size(), steadyNow())) {
         reply.row = entry.configRow;
         reply.rowVersion = entry.configRowVersion;
     }
--- a/src/entry/callers.cpp
+++ b/src/entry/callers.cpp
@@ -195,13 +195,16 @@
                              const answer_function &answer)
 {
     const auto found = entry.pending.find(call.queue);
-    if (call.kind != call_kind::pending || entry.leaderState || found == entry.pending.end()
+    // The queues that were counted and have no number have no pending jobs.
+    const bool isCounted =
+        found != entry.pending.end() || entry.pendingVersion == entry.config.version;
+    if (call.kind != call_kind::pending || entry.leaderState || !isCounted
         || steadyNow() > entry.pendingAt + maxPendingAge) {
         return false;
     }
     caller_answer reply;
     reply.kind = answer_kind::pending;
-    reply.pending = found->second;
+    reply.pending = found == entry.pending.end() ? 0 : found->second;
     answer(reply);
     return true;
 }
--- a/src/entry/config_transfer.cpp
+++ b/src/entry/config_transfer.cpp
@@ -7,6 +7,12 @@
 namespace {
 
 constexpr microseconds failureReportInterval = 5 * second;
+/// Time without a further part after which the store's answer counts as held up.
+constexpr microseconds maxDeliveryPause = 600 * millisecond;
+/// Bytes of rows that an entry sends to others within `serveWindow`, one row at least. It leaves
+/// most of a link to callers.
+constexpr std::size_t maxServedBytes = 1U << 20U;
+constexpr microseconds serveWindow = 1 * second;
 
 void countTransfer(entry_state &entry, const config_transfer &transfer)
 {
@@ -32,6 +38,24 @@
 
 } // namespace
 
+bool isStoreDelivering(const config_transfers &transfers, timestamp now)
+{
+    return transfers.storePartAt != distantPast && now < transfers.storePartAt + maxDeliveryPause;
+}
+
+bool mayServeRow(config_transfers &transfers, std::size_t bytes, timestamp now)
+{
+    if (now >= transfers.windowEndsAt) {
+        transfers.windowEndsAt = now + serveWindow;
+        transfers.servedBytes = 0;
+    }
+    if (transfers.servedBytes > 0 && transfers.servedBytes + bytes > maxServedBytes) {
+        return false;
+    }
+    transfers.servedBytes += bytes;
+    return true;
+}
+
 void recordConfigTransfer(entry_state &entry, const config_transfer &transfer)
 {
     config_transfers &transfers = entry.configTransfers;
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -149,6 +149,8 @@
     bool suspended = false;
     timestamp nextHeartbeatAt = distantPast;
     timestamp nextMemberListAt = distantPast;
+    /// When a heartbeat next carries the numbers of pending jobs.
+    timestamp nextPendingAt = distantPast;
     timestamp nextHandoverAt = distantPast;
     bool handoverInFlight = false;
     /// Index of the entry that is asked to take over next; advances round robin.
@@ -237,8 +239,10 @@
     member scheduler;
     /// When the scheduler was last known to be alive, by a heartbeat or an answer.
     timestamp schedulerSeenAt = distantPast;
-    /// Number of pending jobs by queue, from the scheduler's heartbeat received at `pendingAt`.
+    /// Number of pending jobs of the queues that have any, from the scheduler's heartbeat received
+    /// at `pendingAt`, and the version of the configuration whose queues were counted.
     std::map<std::string, std::int64_t> pending;
+    std::int64_t pendingVersion = 0;
     timestamp pendingAt = distantPast;
     /// Peer addresses of the known entries, by name.
     std::map<std::string, std::string> members;
@@ -266,6 +270,10 @@
     loop_state loopState;
 };
 
+/// Limits of a read whose answer may be large: it ends at `answerBy` only if the answer has not
+/// begun. A read that is given up while its answer arrives would begin again from the first byte.
+read_limits largeReadLimits(timestamp answerBy);
+
 /// Microseconds of a monotonic clock that keeps running while the instance is suspended.
 timestamp steadyNow();
 /// Microseconds since 1970.
--- a/src/entry/job_lookup.cpp
+++ b/src/entry/job_lookup.cpp
@@ -13,18 +13,18 @@
 void readRow(entry_state &entry, const char *table, const std::string &key,
              const lookup_completion &done, const std::function<void(const stored_row *)> &found)
 {
-    entry.ports.store.read({table, key, key + "!", true}, steadyNow() + lookupTimeout,
-                           [key, done, found](const store_result &result) {
-                               if (result.outcome != store_outcome::done) {
-                                   done({});
-                                   return;
-                               }
-                               const auto row = std::find_if(result.rows.begin(), result.rows.end(),
-                                                             [&](const stored_row &candidate) {
-                                                                 return candidate.key == key;
-                                                             });
-                               found(row == result.rows.end() ? nullptr : &*row);
-                           });
+    entry.ports.store.read(
+        {table, key, key + "!", true}, {steadyNow() + lookupTimeout, distantPast, {}},
+        [key, done, found](const store_result &result) {
+            if (result.outcome != store_outcome::done) {
+                done({});
+                return;
+            }
+            const auto row =
+                std::find_if(result.rows.begin(), result.rows.end(),
+                             [&](const stored_row &candidate) { return candidate.key == key; });
+            found(row == result.rows.end() ? nullptr : &*row);
+        });
 }
 
 job_lookup makeLookup(std::optional<cell::job_phase> phase, const std::string &team = "")
--- a/src/entry/leader.cpp
+++ b/src/entry/leader.cpp
@@ -39,7 +39,7 @@
                const std::string &from, const std::function<void()> &done)
 {
     entry.ports.store.read(
-        {load->table, from, "", true}, steadyNow() + loadTimeout,
+        {load->table, from, "", true}, largeReadLimits(steadyNow() + loadTimeout),
         [&entry, epoch, load, from, done](const store_result &result) {
             if (!entry.leaderState || entry.epoch != epoch) {
                 return;
--- a/src/entry/membership.cpp
+++ b/src/entry/membership.cpp
@@ -153,7 +153,7 @@
 {
     // Without the rows of workers, the largest ones, which are last.
     const row_range range {headTable, "", workersKey, true};
-    entry.ports.store.read(range, steadyNow() + headTimeout,
+    entry.ports.store.read(range, {steadyNow() + headTimeout, distantPast, {}},
                            [&entry, done](const store_result &result) {
                                entry.storeReachable = result.outcome == store_outcome::done;
                                std::optional<head_row> head;
--- a/src/entry/messages.cpp
+++ b/src/entry/messages.cpp
@@ -148,12 +148,15 @@
             writeMember(out, entry);
         }
         out.EndArray();
-        out.Key("pending");
-        out.StartObject();
-        for (const auto &[queue, count] : heartbeat.pending) {
-            put(out, queue.c_str(), count);
+        if (heartbeat.pendingVersion != 0) {
+            put(out, "pending_of", heartbeat.pendingVersion);
+            out.Key("pending");
+            out.StartObject();
+            for (const auto &[queue, count] : heartbeat.pending) {
+                put(out, queue.c_str(), count);
+            }
+            out.EndObject();
         }
-        out.EndObject();
         if (heartbeat.configVersion != 0) {
             put(out, "config", heartbeat.configVersion);
         }
@@ -182,6 +185,7 @@
             heartbeat.pending.emplace_back(item.name.GetString(), integerOf(item.value));
         }
     }
+    heartbeat.pendingVersion = integerField(document, "pending_of");
     heartbeat.configVersion = integerField(document, "config");
     return heartbeat;
 }
@@ -191,6 +195,7 @@
     return writeObject([&](json_writer &out) {
         put(out, "sender", query.sender);
         put(out, "version", query.version);
+        put(out, "row_wanted", query.wantsRow);
     });
 }
 
@@ -200,7 +205,11 @@
     if (!parseObject(text, document)) {
         return std::nullopt;
     }
-    return confirm_query {textField(document, "sender"), integerField(document, "version")};
+    // Entries of earlier releases always want the row, and do not say so.
+    const bool wantsRow =
+        findField(document, "row_wanted") == nullptr || boolField(document, "row_wanted");
+    return confirm_query {textField(document, "sender"), integerField(document, "version"),
+                          wantsRow};
 }
 
 std::string encodeConfirmReply(const confirm_reply &reply)
--- a/src/entry/peers.cpp
+++ b/src/entry/peers.cpp
@@ -10,6 +10,9 @@
 constexpr microseconds heartbeatInterval = 150 * millisecond;
 /// Interval between heartbeats that carry the member list; its size grows with the cell.
 constexpr microseconds memberListInterval = 1 * second;
+/// Interval between heartbeats that carry the numbers of pending jobs. Followers use them for a
+/// second, so that one may be lost.
+constexpr microseconds pendingInterval = 450 * millisecond;
 constexpr microseconds heartbeatTimeout = 400 * millisecond;
 /// Upper limit of a forwarded call's wait; equals `maxCallTimeout` in callers.cpp, the longest time
 /// that callers may wait.
@@ -45,9 +48,10 @@
         for (const member &other : heartbeat.members) {
             recordMember(entry, other);
         }
-        if (!heartbeat.pending.empty()) {
+        if (heartbeat.pendingVersion != 0 || !heartbeat.pending.empty()) {
             entry.pending.clear();
             entry.pending.insert(heartbeat.pending.begin(), heartbeat.pending.end());
+            entry.pendingVersion = heartbeat.pendingVersion;
             entry.pendingAt = now;
         }
         hearOfVersion(entry, heartbeat.configVersion, announcedVersionDelay);
@@ -222,11 +226,12 @@
     }
     heartbeat.configVersion = entry.config.requiresKeys ? entry.config.version : 0;
     // The pending jobs are not known before the rows are loaded.
-    if (entry.role == entry_role::scheduler) {
-        const auto counts = cell::countPendingByQueue(entry.leaderState->cell);
-        for (const cell::queue_policy &queue : entry.config.queues) {
-            const auto count = counts.find(queue.name);
-            heartbeat.pending.emplace_back(queue.name, count == counts.end() ? 0 : count->second);
+    if (entry.role == entry_role::scheduler && steadyNow() >= entry.leaderState->nextPendingAt) {
+        heartbeat.pendingVersion = entry.config.version;
+        for (const auto &[queue, count] : cell::countPendingByQueue(entry.leaderState->cell)) {
+            if (count > 0) {
+                heartbeat.pending.emplace_back(queue, count);
+            }
         }
     }
     return heartbeat;
@@ -239,6 +244,9 @@
     if (now >= entry.leaderState->nextMemberListAt) {
         entry.leaderState->nextMemberListAt = now + memberListInterval;
     }
+    if (now >= entry.leaderState->nextPendingAt) {
+        entry.leaderState->nextPendingAt = now + pendingInterval;
+    }
     const auto members = entry.members;
     for (const auto &[name, address] : members) {
         if (name != entry.settings.name) {
--- a/src/entry/ports.h
+++ b/src/entry/ports.h
@@ -10,7 +10,7 @@
 /// \file
 /// Interface between an entry and the platform that it runs on. A platform adapter fills these
 /// structs; the entry itself depends on no particular platform. Every call completes exactly once,
-/// at its deadline at the latest.
+/// at its deadline, or the end of its limits, at the latest.
 
 namespace bramleygrade::entry {
 
@@ -69,13 +69,24 @@
     bool isOwnTable = true; ///< false for a table that the platform or the operator writes
 };
 
+/// Until when a read may last.
+struct read_limits
+{
+    /// When it ends if no part of the answer has arrived.
+    timestamp answerBy = distantFuture;
+    /// When it ends at the latest while the answer is arriving, if that is after `answerBy`.
+    timestamp completeBy = distantPast;
+    /// Called for each part of an incomplete answer, with the bytes so far. May be empty.
+    std::function<void(std::size_t)> onPart = nullptr;
+};
+
 struct store_port
 {
     std::function<void(table_write, timestamp deadline, store_completion)> write;
-    std::function<void(row_range, timestamp deadline, store_completion)> read;
+    std::function<void(row_range, read_limits, store_completion)> read;
     /// Long poll for changes of the table after version `after`; completes as soon as there are
     /// any, or after `wait`.
-    std::function<void(std::string table, std::int64_t after, microseconds wait, timestamp deadline,
+    std::function<void(std::string table, std::int64_t after, microseconds wait, read_limits,
                        store_completion)>
         watch;
 };
--- a/src/entry/rows.h
+++ b/src/entry/rows.h
@@ -122,14 +122,17 @@
 std::string encodeMembers(const std::map<std::string, std::string> &members);
 std::vector<member> decodeMembers(const std::string &value);
 
-/// The scheduler's heartbeat. `pending` holds the number of pending jobs by queue, from which
-/// followers answer callers.
+/// The scheduler's heartbeat. From `pending`, followers answer callers.
 struct heartbeat_message
 {
     std::int64_t epoch = 0;
     member sender;
     std::vector<member> members;
+    /// Number of pending jobs of the queues that have any.
     std::vector<std::pair<std::string, std::int64_t>> pending;
+    /// Version of the configuration of which all queues were counted; 0 if this heartbeat carries
+    /// no numbers.
+    std::int64_t pendingVersion = 0;
     /// Version of the scheduler's configuration; 0 if it requires no keys.
     std::int64_t configVersion = 0;
 };
@@ -157,13 +160,15 @@
 {
     std::string sender;
     std::int64_t version = 0;
+    /// Whether the answer shall have the row. A row can be large, so one entry at a time is asked.
+    bool wantsRow = false;
 };
 
 std::string encodeConfirmQuery(const confirm_query &query);
 std::optional<confirm_query> decodeConfirmQuery(const std::string &text);
 
-/// The answer: the version of the peer's configuration, and the row if it is newer than that of the
-/// query.
+/// The answer: the version of the peer's configuration, and the row if it is wanted and newer than
+/// that of the query. A peer that sends many rows may leave it out.
 struct confirm_reply
 {
     std::int64_t version = 0;
--- a/src/entry/watches.cpp
+++ b/src/entry/watches.cpp
@@ -16,6 +16,8 @@
 constexpr microseconds watchTimeoutMargin = 700 * millisecond;
 constexpr microseconds readTimeout = 800 * millisecond;
 constexpr microseconds watchRetryDelay = 150 * millisecond;
+/// Time in which an answer of the largest size that is accepted passes the slowest link.
+constexpr microseconds maxTransferTime = 30 * second;
 /// Pause between two reads of registry changes. Each worker's heartbeat is a change, so hundreds of
 /// workers would otherwise cause hundreds of answers a second.
 constexpr microseconds registryWatchPause = 50 * millisecond;
@@ -33,10 +35,19 @@
 
 constexpr microseconds configRefreshInterval = 200 * millisecond;
 
+/// Limits of a read of the configuration, whose progress is recorded.
+read_limits configReadLimits(entry_state &entry, timestamp answerBy)
+{
+    read_limits limits = largeReadLimits(answerBy);
+    limits.onPart = [&entry](std::size_t) { entry.configTransfers.storePartAt = steadyNow(); };
+    return limits;
+}
+
 /// Records a read or long poll of the configuration that began at `beganAt`, unless it has shown
 /// that nothing has changed, or was refused.
 void recordStoreTransfer(entry_state &entry, timestamp beganAt, const store_result &result)
 {
+    entry.configTransfers.storePartAt = distantPast;
     const bool isComplete = result.outcome == store_outcome::done;
     if ((isComplete && !result.rows.empty()) || result.outcome == store_outcome::unanswered) {
         recordConfigTransfer(entry, {"store", beganAt, isComplete, result.receivedBytes});
@@ -67,7 +78,8 @@
     const std::string key = entry.ports.codec.configKey;
     const timestamp beganAt = steadyNow();
     entry.ports.store.read(
-        {entry.ports.codec.configTable, key, key + "!", false}, beganAt + readTimeout,
+        {entry.ports.codec.configTable, key, key + "!", false},
+        configReadLimits(entry, beganAt + readTimeout),
         [&entry, beganAt](const store_result &result) {
             const bool done = result.outcome == store_outcome::done;
             recordStoreTransfer(entry, beganAt, result);
@@ -224,7 +236,7 @@
 {
     entry.ports.store.watch(
         entry.ports.codec.workerTable, entry.leaderState->registryVersion, watchDuration,
-        steadyNow() + watchDuration + watchTimeoutMargin,
+        largeReadLimits(steadyNow() + watchDuration + watchTimeoutMargin),
         [&entry, epoch](const store_result &result) {
             if (!isLeaderInEpoch(entry, epoch)) {
                 return;
@@ -272,7 +284,8 @@
                  const std::shared_ptr<registry_read> &read)
 {
     entry.ports.store.read(
-        {entry.ports.codec.workerTable, from, "", false}, steadyNow() + readTimeout,
+        {entry.ports.codec.workerTable, from, "", false},
+        largeReadLimits(steadyNow() + readTimeout),
         [&entry, epoch, read](const store_result &result) {
             if (!isLeaderInEpoch(entry, epoch)) {
                 return;
@@ -299,6 +312,11 @@
 
 } // namespace
 
+read_limits largeReadLimits(timestamp answerBy)
+{
+    return {answerBy, answerBy + maxTransferTime, {}};
+}
+
 void runAfter(entry_state &entry, microseconds pause, const std::function<void()> &run)
 {
     const auto timer = std::make_shared<boost::asio::steady_timer>(entry.loop);
@@ -322,7 +340,8 @@
     const timestamp beganAt = steadyNow();
     entry.ports.store.watch(
         entry.ports.codec.configTable, entry.configWatchVersion, duration,
-        beganAt + duration + watchTimeoutMargin, [&entry, beganAt](const store_result &result) {
+        configReadLimits(entry, beganAt + duration + watchTimeoutMargin),
+        [&entry, beganAt](const store_result &result) {
             recordStoreTransfer(entry, beganAt, result);
             if (result.outcome != store_outcome::done) {
                 // Changes may have been missed, so the whole configuration is read again.
@@ -362,14 +381,16 @@
 void refreshConfig(entry_state &entry)
 {
     const timestamp now = steadyNow();
-    if (entry.isRefreshingConfig || now < entry.nextConfigRefreshAt) {
+    if (entry.isRefreshingConfig || now < entry.nextConfigRefreshAt
+        || isStoreDelivering(entry.configTransfers, now)) {
         return;
     }
     entry.isRefreshingConfig = true;
     entry.nextConfigRefreshAt = now + configRefreshInterval;
     const std::string key = entry.ports.codec.configKey;
     entry.ports.store.read({entry.ports.codec.configTable, key, key + "!", false},
-                           now + readTimeout, [&entry, now](const store_result &result) {
+                           configReadLimits(entry, now + readTimeout),
+                           [&entry, now](const store_result &result) {
                                entry.isRefreshingConfig = false;
                                recordStoreTransfer(entry, now, result);
                                if (result.outcome == store_outcome::done) {
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -21,6 +21,12 @@
 
 /// Maximum size of a response body; the users' store sends up to 1 MB of rows, in base64 and JSON.
 constexpr std::uint64_t maxResponseBytes = 16U << 20U;
+/// Time without a further part after which a response that has begun counts as cut off. A slow link
+/// that is full delays a part by up to half a second.
+constexpr microseconds maxResponsePause = 1 * second;
+/// Reads of a large response take up to this many bytes. The buffer shrinks with its end, as there
+/// may be thousands of connections.
+constexpr std::size_t largeReadBytes = 16'384;
 /// Maximum number of idle connections per address.
 constexpr std::size_t maxIdlePerAddress = 16;
 
@@ -84,7 +90,7 @@
     void start()
     {
         prepare();
-        armTimer();
+        armTimer(call.deadline);
         auto &idleConnections = client->idle[call.address];
         // The last one was used last.
         if (!idleConnections.empty()
@@ -121,16 +127,29 @@
         message.prepare_payload();
     }
 
-    void armTimer()
+    /// Returns when the call ends unless a further part of the response arrives.
+    timestamp endOfCall() const
     {
-        const microseconds left = std::max<microseconds>(call.deadline - client->now(), 1);
+        return partAt == distantPast
+            ? call.deadline
+            : std::max(call.deadline, std::min(call.completeBy, partAt + maxResponsePause));
+    }
+
+    void armTimer(timestamp at)
+    {
+        const microseconds left = std::max<microseconds>(at - client->now(), 1);
         timer.expires_after(std::chrono::microseconds(std::min(left, 3'600 * second)));
-        timer.async_wait([self = shared_from_this()](error_code error) {
+        timer.async_wait([self = shared_from_this(), at](error_code error) {
             setDuty(self->client->meter, self->callDuty);
-            if (!error) {
-                self->finish(
-                    {self->sent ? call_outcome::unanswered : call_outcome::not_sent, 0, ""});
+            if (error || self->finished) {
+                return;
             }
+            const timestamp end = self->endOfCall();
+            if (end > at) {
+                self->armTimer(end);
+                return;
+            }
+            self->finish({self->sent ? call_outcome::unanswered : call_outcome::not_sent, 0, ""});
         });
     }
 
@@ -183,13 +202,37 @@
     {
         parser.emplace();
         parser->body_limit(maxResponseBytes);
-        http::async_read(conn->socket, conn->buffer, *parser,
-                         [self = shared_from_this()](error_code error, std::size_t) {
-                             setDuty(self->client->meter, self->callDuty);
-                             if (!self->finished) {
-                                 error ? self->retryOrFail() : self->handleResponse();
-                             }
-                         });
+        parser->eager(true);
+        partAt = distantPast;
+        readPart();
+    }
+
+    void readPart()
+    {
+        if (parser->is_header_done()
+            && parser->content_length_remaining().value_or(0) > largeReadBytes) {
+            conn->buffer.reserve(largeReadBytes);
+        }
+        http::async_read_some(conn->socket, conn->buffer, *parser,
+                              [self = shared_from_this()](error_code error, std::size_t) {
+                                  setDuty(self->client->meter, self->callDuty);
+                                  if (!self->finished) {
+                                      error ? self->retryOrFail() : self->handlePart();
+                                  }
+                              });
+    }
+
+    void handlePart()
+    {
+        if (parser->is_done()) {
+            handleResponse();
+            return;
+        }
+        partAt = client->now();
+        if (call.onPart) {
+            call.onPart(parser->get().body().size());
+        }
+        readPart();
     }
 
     /// Retries an idempotent call on a new connection if it was sent on a reused one, which the
@@ -209,6 +252,7 @@
         auto &idleConnections = client->idle[call.address];
         if (parser->get().keep_alive() && idleConnections.size() < maxIdlePerAddress) {
             conn->usedAt = client->now();
+            conn->buffer.shrink_to_fit();
             idleConnections.push_back(conn);
         }
         auto &response = parser->get();
@@ -249,6 +293,8 @@
     std::optional<http::response_parser<http::string_body>> parser;
     duty callDuty = duty::other;
     timestamp writtenAt = distantPast;
+    /// When the newest part of an incomplete response arrived.
+    timestamp partAt = distantPast;
     bool reused = false;
     bool sent = false;
     bool finished = false;
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -15,8 +15,9 @@
 ///     http_client client(loop, now);
 ///     client.send({"127.0.0.1:8080", "GET", "/rows"}, [](call_result result) { ... });
 ///
-/// Each call completes exactly once, at its deadline at the latest. A call that fails or times out
-/// resets its connection, so that bytes still in transit are dropped.
+/// Each call completes exactly once, at its deadline at the latest, or at its `completeBy` if the
+/// response is arriving. A call that fails or times out resets its connection, so that bytes still
+/// in transit are dropped.
 class http_client
 {
 public:
--- a/src/net/http_message.h
+++ b/src/net/http_message.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -30,7 +31,8 @@
     std::string body;
 };
 
-/// An outgoing request; it is abandoned at `deadline`.
+/// An outgoing request. It is abandoned at `deadline`, or at `completeBy` if the response is
+/// arriving.
 struct http_call
 {
     /// IP:PORT; host names are not resolved.
@@ -49,6 +51,11 @@
     /// Whether the request may be sent on a new connection, which another process of the peer may
     /// accept; otherwise it is not sent if no connection is idle.
     bool mayConnect = true;
+    /// Time until which a response that is arriving may be read, if it is after `deadline`. The
+    /// call ends earlier if no further part arrives for a second.
+    timestamp completeBy = distantPast;
+    /// Called for each part of the response, with the bytes of the body so far. May be empty.
+    std::function<void(std::size_t)> onPart = nullptr;
 };
 
 enum class call_outcome {
--- a/test/cell/admission_fixture.h
+++ b/test/cell/admission_fixture.h
@@ -43,7 +43,7 @@
         codec.decodeConfig = platform::decodeConfiguration;
         codec.configTable = "op";
         codec.configKey = "config";
-        entry.ports.store.read = [this](const row_range &range, timestamp,
+        entry.ports.store.read = [this](const row_range &range, const read_limits &,
                                         const store_completion &done) {
             ++reads;
             if (range.table == "op" && !isConfigReadable) {
--- a/test/cell/admission_test.cpp
+++ b/test/cell/admission_test.cpp
@@ -84,8 +84,8 @@
 {
     store_completion answerWatch;
     microseconds duration = 0;
-    entry.ports.store.watch = [&](const std::string &, std::int64_t, microseconds wait, timestamp,
-                                  const store_completion &done) {
+    entry.ports.store.watch = [&](const std::string &, std::int64_t, microseconds wait,
+                                  const read_limits &, const store_completion &done) {
         answerWatch = done;
         duration = wait;
     };
@@ -153,7 +153,8 @@
     BOOST_TEST(reply.version == 2);
     BOOST_TEST(reply.age >= 3 * second);
     BOOST_TEST(reply.row.empty());
-    reply = *decodeConfirmReply(encodeConfirmReply(answerConfirmQuery(entry, {"entry-2", 1})));
+    reply =
+        *decodeConfirmReply(encodeConfirmReply(answerConfirmQuery(entry, {"entry-2", 1, true})));
     BOOST_TEST(reply.row == entry.configRow);
     BOOST_TEST(reply.rowVersion == 2);
     entry.confirmation = {};
@@ -162,6 +163,40 @@
     BOOST_TEST(entry.confirmation.newestVersion == 7);
 }
 
+// Guards against a link that is filled by rows: a question each second brought two of them, which
+// were given up half way, and the next question brought them again.
+BOOST_FIXTURE_TEST_CASE(lost_links_filled_by_rows_that_were_not_wanted, admission_fixture)
+{
+    const confirm_reply reply = answerConfirmQuery(entry, {"entry-2", 1, false});
+    BOOST_TEST(reply.version == 2);
+    BOOST_TEST(reply.row.empty());
+    // An entry of an earlier release does not say whether it wants the row.
+    BOOST_TEST(decodeConfirmQuery(R"({"sender":"entry-2","version":1})")->wantsRow);
+    BOOST_TEST(!decodeConfirmQuery(encodeConfirmQuery({"entry-2", 1, false}))->wantsRow);
+}
+
+// Guards against an entry that sends its row to all others at once.
+BOOST_AUTO_TEST_CASE(rows_are_served_within_a_budget)
+{
+    config_transfers transfers;
+    BOOST_TEST(mayServeRow(transfers, 3'000'000, 0)); // one at least
+    BOOST_TEST(!mayServeRow(transfers, 100'000, 999 * millisecond));
+    BOOST_TEST(mayServeRow(transfers, 600'000, second));
+    BOOST_TEST(!mayServeRow(transfers, 600'000, second + millisecond));
+    BOOST_TEST(mayServeRow(transfers, 400'000, second + millisecond));
+}
+
+// Guards against a second copy from a peer that delays the copy from the store, and against an
+// entry that waits for a store that has stopped sending.
+BOOST_AUTO_TEST_CASE(the_store_counts_as_delivering_while_parts_arrive)
+{
+    config_transfers transfers;
+    BOOST_TEST(!isStoreDelivering(transfers, second));
+    transfers.storePartAt = second;
+    BOOST_TEST(isStoreDelivering(transfers, second + 599 * millisecond));
+    BOOST_TEST(!isStoreDelivering(transfers, second + 600 * millisecond));
+}
+
 // Guards against a 404 for a queue that only the scheduler does not know yet.
 // Guards against calls that an entry admits by an older version than the scheduler has.
 // Guards against a team that sees, ends or repeats the job of another.
--- a/test/cell/config_store.h
+++ b/test/cell/config_store.h
@@ -37,13 +37,14 @@
                                const entry::store_port &others)
     {
         entry::store_port port;
-        port.read = [this, name, &loop, others](const entry::row_range &range, timestamp deadline,
+        port.read = [this, name, &loop, others](const entry::row_range &range,
+                                                const entry::read_limits &limits,
                                                 const entry::store_completion &done) {
-            if (fail(name, loop, deadline, done)) {
+            if (fail(name, loop, limits.answerBy, done)) {
                 return;
             }
             if (range.table != "op") {
-                others.read(range, deadline, done);
+                others.read(range, limits, done);
                 return;
             }
             entry::store_result result = readAfter(name, 0);
@@ -56,13 +57,13 @@
                 others.write(write, deadline, done);
             }
         };
-        port.watch = [this, name, &loop, others](const std::string &table, std::int64_t after,
-                                                 microseconds wait, timestamp deadline,
-                                                 const entry::store_completion &done) {
+        port.watch = [this, name, &loop, others](
+                         const std::string &table, std::int64_t after, microseconds wait,
+                         const entry::read_limits &limits, const entry::store_completion &done) {
             if (table == "op") {
-                poll(name, loop, after, entry::steadyNow() + wait, deadline, done);
+                poll(name, loop, after, entry::steadyNow() + wait, limits.answerBy, done);
             } else {
-                others.watch(table, after, wait, deadline, done);
+                others.watch(table, after, wait, limits, done);
             }
         };
         return port;
--- a/test/cell/entry_test.cpp
+++ b/test/cell/entry_test.cpp
@@ -54,8 +54,11 @@
     entry.leaderState = std::make_unique<leader_state>();
     entry.role = entry_role::loading;
     BOOST_TEST(makeHeartbeat(entry).pending.empty());
+    BOOST_TEST(makeHeartbeat(entry).pendingVersion == 0);
     entry.role = entry_role::scheduler;
-    BOOST_TEST(makeHeartbeat(entry).pending.size() == 1U);
+    // The queue was counted, and has no pending jobs.
+    BOOST_TEST(makeHeartbeat(entry).pendingVersion == 1);
+    BOOST_TEST(makeHeartbeat(entry).pending.empty());
 }
 
 BOOST_FIXTURE_TEST_CASE(pending_counts_are_kept_while_a_new_scheduler_sends_none, entry_fixture)
@@ -64,16 +67,34 @@
     heartbeat.epoch = 1;
     heartbeat.sender = {"entry-2", "10.0.0.2:1"};
     heartbeat.pending = {{"queue", 7}};
+    heartbeat.pendingVersion = 1;
     deliverHeartbeat(heartbeat);
     const timestamp countsReceivedAt = entry.pendingAt;
     heartbeat.epoch = 2;
     heartbeat.pending.clear();
+    heartbeat.pendingVersion = 0;
     deliverHeartbeat(heartbeat);
     BOOST_TEST(entry.pending.at("queue") == 7);
     BOOST_TEST(entry.pendingAt == countsReceivedAt); // the age of the counts stays known
     BOOST_TEST(entry.epoch == 2);
 }
 
+// A count of nothing replaces a count of something: the last pending job has started.
+BOOST_FIXTURE_TEST_CASE(a_queue_without_a_number_has_no_pending_jobs, entry_fixture)
+{
+    heartbeat_message heartbeat;
+    heartbeat.epoch = 1;
+    heartbeat.sender = {"entry-2", "10.0.0.2:1"};
+    heartbeat.pending = {{"queue", 7}};
+    heartbeat.pendingVersion = 1;
+    deliverHeartbeat(heartbeat);
+    heartbeat.pending.clear();
+    heartbeat.pendingVersion = 2;
+    deliverHeartbeat(heartbeat);
+    BOOST_TEST(entry.pending.empty());
+    BOOST_TEST(entry.pendingVersion == 2);
+}
+
 BOOST_FIXTURE_TEST_CASE(a_heartbeat_of_a_lower_epoch_is_ignored, entry_fixture)
 {
     heartbeat_message heartbeat;
--- a/test/cell/forwarding_test.cpp
+++ b/test/cell/forwarding_test.cpp
@@ -203,15 +203,15 @@
     lead(entry_role::scheduler);
     putJobRow();
     int reads = 0;
-    entry.ports.store.read =
-        [this, &reads, read = entry.ports.store.read](const row_range &range, timestamp deadline,
-                                                      const store_completion &done) {
-            if (++reads == 2) {
-                table.rows.clear();
-                putEndedRow(endedTable);
-            }
-            read(range, deadline, done);
-        };
+    entry.ports.store.read = [this, &reads, read = entry.ports.store.read](
+                                 const row_range &range, const read_limits &limits,
+                                 const store_completion &done) {
+        if (++reads == 2) {
+            table.rows.clear();
+            putEndedRow(endedTable);
+        }
+        read(range, limits, done);
+    };
     BOOST_TEST(callAndWait("GET") == statuses {200});
     BOOST_TEST((phase == cell::job_phase::completed));
 }
--- a/test/cell/membership_test.cpp
+++ b/test/cell/membership_test.cpp
@@ -19,7 +19,7 @@
         entry.members["entry-2"] = "127.0.0.1:2";
         entry.ports.store.write = [this](const table_write &, timestamp,
                                          const store_completion &done) { writes.push_back(done); };
-        entry.ports.store.read = [this](const row_range &, timestamp,
+        entry.ports.store.read = [this](const row_range &, const read_limits &,
                                         const store_completion &done) { reads.push_back(done); };
     }
 
--- a/test/cell/slow_links_cluster_test.cpp
+++ b/test/cell/slow_links_cluster_test.cpp
@@ -182,14 +182,14 @@
     {
         const store_port rows = entry.ports.store;
         const store_port http = platform::createStorePort(entry.settings, entry.client);
-        entry.ports.store.read = [rows, http](const row_range &range, timestamp deadline,
+        entry.ports.store.read = [rows, http](const row_range &range, const read_limits &limits,
                                               const store_completion &done) {
-            (range.table == "op" ? http : rows).read(range, deadline, done);
+            (range.table == "op" ? http : rows).read(range, limits, done);
         };
         entry.ports.store.watch = [rows, http](const std::string &name, std::int64_t after,
-                                               microseconds wait, timestamp deadline,
+                                               microseconds wait, const read_limits &limits,
                                                const store_completion &done) {
-            (name == "op" ? http : rows).watch(name, after, wait, deadline, done);
+            (name == "op" ? http : rows).watch(name, after, wait, limits, done);
         };
     }
 
--- a/test/cell/watches_test.cpp
+++ b/test/cell/watches_test.cpp
@@ -19,12 +19,12 @@
         entry.epoch = 1;
         entry.leaderState = std::make_unique<leader_state>();
         entry.leaderState->cell.epoch = 1;
-        entry.ports.store.read = [this](const row_range &range, timestamp,
+        entry.ports.store.read = [this](const row_range &range, const read_limits &,
                                         const store_completion &done) {
             done(range.table == headTable ? head : registry);
         };
-        entry.ports.store.watch = [this](const std::string &, std::int64_t, microseconds, timestamp,
-                                         const store_completion &done) {
+        entry.ports.store.watch = [this](const std::string &, std::int64_t, microseconds,
+                                         const read_limits &, const store_completion &done) {
             ++watches;
             answerWatch = done;
         };
--- a/test/cell/writes_test.cpp
+++ b/test/cell/writes_test.cpp
@@ -34,7 +34,7 @@
             writes.push_back(write);
             completions.push_back(done);
         };
-        entry.ports.store.read = [this](const row_range &range, timestamp,
+        entry.ports.store.read = [this](const row_range &range, const read_limits &,
                                         const store_completion &done) {
             reads.push_back(range.table);
             completions.push_back(done);
--- a/testing/cell/memory_table.cpp
+++ b/testing/cell/memory_table.cpp
@@ -92,12 +92,12 @@
                                                       : writeAndDisconnect(*this, entry, write));
         });
     };
-    port.read = [this, entry, answer](const entry::row_range &range, timestamp,
+    port.read = [this, entry, answer](const entry::row_range &range, const entry::read_limits &,
                                       const entry::store_completion &done) {
         answer(done,
                disconnectedEntries.count(entry) > 0 ? store_result {} : readRange(*this, range));
     };
-    port.watch = [this](const std::string &, std::int64_t, microseconds, timestamp,
+    port.watch = [this](const std::string &, std::int64_t, microseconds, const entry::read_limits &,
                         const entry::store_completion &done) { pendingWatches.push_back(done); };
     return port;
 }
