Rows spread between entries, and a store that trickles is not waited for

With a store that answers the scheduler only, 24 entries and a row of 0.59 MB: an entry sent one such row a second, an entry that was behind asked one peer at a time, and after a refusal waited a second to ask the scheduler again: in force at 6 of 24 after 5 s. With a store that sends 20 kB/s, an entry took it for delivering, and asked no peer.

Now an entry sends up to four rows at the same time, however long each takes; the response keeps a token until it is written. An entry remembers the peers that have said that they have a newer version, asks the next one when one sends nothing, and the scheduler last. The store counts as delivering only above 100 kB/s. A question may take 0.8 s, as a full link delays answers by half a second; a peer's row 10 s.

--- a/src/entry/authentication/confirmation_exchange.cpp
+++ b/src/entry/authentication/confirmation_exchange.cpp
@@ -6,7 +6,10 @@
 
 namespace {
 
-constexpr microseconds askTimeout = 400 * millisecond;
+/// A full link delays an answer by up to half a second.
+constexpr microseconds askTimeout = 800 * millisecond;
+/// Longest transfer of the row from one peer, after which another one is asked.
+constexpr microseconds maxPeerTransferTime = 10 * second;
 
 /// Logs a change between confirmed and unconfirmed.
 void reportState(entry_state &entry, timestamp now)
@@ -55,6 +58,10 @@
     return result.status == 200 ? decodeConfirmReply(result.body) : std::nullopt;
 }
 
+/// Reads the row from a peer that has said that it has a newer version, unless the store or another
+/// peer is sending it.
+void fetchRow(entry_state &entry);
+
 void onRowReply(entry_state &entry, const std::string &peer, timestamp askedAt,
                 const net::call_result &result)
 {
@@ -66,26 +73,32 @@
     if (reply) {
         applyConfirmReply(entry, peer, askedAt, *reply);
     }
+    if (!hasRow) {
+        fetchRow(entry);
+    }
 }
 
-/// Reads the row from a peer, unless the store or another peer is sending it.
-void fetchRow(entry_state &entry, const std::string &peer)
+void fetchRow(entry_state &entry)
 {
+    config_transfers &transfers = entry.configTransfers;
     const timestamp now = steadyNow();
+    const bool isBehind = entry.confirmation.newestVersion > entry.config.version;
+    if (!isBehind || transfers.isPeerSending || isStoreDelivering(transfers, now)) {
+        return;
+    }
+    const std::string peer = takeSource(transfers, entry.scheduler.name);
     const auto member = entry.members.find(peer);
-    if (member == entry.members.end() || entry.configTransfers.isPeerSending
-        || isStoreDelivering(entry.configTransfers, now)) {
+    if (member == entry.members.end()) {
         return;
     }
-    const read_limits limits = largeReadLimits(now + askTimeout);
     net::http_call call;
     call.address = member->second;
     call.target = "/confirm";
     call.body = encodeConfirmQuery({entry.settings.name, entry.config.version, true});
-    call.deadline = limits.answerBy;
-    call.completeBy = limits.completeBy;
+    call.deadline = now + askTimeout;
+    call.completeBy = now + maxPeerTransferTime;
     call.idempotent = true;
-    entry.configTransfers.isPeerSending = true;
+    transfers.isPeerSending = true;
     sendPeer(entry, std::move(call), [&entry, peer, now](const net::call_result &result) {
         entry.configTransfers.isPeerSending = false;
         onRowReply(entry, peer, now, result);
@@ -97,12 +110,16 @@
 {
     const auto reply = decodeReply(result);
     if (!reply) {
+        if (result.receivedBytes > 0) {
+            recordConfigTransfer(entry, {"peer", askedAt, false, result.receivedBytes});
+        }
         return;
     }
     applyConfirmReply(entry, peer, askedAt, *reply);
     if (reply->version > entry.config.version) {
         hearOfVersion(entry, reply->version, announcedVersionDelay);
-        fetchRow(entry, peer);
+        entry.configTransfers.sources.push_back(peer);
+        fetchRow(entry);
     }
 }
 
@@ -135,6 +152,7 @@
     if (!isAskDue(confirmation, entry.config.version, limit, now)) {
         return;
     }
+    entry.configTransfers.sources.clear();
     const std::string query =
         encodeConfirmQuery({entry.settings.name, entry.config.version, false});
     for (const auto &[name, address] : beginAsk(confirmation, entry.config.version, entry.members,
@@ -154,8 +172,10 @@
     if (entry.confirmation.confirmedAt != distantPast) {
         reply.age = std::max<microseconds>(steadyNow() - entry.confirmation.confirmedAt, 0);
     }
-    if (query.wantsRow && query.version < entry.config.version
-        && mayServeRow(entry.configTransfers, entry.configRow.size(), steadyNow())) {
+    if (query.wantsRow && query.version < entry.config.version) {
+        reply.whileServed = serveRow(entry.configTransfers);
+    }
+    if (reply.whileServed) {
         reply.row = entry.configRow;
         reply.rowVersion = entry.configRowVersion;
     }
--- a/src/entry/config_transfer.cpp
+++ b/src/entry/config_transfer.cpp
@@ -1,5 +1,7 @@
 #include "entry/config_transfer.h"
 
+#include <algorithm>
+
 #include "entry/entry.h"
 
 namespace bramleygrade::entry {
@@ -9,10 +11,10 @@
 constexpr microseconds failureReportInterval = 5 * second;
 /// Time without a further part after which the store's answer counts as held up.
 constexpr microseconds maxDeliveryPause = 600 * millisecond;
-/// Bytes of rows that an entry sends to others within `serveWindow`, one row at least. It leaves
-/// most of a link to callers.
-constexpr std::size_t maxServedBytes = 1U << 20U;
-constexpr microseconds serveWindow = 1 * second;
+/// Least rate of the store's answer, bytes per second; a peer is asked if it is lower.
+constexpr std::int64_t minDeliveryRate = 100'000;
+/// Maximum number of rows that an entry sends to others at the same time.
+constexpr long maxServedRows = 4;
 
 void countTransfer(entry_state &entry, const config_transfer &transfer)
 {
@@ -38,22 +40,47 @@
 
 } // namespace
 
-bool isStoreDelivering(const config_transfers &transfers, timestamp now)
+void noteStorePart(config_transfers &transfers, std::size_t bytes, timestamp now)
 {
-    return transfers.storePartAt != distantPast && now < transfers.storePartAt + maxDeliveryPause;
+    if (transfers.storePartAt == distantPast) {
+        transfers.storeBeganAt = now;
+    }
+    transfers.storePartAt = now;
+    transfers.storeBytes = bytes;
 }
 
-bool mayServeRow(config_transfers &transfers, std::size_t bytes, timestamp now)
+void endStoreTransfer(config_transfers &transfers)
 {
-    if (now >= transfers.windowEndsAt) {
-        transfers.windowEndsAt = now + serveWindow;
-        transfers.servedBytes = 0;
-    }
-    if (transfers.servedBytes > 0 && transfers.servedBytes + bytes > maxServedBytes) {
+    transfers.storePartAt = distantPast;
+}
+
+bool isStoreDelivering(const config_transfers &transfers, timestamp now)
+{
+    if (transfers.storePartAt == distantPast || now >= transfers.storePartAt + maxDeliveryPause) {
         return false;
     }
-    transfers.servedBytes += bytes;
-    return true;
+    const microseconds elapsed = now - transfers.storeBeganAt;
+    return elapsed < maxDeliveryPause
+        || static_cast<std::int64_t>(transfers.storeBytes) * second >= minDeliveryRate * elapsed;
+}
+
+std::string takeSource(config_transfers &transfers, const std::string &scheduler)
+{
+    std::vector<std::string> &sources = transfers.sources;
+    const auto other = std::find_if(sources.begin(), sources.end(),
+                                    [&](const std::string &name) { return name != scheduler; });
+    const auto taken = other == sources.end() ? sources.begin() : other;
+    if (taken == sources.end()) {
+        return "";
+    }
+    std::string name = *taken;
+    sources.erase(taken);
+    return name;
+}
+
+std::shared_ptr<void> serveRow(const config_transfers &transfers)
+{
+    return transfers.served.use_count() <= maxServedRows ? transfers.served : nullptr;
 }
 
 void recordConfigTransfer(entry_state &entry, const config_transfer &transfer)
--- a/src/entry/peers.cpp
+++ b/src/entry/peers.cpp
@@ -110,7 +110,11 @@
 void onConfirmQuery(entry_state &entry, const confirm_query &query,
                     const net::http_server::responder &respond)
 {
-    respondJson(respond, 200, encodeConfirmReply(answerConfirmQuery(entry, query)));
+    confirm_reply reply = answerConfirmQuery(entry, query);
+    respond({200,
+             {{"Content-Type", "application/json"}},
+             encodeConfirmReply(reply),
+             std::move(reply.whileServed)});
 }
 
 void onAdviceRequest(entry_state &entry, const cell::advice_order &order,
--- a/src/entry/rows.h
+++ b/src/entry/rows.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -176,6 +177,8 @@
     microseconds age = -1;
     std::string row;
     std::int64_t rowVersion = 0;
+    /// Kept while the row is being sent; not part of the message.
+    std::shared_ptr<void> whileServed = nullptr;
 };
 
 std::string encodeConfirmReply(const confirm_reply &reply);
--- a/src/entry/watches.cpp
+++ b/src/entry/watches.cpp
@@ -16,7 +16,7 @@
 constexpr microseconds watchTimeoutMargin = 700 * millisecond;
 constexpr microseconds readTimeout = 800 * millisecond;
 constexpr microseconds watchRetryDelay = 150 * millisecond;
-/// Time in which an answer of the largest size that is accepted passes the slowest link.
+/// Time in which an answer of 16 MB, the most that is accepted, passes an idle link of 10 Mbit/s.
 constexpr microseconds maxTransferTime = 30 * second;
 /// Pause between two reads of registry changes. Each worker's heartbeat is a change, so hundreds of
 /// workers would otherwise cause hundreds of answers a second.
@@ -39,7 +39,9 @@
 read_limits configReadLimits(entry_state &entry, timestamp answerBy)
 {
     read_limits limits = largeReadLimits(answerBy);
-    limits.onPart = [&entry](std::size_t) { entry.configTransfers.storePartAt = steadyNow(); };
+    limits.onPart = [&entry](std::size_t bytes) {
+        noteStorePart(entry.configTransfers, bytes, steadyNow());
+    };
     return limits;
 }
 
@@ -47,7 +49,7 @@
 /// that nothing has changed, or was refused.
 void recordStoreTransfer(entry_state &entry, timestamp beganAt, const store_result &result)
 {
-    entry.configTransfers.storePartAt = distantPast;
+    endStoreTransfer(entry.configTransfers);
     const bool isComplete = result.outcome == store_outcome::done;
     if ((isComplete && !result.rows.empty()) || result.outcome == store_outcome::unanswered) {
         recordConfigTransfer(entry, {"store", beganAt, isComplete, result.receivedBytes});
--- a/src/net/http_message.h
+++ b/src/net/http_message.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <memory>
 #include <string>
 #include <utility>
 #include <vector>
@@ -29,6 +30,8 @@
     int status = 200;
     header_list headers;
     std::string body;
+    /// Released when a server has written the response or dropped it.
+    std::shared_ptr<void> whileWritten = nullptr;
 };
 
 /// An outgoing request. It is abandoned at `deadline`, or at `completeBy` if the response is
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -136,12 +136,14 @@
         answer.body() = std::move(response.body);
         answer.prepare_payload();
         writing = true;
-        http::async_write(socket, answer,
-                          [self = shared_from_this()](error_code error, std::size_t) {
-                              setDuty(self->server->meter, self->requestDuty);
-                              self->writing = false;
-                              error || self->closing ? self->close() : self->read();
-                          });
+        http::async_write(
+            socket, answer,
+            [self = shared_from_this(),
+             whileWritten = std::move(response.whileWritten)](error_code error, std::size_t) {
+                setDuty(self->server->meter, self->requestDuty);
+                self->writing = false;
+                error || self->closing ? self->close() : self->read();
+            });
     }
 
     void close()
--- a/test/cell/slow_links_cluster_test.cpp
+++ b/test/cell/slow_links_cluster_test.cpp
@@ -22,7 +22,7 @@
 constexpr microseconds revocationLimit = 5 * second;
 /// Time within which a version is in force everywhere.
 constexpr microseconds adoptionLimit = 3 * second;
-/// 10 Mbit/s, the smallest link that deployments have.
+/// 10 Mbit/s, as small instances have.
 constexpr std::int64_t slowLinkBytesPerSecond = 1'250'000;
 /// Two entries share it: each receives a part of 8 kB every 0.4 s, so that the store never counts
 /// as held up.
