Failing test: entries on slow links never finish loading 3 MB of rows

Guards against a cell without a scheduler after a takeover. Each of three entries reads the rows over its own link of 10 Mbit/s (a TCP proxy), the service answers with at most 1 MB of values at a time, and the scheduler is stopped.

Cause: an entry that is loading hands over 3 s after its takeover, although the rows are arriving. 3 MB of rows are 4 MB in base64 and take 3.2 s. The successor begins again with the first row, over a link of the same speed, and hands over too.

Seen on this commit, both cases (3,000 jobs of 0.8 kB, 46 of 64 kB): no scheduler 8 s after the last one stopped, after 3 takeovers, none of which loaded a job.

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -250,3 +250,12 @@
                 lost_links_filled_by_heartbeats_that_name_idle_queues)
     add_test(NAME ${failure} COMMAND cell_slow_links_cluster_test --run_test=${failure})
 endforeach()
+
+# Takeovers by entries on slow links, in real time.
+add_executable(cell_slow_takeover_cluster_test test/cell/slow_takeover_cluster_test.cpp
+                                               testing/cell/memory_table.cpp testing/cell/throttled_link.cpp)
+target_include_directories(cell_slow_takeover_cluster_test PRIVATE ${CMAKE_SOURCE_DIR} ${CMAKE_SOURCE_DIR}/test/cell)
+target_link_libraries(cell_slow_takeover_cluster_test PRIVATE bramleygrade_platform Boost::headers)
+foreach(failure lost_leadership_of_entries_that_load_many_rows_over_slow_links)
+    add_test(NAME ${failure} COMMAND cell_slow_takeover_cluster_test --run_test=${failure})
+endforeach()
