A takeover goes on while the rows are arriving

What callers would see: no scheduler after a takeover, as long as 3 MB of rows of jobs are stored and the entries have links of 10 Mbit/s.

Cause: an entry that was loading handed over 3 s after its takeover, also while the rows were arriving. The successor began again with the first row.

Change: the 3 s count from the newest part of the rows. A store that stops answering still leads to a handover after 3 s.

--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -166,6 +166,8 @@
     bool membersChanged = true;
     /// Number of rows of workers that the store may hold.
     std::size_t workerRowsInUse = 1;
+    /// When the newest part of the rows arrived that this entry is loading.
+    timestamp rowsArrivedAt = distantPast;
     std::map<std::string, advice_client_state> adviceClients;
     cell::advice_queue longAdviceQueue;
     cell::advice_queue shortAdviceQueue;
--- a/src/entry/leader.cpp
+++ b/src/entry/leader.cpp
@@ -23,8 +23,9 @@
 constexpr microseconds takeoverNoticeTime = 500 * millisecond;
 /// A write that takes longer makes the scheduler hand over to an entry that may reach the store.
 constexpr microseconds storeHandoverTimeout = 900 * millisecond;
-/// Loading that takes longer makes the scheduler hand over. Loading the rows takes one to two
-/// seconds on a slow store.
+/// Loading that receives nothing for longer makes the scheduler hand over. A slow store answers
+/// within two seconds. Loading as such may take longer, 3.2 s for 3 MB of rows on a link of
+/// 10 Mbit/s, and a successor begins again with the first row.
 constexpr microseconds loadHandoverTimeout = 3 * second;
 constexpr microseconds handoverInterval = 1 * second;
 
@@ -35,11 +36,23 @@
     std::vector<stored_row> rows;
 };
 
+/// Limits of a read of rows in a takeover, whose progress is recorded.
+read_limits loadLimits(entry_state &entry, std::int64_t epoch)
+{
+    read_limits limits = largeReadLimits(steadyNow() + loadTimeout);
+    limits.onPart = [&entry, epoch](std::size_t) {
+        if (entry.leaderState && entry.epoch == epoch) {
+            entry.leaderState->rowsArrivedAt = steadyNow();
+        }
+    };
+    return limits;
+}
+
 void loadTable(entry_state &entry, std::int64_t epoch, const std::shared_ptr<table_load> &load,
                const std::string &from, const std::function<void()> &done)
 {
     entry.ports.store.read(
-        {load->table, from, "", true}, largeReadLimits(steadyNow() + loadTimeout),
+        {load->table, from, "", true}, loadLimits(entry, epoch),
         [&entry, epoch, load, from, done](const store_result &result) {
             if (!entry.leaderState || entry.epoch != epoch) {
                 return;
@@ -52,6 +65,7 @@
                 });
                 return;
             }
+            entry.leaderState->rowsArrivedAt = steadyNow();
             load->rows.insert(load->rows.end(), result.rows.begin(), result.rows.end());
             if (result.hasMore && !result.rows.empty()) {
                 loadTable(entry, epoch, load, result.rows.back().key + '\0', done);
@@ -283,7 +297,9 @@
 {
     leader_state &leaderState = *entry.leaderState;
     const bool loading = entry.role == entry_role::loading;
-    const timestamp since = loading ? leaderState.cell.tookOverAt : leaderState.writeStartedAt;
+    const timestamp since = loading
+        ? std::max(leaderState.cell.tookOverAt, leaderState.rowsArrivedAt)
+        : leaderState.writeStartedAt;
     const microseconds limit = loading ? loadHandoverTimeout : storeHandoverTimeout;
     const bool isTimedOut = (loading || leaderState.write) && now > since + limit;
     if (!isTimedOut || now < leaderState.nextHandoverAt || leaderState.handoverInFlight) {
