--- a/test/cell/slow_links_cluster_test.cpp
+++ b/test/cell/slow_links_cluster_test.cpp
@@ -207,11 +207,17 @@
 {
     const char *name;
     int idleQueues;
+    /// Time before the version is published, which changes how long the entry's long poll has been
+    /// open by then.
+    microseconds pause;
 };
 
 const large_configuration largeConfigurations[] = {
-    {"the first size at which most entries fell behind", 2'800},
-    {"the largest size of that day", 4'200},
+    {"the first size at which most entries fell behind", 2'800, 0},
+    {"the largest size of that day", 4'200, 0},
+    // Of 0 to 1,250 ms in steps of 250, those at which reads that end at their deadline fail.
+    {"the largest size of that day, a quarter of a second later", 4'200, 250 * millisecond},
+    {"the largest size of that day, a second later", 4'200, 1 * second},
 };
 
 } // namespace
@@ -221,10 +227,11 @@
 // heartbeats that named every queue. Such entries refused all calls with keys.
 BOOST_AUTO_TEST_CASE(lost_entries_that_never_complete_a_large_configuration)
 {
-    for (const auto &[name, idleQueues] : largeConfigurations) {
+    for (const auto &[name, idleQueues, pause] : largeConfigurations) {
         BOOST_TEST_CONTEXT(name)
         {
             slow_link_cluster cluster;
+            cluster.runFor(pause);
             cluster.publish(3, idleQueues);
             const timestamp publishedAt = steadyNow();
             const std::int64_t carriedBefore = cluster.link.carriedBytes();
