--- a/test/cell/slow_takeover_cluster_test.cpp
+++ b/test/cell/slow_takeover_cluster_test.cpp
@@ -139,7 +139,8 @@
     {
         std::int64_t takeovers = 0;
         for (const auto &member : members) {
-            takeovers += member->entry->metrics.counters["takeovers_total"];
+            takeovers +=
+                static_cast<std::int64_t>(member->entry->metrics.counters["takeovers_total"]);
         }
         return takeovers;
     }
