Failing test: deeply nested JSON ends an entry

What operators saw: one odd entry among those of the workers, very deeply nested, and the machines that read the list ended again and again (LOST).

Cause: entry::parseObject parses by recursion, without a bound on the depth.

cell_deep_input reads 1 MB of nested arrays and objects through each decoder, over HTTP where an answer is decoded, and through the callers' and the peers' server of an entry on the loopback interface, each in a process of its own on a stack of 1 MB.

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -88,6 +88,12 @@
 target_link_libraries(cell_cluster_test PRIVATE bramleygrade_platform Boost::headers)
 add_test(NAME cell_cluster COMMAND cell_cluster_test)
 
+# Input that is nested deeply, also with an entry on the loopback interface.
+add_executable(cell_deep_input_test test/cell/deep_input_test.cpp testing/cell/memory_table.cpp)
+target_include_directories(cell_deep_input_test PRIVATE ${CMAKE_SOURCE_DIR} ${CMAKE_SOURCE_DIR}/test/cell)
+target_link_libraries(cell_deep_input_test PRIVATE bramleygrade_platform Boost::headers)
+add_test(NAME cell_deep_input COMMAND cell_deep_input_test)
+
 # A cell of production size under its peak load. Call counts decide; the load is paced in real time.
 add_executable(cell_overloaded_scheduler_test test/cell/overloaded_scheduler_test.cpp
                                               testing/cell/memory_table.cpp
