--- a/src/entry/entry_settings.cpp
+++ b/src/entry/entry_settings.cpp
@@ -8,6 +8,8 @@
 #include <rapidjson/document.h>
 #include <rapidjson/error/en.h>
 
+#include "entry/json_text.h"
+
 namespace bramleygrade::entry {
 
 namespace {
@@ -92,11 +94,13 @@
 {
     rapidjson::Document document;
     constexpr unsigned flags = rapidjson::kParseCommentsFlag | rapidjson::kParseTrailingCommasFlag;
-    document.Parse<flags>(text.c_str(), text.size());
-    if (document.HasParseError()) {
-        return makeError(origin, lineAt(text, document.GetErrorOffset()),
-                         std::string(rapidjson::GetParseError_En(document.GetParseError()))
-                             + " Correct the JSON there; comments are // or /* */.");
+    const rapidjson::ParseResult parsed = parseJsonText<flags>(text, document);
+    if (parsed.IsError()) {
+        const std::string why = parsed.Code() == rapidjson::kParseErrorTermination
+            ? "Values are nested too deeply."
+            : rapidjson::GetParseError_En(parsed.Code());
+        return makeError(origin, lineAt(text, parsed.Offset()),
+                         why + " Correct the JSON there; comments are // or /* */.");
     }
     if (!document.IsObject()) {
         return makeError(origin, 1, "settings must be one JSON object: put { } around the fields");
--- a/src/entry/json_text.h
+++ b/src/entry/json_text.h
@@ -2,8 +2,12 @@
 
 #include <limits>
 #include <string>
+#include <string_view>
 
 #include <rapidjson/document.h>
+#include <rapidjson/encodedstream.h>
+#include <rapidjson/memorystream.h>
+#include <rapidjson/reader.h>
 #include <rapidjson/stringbuffer.h>
 #include <rapidjson/writer.h>
 
@@ -108,11 +112,83 @@
     return field == nullptr || !field->IsArray() ? nullptr : field;
 }
 
-/// Parses `text` into `document`. Returns whether it is one JSON object.
-inline bool parseObject(const std::string &text, rapidjson::Document &document)
+/// Maximum depth of objects and arrays within each other. The reader recurses, so deeper input
+/// could exhaust the stack; the formats that are read have up to five levels.
+constexpr std::size_t maxJsonDepth = 64;
+
+/// Passes the events of the reader on to `target`, and stops it at a value that is nested more
+/// deeply than `maxJsonDepth`. The names are those that the reader requires.
+class depth_limiter
 {
-    document.Parse(text.data(), text.size());
-    return !document.HasParseError() && document.IsObject();
+public:
+    explicit depth_limiter(rapidjson::Document &target)
+        : m_target(target)
+    {
+    }
+
+    // NOLINTBEGIN(readability-identifier-naming)
+    bool Null() { return m_target.Null(); }
+    bool Bool(bool value) { return m_target.Bool(value); }
+    bool Int(int value) { return m_target.Int(value); }
+    bool Uint(unsigned value) { return m_target.Uint(value); }
+    bool Int64(std::int64_t value) { return m_target.Int64(value); }
+    bool Uint64(std::uint64_t value) { return m_target.Uint64(value); }
+    bool Double(double value) { return m_target.Double(value); }
+    bool RawNumber(const char *text, rapidjson::SizeType size, bool copy)
+    {
+        return m_target.RawNumber(text, size, copy);
+    }
+    bool String(const char *text, rapidjson::SizeType size, bool copy)
+    {
+        return m_target.String(text, size, copy);
+    }
+    bool Key(const char *name, rapidjson::SizeType size, bool copy)
+    {
+        return m_target.Key(name, size, copy);
+    }
+    bool StartObject() { return ++m_depth <= maxJsonDepth && m_target.StartObject(); }
+    bool EndObject(rapidjson::SizeType members)
+    {
+        --m_depth;
+        return m_target.EndObject(members);
+    }
+    bool StartArray() { return ++m_depth <= maxJsonDepth && m_target.StartArray(); }
+    bool EndArray(rapidjson::SizeType elements)
+    {
+        --m_depth;
+        return m_target.EndArray(elements);
+    }
+    // NOLINTEND(readability-identifier-naming)
+
+private:
+    rapidjson::Document &m_target;
+    std::size_t m_depth = 0;
+};
+
+/// Parses `text` into `document`, which stays null on an error. Values that are nested more deeply
+/// than `maxJsonDepth` are the error `kParseErrorTermination`. All JSON from outside is read by
+/// this function or by `readLocatedJson`, which has the same bound.
+template <unsigned flags = rapidjson::kParseDefaultFlags>
+rapidjson::ParseResult parseJsonText(std::string_view text, rapidjson::Document &document)
+{
+    rapidjson::ParseResult result;
+    const auto generate = [&](rapidjson::Document &target) {
+        rapidjson::MemoryStream bytes(text.data(), text.size());
+        rapidjson::EncodedInputStream<rapidjson::UTF8<>, rapidjson::MemoryStream> stream(bytes);
+        depth_limiter limiter(target);
+        rapidjson::Reader reader;
+        result = reader.Parse<flags>(stream, limiter);
+        return !result.IsError();
+    };
+    document.Populate(generate);
+    return result;
+}
+
+/// Parses `text` into `document`. Returns whether it is one JSON object that is not nested too
+/// deeply.
+inline bool parseObject(std::string_view text, rapidjson::Document &document)
+{
+    return !parseJsonText(text, document).IsError() && document.IsObject();
 }
 
 /// Returns the text of a JSON object whose members are written by `fill`.
--- a/src/tools/explain.cpp
+++ b/src/tools/explain.cpp
@@ -7,6 +7,7 @@
 
 #include <rapidjson/document.h>
 
+#include "entry/json_text.h"
 #include "tools/operator_tools.h"
 
 namespace bramleygrade {
@@ -47,8 +48,7 @@
         return false;
     }
     rapidjson::Document document;
-    document.Parse(text.c_str() + brace, text.size() - brace);
-    if (document.HasParseError() || !document.IsObject()) {
+    if (!entry::parseObject(std::string_view(text).substr(brace), document)) {
         return false;
     }
     for (const auto &field : document.GetObject()) {
