Deeply nested JSON-RPC requests get an error as their answer

Seen by the new test lost_process_that_reads_deeply_nested_json: JsonCpp throws Json::RuntimeError at depth 1,000, libjsonrpccpp does not catch it, and peer_rpc_server::handle let it pass to the thread of the HTTP server. Whether that server turned it into a status was not tried.

Change: such a request is answered with the parse error of JSON-RPC. The client's side catches already.

--- a/src/rpc/peer_rpc.cpp
+++ b/src/rpc/peer_rpc.cpp
@@ -71,7 +71,12 @@
     std::string handle(const std::string &request)
     {
         std::string response;
-        connector.OnRequest(request, &response);
+        try {
+            connector.OnRequest(request, &response);
+        } catch (const std::exception &) {
+            // JsonCpp throws at values that are nested too deeply, and the library lets it pass.
+            return R"({"jsonrpc":"2.0","id":null,"error":{"code":-32700,"message":"unreadable"}})";
+        }
         return response;
     }
 
--- a/test/json_codec_test.cpp
+++ b/test/json_codec_test.cpp
@@ -5,6 +5,7 @@
 #include <random>
 
 #include "bramleygrade/json_codec.h"
+#include "rpc/peer_rpc.h"
 
 using namespace bramleygrade;
 namespace data = boost::unit_test::data;
@@ -38,6 +39,25 @@
     BOOST_TEST(parsed.error().message.find("correct this line") != std::string::npos);
 }
 
+// Guards against processes that end by a stack overflow in a parser: the libraries behind these two
+// have bounds of their own.
+BOOST_AUTO_TEST_CASE(lost_process_that_reads_deeply_nested_json)
+{
+    const std::string deepArrays(1'000'000, '[');
+    std::string deepObjects;
+    for (int level = 0; level < 200'000; ++level) {
+        deepObjects += R"({"body":)";
+    }
+    peer_rpc_server server([](const std::string &) { return 1; });
+    for (const std::string &deep : {deepArrays, R"({"body":)" + deepArrays, deepObjects}) {
+        BOOST_TEST(!parseJson<peer_message>(deep).has_value());
+        BOOST_TEST(server.handle(deep).find("error") != std::string::npos);
+    }
+    const std::string call =
+        R"({"jsonrpc":"2.0","id":1,"method":"deliver","params":{"batch":"x"}})";
+    BOOST_TEST(server.handle(call).find(R"("result":1)") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(comments_are_allowed)
 {
     const auto parsed = parseJson<service_document>("{ // comment\n \"service\": \"booking\" }");
