One function parses IP:PORT

Three places read the port with std::atoi: `80x` was accepted as port 80, the result for a number beyond an int is undefined, and the server cut the number to 16 bits, so that it would have listened on port 80 for 65,616.

Change: net::parseIpEndpoint accepts only digits and a port from 1 to 65535; the client, the server and the liveness probe use it.

--- a/src/entry/liveness.cpp
+++ b/src/entry/liveness.cpp
@@ -7,6 +7,7 @@
 
 #include "entry/entry.h"
 #include "entry/json_text.h"
+#include "net/ip_endpoint.h"
 
 namespace bramleygrade::entry {
 
@@ -21,17 +22,9 @@
 
 std::optional<udp::endpoint> parseEndpoint(const std::string &address)
 {
-    const std::size_t colon = address.rfind(':');
-    if (colon == std::string::npos) {
-        return std::nullopt;
-    }
-    error_code error;
-    const auto host = asio::ip::make_address(address.substr(0, colon), error);
-    const int port = std::atoi(address.c_str() + colon + 1);
-    if (error || port <= 0 || port > 65'535) {
-        return std::nullopt;
-    }
-    return udp::endpoint(host, static_cast<unsigned short>(port));
+    const auto endpoint = net::parseIpEndpoint(address);
+    return endpoint ? std::make_optional<udp::endpoint>(endpoint->host, endpoint->port)
+                    : std::nullopt;
 }
 
 /// One query in progress.
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -10,6 +10,8 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
+#include "net/ip_endpoint.h"
+
 namespace bramleygrade::net {
 
 namespace asio = boost::asio;
@@ -32,17 +34,9 @@
 
 std::optional<tcp::endpoint> parseEndpoint(const std::string &address)
 {
-    const std::size_t colon = address.rfind(':');
-    if (colon == std::string::npos) {
-        return std::nullopt;
-    }
-    error_code error;
-    const auto host = asio::ip::make_address(address.substr(0, colon), error);
-    const int port = std::atoi(address.c_str() + colon + 1);
-    if (error || port <= 0 || port > 65'535) {
-        return std::nullopt;
-    }
-    return tcp::endpoint(host, static_cast<unsigned short>(port));
+    const auto endpoint = parseIpEndpoint(address);
+    return endpoint ? std::make_optional<tcp::endpoint>(endpoint->host, endpoint->port)
+                    : std::nullopt;
 }
 
 } // namespace
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -8,6 +8,8 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
+#include "net/ip_endpoint.h"
+
 namespace bramleygrade::net {
 
 namespace asio = boost::asio;
@@ -213,17 +215,15 @@
 
 std::string http_server::listen(const std::string &address)
 {
-    const std::size_t colon = address.rfind(':');
-    error_code error;
-    const auto host = asio::ip::make_address(address.substr(0, colon), error);
-    if (error || colon == std::string::npos) {
+    const auto endpoint = parseIpEndpoint(address);
+    if (!endpoint) {
         return "address '" + address + "' is not IP:PORT; give an IP address and a port";
     }
-    const auto port = static_cast<unsigned short>(std::atoi(address.c_str() + colon + 1));
+    error_code error;
     tcp::acceptor &acceptor = m_state->acceptor;
     acceptor.open(tcp::v4(), error);
     acceptor.set_option(asio::socket_base::reuse_address(true), error);
-    acceptor.bind(tcp::endpoint(host, port), error);
+    acceptor.bind(tcp::endpoint(endpoint->host, endpoint->port), error);
     if (!error) {
         acceptor.listen(asio::socket_base::max_listen_connections, error);
     }
