--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -70,7 +70,7 @@
 
 
 # Unit tests of the cell scheduler and its formats, and randomised histories in virtual time.
-foreach(unit admission advice_dispatch caller_keys changing_capacity claim_order entry handover http_client membership observation
+foreach(unit admission advice_dispatch caller_keys changing_capacity claim_order entry handover http_client ip_endpoint membership observation
              placement_round run_times scheduler scheduler_admission storing rows takeover team_caps team_shares
              team_takeover uneven_workers waiting_jobs watches worker_speeds writes)
     add_executable(cell_${unit}_test test/cell/${unit}_test.cpp)
@@ -88,6 +88,12 @@
 target_link_libraries(cell_cluster_test PRIVATE bramleygrade_platform Boost::headers)
 add_test(NAME cell_cluster COMMAND cell_cluster_test)
 
+# Input that is nested deeply, also with an entry on the loopback interface.
+add_executable(cell_deep_input_test test/cell/deep_input_test.cpp testing/cell/memory_table.cpp)
+target_include_directories(cell_deep_input_test PRIVATE ${CMAKE_SOURCE_DIR} ${CMAKE_SOURCE_DIR}/test/cell)
+target_link_libraries(cell_deep_input_test PRIVATE bramleygrade_platform Boost::headers)
+add_test(NAME cell_deep_input COMMAND cell_deep_input_test)
+
 # A cell of production size under its peak load. Call counts decide; the load is paced in real time.
 add_executable(cell_overloaded_scheduler_test test/cell/overloaded_scheduler_test.cpp
                                               testing/cell/memory_table.cpp
