Idle connections are closed before the process runs out of descriptors

Cause: up to 16 idle connections are kept for each address, also of workers that have left, without a bound over all addresses. At the limit new connections fail, and each server tries again at once to accept the connection for which it has no descriptor.

Change: outgoing connections beyond 85 % of the descriptors close the idle ones that were used longest ago. A server that cannot accept tries again after 50 ms.

cell_connection_limits with the change taken out: 56 of 200 workers answered, and 646,438 attempts to accept in 0.5 s. With it: 200 answered, at most 22 attempts.

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -250,3 +250,8 @@
                 lost_links_filled_by_heartbeats_that_name_idle_queues)
     add_test(NAME ${failure} COMMAND cell_slow_links_cluster_test --run_test=${failure})
 endforeach()
+
+# Processes that run out of descriptors.
+add_executable(cell_connection_limits_test test/cell/connection_limits_test.cpp)
+target_link_libraries(cell_connection_limits_test PRIVATE bramleygrade_entry Boost::headers)
+add_test(NAME cell_connection_limits COMMAND cell_connection_limits_test)
--- a/src/entry/daemon.cpp
+++ b/src/entry/daemon.cpp
@@ -4,11 +4,13 @@
 #include <ctime>
 #include <fstream>
 #include <iostream>
+#include <limits>
 #include <random>
 #include <sstream>
 #include <thread>
 
 #include <boost/asio/signal_set.hpp>
+#include <sys/resource.h>
 #include <sys/stat.h>
 
 #include "entry/authentication/admission.h"
@@ -38,6 +40,20 @@
     return static_cast<timestamp>(now.tv_sec) * second + now.tv_nsec / 1'000;
 }
 
+/// Share of the process's descriptors that outgoing connections may use, in parts per thousand. The
+/// others are for callers, peers and files.
+constexpr std::size_t outgoingShareMilli = 850;
+
+/// Returns the number of outgoing connections that the descriptors allow.
+std::size_t outgoingConnectionLimit()
+{
+    rlimit limit {};
+    if (getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur == RLIM_INFINITY) {
+        return std::numeric_limits<std::size_t>::max();
+    }
+    return static_cast<std::size_t>(limit.rlim_cur) * outgoingShareMilli / 1'000;
+}
+
 std::string makeIncarnation()
 {
     std::random_device random;
@@ -335,6 +351,7 @@
     std::signal(SIGPIPE, SIG_IGN);
     boost::asio::io_context loop(1);
     entry_state entry(loop, *settings);
+    entry.client.limitConnections(outgoingConnectionLimit());
     entry.ports = connect(entry.settings, entry.client);
     const std::string error = startEntry(entry);
     if (!error.empty()) {
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <iterator>
+#include <limits>
+#include <list>
 #include <map>
 #include <optional>
 
@@ -49,28 +51,82 @@
 
 struct connection
 {
-    explicit connection(asio::io_context &loop)
+    connection(asio::io_context &loop, std::string peer, std::shared_ptr<std::size_t> counter)
         : socket(loop)
+        , address(std::move(peer))
+        , openCount(std::move(counter))
     {
+        ++*openCount;
     }
+    ~connection() { --*openCount; }
+    connection(const connection &) = delete;
+    connection &operator=(const connection &) = delete;
+
     tcp::socket socket;
+    std::string address;
+    /// Number of connections that the client has.
+    std::shared_ptr<std::size_t> openCount;
     boost::beast::flat_buffer buffer;
     timestamp openedAt = distantPast;
     /// When the newest response was read.
     timestamp usedAt = distantPast;
+    /// Position in `idleByUse`; valid while the connection is idle.
+    std::list<std::shared_ptr<connection>>::iterator position;
 };
 
+using connection_list = std::vector<std::shared_ptr<connection>>;
+
 struct http_client::state
 {
     asio::io_context &loop;
     clock_function now;
-    std::map<std::string, std::vector<std::shared_ptr<connection>>> idle;
+    /// Idle connections by address; the last one was used last.
+    std::map<std::string, connection_list> idle;
+    /// All idle connections; the first one was used longest ago.
+    std::list<std::shared_ptr<connection>> idleByUse;
+    std::shared_ptr<std::size_t> openCount = std::make_shared<std::size_t>(0);
+    std::size_t mostOpen = std::numeric_limits<std::size_t>::max();
     std::uint64_t opened = 0;
     busy_meter *meter = nullptr;
 };
 
 namespace {
 
+void putIdle(http_client::state &client, const std::shared_ptr<connection> &conn)
+{
+    client.idle[conn->address].push_back(conn);
+    conn->position = client.idleByUse.insert(client.idleByUse.end(), conn);
+}
+
+/// Takes an idle connection out; the caller uses it, or drops it, which closes it.
+std::shared_ptr<connection> takeIdle(http_client::state &client, connection_list &connections,
+                                     connection_list::iterator taken)
+{
+    std::shared_ptr<connection> conn = *taken;
+    client.idleByUse.erase(conn->position);
+    connections.erase(taken);
+    return conn;
+}
+
+/// Closes idle connections so that one more can be opened within the limit.
+void makeRoom(http_client::state &client)
+{
+    while (*client.openCount >= client.mostOpen && !client.idleByUse.empty()) {
+        const std::string address = client.idleByUse.front()->address;
+        const auto found = client.idle.find(address);
+        connection_list &connections = found->second;
+        takeIdle(client, connections,
+                 std::find(connections.begin(), connections.end(), client.idleByUse.front()));
+        if (connections.empty()) {
+            client.idle.erase(found);
+        }
+    }
+}
+
+} // namespace
+
+namespace {
+
 /// One call in progress.
 struct exchange : std::enable_shared_from_this<exchange>
 {
@@ -92,17 +148,15 @@
         prepare();
         armTimer(call.deadline);
         auto &idleConnections = client->idle[call.address];
-        // The last one was used last.
-        if (!idleConnections.empty()
-            && idleConnections.back()->usedAt < call.reuseConnectionsSince) {
-            idleConnections.clear();
+        while (!idleConnections.empty()
+               && idleConnections.back()->usedAt < call.reuseConnectionsSince) {
+            takeIdle(*client, idleConnections, std::prev(idleConnections.end()));
         }
         const auto usable =
             std::find_if(idleConnections.rbegin(), idleConnections.rend(),
                          [&](const auto &idle) { return idle->openedAt <= call.connectedBefore; });
         if (usable != idleConnections.rend()) {
-            conn = *usable;
-            idleConnections.erase(std::next(usable).base());
+            conn = takeIdle(*client, idleConnections, std::next(usable).base());
             reused = true;
             write();
             return;
@@ -162,7 +216,8 @@
         }
         ++client->opened;
         reused = false;
-        conn = std::make_shared<connection>(client->loop);
+        makeRoom(*client);
+        conn = std::make_shared<connection>(client->loop, call.address, client->openCount);
         conn->socket.async_connect(*endpoint, [self = shared_from_this()](error_code error) {
             setDuty(self->client->meter, self->callDuty);
             if (self->finished) {
@@ -253,7 +308,7 @@
         if (parser->get().keep_alive() && idleConnections.size() < maxIdlePerAddress) {
             conn->usedAt = client->now();
             conn->buffer.shrink_to_fit();
-            idleConnections.push_back(conn);
+            putIdle(*client, conn);
         }
         auto &response = parser->get();
         if (client->meter != nullptr) {
@@ -313,8 +368,9 @@
 }
 
 http_client::http_client(asio::io_context &loop, clock_function now, busy_meter *meter)
-    : m_state(std::make_shared<state>(state {loop, now, {}, 0, meter}))
+    : m_state(std::make_shared<state>(state {loop, now, {}, {}}))
 {
+    m_state->meter = meter;
 }
 
 http_client::~http_client() = default;
@@ -324,6 +380,11 @@
     return m_state->opened;
 }
 
+void http_client::limitConnections(std::size_t most)
+{
+    m_state->mostOpen = most;
+}
+
 void http_client::send(http_call call, completion done)
 {
     std::make_shared<exchange>(m_state, std::move(call), std::move(done))->start();
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -30,6 +30,10 @@
 
     void send(http_call call, completion done);
 
+    /// Sets the number of connections beyond which the idle ones that were used longest ago are
+    /// closed. Connections in use are not limited.
+    void limitConnections(std::size_t most);
+
     /// Returns the number of connections opened so far.
     std::uint64_t connectionsOpened() const;
 
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -23,6 +23,7 @@
     handler handle;
     server_limits limits;
     tcp::acceptor acceptor;
+    asio::steady_timer acceptTimer;
     std::set<std::shared_ptr<session>> sessions;
     std::size_t inProgress = 0;
     bool draining = false;
@@ -175,17 +176,35 @@
 
 namespace {
 
+/// Pause after a connection could not be accepted, as when the process has no descriptor left. The
+/// connection still waits, so that the next attempt would fail at once.
+constexpr microseconds acceptRetryDelay = 50 * millisecond;
+
+void acceptNext(const std::shared_ptr<http_server::state> &server);
+
+void acceptAfterPause(const std::shared_ptr<http_server::state> &server)
+{
+    server->acceptTimer.expires_after(std::chrono::microseconds(acceptRetryDelay));
+    server->acceptTimer.async_wait([server](error_code) {
+        if (server->acceptor.is_open()) {
+            acceptNext(server);
+        }
+    });
+}
+
 void acceptNext(const std::shared_ptr<http_server::state> &server)
 {
     server->acceptor.async_accept([server](error_code error, tcp::socket socket) {
         if (!server->acceptor.is_open()) {
             return;
         }
-        if (!error) {
-            const auto newSession = std::make_shared<session>(server, std::move(socket));
-            server->sessions.insert(newSession);
-            newSession->read();
+        if (error) {
+            acceptAfterPause(server);
+            return;
         }
+        const auto newSession = std::make_shared<session>(server, std::move(socket));
+        server->sessions.insert(newSession);
+        newSession->read();
         acceptNext(server);
     });
 }
@@ -193,8 +212,17 @@
 } // namespace
 
 http_server::http_server(asio::io_context &loop, handler handle, server_limits limits)
-    : m_state(std::make_shared<state>(state {
-        loop, std::move(handle), limits, tcp::acceptor(loop), {}, 0, false, {}, nullptr, {}}))
+    : m_state(std::make_shared<state>(state {loop,
+                                             std::move(handle),
+                                             limits,
+                                             tcp::acceptor(loop),
+                                             asio::steady_timer(loop),
+                                             {},
+                                             0,
+                                             false,
+                                             {},
+                                             nullptr,
+                                             {}}))
 {
 }
 
@@ -244,6 +272,7 @@
 {
     error_code ignored;
     m_state->acceptor.close(ignored);
+    m_state->acceptTimer.cancel();
     const auto sessions = m_state->sessions;
     for (const auto &open : sessions) {
         if (!open->answering && !open->writing) {
