--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -267,3 +267,7 @@
 foreach(failure lost_leadership_of_entries_that_load_many_rows_over_slow_links)
     add_test(NAME ${failure} COMMAND cell_slow_takeover_cluster_test --run_test=${failure})
 endforeach()
+# Processes that run out of descriptors.
+add_executable(cell_connection_limits_test test/cell/connection_limits_test.cpp)
+target_link_libraries(cell_connection_limits_test PRIVATE bramleygrade_entry Boost::headers)
+add_test(NAME cell_connection_limits COMMAND cell_connection_limits_test)
