A takeover whose rows arrive too slowly is handed over

After 10 s it hands over, as another entry may have a faster link. Not measured; lost_leadership_of_entries_that_load_many_rows_over_slow_links still passes (4.3 s and 3.9 s).

--- a/src/entry/leader.cpp
+++ b/src/entry/leader.cpp
@@ -27,6 +27,9 @@
 /// within two seconds. Loading as such may take longer, 3.2 s for 3 MB of rows on a link of
 /// 10 Mbit/s, and a successor begins again with the first row.
 constexpr microseconds loadHandoverTimeout = 3 * second;
+/// Loading that takes longer makes the scheduler hand over although rows arrive: another entry may
+/// have a faster link.
+constexpr microseconds maxLoadTime = 10 * second;
 constexpr microseconds handoverInterval = 1 * second;
 
 /// A table and the rows read from it so far, page by page.
@@ -301,7 +304,9 @@
         ? std::max(leaderState.cell.tookOverAt, leaderState.rowsArrivedAt)
         : leaderState.writeStartedAt;
     const microseconds limit = loading ? loadHandoverTimeout : storeHandoverTimeout;
-    const bool isTimedOut = (loading || leaderState.write) && now > since + limit;
+    const bool isLoadTooLong = loading && now > leaderState.cell.tookOverAt + maxLoadTime;
+    const bool isTimedOut =
+        isLoadTooLong || ((loading || leaderState.write) && now > since + limit);
     if (!isTimedOut || now < leaderState.nextHandoverAt || leaderState.handoverInFlight) {
         return;
     }
