Cluster tests take free ports, and those on slow links run alone

Seen: "Address already in use" in one run of cell_cluster_test and in several trials, as the port range followed from the process id alone and two processes could share it. Each address is now bound once before it is handed out. The tests on slow links measure real time, as cell_keys_cluster does, and run serially like it.

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -257,6 +257,7 @@
                 lost_entries_that_get_a_large_configuration_only_from_peers
                 lost_entries_that_wait_for_a_store_that_trickles)
     add_test(NAME ${failure} COMMAND cell_slow_links_cluster_test --run_test=${failure})
+    set_tests_properties(${failure} PROPERTIES RUN_SERIAL TRUE COST 1)
 endforeach()
 
 # Takeovers by entries on slow links, in real time.
@@ -266,7 +267,9 @@
 target_link_libraries(cell_slow_takeover_cluster_test PRIVATE bramleygrade_platform Boost::headers)
 foreach(failure lost_leadership_of_entries_that_load_many_rows_over_slow_links)
     add_test(NAME ${failure} COMMAND cell_slow_takeover_cluster_test --run_test=${failure})
+    set_tests_properties(${failure} PROPERTIES RUN_SERIAL TRUE COST 1)
 endforeach()
+
 # Processes that run out of descriptors.
 add_executable(cell_connection_limits_test test/cell/connection_limits_test.cpp)
 target_link_libraries(cell_connection_limits_test PRIVATE bramleygrade_entry Boost::headers)
--- a/test/cell/cluster_fixture.h
+++ b/test/cell/cluster_fixture.h
@@ -7,6 +7,8 @@
 
 #include <unistd.h>
 
+#include <boost/asio/ip/tcp.hpp>
+
 #include "entry/entry.h"
 #include "entry/liveness.h"
 #include "testing/cell/memory_table.h"
@@ -206,15 +208,27 @@
     }
 
 protected:
-    /// Returns an unused address. Concurrent test processes use different port ranges.
+    /// Returns an unused address. Concurrent test processes begin in different port ranges, which
+    /// two of them may share.
     std::string nextAddress()
     {
         constexpr int firstPort = 10'000;
         constexpr int portsPerProcess = 250;
         constexpr int processes = 48;
         static int used = 0;
-        return "127.0.0.1:"
-            + std::to_string(firstPort + (getpid() % processes) * portsPerProcess + used++);
+        using boost::asio::ip::tcp;
+        for (;;) {
+            const int port = firstPort + (getpid() % processes) * portsPerProcess + used++;
+            tcp::acceptor probe(clientLoop);
+            boost::system::error_code error;
+            probe.open(tcp::v4(), error);
+            probe.set_option(boost::asio::socket_base::reuse_address(true), error);
+            probe.bind({boost::asio::ip::address_v4::loopback(), static_cast<std::uint16_t>(port)},
+                       error);
+            if (!error) {
+                return "127.0.0.1:" + std::to_string(port);
+            }
+        }
     }
 
     boost::asio::io_context clientLoop;
--- a/test/cell/connection_limits_test.cpp
+++ b/test/cell/connection_limits_test.cpp
@@ -16,7 +16,7 @@
 
 namespace {
 
-constexpr std::uint16_t firstPort = 34'000;
+constexpr std::uint16_t firstPort = 24'000;
 
 std::string listenAddress()
 {
