--- a/test/cell/slow_links_cluster_test.cpp
+++ b/test/cell/slow_links_cluster_test.cpp
@@ -109,9 +109,11 @@
         + R"(,"routes":[{"name":"q","host":"127.0.0.1","pathPrefix":"/p/","service":"s"})";
     for (int index = 0; index < idleQueues; ++index) {
         const std::string name = std::to_string(100'000 + index);
-        text += R"(,{"name":"r-idle-)" + name + R"(","host":"idle.example","pathPrefix":"/)" + name
-            + R"(/","service":"s","priority":2,"maxAttempts":3,"slackFactor":1.5,)"
-              R"("targetLatencyMs":2500,"timeoutMs":30000,"retryBudget":0.1,"maxBodyBytes":65536})";
+        text.append(R"(,{"name":"r-idle-)").append(name);
+        text.append(R"(","host":"idle.example","pathPrefix":"/)").append(name);
+        text +=
+            R"(/","service":"s","priority":2,"maxAttempts":3,"slackFactor":1.5,)"
+            R"("targetLatencyMs":2500,"timeoutMs":30000,"retryBudget":0.1,"maxBodyBytes":65536})";
     }
     return text + R"(],"tenants":[{"name":"red","apiKeys":["r1"]}]})";
 }
