Waits of gangs and ended jobs by size are visible

Change: jobs_waiting and job_waiting know advice_queued and gang_capacity_limit; the placement round notes the obstacle of each gang; jobs_ended_total counts by tasks of the widest step and outcome; job_received and job_ended name widest_step. The load simulation reports each job, its waits, and shares by size. No decision changes.

--- a/src/cell/advice/advice.cpp
+++ b/src/cell/advice/advice.cpp
@@ -232,6 +232,7 @@
     }
     step_state &step =
         job->occurrences.at(order.step.occurrence).steps[static_cast<std::size_t>(order.step.step)];
+    step.adviceQueued = false;
     auto waiting = makeWaitingStep(*job, order.step.occurrence, order.step.step, now);
     if (waiting && cell.teams.active) {
         waiting->beyondShare = job->spec.beyondShare;
--- a/src/cell/jobs/job_state.h
+++ b/src/cell/jobs/job_state.h
@@ -68,6 +68,17 @@
     timestamp validUntil = distantPast;
 };
 
+/// Why the newest placement round that considered a gang did not start it.
+enum class gang_obstacle {
+    none, ///< the gang was started, or not considered since
+    advice_missing, ///< nothing is known yet of the workers that may run it
+    held_capacity_limit, ///< other gangs hold as much capacity as gangs may
+    not_enough_room, ///< the workers known to be allowed lack room for all members
+    preempted_runs_not_ended, ///< the room is reserved, but runs preempted there have not ended
+    tickets_expired, ///< there is room for all members, but not a valid ticket for each
+    not_stored, ///< the job is not in the store yet
+};
+
 /// One step of one occurrence.
 struct step_state
 {
@@ -85,12 +96,16 @@
     /// Time before which the step is not planned again.
     timestamp planNotBefore = distantPast;
     bool advicePending = false;
+    /// The pending call for advice has not been sent yet.
+    bool adviceQueued = false;
     /// In the newest placement round the cap of the job's team kept all waiting tasks from
     /// starting.
     bool waitsForTeamCap = false;
     /// The gang was within the budget for held capacity in an earlier placement round.
     bool holdsCapacity = false;
     timestamp adviceNotBefore = distantPast;
+    /// Only of gangs.
+    gang_obstacle obstacle = gang_obstacle::none;
     /// Time of the first start order of the gang's newest run.
     timestamp gangStartedAt = distantPast;
     /// Capacity reserved for the gang by worker, while runs are preempted for it.
--- a/src/cell/jobs/scheduler_jobs.cpp
+++ b/src/cell/jobs/scheduler_jobs.cpp
@@ -184,10 +184,12 @@
     cell.counters.jobsCompleted += phase == job_phase::completed ? 1 : 0;
     cell.counters.jobsFailed += phase == job_phase::failed ? 1 : 0;
     cell.counters.jobsCancelled += phase == job_phase::cancelled ? 1 : 0;
+    countEnded(cell.counters.endedBySize, job, phase, now);
     out.events.push_back({"job_ended", job.spec.id,
-                          "phase=" + std::to_string(static_cast<int>(phase)) + " age_ms="
-                              + std::to_string((now - job.receivedAt) / millisecond) + " late_ms="
-                              + std::to_string((now - job.objectiveAt) / millisecond)});
+                          "phase=" + std::to_string(static_cast<int>(phase))
+                              + " age_ms=" + std::to_string((now - job.receivedAt) / millisecond)
+                              + " late_ms=" + std::to_string((now - job.objectiveAt) / millisecond)
+                              + " widest_step=" + std::to_string(widestStep(job.spec))});
     stopAllRuns(cell, job, now, out);
 }
 
--- a/src/cell/placement/placement_round.cpp
+++ b/src/cell/placement/placement_round.cpp
@@ -231,6 +231,7 @@
     }
     ++queued;
     step.advicePending = true;
+    step.adviceQueued = true;
     out.advice.push_back(std::move(order));
 }
 
@@ -242,6 +243,7 @@
     order.holdsCapacity = true;
     ++(order.longCall ? cell.queuedLongCalls : cell.queuedShortCalls);
     stepState(waiting).advicePending = true;
+    stepState(waiting).adviceQueued = true;
     out.advice.push_back(std::move(order));
 }
 
@@ -289,6 +291,19 @@
     }
 }
 
+/// Returns what keeps the planned gang from starting.
+gang_obstacle findObstacle(const waiting_step &waiting, const placement_plan &plan, timestamp now)
+{
+    if (!waiting.job->stored) {
+        return gang_obstacle::not_stored;
+    }
+    if (plan.unplaced > 0) {
+        return holdsReservation(stepState(waiting), now) ? gang_obstacle::preempted_runs_not_ended
+                                                         : gang_obstacle::not_enough_room;
+    }
+    return plan.ticketsValid ? gang_obstacle::none : gang_obstacle::tickets_expired;
+}
+
 /// Starts the gang, or holds capacity for it. `budget` is the processor time that gangs may still
 /// hold in this round; a gang keeps what it holds until its tickets arrive. Once the budget is
 /// spent, later gangs wait without holding anything, as capacity held for many gangs at once is
@@ -298,12 +313,14 @@
 {
     step_state &step = stepState(waiting);
     if (waiting.job->policy.needsAdvice && step.advice.empty()) {
+        step.obstacle = gang_obstacle::advice_missing;
         askForAdvice(cell, waiting, now, out);
         return false;
     }
     const bool mayHold =
         holdsReservation(step, now) || (step.advicePending && step.holdsCapacity) || budget > 0;
     if (!mayHold) {
+        step.obstacle = gang_obstacle::held_capacity_limit;
         return false;
     }
     restoreOwnReservations(waiting, headrooms, now);
@@ -311,6 +328,7 @@
     if (waiting.job->policy.needsAdvice) {
         askForGang(cell, waiting, plan, headrooms, now, out);
     }
+    step.obstacle = findObstacle(waiting, plan, now);
     if (!waiting.job->stored) {
         return true;
     }
--- a/src/cell/placement/waiting_jobs.cpp
+++ b/src/cell/placement/waiting_jobs.cpp
@@ -129,7 +129,7 @@
         return wait_reason::startable;
     }
     if (needsAdvice && step.advicePending) {
-        return wait_reason::advice_pending;
+        return step.adviceQueued ? wait_reason::advice_queued : wait_reason::advice_pending;
     }
     if (counts.withRoom > counts.withRoomAndTicket) {
         return wait_reason::tickets_expired;
@@ -168,6 +168,9 @@
     if (cell.teams.hasCaps && step.waitsForTeamCap) {
         return wait_reason::team_cap;
     }
+    if (spec.gang && step.obstacle == gang_obstacle::held_capacity_limit) {
+        return wait_reason::gang_capacity_limit;
+    }
     worker_counts counts;
     for (const auto &[id, worker] : cell.workers) {
         if (isEligible(job, spec, worker)) {
@@ -235,6 +238,8 @@
         return "no_eligible_worker";
     case wait_reason::no_usable_worker:
         return "no_usable_worker";
+    case wait_reason::advice_queued:
+        return "advice_queued";
     case wait_reason::advice_pending:
         return "advice_pending";
     case wait_reason::advice_missing:
@@ -247,6 +252,8 @@
         return "allowed_workers_full";
     case wait_reason::reserved_for_gang:
         return "reserved_for_gang";
+    case wait_reason::gang_capacity_limit:
+        return "gang_capacity_limit";
     case wait_reason::team_cap:
         return "team_cap";
     case wait_reason::no_capacity:
--- a/src/cell/placement/waiting_jobs.h
+++ b/src/cell/placement/waiting_jobs.h
@@ -20,12 +20,14 @@
     runs_not_ended, ///< a stopped run, or an active member of a broken gang, has not ended
     no_eligible_worker, ///< no worker has the service and the label
     no_usable_worker, ///< all eligible workers are silent, draining or avoided
-    advice_pending,
+    advice_queued, ///< a call for advice waits for an entry that makes it
+    advice_pending, ///< a call for advice is under way
     advice_missing, ///< no call for advice is under way, and some workers were never asked about
     not_allowed, ///< all usable workers were asked about and none is allowed
     tickets_expired,
     allowed_workers_full,
     reserved_for_gang, ///< the free capacity is reserved for a gang
+    gang_capacity_limit, ///< other gangs hold as much capacity as gangs may; not planned
     no_capacity,
     team_cap, ///< the cap of the job's team has no room for a task, or for the whole gang
 };
--- a/src/cell/scheduler.h
+++ b/src/cell/scheduler.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "cell/interference/interference.h"
+#include "cell/jobs/job_sizes.h"
 #include "cell/jobs/job_state.h"
 #include "cell/teams/admission.h"
 #include "cell/teams/team_usage.h"
@@ -183,6 +184,7 @@
     std::uint64_t stalledRuns = 0;
     std::uint64_t preemptedRuns = 0;
     std::uint64_t plannedSteps = 0;
+    ended_by_size endedBySize;
 };
 
 /// A change that is not in the store yet.
--- a/src/entry/calls.cpp
+++ b/src/entry/calls.cpp
@@ -146,6 +146,7 @@
               {"queue", call.queue},
               {"team", call.team},
               {"steps", std::to_string(spec.steps.size())},
+              {"widest_step", std::to_string(cell::widestStep(spec))},
               {"objective_ms", std::to_string((job->objectiveAt - now) / millisecond)},
               {"config", std::to_string(entry.config.version)},
               {"live_jobs", std::to_string(leaderState.cell.jobs.size())}});
--- a/src/entry/metrics.cpp
+++ b/src/entry/metrics.cpp
@@ -80,6 +80,8 @@
     {"caller_answers_total", "Answers to callers, by kind."},
     {"caller_calls_hedged_total", "State and pending calls sent again for lack of an answer."},
     {"caller_lookups_total", "State calls answered from the rows for lack of another answer."},
+    {"jobs_ended_total",
+     "Jobs that ended in this epoch, by tasks of their widest step and outcome."},
     {"jobs_total", "Jobs of this epoch, by state."},
     {"events_total", "Handlers called by the event loop, by duty."},
     {"body_bytes_total", "Bytes of HTTP bodies, by duty and direction."},
--- a/src/entry/state_dump.cpp
+++ b/src/entry/state_dump.cpp
@@ -209,6 +209,14 @@
     counters["task_ends_total{how=\"done\"}"] = counts.endsDone;
     counters["task_ends_total{how=\"failed\"}"] = counts.endsFailed;
     counters["task_ends_total{how=\"other\"}"] = counts.endsOther;
+    for (std::size_t range = 0; range < cell::sizeRanges.size(); ++range) {
+        const std::string label =
+            std::string("{tasks=\"") + cell::sizeRanges[range].name + "\",outcome=\"";
+        const cell::ended_jobs &ended = counts.endedBySize[range];
+        counters["jobs_ended_total" + label + "on_time\"}"] = ended.onTime;
+        counters["jobs_ended_total" + label + "late\"}"] = ended.late;
+        counters["jobs_ended_total" + label + "failed\"}"] = ended.failed;
+    }
     counters["advice_calls_total"] = counts.adviceCalls;
     counters["workers_lapsed_total"] = counts.lostWorkers;
     counters["workers_crashed_total"] = counts.crashedWorkers;
--- a/test/cell/waiting_jobs_test.cpp
+++ b/test/cell/waiting_jobs_test.cpp
@@ -142,8 +142,20 @@
          },
          reason::reserved_for_gang, 3},
         {"advice never asked", true, [](cell_fixture &) {}, reason::advice_missing, 3},
+        {"advice call queued", true,
+         [](cell_fixture &f) {
+             firstStep(f).advicePending = true;
+             firstStep(f).adviceQueued = true;
+         },
+         reason::advice_queued, 3},
         {"advice pending", true, [](cell_fixture &f) { firstStep(f).advicePending = true; },
          reason::advice_pending, 3},
+        {"gang passed over as other gangs hold too much", false,
+         [](cell_fixture &f) {
+             findJob(f.cell, "a")->spec.steps.front().gang = true;
+             firstStep(f).obstacle = gang_obstacle::held_capacity_limit;
+         },
+         reason::gang_capacity_limit, 3},
         {"no worker allowed", true,
          [](cell_fixture &f) {
              for (const auto &entry : f.entries) {
--- a/testing/cell/load_presets.cpp
+++ b/testing/cell/load_presets.cpp
@@ -1,5 +1,7 @@
 #include "testing/cell/load_presets.h"
 
+#include <algorithm>
+
 namespace bramleygrade::testing {
 
 namespace {
@@ -224,6 +226,19 @@
     return settings;
 }
 
+load_settings makeWideStepsAtPeak()
+{
+    load_settings settings = makeWideSteps();
+    settings.workers = 320;
+    settings.entries = 28;
+    settings.classes[0].jobsPerSecond = 5.97;
+    settings.classes[1].jobsPerSecond = 12.3;
+    settings.classes[2].jobsPerSecond = 88.4;
+    settings.bursts = {{2, 8'400 * millisecond, 4 * second, 2.1},
+                       {0, 22 * second, 4 * second, 1.6}};
+    return settings;
+}
+
 load_settings makeLargeCell()
 {
     load_settings settings;
@@ -243,6 +258,53 @@
     return settings;
 }
 
+namespace {
+
+using job_iterator = std::vector<load_job_outcome>::const_iterator;
+
+size_outcome sumJobs(job_iterator first, job_iterator last)
+{
+    size_outcome sum;
+    sum.jobs = static_cast<int>(last - first);
+    if (first == last) {
+        return sum;
+    }
+    double onTime = 0;
+    double late = 0;
+    double owed = 0;
+    double earned = 0;
+    for (auto job = first; job != last; ++job) {
+        onTime += job->completedOnTime ? 1 : 0;
+        late += job->completedLate ? 1 : 0;
+        owed += job->worthOwed;
+        earned += job->worthEarned;
+        sum.queuedForAdvice += job->queuedForAdvice / sum.jobs;
+        for (const auto &[obstacle, seconds] : job->gangWaits) {
+            sum.gangWaits[obstacle] += seconds / sum.jobs;
+        }
+    }
+    sum.onTime = onTime / sum.jobs;
+    sum.served = (onTime + late) / sum.jobs;
+    sum.earned = earned / owed;
+    return sum;
+}
+
+} // namespace
+
+outcome_by_size sortBySize(const load_outcome &outcome, std::size_t classIndex)
+{
+    std::vector<load_job_outcome> jobs;
+    std::copy_if(outcome.jobs.begin(), outcome.jobs.end(), std::back_inserter(jobs),
+                 [&](const load_job_outcome &job) { return job.classIndex == classIndex; });
+    std::sort(jobs.begin(), jobs.end(), [](const load_job_outcome &a, const load_job_outcome &b) {
+        return a.coreSeconds > b.coreSeconds;
+    });
+    const auto tenth = static_cast<std::ptrdiff_t>(jobs.size() / 10);
+    const job_iterator first = jobs.begin();
+    return {sumJobs(first, first + tenth), sumJobs(first + tenth, first + 3 * tenth),
+            sumJobs(first + 3 * tenth, jobs.end()), sumJobs(first, jobs.end())};
+}
+
 double earnedShare(const load_class_outcome &outcome)
 {
     return outcome.worthOwed == 0 ? 1.0 : outcome.worthEarned / outcome.worthOwed;
--- a/testing/cell/load_simulation.cpp
+++ b/testing/cell/load_simulation.cpp
@@ -16,6 +16,7 @@
 using cell::order_outcome;
 
 constexpr microseconds messageDelay = 2 * millisecond;
+constexpr microseconds gangSampleInterval = 100 * millisecond;
 constexpr microseconds decisionInterval = 10 * millisecond;
 constexpr microseconds storeDelay = 8 * millisecond;
 constexpr std::size_t maxRowsPerWrite = 500;
@@ -72,6 +73,9 @@
     timestamp submittedAt = 0;
     timestamp objectiveAt = 0;
     double worthFactor = 1;
+    double coreSeconds = 0;
+    /// Position in `load_outcome::jobs`.
+    std::size_t position = 0;
     std::set<int> stepsDone;
     /// Time of the newest stop order for each task.
     std::map<cell::task_id, timestamp> preemptedAt;
@@ -156,6 +160,7 @@
 
     void requestDecision();
     void decide();
+    void sampleGangWaits();
     void addToHash(const std::string &text);
     void send(const cell::orders &out);
     void write();
@@ -316,6 +321,7 @@
     }
     const double meanWork = jobClass.steps.mean * jobClass.tasks.mean * jobClass.runSeconds.mean
         * jobClass.cpuMilli.mean / 1000;
+    job.coreSeconds = work;
     job.worthFactor =
         std::min(maxWorthFactor, fixedWorthShare + (1 - fixedWorthShare) * work / meanWork);
     // Relative to `submittedAt` until the job is submitted.
@@ -357,6 +363,11 @@
     load_class_outcome &outcome = m_outcome.classes[job.classIndex];
     ++outcome.jobs;
     outcome.worthOwed += job.worthFactor * classOf(job).worth;
+    job.position = m_outcome.jobs.size();
+    load_job_outcome &owed = m_outcome.jobs.emplace_back();
+    owed.classIndex = job.classIndex;
+    owed.coreSeconds = job.coreSeconds;
+    owed.worthOwed = job.worthFactor * classOf(job).worth;
     job.spec.team = classOf(job).team.name;
     const cell::queue_policy &policy = classOf(job).policy;
     if (cell::admitOrRefuse(m_driver.cell, job.spec, policy, m_driver.now)) {
@@ -396,6 +407,35 @@
     }
 }
 
+void load_simulation::sampleGangWaits()
+{
+    std::set<std::string> queued;
+    for (const cell::advice_queue *queue : {&m_longAdviceQueue, &m_shortAdviceQueue}) {
+        for (const auto &[priority, order] : *queue) {
+            queued.insert(order.step.job);
+        }
+    }
+    for (const std::string &id : m_driver.cell.runnableJobs) {
+        const cell::job_state *state = cell::findJob(m_driver.cell, id);
+        if (state == nullptr) {
+            continue;
+        }
+        for (const auto &[number, occurrence] : state->occurrences) {
+            for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+                if (!state->spec.steps[step].gang || occurrence.completed
+                    || !cell::isStepReady(*state, occurrence, static_cast<int>(step))
+                    || occurrence.steps[step].tasks.front().phase != cell::run_phase::none) {
+                    continue;
+                }
+                load_job_outcome &outcome = m_outcome.jobs[m_jobs.at(id).position];
+                outcome.gangWaits[occurrence.steps[step].obstacle] += toSeconds(gangSampleInterval);
+                outcome.queuedForAdvice += queued.count(id) > 0 ? toSeconds(gangSampleInterval) : 0;
+            }
+        }
+    }
+    schedule(m_driver.now + gangSampleInterval, [this] { sampleGangWaits(); });
+}
+
 void load_simulation::addToHash(const std::string &text)
 {
     for (const char character : text) {
@@ -484,15 +524,19 @@
         const load_job &job = m_jobs.at(id);
         const load_class &jobClass = classOf(job);
         load_class_outcome &outcome = m_outcome.classes[job.classIndex];
+        load_job_outcome &earned = m_outcome.jobs[job.position];
         const timestamp lateLimit =
             job.submittedAt + lateLimitFactor * (job.objectiveAt - job.submittedAt);
-        if (m_driver.now <= job.objectiveAt) {
+        earned.completedOnTime = m_driver.now <= job.objectiveAt;
+        earned.completedLate = !earned.completedOnTime && m_driver.now <= lateLimit;
+        if (earned.completedOnTime) {
             ++outcome.completedOnTime;
-            outcome.worthEarned += job.worthFactor * jobClass.worth;
-        } else if (m_driver.now <= lateLimit) {
+            earned.worthEarned = job.worthFactor * jobClass.worth;
+        } else if (earned.completedLate) {
             ++outcome.completedLate;
-            outcome.worthEarned += job.worthFactor * jobClass.lateWorth;
+            earned.worthEarned = job.worthFactor * jobClass.lateWorth;
         }
+        outcome.worthEarned += earned.worthEarned;
     }
 }
 
@@ -945,6 +989,7 @@
     addWorkers();
     requestDecision();
     schedule(m_driver.now + warmUp, [this] { generateJobs(); });
+    schedule(m_driver.now + gangSampleInterval, [this] { sampleGangWaits(); });
     const timestamp endsAt =
         m_driver.now + warmUp + initialJobsLead + m_settings.length + drainTime;
     while (!m_events.empty() && m_events.begin()->first <= endsAt) {
--- a/testing/cell/load_simulation.h
+++ b/testing/cell/load_simulation.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -98,6 +99,22 @@
     bool hasTeams = false;
 };
 
+/// What one job has earned.
+struct load_job_outcome
+{
+    std::size_t classIndex = 0;
+    /// Processor time of all tasks on workers of mean speed, core-seconds.
+    double coreSeconds = 0;
+    bool completedOnTime = false;
+    bool completedLate = false;
+    /// Time for which gangs of the job waited for each obstacle, s. `queuedForAdvice`: of it, while
+    /// a call for advice was queued.
+    std::map<cell::gang_obstacle, double> gangWaits;
+    double queuedForAdvice = 0;
+    double worthOwed = 0;
+    double worthEarned = 0;
+};
+
 /// What the jobs of one class have earned. The worth of a job grows with its work.
 struct load_class_outcome
 {
@@ -123,6 +140,8 @@
 struct load_outcome
 {
     std::vector<load_class_outcome> classes;
+    /// All jobs, in the order of their submission.
+    std::vector<load_job_outcome> jobs;
     cell::scheduler_counters counters;
     /// Runs that were preempted more than once within `repeatedPreemption`.
     int repeatedPreemptions = 0;
--- a/testing/cell/loads_main.cpp
+++ b/testing/cell/loads_main.cpp
@@ -17,19 +17,20 @@
 } // namespace
 
 /// Offers a load to the cell scheduler in virtual time and prints what each class earned:
-/// cell_loads wide|large|uneven [FIRST_SEED [COUNT [no_speeds]]]. The defaults are 1 and 1.
+/// cell_loads wide|peak|large|uneven [FIRST_SEED [COUNT [no_speeds]]]. The defaults are 1 and 1.
 int main(int argc, char **argv)
 {
     using namespace bramleygrade;
     const std::string preset = argc > 1 ? argv[1] : "";
-    if (preset != "wide" && preset != "large" && preset != "uneven") {
-        std::cerr << "usage: cell_loads wide|large|uneven [FIRST_SEED [COUNT [no_speeds]]]"
+    if (preset != "wide" && preset != "peak" && preset != "large" && preset != "uneven") {
+        std::cerr << "usage: cell_loads wide|peak|large|uneven [FIRST_SEED [COUNT [no_speeds]]]"
                   << std::endl;
         return 2;
     }
     const std::uint64_t first = argc > 2 ? std::strtoull(argv[2], nullptr, 10) : 1;
     const std::uint64_t count = argc > 3 ? std::strtoull(argv[3], nullptr, 10) : 1;
     testing::load_settings settings = preset == "wide" ? testing::makeWideSteps()
+        : preset == "peak"                             ? testing::makeWideStepsAtPeak()
         : preset == "large"                            ? testing::makeLargeCell()
                                                        : testing::makeUnevenSpeeds();
     settings.workerSpeeds = argc <= 4 || std::string(argv[4]) != "no_speeds";
@@ -48,6 +49,11 @@
                           << waitQuantile(served, 0.9);
             }
             std::cout << ")";
+            const testing::outcome_by_size sizes = testing::sortBySize(outcome, index);
+            for (const testing::size_outcome &size :
+                 {sizes.largestTenth, sizes.nextFifth, sizes.smaller, sizes.all}) {
+                std::cout << " " << size.served << "/" << size.onTime << "/" << size.earned;
+            }
         }
         std::cout << "; total " << testing::earnedShare(testing::sumOutcomes(outcome)) << ", used "
                   << outcome.meanUsedShare << ", starts " << outcome.counters.starts
