Jobs that need several calls for advice wait for their turn once

Calls were made first come, first served, so that a gang that needs six calls waited in the queue six times, behind the first calls of all later jobs, and its earlier tickets expired meanwhile. The entries were split by open calls, half for the less urgent queue, whose wide steps asked again and again about 5 workers each. Class: a shared queue of sub-requests without regard to the request that they are of; who needs more of them loses by the number. Change: long calls go by the submission of their job; while calls of both wait, a queue gets twice the entries of one of the next lower priority; a call that finds too little room for an independent step also names workers without room, up to 0.3 of its fixed time. The batch test of held capacity and order is unchanged.

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -174,7 +174,13 @@
 add_test(NAME short_wide_steps COMMAND short_wide_steps_test)
 add_executable(short_largest_gangs_test test/cell/short_largest_gangs_test.cpp)
 target_link_libraries(short_largest_gangs_test PRIVATE cell_load_simulation Boost::headers)
-add_test(NAME short_largest_gangs COMMAND short_largest_gangs_test)
+set(number 0)
+foreach(seed 2 5 6 8)
+    add_test(NAME short_largest_gangs_seed_${seed}
+             COMMAND short_largest_gangs_test
+                     --run_test=short_largest_gangs_served_less_than_half_as_often/_${number})
+    math(EXPR number "${number} + 1")
+endforeach()
 add_executable(uneven_speeds_test test/cell/uneven_speeds_test.cpp)
 target_link_libraries(uneven_speeds_test PRIVATE cell_load_simulation Boost::headers)
 foreach(part like_workers_are_served_as_before uneven_workers_throw_away_half_of_the_work)
--- a/src/cell/advice/advice.cpp
+++ b/src/cell/advice/advice.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <limits>
+#include <set>
 
 #include "cell/interference/scheduler_interference.h"
 #include "cell/placement/placement.h"
@@ -21,6 +22,11 @@
 constexpr microseconds longCallThreshold = 100 * millisecond;
 /// Pause before a failed call is retried.
 constexpr microseconds adviceRetryDelay = 60 * millisecond;
+/// A call that finds less room than tasks wait also asks about workers without room, until the time
+/// for its workers is this share of its fixed time.
+constexpr double timeForFullWorkers = 0.3;
+/// Workers without room in such a call for each task that has no room.
+constexpr std::size_t fullWorkersPerTask = 4;
 /// Deducted from a ticket's validity, as the answer takes time to arrive.
 constexpr microseconds answerTransitMargin = 40 * millisecond;
 /// Pause before a step asks again after a call that had no worker left to ask about.
@@ -116,6 +122,48 @@
     return counts == cell.adviceCounts.end() ? 0.5 : counts->second.allowed / counts->second.asked;
 }
 
+/// Adds workers without room to a call that has found too little for `missing` tasks, so that these
+/// can start as soon as runs end there; otherwise a wide step asks again and again about a few
+/// workers. Those known to be allowed come first, then those with the most processors left.
+void addFullWorkers(std::vector<std::string> &toAsk, const waiting_step &waiting,
+                    std::size_t missing, const headroom_map &headrooms, timestamp now)
+{
+    const advice_timing &timing = waiting.job->policy.advice;
+    const auto affordable = static_cast<std::size_t>(
+        timeForFullWorkers * static_cast<double>(timing.base)
+        / static_cast<double>(std::max<microseconds>(timing.perWorker, 1)));
+    const std::size_t limit =
+        std::min({affordable, maxWorkersPerCall, toAsk.size() + missing * fullWorkersPerTask});
+    if (toAsk.empty() || toAsk.size() >= limit) {
+        return;
+    }
+    const step_spec &spec = stepSpec(waiting);
+    const step_state &step = stepState(waiting);
+    const resources demand = reservedDemand(spec);
+    const std::set<std::string> asked(toAsk.begin(), toAsk.end());
+    const timestamp answeredAt = now + timing.base + 2 * ticketMargin;
+    std::vector<std::tuple<bool, std::int64_t, const std::string *>> found;
+    for (const auto &[id, headroom] : headrooms) {
+        const auto known = step.advice.find(id);
+        const bool isKnown = known != step.advice.end();
+        const bool isOfUse =
+            !isKnown || (known->second.allowed && known->second.validUntil <= answeredAt);
+        if (isOfUse && isEligible(*waiting.job, spec, *headroom.worker)
+            && fits(demand, headroom.worker->entry.capacity) && asked.count(id) == 0) {
+            found.emplace_back(!isKnown, -headroom.free.cpuMilli, &id);
+        }
+    }
+    const std::size_t added = std::min(limit - toAsk.size(), found.size());
+    std::partial_sort(found.begin(), found.begin() + static_cast<std::ptrdiff_t>(added),
+                      found.end(), [](const auto &a, const auto &b) {
+                          return std::tie(std::get<0>(a), std::get<1>(a), *std::get<2>(a))
+                              < std::tie(std::get<0>(b), std::get<1>(b), *std::get<2>(b));
+                      });
+    for (std::size_t index = 0; index < added; ++index) {
+        toAsk.push_back(*std::get<2>(found[index]));
+    }
+}
+
 std::vector<std::string> chooseWorkersToAsk(const scheduler &cell, const waiting_step &waiting,
                                             const placement_plan &plan,
                                             const headroom_map &headrooms, timestamp now)
@@ -146,6 +194,10 @@
         toAsk.push_back(worker.id);
         needed -= static_cast<double>(worker.slots) * share;
     }
+    if (needed > 0 && !stepSpec(waiting).gang) {
+        const auto missing = static_cast<std::size_t>(needed / askedSlotsFactor);
+        addFullWorkers(toAsk, waiting, missing, headrooms, now);
+    }
     return toAsk;
 }
 
@@ -311,6 +363,9 @@
     order.expected = timing.base + timing.perWorker * static_cast<microseconds>(workers.size());
     order.priority = waiting.priority + (waiting.late ? latePriorityOffset : 0)
         + (waiting.beyondShare ? beyondSharePriorityOffset : 0);
+    order.queuePriority = waiting.priority;
+    order.beyondShare = waiting.beyondShare;
+    order.waitsSince = waitsSince(waiting);
     order.late = waiting.late;
     order.queue = waiting.job->spec.queue;
     order.longCall = timing.base + usualWorkersPerCall * timing.perWorker > longCallThreshold;
--- a/src/cell/advice/advice_clients.cpp
+++ b/src/cell/advice/advice_clients.cpp
@@ -1,6 +1,7 @@
 #include "cell/advice/advice_clients.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace bramleygrade::cell {
 
@@ -10,6 +11,9 @@
 constexpr std::size_t shortClientDivisor = 6;
 /// Limit of concurrent short calls per client; a second one hides the network round trip.
 constexpr int maxOpenShortCalls = 2;
+/// A job queue gets this many times as many clients for long calls as one of the next lower
+/// priority, while calls of both wait.
+constexpr double shareOfNextPriority = 2;
 
 /// Returns the client in [first, last) with the fewest open calls, if that is below `limit`.
 std::optional<std::size_t> findLeastBusy(const std::vector<advice_client_load> &clients,
@@ -45,9 +49,11 @@
                                       const std::map<std::string, int> &openCalls)
 {
     const auto rankOf = [&](const advice_order &order) {
-        const auto open = openCalls.find(order.queue);
+        const auto found = openCalls.find(order.queue);
+        const int open = found == openCalls.end() ? 0 : found->second;
         return std::tuple(order.late, !order.holdsCapacity,
-                          open == openCalls.end() ? 0 : open->second);
+                          (open + 1) * std::pow(shareOfNextPriority, order.queuePriority),
+                          order.beyondShare, order.waitsSince);
     };
     return std::min_element(waiting.begin(), waiting.end(), [&](const auto &a, const auto &b) {
         return rankOf(a.second) < rankOf(b.second);
--- a/src/cell/advice/advice_clients.h
+++ b/src/cell/advice/advice_clients.h
@@ -29,9 +29,10 @@
 using advice_queue = std::multimap<int, advice_order>;
 
 /// Returns the call to be made next: those of jobs on time before those of late ones, then those
-/// for which capacity is held, then those of the job queue with the fewest open calls, so that no
-/// job queue occupies all clients, then by priority. `openCalls` counts the open calls by job
-/// queue. `waiting` must not be empty.
+/// for which capacity is held. Among these the job queues share the clients by their priorities, so
+/// that none occupies all of them. Of a queue, calls of jobs within their team's share go first,
+/// then by the submission of the job: a job that needs several calls waits for its turn only once.
+/// `openCalls` counts the open calls by job queue. `waiting` must not be empty.
 advice_queue::iterator findNextAdvice(advice_queue &waiting,
                                       const std::map<std::string, int> &openCalls);
 
--- a/src/cell/placement/gang_order.cpp
+++ b/src/cell/placement/gang_order.cpp
@@ -35,11 +35,6 @@
     return width * expected / static_cast<double>(std::max<std::int64_t>(cpuMilli, 1));
 }
 
-timestamp waitsSince(const waiting_step &waiting)
-{
-    return std::max(waiting.job->receivedAt, waiting.job->occurrences.at(waiting.occurrence).dueAt);
-}
-
 } // namespace
 
 void orderGangs(const scheduler &cell, std::vector<waiting_step> &waiting, timestamp now)
--- a/src/cell/placement/placement.h
+++ b/src/cell/placement/placement.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <string>
@@ -126,6 +127,12 @@
 constexpr std::size_t maxQueuedLongCalls = 150;
 constexpr std::size_t maxQueuedShortCalls = 300;
 
+/// Returns the time at which the job was submitted, or at which its occurrence was due.
+inline timestamp waitsSince(const waiting_step &waiting)
+{
+    return std::max(waiting.job->receivedAt, waiting.job->occurrences.at(waiting.occurrence).dueAt);
+}
+
 /// Minimum remaining validity of a ticket when the start order that carries it is sent.
 constexpr microseconds ticketMargin = 80 * millisecond;
 
--- a/src/cell/scheduler.h
+++ b/src/cell/scheduler.h
@@ -89,6 +89,12 @@
     bool longCall = false;
     /// Lower is asked first: jobs on time before late ones, then by the queue's priority.
     int priority = 0;
+    /// Priority of the job's queue.
+    int queuePriority = 0;
+    /// The job is beyond its team's share.
+    bool beyondShare = false;
+    /// Time since which the job waits, the same for all its calls.
+    timestamp waitsSince = distantPast;
     /// The job has missed its objective.
     bool late = false;
     /// Capacity is withheld from other steps until the answer arrives.
--- a/test/cell/advice_clients_test.cpp
+++ b/test/cell/advice_clients_test.cpp
@@ -33,6 +33,16 @@
     return order;
 }
 
+advice_order makeOrder(const char *queue, int queuePriority, const char *job,
+                       bramleygrade::timestamp waitsSince)
+{
+    advice_order order = makeOrder(queue, false, false);
+    order.queuePriority = queuePriority;
+    order.step.job = job;
+    order.waitsSince = waitsSince;
+    return order;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_CASE(a_sixth_of_the_clients_is_kept_for_short_calls)
@@ -74,6 +84,38 @@
     BOOST_TEST((chooseAdviceClient({{0, true}, {0, false}}, false) == std::size_t {1}));
 }
 
+// Issue 38: wide gangs need several calls, and each waited behind the calls of all later jobs.
+BOOST_AUTO_TEST_CASE(short_job_that_needs_several_calls_waits_for_its_turn_only_once)
+{
+    advice_queue waiting;
+    waiting.emplace(1, makeOrder("gangs", 1, "later", 20));
+    waiting.emplace(1, makeOrder("gangs", 1, "latest", 30));
+    waiting.emplace(1, makeOrder("gangs", 1, "second call of the first", 10));
+    std::vector<std::string> made;
+    while (!waiting.empty()) {
+        const auto next = findNextAdvice(waiting, {});
+        made.push_back(next->second.step.job);
+        waiting.erase(next);
+    }
+    const std::vector<std::string> expected = {"second call of the first", "later", "latest"};
+    BOOST_TEST(made == expected, boost::test_tools::per_element());
+}
+
+// Issue 38: the queue of lower priority took as many clients as the more urgent one.
+BOOST_AUTO_TEST_CASE(a_job_queue_gets_twice_the_clients_of_the_next_lower_priority)
+{
+    constexpr int clients = 30;
+    std::map<std::string, int> open;
+    for (int call = 0; call < clients; ++call) {
+        advice_queue waiting;
+        waiting.emplace(2, makeOrder("batches", 2, "b", 0));
+        waiting.emplace(1, makeOrder("gangs", 1, "a", 10));
+        ++open[findNextAdvice(waiting, open)->second.queue];
+    }
+    BOOST_TEST(open["gangs"] == 20);
+    BOOST_TEST(open["batches"] == 10);
+}
+
 // Issue 19: the calls of one queue occupied all clients, and another queue made none for 24 s.
 BOOST_AUTO_TEST_CASE(the_job_queue_with_the_fewest_open_calls_goes_first)
 {
--- a/test/cell/placement_round_test.cpp
+++ b/test/cell/placement_round_test.cpp
@@ -1,6 +1,7 @@
 #define BOOST_TEST_MODULE placement_round
 #include <boost/test/included/unit_test.hpp>
 
+#include <algorithm>
 #include <set>
 
 #include "cell_fixture.h"
@@ -73,6 +74,25 @@
     BOOST_TEST(freeCapacity(cell.workers.at(queued.workers[0])).cpuMilli == 8'000);
 }
 
+// Load: wide steps on full workers asked again and again about the few with room, so that their
+// calls took up the entries that wide gangs needed.
+BOOST_FIXTURE_TEST_CASE(call_of_a_wide_step_also_asks_about_full_workers, advised_fixture)
+{
+    addWorkers(21);
+    policy.needsAdvice = false;
+    BOOST_REQUIRE(run(makeJob("other", {makeStep(22, 8'000)})).starts.size() == 22U);
+    policy.needsAdvice = true;
+    submit("wide", makeStep(20, 4'000));
+    advice_order order = decide().advice.at(0);
+    BOOST_REQUIRE(prepareAdvice(cell, order, now));
+    // 0.3 of the fixed 20 ms pays for 6 workers of 1 ms each; 2 of them have room.
+    BOOST_TEST(order.workers.size() == 6U);
+    const auto hasRoom = [&](const std::string &id) {
+        return freeCapacity(cell.workers.at(id)).cpuMilli >= 4'000;
+    };
+    BOOST_TEST(std::count_if(order.workers.begin(), order.workers.end(), hasRoom) == 2);
+}
+
 BOOST_FIXTURE_TEST_CASE(concurrent_calls_ask_about_different_workers, advised_fixture)
 {
     addWorkers(9);
