--- a/src/entry/state_dump.cpp
+++ b/src/entry/state_dump.cpp
@@ -122,6 +122,33 @@
     }
 }
 
+void refreshCapacityGauges(std::map<std::string, std::int64_t> &gauges, const cell::scheduler &cell)
+{
+    std::int64_t used = 0;
+    std::int64_t all = 0;
+    for (const auto &[id, worker] : cell.workers) {
+        used += worker.life.used.cpuMilli;
+        all += worker.entry.capacity.cpuMilli;
+    }
+    gauges["cpu_milli_promised"] = used;
+    gauges["cpu_milli_capacity"] = all;
+    gauges["workers_overcommitted"] = cell::countOvercommittedWorkers(cell);
+}
+
+void refreshEndedJobs(entry_state &entry)
+{
+    const cell::ended_by_size &endedBySize = entry.leaderState->cell.counters.endedBySize;
+    auto &counters = entry.metrics.counters;
+    for (std::size_t range = 0; range < endedBySize.size(); ++range) {
+        const std::string label =
+            std::string("{tasks=\"") + cell::sizeRanges[range].name + "\",outcome=\"";
+        const cell::ended_jobs &ended = endedBySize[range];
+        counters["jobs_ended_total" + label + "on_time\"}"] = ended.onTime;
+        counters["jobs_ended_total" + label + "late\"}"] = ended.late;
+        counters["jobs_ended_total" + label + "failed\"}"] = ended.failed;
+    }
+}
+
 } // namespace
 
 std::string dumpState(const entry_state &entry)
@@ -191,15 +218,7 @@
     gauges["jobs_in_memory"] = static_cast<std::int64_t>(cell.jobs.size());
     gauges["jobs_open"] = static_cast<std::int64_t>(cell.runnableJobs.size());
     gauges["workers"] = static_cast<std::int64_t>(cell.workers.size());
-    std::int64_t used = 0;
-    std::int64_t all = 0;
-    for (const auto &[id, worker] : cell.workers) {
-        used += worker.life.used.cpuMilli;
-        all += worker.entry.capacity.cpuMilli;
-    }
-    gauges["cpu_milli_promised"] = used;
-    gauges["cpu_milli_capacity"] = all;
-    gauges["workers_overcommitted"] = cell::countOvercommittedWorkers(cell);
+    refreshCapacityGauges(gauges, cell);
     refreshInterferenceMetrics(entry.metrics, cell.interference);
     const cell::scheduler_counters &counts = cell.counters;
     auto &counters = entry.metrics.counters;
@@ -209,14 +228,7 @@
     counters["task_ends_total{how=\"done\"}"] = counts.endsDone;
     counters["task_ends_total{how=\"failed\"}"] = counts.endsFailed;
     counters["task_ends_total{how=\"other\"}"] = counts.endsOther;
-    for (std::size_t range = 0; range < cell::sizeRanges.size(); ++range) {
-        const std::string label =
-            std::string("{tasks=\"") + cell::sizeRanges[range].name + "\",outcome=\"";
-        const cell::ended_jobs &ended = counts.endedBySize[range];
-        counters["jobs_ended_total" + label + "on_time\"}"] = ended.onTime;
-        counters["jobs_ended_total" + label + "late\"}"] = ended.late;
-        counters["jobs_ended_total" + label + "failed\"}"] = ended.failed;
-    }
+    refreshEndedJobs(entry);
     counters["advice_calls_total"] = counts.adviceCalls;
     counters["workers_lapsed_total"] = counts.lostWorkers;
     counters["workers_crashed_total"] = counts.crashedWorkers;
