--- /dev/null
+++ b/review/1/run.sh
@@ -0,0 +1,3 @@
+#!/usr/bin/env bash
+# Case 1: a worker that drains is cut off and runs on.
+exec "$(dirname "$0")/../standin/run_case.sh" drain-and-cut "$(cd "$(dirname "$0")" && pwd)/record.txt"
--- a/review/standin/cases.cpp
+++ b/review/standin/cases.cpp
@@ -21,6 +21,7 @@
 const review_case *findCase(const std::string &name)
 {
     static const std::vector<review_case> cases {
+        {"drain-and-cut", 16, 32'000, usualRoutes(), runDrainAndCut},
     };
     const auto found = std::find_if(cases.begin(), cases.end(),
                                     [&](const auto &each) { return each.name == name; });
