--- /dev/null
+++ b/review/2/run.sh
@@ -0,0 +1,3 @@
+#!/usr/bin/env bash
+# Case 2: a job is cancelled while one of its workers is cut off.
+exec "$(dirname "$0")/../standin/run_case.sh" cancel-and-cut "$(cd "$(dirname "$0")" && pwd)/record.txt"
