--- /dev/null
+++ b/review/4/run.sh
@@ -0,0 +1,3 @@
+#!/usr/bin/env bash
+# Case 4: a worker is lost for good, and a gang that fitted before waits.
+exec "$(dirname "$0")/../standin/run_case.sh" gang-without-room "$(cd "$(dirname "$0")" && pwd)/record.txt"
