--- a/review/standin/cases.cpp
+++ b/review/standin/cases.cpp
@@ -24,6 +24,7 @@
         {"drain-and-cut", 16, 32'000, usualRoutes(), runDrainAndCut},
         {"cancel-and-cut", 8, 32'000, usualRoutes(), runCancelAndCut},
         {"gang-without-room", 8, 32'000, usualRoutes(), runGangWithoutRoom},
+        {"pending-after-loss", 8, 32'000, usualRoutes(), runPendingAfterLoss},
         {"many-ends", 2, 32'000, usualRoutes(), runManyEnds},
     };
     const auto found = std::find_if(cases.begin(), cases.end(),
