--- a/review/standin/cases.cpp
+++ b/review/standin/cases.cpp
@@ -25,6 +25,8 @@
         {"cancel-and-cut", 8, 32'000, usualRoutes(), runCancelAndCut},
         {"gang-without-room", 8, 32'000, usualRoutes(), runGangWithoutRoom},
         {"pending-after-loss", 8, 32'000, usualRoutes(), runPendingAfterLoss},
+        {"lasting-under-load", 2, 32'000, usualRoutes(), runLastingUnderLoad},
+        {"long-schedule", 4, 32'000, usualRoutes(), runLongSchedule},
         {"many-ends", 2, 32'000, usualRoutes(), runManyEnds},
     };
     const auto found = std::find_if(cases.begin(), cases.end(),
