--- a/review/standin/run_case.sh
+++ b/review/standin/run_case.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Runs one case: run_case.sh NAME RECORD. Starts the entries as the deploy file does, on loopback
-# addresses, and the stand-ins; ends all of them. Exit code: 1 broken, 0 held, 2 could not run.
+# addresses, and the stand-ins; ends all of them. TROUBLE=0: without the disruption. Exit code: 1 broken, 0 held, 2 could not run.
 set -u
 cd "$(dirname "$0")/../.."
 standin=review/out/standin
@@ -16,10 +16,8 @@
 driver=""
 # shellcheck disable=SC2317
 end_all() {
-    touch "$folder/stop"
-    [ -n "$driver" ] && kill -KILL "$driver" 2> /dev/null
-    for file in "$folder"/pid-*; do
-        [ -e "$file" ] && kill -KILL "$(cat "$file")" 2> /dev/null
+    for pid in $driver $supervisors; do
+        kill -TERM "$pid" 2> /dev/null
     done
     for pid in $driver $supervisors; do
         wait "$pid" 2> /dev/null
@@ -27,14 +25,20 @@
     rm -rf "$folder"
 }
 trap end_all EXIT
+trap 'exit 2' INT TERM
 
 # Runs entry $1 as the deploy file does, and again one second after each end, as the platform does.
 supervise() {
-    while [ ! -e "$folder/stop" ]; do
+    trap - EXIT INT
+    # shellcheck disable=SC2046
+    trap 'kill -KILL $(jobs -p) 2> /dev/null; exit' TERM
+    while true; do
         target/bramleygrade cell --settings "$folder/entry-$1.conf" >> "$logs/entry-$1.log" 2>&1 &
         echo $! > "$folder/pid-$1"
         wait $!
-        [ -e "$folder/stop" ] || sleep 1
+        rm -f "$folder/pid-$1"
+        sleep 1 &
+        wait $!
     done
 }
 mapfile -t ports < <("$standin" ports $((2 + entries * 4 + workers)))
@@ -66,7 +70,7 @@
 }
 SETTINGS
 done
-PID_FOLDER=$folder "$standin" "$1" "$2" "$store" "$entries" "${arguments[@]}" \
+TROUBLE=${TROUBLE:-1} PID_FOLDER=$folder "$standin" "$1" "$2" "$store" "$entries" "${arguments[@]}" \
     "${ports[@]:$((2 + entries * 4))}" &
 driver=$!
 sleep 0.3
