A job counts as begun when a worker has begun a task, not when it was ordered

What callers saw: a queue's number of pending jobs left out jobs that wait.

Cause: job_state::startedAny was set when a start was ordered. It told whether there may be progress to store, and was read as "a task has begun" by the count, the heartbeats to the followers and the state.

Change: `ordered` and `begun` are two fields. `begun` is set by an accepted start, a listed run or a listed end, and is never taken back. The row of progress says whether the job has begun; the begin is stored before the workers cease to list the run that proves it, so that a successor agrees. Related paths fixed: the state read from the rows without a scheduler, what a successor restores, an acceptance that arrives late, runs that are stopped or lost before a takeover.

Why it works: only the worker knows that it has begun a task, and each of its three ways to tell is used.

Tests: cell_pending_jobs, with rows for starts without and with effect and for takeovers; the histories check at each turn that what no worker has begun is pending.

Checks changed: storing_test and rows_test named the former field; both fields are checked now.

--- a/src/cell/ends/scheduler_ends.cpp
+++ b/src/cell/ends/scheduler_ends.cpp
@@ -249,6 +249,42 @@
     }
 }
 
+/// Applies a start that the worker has refused, and releases its run.
+void applyRefusal(scheduler &cell, worker_state &worker, job_state &job, task_state &task,
+                  const start_order &order, order_outcome outcome, timestamp now, orders &out)
+{
+    ++cell.counters.refusedStarts;
+    out.events.push_back(
+        {"start_refused", order.task.job,
+         "worker=" + order.worker + " outcome=" + std::to_string(static_cast<int>(outcome))});
+    if (outcome == order_outcome::refused_incarnation) {
+        onOtherIncarnation(cell, worker, now, out);
+        if (task.phase == run_phase::none) {
+            return; // released with all runs of the worker
+        }
+    }
+    step_state &step = ensureOccurrence(job, order.task.occurrence)
+                           .steps[static_cast<std::size_t>(order.task.step)];
+    if (outcome == order_outcome::refused_ticket) {
+        step.advice[order.worker].validUntil = distantPast;
+    } else if (outcome == order_outcome::refused_stale) {
+        task.endedAttempt = std::max(task.endedAttempt, order.attempt);
+        task.endReportedAt = now;
+        step.gangBroken = step.gangBroken || step.gangAttempt == order.attempt;
+    } else if (outcome == order_outcome::refused_fence) {
+        if (order.fencingToken == fencingToken(cell, worker)) {
+            out.events.push_back({"superseded", "", "worker=" + order.worker});
+        }
+    } else if (outcome == order_outcome::refused_capacity) {
+        recordCapacityRefusal(worker, now);
+        worker.life.nextPollAt = std::min(worker.life.nextPollAt, now);
+    } else {
+        worker.life.avoidedUntil = now + refusalPause;
+        worker.life.nextPollAt = std::min(worker.life.nextPollAt, now);
+    }
+    releaseRun(cell, order.task, job, task);
+}
+
 } // namespace
 
 void applyEnd(scheduler &cell, worker_state &worker, const reported_end &end, timestamp now,
@@ -261,7 +297,8 @@
         worker.life.unstoredEnds[end.sequence] = 0;
         return;
     }
-    job->startedAny = true; // the start may have been ordered by a previous scheduler
+    noteBegin(*job);
+    const std::uint64_t beginChange = recordBegin(cell, *job);
     task->endedAttempt = std::max(task->endedAttempt, end.attempt);
     task->endReportedAt = now;
     task->attempt = std::max(task->attempt, end.attempt);
@@ -283,7 +320,8 @@
         || (end.how == end_kind::failed && task->failedAttempts.empty())) {
         recordOutcome(worker, end.how == end_kind::done, now);
     }
-    worker.life.unstoredEnds[end.sequence] = applyOutcome(cell, worker, *job, *task, end, now, out);
+    const std::uint64_t outcomeChange = applyOutcome(cell, worker, *job, *task, end, now, out);
+    worker.life.unstoredEnds[end.sequence] = std::max(beginChange, outcomeChange);
     cell.needsPlacement = true;
 }
 
@@ -317,9 +355,15 @@
     job_state *job = findJob(cell, order.task.job);
     task_state *task = job == nullptr ? nullptr : findTask(*job, order.task);
     const auto worker = cell.workers.find(order.worker);
+    if (job != nullptr && outcome == order_outcome::accepted) {
+        noteBegin(*job);
+    }
     if (task == nullptr || worker == cell.workers.end() || task->worker != order.worker
         || task->attempt != order.attempt || task->phase == run_phase::none
         || order.life != worker->second.life.number) {
+        if (job != nullptr) {
+            recordBegin(cell, *job); // the run has ended or is lost
+        }
         return;
     }
     if (outcome == order_outcome::accepted) {
@@ -342,36 +386,7 @@
     if (task->phase == run_phase::running) {
         return; // a report has confirmed the run in the meantime
     }
-    ++cell.counters.refusedStarts;
-    out.events.push_back(
-        {"start_refused", order.task.job,
-         "worker=" + order.worker + " outcome=" + std::to_string(static_cast<int>(outcome))});
-    if (outcome == order_outcome::refused_incarnation) {
-        onOtherIncarnation(cell, worker->second, now, out);
-        if (task->phase == run_phase::none) {
-            return; // released with all runs of the worker
-        }
-    }
-    step_state &step = ensureOccurrence(*job, order.task.occurrence)
-                           .steps[static_cast<std::size_t>(order.task.step)];
-    if (outcome == order_outcome::refused_ticket) {
-        step.advice[order.worker].validUntil = distantPast;
-    } else if (outcome == order_outcome::refused_stale) {
-        task->endedAttempt = std::max(task->endedAttempt, order.attempt);
-        task->endReportedAt = now;
-        step.gangBroken = step.gangBroken || step.gangAttempt == order.attempt;
-    } else if (outcome == order_outcome::refused_fence) {
-        if (order.fencingToken == fencingToken(cell, worker->second)) {
-            out.events.push_back({"superseded", "", "worker=" + order.worker});
-        }
-    } else if (outcome == order_outcome::refused_capacity) {
-        recordCapacityRefusal(worker->second, now);
-        worker->second.life.nextPollAt = std::min(worker->second.life.nextPollAt, now);
-    } else {
-        worker->second.life.avoidedUntil = now + refusalPause;
-        worker->second.life.nextPollAt = std::min(worker->second.life.nextPollAt, now);
-    }
-    releaseRun(cell, order.task, *job, *task);
+    applyRefusal(cell, worker->second, *job, *task, order, outcome, now, out);
 }
 
 void checkRuns(scheduler &cell, timestamp now, orders &out)
--- a/src/cell/jobs/job_state.cpp
+++ b/src/cell/jobs/job_state.cpp
@@ -76,7 +76,7 @@
     if (job.finalPhase && job.finalStored) {
         return *job.finalPhase;
     }
-    return job.startedAny ? job_phase::running : job_phase::queued;
+    return job.begun ? job_phase::running : job_phase::queued;
 }
 
 bool hasRuns(const job_state &job)
--- a/src/cell/jobs/job_state.h
+++ b/src/cell/jobs/job_state.h
@@ -156,7 +156,14 @@
     timestamp finalAt = distantPast;
     /// Time of the first occurrence; not used by jobs without occurrences.
     timestamp firstDueAt = distantPast;
-    bool startedAny = false;
+    /// A start was ordered, by this scheduler or a former one, so that there may be progress to
+    /// store.
+    bool ordered = false;
+    /// A worker has begun a task, as it has told itself; an order alone may have no effect. Holds
+    /// for good.
+    bool begun = false;
+    /// A change that stores `begun` has been recorded.
+    bool beginRecorded = false;
     std::map<int, occurrence_state> occurrences;
     int occurrencesCompleted = 0;
     /// Loaded from the store at a takeover: tasks may run on workers that have not reported yet.
--- a/src/cell/jobs/scheduler_jobs.cpp
+++ b/src/cell/jobs/scheduler_jobs.cpp
@@ -67,6 +67,21 @@
     return number;
 }
 
+void noteBegin(job_state &job)
+{
+    job.ordered = true; // a previous scheduler may have ordered the start
+    job.begun = true;
+}
+
+std::uint64_t recordBegin(scheduler &cell, job_state &job)
+{
+    if (!job.begun || job.beginRecorded || job.finalPhase) {
+        return 0;
+    }
+    job.beginRecorded = true;
+    return recordChange(cell, job.spec.id, false);
+}
+
 void updateObjective(const scheduler &cell, job_state &job)
 {
     const auto found = cell.runTimes.find(job.spec.queue);
@@ -123,6 +138,7 @@
 {
     job.restored = true;
     job.stored = true;
+    job.beginRecorded = job.begun;
     job.receivedAt = std::min(job.receivedAt, now);
     if (const queue_policy *policy = findQueue(cell.config, job.spec.queue)) {
         job.policy = *policy;
@@ -211,7 +227,7 @@
 
 bool isPending(const job_state &job)
 {
-    return job.stored && !job.startedAny && !job.finalPhase;
+    return job.stored && !job.begun && !job.finalPhase;
 }
 
 } // namespace
--- a/src/cell/placement/placement_round.cpp
+++ b/src/cell/placement/placement_round.cpp
@@ -149,7 +149,7 @@
     task.percent = 0;
     task.token = fencingToken(cell, worker);
     task.resumed = !task.checkpoint.empty();
-    waiting.job->startedAny = true;
+    waiting.job->ordered = true;
     recordStart(cell, worker, id, isSuspected(step), now);
     addRun(worker, id, stepSpec(waiting));
     noteRunAdded(cell, worker, id, waiting.job->spec, now, out);
--- a/src/cell/scheduler.h
+++ b/src/cell/scheduler.h
@@ -298,7 +298,8 @@
 bool cancelJob(scheduler &cell, const std::string &id, timestamp now, orders &out);
 /// Returns the job, or null if it is unknown.
 job_state *findJob(scheduler &cell, const std::string &id);
-/// Returns the number of stored jobs of the queue that have neither started a task nor ended.
+/// Returns the number of stored jobs of the queue that have not ended and of which no worker is known
+/// to have begun a task.
 std::int64_t countPendingJobs(const scheduler &cell, const std::string &queue);
 /// As `countPendingJobs`, for all queues in one pass over the jobs; queues without pending jobs are
 /// left out.
@@ -367,6 +368,13 @@
 /// Marks the job's stored rows as out of date; `urgent`: a caller is waiting. Returns the number of
 /// the change.
 std::uint64_t recordChange(scheduler &cell, const std::string &job, bool urgent);
+/// Marks the job as begun: a worker has accepted the start of one of its tasks, or has listed a run
+/// of one or the end of such a run.
+void noteBegin(job_state &job);
+/// Records a change that stores that the job has begun, unless there was one. Must be called before
+/// the workers cease to list the run, as a later scheduler learns of it from them otherwise. Returns
+/// the number of the change; 0 if there is nothing to store.
+std::uint64_t recordBegin(scheduler &cell, job_state &job);
 /// Includes the job in the next placement round, unless it has ended.
 void markRunnable(scheduler &cell, const job_state &job);
 /// Frees the capacity of a run that no longer exists; the task may be started again.
--- a/src/cell/workers/scheduler_workers.cpp
+++ b/src/cell/workers/scheduler_workers.cpp
@@ -36,7 +36,6 @@
     task.confirmedAt = sentAt;
     task.progressAt = sentAt;
     task.token = fencingToken(cell, worker);
-    job.startedAny = true;
     step_state &step =
         ensureOccurrence(job, run.task.occurrence).steps[static_cast<std::size_t>(run.task.step)];
     step.gangAttempt = std::max(step.gangAttempt, run.attempt);
@@ -79,6 +78,7 @@
         stopUnexpectedRun(cell, worker, run, out);
         return;
     }
+    noteBegin(*job);
     const bool isCurrent = task->phase != run_phase::none && task->worker == worker.entry.id
         && task->attempt == run.attempt;
     if (!isCurrent) {
@@ -266,6 +266,7 @@
     if (task.phase != run_phase::none) {
         removeTeamRun(cell, job, id.step);
     }
+    recordBegin(cell, job);
     task.phase = run_phase::none;
     task.worker.clear();
     endTrial(cell, id, task);
--- a/src/entry/job_lookup.cpp
+++ b/src/entry/job_lookup.cpp
@@ -53,7 +53,8 @@
                     const lookup_completion &done)
 {
     readRow(entry, progressTable, job, done, [team, done](const stored_row *row) {
-        done(makeLookup(row == nullptr ? cell::job_phase::queued : cell::job_phase::running, team));
+        const bool hasBegun = row != nullptr && showsBegin(row->value);
+        done(makeLookup(hasBegun ? cell::job_phase::running : cell::job_phase::queued, team));
     });
 }
 
--- a/src/entry/metrics.cpp
+++ b/src/entry/metrics.cpp
@@ -50,6 +50,7 @@
     {"busy_seconds_total", "Time the event loop was busy, by duty."},
     {"event_loop_delay_ms", "Lateness of the event loop's timer, max of 1 to 2 s."},
     {"jobs_open", "Jobs with tasks to start."},
+    {"jobs_pending", "Stored jobs of which no worker has begun a task."},
     {"jobs_waiting", "Jobs with tasks waiting for over 2 s, by reason of the newest report."},
     {"workers", "Workers known."},
     {"workers_unreconciled", "Workers that have not reported since the takeover."},
--- a/src/entry/rows.cpp
+++ b/src/entry/rows.cpp
@@ -343,11 +343,13 @@
 
 bool needsProgressRow(const cell::job_state &job)
 {
-    return job.startedAny && !job.occurrences.empty();
+    return job.ordered && !job.occurrences.empty();
 }
 
 namespace {
 
+constexpr char beginField[] = "begun";
+
 /// Whether a later scheduler needs to know anything of the occurrence.
 bool hasProgress(const cell::occurrence_state &occurrence)
 {
@@ -418,9 +420,17 @@
     }
 }
 
+/// Rows of former releases lack the field; they were written once a task had been ordered, mostly
+/// after an end.
+bool readBegin(const rapidjson::Value &document)
+{
+    return findField(document, beginField) == nullptr || boolField(document, beginField);
+}
+
 std::string encodeProgress(const cell::job_state &job, bool withCheckpoints)
 {
     return writeObject([&](json_writer &out) {
+        put(out, beginField, job.begun);
         if (job.occurrencesCompleted > 0) {
             writeCompleted(out, job);
         }
@@ -476,10 +486,17 @@
         occurrence.completed = occurrence.stepsDone == static_cast<int>(occurrence.steps.size());
         job.occurrencesCompleted += occurrence.completed ? 1 : 0;
     }
-    job.startedAny = true;
+    job.ordered = true;
+    job.begun = readBegin(document);
     return true;
 }
 
+bool showsBegin(const std::string &value)
+{
+    rapidjson::Document document;
+    return parseObject(value, document) && readBegin(document);
+}
+
 std::string encodeCall(const call_message &message)
 {
     const caller_call &call = message.call;
--- a/src/entry/rows.h
+++ b/src/entry/rows.h
@@ -54,11 +54,14 @@
 
 /// Returns true if the job has progress that a later scheduler needs.
 bool needsProgressRow(const cell::job_state &job);
-/// Encodes which tasks are done, the failed attempts of the others, and their newest checkpoints.
-/// Leaves the checkpoints out if the row would be too large for the store.
+/// Encodes whether the job has begun, which tasks are done, the failed attempts of the others, and
+/// their newest checkpoints. Leaves the checkpoints out if the row would be too large for the
+/// store.
 std::string encodeProgress(const cell::job_state &job);
 /// Adds the progress to the job; returns false if the value cannot be read.
 bool decodeProgress(const std::string &value, cell::job_state &job);
+/// Whether the encoded progress shows that a task of the job has begun.
+bool showsBegin(const std::string &value);
 
 /// Tombstone of an ended job. It is stored in `endedTable`, or in place of the job's row in
 /// `jobTable` until a later write moves it.
--- a/src/entry/state_dump.cpp
+++ b/src/entry/state_dump.cpp
@@ -49,7 +49,8 @@
         put(out, "queue", job.spec.queue);
         put(out, "stored", job.stored);
         put(out, "inherited", job.restored);
-        put(out, "started", job.startedAny);
+        put(out, "ordered", job.ordered);
+        put(out, "started", job.begun);
         put(out, "age_ms", ageMs(job.receivedAt));
         put(out, "objective_in_ms", -ageMs(job.objectiveAt));
         out.EndObject();
@@ -78,9 +79,9 @@
 void removeSchedulerGauges(entry_metrics &metrics)
 {
     for (const char *name :
-         {"jobs_in_memory", "jobs_open", "workers", "workers_unreconciled", "restored_jobs_held",
-          "advice_queue", "unsaved_changes", "cpu_milli_promised", "cpu_milli_capacity",
-          "workers_overcommitted", "interference_pairs"}) {
+         {"jobs_in_memory", "jobs_open", "jobs_pending", "workers", "workers_unreconciled",
+          "restored_jobs_held", "advice_queue", "unsaved_changes", "cpu_milli_promised",
+          "cpu_milli_capacity", "workers_overcommitted", "interference_pairs"}) {
         metrics.gauges.erase(name);
     }
 }
@@ -217,6 +218,10 @@
     const cell::scheduler &cell = entry.leaderState->cell;
     gauges["jobs_in_memory"] = static_cast<std::int64_t>(cell.jobs.size());
     gauges["jobs_open"] = static_cast<std::int64_t>(cell.runnableJobs.size());
+    gauges["jobs_pending"] = 0;
+    for (const auto &[queue, count] : cell::countPendingByQueue(cell)) {
+        gauges["jobs_pending"] += count;
+    }
     gauges["workers"] = static_cast<std::int64_t>(cell.workers.size());
     refreshCapacityGauges(gauges, cell);
     refreshInterferenceMetrics(entry.metrics, cell.interference);
--- a/test/cell/forwarding_test.cpp
+++ b/test/cell/forwarding_test.cpp
@@ -88,6 +88,16 @@
         table.rows[{jobTable, "a"}] = {jobTable, "a", encodeJob(job, 0), ++table.version, false};
     }
 
+    void putProgressRow(bool begun)
+    {
+        cell::job_state job;
+        job.spec.steps.emplace_back();
+        cell::ensureOccurrence(job, 0);
+        job.begun = begun;
+        table.rows[{progressTable, "a"}] = {progressTable, "a", encodeProgress(job),
+                                            ++table.version, false};
+    }
+
     /// Serves a caller's request; writes the status of the answer to `status` on arrival.
     void call(const char *method, int &status)
     {
@@ -168,6 +178,12 @@
         putJobRow();
         BOOST_TEST(callAndWait("GET") == statuses {200});
         BOOST_TEST((phase == cell::job_phase::queued));
+        putProgressRow(false); // its start was ordered
+        BOOST_TEST(callAndWait("GET") == statuses {200});
+        BOOST_TEST((phase == cell::job_phase::queued));
+        putProgressRow(true);
+        BOOST_TEST(callAndWait("GET") == statuses {200});
+        BOOST_TEST((phase == cell::job_phase::running));
     }
 }
 
--- a/test/cell/rows_test.cpp
+++ b/test/cell/rows_test.cpp
@@ -80,6 +80,7 @@
                 }
                 occurrence.completed = !isOpen;
                 occurrence.stepsDone = isOpen ? 0 : 1;
+                job.begun = job.begun || !isOpen;
                 job.occurrencesCompleted += isOpen ? 0 : 1;
             }
             const std::string encoded = entry::encodeProgress(job);
@@ -88,7 +89,8 @@
             read.spec = job.spec;
             BOOST_REQUIRE(entry::decodeProgress(encoded, read));
             BOOST_TEST(read.occurrencesCompleted == job.occurrencesCompleted);
-            BOOST_TEST(read.startedAny);
+            BOOST_TEST(read.ordered);
+            BOOST_TEST(read.begun == job.begun);
             for (const auto &[number, occurrence] : job.occurrences) {
                 const auto &before = occurrence.steps[0];
                 const auto &after = cell::ensureOccurrence(read, number).steps[0];
@@ -128,10 +130,12 @@
     step.tasks[0].attributedCrashes = {"worker-2"};
     step.tasks[0].trialLife = "worker-3";
     step.gangFailedAttempts = {2};
+    job.begun = true;
     cell::job_state read;
     read.spec = job.spec;
     BOOST_REQUIRE(entry::decodeProgress(entry::encodeProgress(job), read));
     const auto &decodedStep = read.occurrences.at(0).steps[0];
+    BOOST_TEST(read.begun);
     BOOST_TEST(decodedStep.doneCount == 1);
     BOOST_TEST(decodedStep.tasks[1].done);
     BOOST_TEST((decodedStep.tasks[2].failedAttempts == std::set<int> {1, 1001}));
@@ -144,6 +148,26 @@
     BOOST_TEST((decodedStep.gangFailedAttempts == std::set<int> {2}));
 }
 
+// An entry of a former release, which may lead during an upgrade, stores progress without the
+// field.
+BOOST_AUTO_TEST_CASE(progress_shows_whether_the_job_has_begun)
+{
+    struct row
+    {
+        const char *value;
+        bool begun;
+    };
+    for (const row &given : {row {R"({"begun":true,"occurrences":[]})", true},
+                             row {R"({"begun":false,"occurrences":[]})", false},
+                             row {R"({"occurrences":[]})", true}}) {
+        cell::job_state job;
+        BOOST_REQUIRE(entry::decodeProgress(given.value, job));
+        BOOST_TEST(job.begun == given.begun, given.value);
+        BOOST_TEST(entry::showsBegin(given.value) == given.begun, given.value);
+    }
+    BOOST_TEST(!entry::showsBegin("{"));
+}
+
 BOOST_AUTO_TEST_CASE(unreadable_values_are_rejected)
 {
     const char *values[] = {"", "{", "[]", "7", "{\"steps\":[]}", "{\"steps\":7}", "\xff\xfe"};
--- a/test/cell/storing_test.cpp
+++ b/test/cell/storing_test.cpp
@@ -65,8 +65,9 @@
     fixture.end("worker-1", 1, {"a", 0, 0, 0}, 1, end_kind::done);
     BOOST_TEST(fixture.cell.workers.at("worker-1").life.acknowledgedEnd == 0);
     BOOST_TEST(beginWrite(fixture.cell, 10, oneRow).size() == 1U);
-    // Without `startedAny` the progress row would not be written.
-    BOOST_TEST(findJob(fixture.cell, "a")->startedAny);
+    // Without `ordered` the progress row would not be written.
+    BOOST_TEST(findJob(fixture.cell, "a")->ordered);
+    BOOST_TEST(findJob(fixture.cell, "a")->begun);
     onWritten(fixture.cell, fixture.now);
     BOOST_TEST(fixture.cell.workers.at("worker-1").life.acknowledgedEnd == 1);
 }
--- a/test/cell/unplaceable_gangs_test.cpp
+++ b/test/cell/unplaceable_gangs_test.cpp
@@ -35,7 +35,7 @@
         runFor(200 * millisecond);
     }
 
-    bool hasStarted(const std::string &job) const { return cell.jobs.at(job).startedAny; }
+    bool hasStarted(const std::string &job) const { return cell.jobs.at(job).begun; }
 
     /// Changes the registry entries of the workers from `first` on.
     void changeEntries(int first, const std::function<void(worker_entry &)> &change)
--- a/testing/cell/cell_history.cpp
+++ b/testing/cell/cell_history.cpp
@@ -119,6 +119,7 @@
         cell::changeWorkers(scheduler->cell, readRegistry(scheduler->cell), now);
         cell::decide(scheduler->cell, now, out);
         checkTotals(scheduler->cell);
+        checkPendingJobs(scheduler->cell);
         sendOrders(scheduler, out);
         writeChanges(scheduler);
     }
--- a/testing/cell/history_events.cpp
+++ b/testing/cell/history_events.cpp
@@ -264,6 +264,29 @@
     }
 }
 
+void cell_history::state::checkPendingJobs(const cell::scheduler &cell)
+{
+    std::map<std::string, std::int64_t> waiting;
+    for (const auto &[id, job] : cell.jobs) {
+        if (!job.stored || job.finalPhase || record.begunJobs.count(id) > 0) {
+            continue;
+        }
+        ++waiting[job.spec.queue];
+        if (cell::visiblePhase(job) != cell::job_phase::queued) {
+            record.violations.push_back("job " + id + " is shown as begun, but no worker has"
+                                        + " begun a task of it");
+        }
+    }
+    const auto pending = cell::countPendingByQueue(cell);
+    for (const auto &[queue, count] : waiting) {
+        const auto counted = pending.find(queue);
+        if (counted == pending.end() || counted->second < count) {
+            record.violations.push_back("queue " + queue + ": " + std::to_string(count)
+                                        + " jobs wait, fewer are pending");
+        }
+    }
+}
+
 void cell_history::state::checkFinalState()
 {
     for (const std::string &id : accepted) {
--- a/testing/cell/history_state.h
+++ b/testing/cell/history_state.h
@@ -120,6 +120,8 @@
     void adoptConfig(const scheduler_pointer &scheduler);
     /// Checks the running totals of the teams against those computed from all tasks.
     void checkTotals(const cell::scheduler &cell);
+    /// Checks that the jobs of which no worker has begun a task are told to callers as pending.
+    void checkPendingJobs(const cell::scheduler &cell);
     /// Draws the team of a job; none if the job would never fit the team's cap.
     std::string drawTeam(const cell::job_spec &spec);
     /// Submits a random job to the newest live scheduler.
--- a/testing/cell/simulated_worker.cpp
+++ b/testing/cell/simulated_worker.cpp
@@ -299,6 +299,7 @@
     }
     checkStart(worker, record, order, now, std::min(sentAt, now));
     ++record.starts;
+    record.begunJobs.insert(order.task.job);
     const task_behaviour &behaviour = record.behaviour[order.task];
     const bool fails = record.runCount[order.task]++ < behaviour.failingRuns;
     extendLease(worker, order.leaseUntil, now);
--- a/testing/cell/simulated_worker.h
+++ b/testing/cell/simulated_worker.h
@@ -99,6 +99,8 @@
     std::map<cell::task_id, task_behaviour> behaviour;
     /// Number of runs started of each task.
     std::map<cell::task_id, int> runCount;
+    /// Jobs of which a worker has begun a task.
+    std::set<std::string> begunJobs;
     std::map<std::string, cell::job_spec> jobs;
     std::map<std::string, int> maxAttempts;
     /// Jobs whose tasks start only with a ticket of the advisory service.
