A majority that is cut off and its successor leave each other's workers alone

Cause: both sides may act, one confirmed by a majority, the other by the store, and each took the end of the leases that it knew of for the end of all leases on a silent worker. The successor counted its predecessor's leases from its own takeover; the predecessor took the replies of a majority for the proof that nobody had renewed its leases.

Change: the successor counts the leases from the time on at which half of the entries follow it, which leaves no majority to anyone else. A scheduler starts the tasks of a silent worker after a write or replies of all entries that were asked for after the leases; it writes at once when only that is missing.

Why it works: a former scheduler needs a majority, a later one the store. The first condition ends the one, the second rules out the other.

The soak asks for the state of each job while faults last, and in the calm for the number of pending jobs: an answer that is false breaks it (MIXED).

--- a/src/cell/jobs/scheduler_jobs.cpp
+++ b/src/cell/jobs/scheduler_jobs.cpp
@@ -17,6 +17,7 @@
 {
     cell.epoch = epoch;
     cell.tookOverAt = now;
+    cell.predecessorsOverAt = now;
 }
 
 const queue_policy *findQueue(const cell_config &config, const std::string &name)
--- a/src/cell/scheduler.h
+++ b/src/cell/scheduler.h
@@ -208,10 +208,19 @@
     scheduler_settings settings;
     std::int64_t epoch = 0;
     timestamp tookOverAt = distantPast;
+    /// Time from which on no earlier scheduler grants leases, as it can have no majority of the
+    /// entries; `distantFuture`: one may still have it.
+    timestamp predecessorsOverAt = distantPast;
     /// Time of the newest proof that there was no successor. Leases are granted from this time on,
     /// so that a successor knows when they have expired. A time in the future counts as the
     /// present.
     timestamp confirmedAt = distantFuture;
+    /// Time of the newest proof that there was no successor anywhere: a write, or replies of all
+    /// entries. A majority confirms the leadership, but one of the others may have taken over with
+    /// the store, and started the tasks of workers that are silent here.
+    timestamp unrivalledAt = distantFuture;
+    /// The leases of a silent worker have expired, and only such a proof is missing.
+    bool awaitsProof = false;
     cell_config config;
     team_table teams;
     queued_work queued;
@@ -298,8 +307,8 @@
 bool cancelJob(scheduler &cell, const std::string &id, timestamp now, orders &out);
 /// Returns the job, or null if it is unknown.
 job_state *findJob(scheduler &cell, const std::string &id);
-/// Returns the number of stored jobs of the queue that have not ended and of which no worker is known
-/// to have begun a task.
+/// Returns the number of stored jobs of the queue that have not ended and of which no worker is
+/// known to have begun a task.
 std::int64_t countPendingJobs(const scheduler &cell, const std::string &queue);
 /// As `countPendingJobs`, for all queues in one pass over the jobs; queues without pending jobs are
 /// left out.
@@ -360,6 +369,9 @@
 
 /// Returns the current fencing token for the worker: epoch and number of the worker's fence.
 std::int64_t fencingToken(const scheduler &cell, const worker_state &worker);
+/// Returns the time after which every lease that an earlier scheduler granted to a worker that has
+/// not been fenced has expired; `distantFuture` if that is not known.
+timestamp predecessorLeaseExpiry(const scheduler &cell);
 /// Grants the longest lease allowed at `now` and returns its end on the worker's clock.
 std::int64_t grantLease(const scheduler &cell, worker_state &worker, timestamp now);
 /// Computes the job's objective, and the expected times to its end, from the run times observed in
@@ -372,8 +384,8 @@
 /// of one or the end of such a run.
 void noteBegin(job_state &job);
 /// Records a change that stores that the job has begun, unless there was one. Must be called before
-/// the workers cease to list the run, as a later scheduler learns of it from them otherwise. Returns
-/// the number of the change; 0 if there is nothing to store.
+/// the workers cease to list the run, as a later scheduler learns of it from them otherwise.
+/// Returns the number of the change; 0 if there is nothing to store.
 std::uint64_t recordBegin(scheduler &cell, job_state &job);
 /// Includes the job in the next placement round, unless it has ended.
 void markRunnable(scheduler &cell, const job_state &job);
--- a/src/cell/workers/scheduler_workers.cpp
+++ b/src/cell/workers/scheduler_workers.cpp
@@ -103,13 +103,6 @@
     recordCheckpoint(*job, run, *task, now);
 }
 
-/// Returns the time after which every lease granted by previous schedulers has expired. The newest
-/// of them was last confirmed `predecessorGrace` after the takeover at the latest.
-timestamp predecessorLeaseExpiry(const scheduler &cell)
-{
-    return latestLeaseExpiry(cell.settings.lease, cell.tookOverAt) + cell.settings.predecessorGrace;
-}
-
 /// Whether the run certainly does not exist if the answer to a poll sent at `sentAt` lacks it.
 bool isAbsent(const task_state &task, const poll_order &order, timestamp sentAt)
 {
@@ -130,7 +123,7 @@
 /// schedulers are known only once all ends are, which may take several answers: the worker lists
 /// the next ends when those before them are acknowledged.
 void applyFencedAnswer(scheduler &cell, worker_state &worker, const poll_order &order,
-                       const worker_report &report, orders &out)
+                       const worker_report &report, timestamp now, orders &out)
 {
     const bool isFenceAnswered = worker.life.needsFence && order.fence;
     const bool isComplete = listsAllEnds(report);
@@ -141,6 +134,12 @@
                                   + " running=" + std::to_string(report.running.size())
                                   + " ended=" + std::to_string(report.ended.size())});
     }
+    if (!worker.life.fenced) {
+        // From now on the worker refuses earlier schedulers.
+        worker.life.leasesExpiredAt = std::max(
+            worker.life.leasesExpiredAt,
+            std::min(predecessorLeaseExpiry(cell), latestLeaseExpiry(cell.settings.lease, now)));
+    }
     worker.life.fenced = true;
     worker.life.reconciled = worker.life.reconciled || isComplete;
     // An answer to a poll sent before the fence proves nothing about the unanswered order.
@@ -183,6 +182,15 @@
     return (cell.epoch << fenceBits) + worker.life.fenceNumber;
 }
 
+timestamp predecessorLeaseExpiry(const scheduler &cell)
+{
+    if (cell.predecessorsOverAt == distantFuture) {
+        return distantFuture;
+    }
+    return latestLeaseExpiry(cell.settings.lease, cell.predecessorsOverAt)
+        + cell.settings.predecessorGrace;
+}
+
 std::int64_t grantLease(const scheduler &cell, worker_state &worker, timestamp now)
 {
     const lease_limits &limits = cell.settings.lease;
@@ -200,7 +208,6 @@
     worker.recorded = true;
     worker.life.fenceNumber = cell.fencesIssued;
     worker.life.nextPollAt = now;
-    worker.life.leasesExpiredAt = predecessorLeaseExpiry(cell);
     worker.life.born = entry.born;
     worker.life.address = entry.address;
     worker.life.largestCapacity = entry.capacity;
@@ -227,9 +234,6 @@
             worker.life.nextPollAt = now;
             worker.life.born = entry.born;
             worker.life.address = entry.address;
-            // A worker that does not answer may hold leases granted by a previous scheduler until
-            // this time.
-            worker.life.leasesExpiredAt = predecessorLeaseExpiry(cell);
         }
     }
     for (auto &[id, worker] : cell.workers) {
@@ -332,7 +336,7 @@
     worker.life.clock = report.workerClock;
     worker.life.clockReadAt = now;
     if (order.fencingToken == fencingToken(cell, worker)) {
-        applyFencedAnswer(cell, worker, order, report, out);
+        applyFencedAnswer(cell, worker, order, report, now, out);
     }
     for (const reported_end &end : report.ended) {
         if (end.sequence > worker.life.lastEnd) {
--- a/src/entry/confirmation.cpp
+++ b/src/entry/confirmation.cpp
@@ -74,6 +74,30 @@
     return 2 * (others + 1) > entry.members.size();
 }
 
+/// Notes when so many entries follow this one that the others are no majority, which an earlier
+/// scheduler that is cut off from the store needs to go on.
+void checkPredecessors(entry_state &entry, timestamp now)
+{
+    cell::scheduler &cell = entry.leaderState->cell;
+    if (cell.predecessorsOverAt != distantFuture) {
+        return;
+    }
+    const auto &followedAt = entry.leaderState->followedAt;
+    const auto following = static_cast<std::size_t>(
+        std::count_if(followedAt.begin(), followedAt.end(), [&](const auto &follower) {
+            return entry.members.count(follower.first) > 0;
+        }));
+    if (2 * (following + 1) < entry.members.size()) {
+        return;
+    }
+    cell.predecessorsOverAt = now;
+    logEvent(entry, "predecessors_over",
+             {{"epoch", std::to_string(entry.epoch)},
+              {"followers", std::to_string(following)},
+              {"members", std::to_string(entry.members.size())},
+              {"since_takeover_ms", std::to_string((now - cell.tookOverAt) / millisecond)}});
+}
+
 /// Returns the newest time since which a majority has replied that it follows this entry;
 /// `distantPast` if there is none.
 timestamp followedByMajoritySince(const entry_state &entry)
@@ -93,6 +117,21 @@
     return distantPast;
 }
 
+/// Returns the newest time since which all members have replied that they follow this entry and do
+/// not claim; `distantPast` if one has not.
+timestamp followedByAllSince(const entry_state &entry)
+{
+    const auto &followedAt = entry.leaderState->followedQuietlyAt;
+    timestamp since = distantFuture;
+    for (const auto &[name, address] : entry.members) {
+        if (name != entry.settings.name) {
+            const auto follower = followedAt.find(name);
+            since = std::min(since, follower == followedAt.end() ? distantPast : follower->second);
+        }
+    }
+    return since;
+}
+
 void confirm(entry_state &entry, timestamp askedAt)
 {
     entry.leaderState->confirmedAt = std::max(entry.leaderState->confirmedAt, askedAt);
@@ -104,6 +143,9 @@
 {
     entry.leaderState->verifiedAt = claimedAt;
     entry.leaderState->runningAt = claimedAt;
+    entry.leaderState->unrivalledAt = claimedAt;
+    entry.leaderState->cell.predecessorsOverAt = distantFuture;
+    checkPredecessors(entry, steadyNow());
     confirm(entry, claimedAt);
 }
 
@@ -116,6 +158,7 @@
         leaderState.evidence.clear();
     }
     confirm(entry, startedAt);
+    leaderState.unrivalledAt = std::max(leaderState.unrivalledAt, startedAt);
     verifyLeadership(entry, startedAt);
 }
 
@@ -144,6 +187,13 @@
         timestamp &followedAt = leaderState.followedAt[name];
         followedAt = std::max(followedAt, askedAt);
         confirm(entry, followedByMajoritySince(entry));
+        if (reply == member_reply::follows) {
+            timestamp &quietAt = leaderState.followedQuietlyAt[name];
+            quietAt = std::max(quietAt, askedAt);
+            leaderState.unrivalledAt =
+                std::max(leaderState.unrivalledAt, followedByAllSince(entry));
+        }
+        checkPredecessors(entry, steadyNow());
     }
     if (!awaitsVerification(leaderState) || askedAt < leaderState.resumedAt
         || reply == member_reply::claiming) {
@@ -201,8 +251,10 @@
 void updateConfirmation(entry_state &entry, timestamp now)
 {
     leader_state &leaderState = *entry.leaderState;
+    checkPredecessors(entry, now);
     const bool alone = entry.members.size() < 2 && !leaderState.needsStoreProof;
     leaderState.cell.confirmedAt = alone ? distantFuture : leaderState.confirmedAt;
+    leaderState.cell.unrivalledAt = alone ? distantFuture : leaderState.unrivalledAt;
     const bool suspended = awaitsVerification(leaderState)
         || (!alone && now > leaderState.confirmedAt + confirmationTimeout);
     if (suspended == leaderState.suspended) {
--- a/src/entry/writes.cpp
+++ b/src/entry/writes.cpp
@@ -289,6 +289,9 @@
     if (leaderState.write || needsVerification(entry)) {
         return true; // to be retried, or to verify the leadership
     }
+    if (leaderState.cell.awaitsProof) {
+        return true;
+    }
     if (entry.members.size() > 1 && now > leaderState.confirmedAt + confirmationWriteDelay) {
         return true;
     }
--- a/test/cell/confirmation_test.cpp
+++ b/test/cell/confirmation_test.cpp
@@ -200,3 +200,87 @@
     questionLeadership(led.entry, "worker=b", led.wokenAt + 4 * millisecond);
     BOOST_TEST(!led.order());
 }
+
+// Guards against tasks with two runs: an entry claimed with a minority of the entries, while the
+// others followed a scheduler that was cut off from the store together with them (soak, seed 2).
+BOOST_AUTO_TEST_CASE(twice_successor_with_a_minority_takes_its_predecessor_for_ended)
+{
+    struct row
+    {
+        int members;
+        int following;
+        bool isOver;
+    };
+    // A scheduler needs more than half of the entries to go on without the store.
+    const row rows[] = {{1, 0, true},  {2, 0, true}, {3, 0, false},   {3, 1, true},
+                        {5, 1, false}, {5, 2, true}, {6, 1, false},   {6, 2, true},
+                        {7, 2, false}, {7, 3, true}, {38, 17, false}, {38, 18, true}};
+    for (const row &given : rows) {
+        BOOST_TEST_CONTEXT(given.following << " of " << given.members << " entries follow")
+        {
+            paused_scheduler successor(0);
+            successor.entry.members = {{"entry-1", "127.0.0.1:2"}};
+            for (int number = 2; number <= given.members; ++number) {
+                successor.entry.members["entry-" + std::to_string(number)] = "127.0.0.1:1";
+            }
+            beginConfirmation(successor.entry, successor.claimedAt);
+            const timestamp &over = successor.entry.leaderState->cell.predecessorsOverAt;
+            BOOST_TEST((over != distantFuture) == (given.isOver && given.following == 0));
+            successor.reply("gone", 0, member_reply::follows); // no longer a member
+            for (int number = 2; number < 2 + given.following; ++number) {
+                successor.reply(("entry-" + std::to_string(number)).c_str(), 0,
+                                member_reply::follows);
+            }
+            BOOST_TEST((over != distantFuture) == given.isOver);
+        }
+    }
+}
+
+// Entries that have ended for good are forgotten, after a write, and count no longer.
+BOOST_AUTO_TEST_CASE(predecessors_are_over_when_the_entries_that_may_follow_them_are_forgotten)
+{
+    paused_scheduler successor(0);
+    successor.addMembers(2);
+    beginConfirmation(successor.entry, successor.claimedAt);
+    successor.reply("entry-2", 0, member_reply::follows);
+    const timestamp &over = successor.entry.leaderState->cell.predecessorsOverAt;
+    BOOST_TEST((over == distantFuture));
+    successor.entry.members.erase("entry-5");
+    updateConfirmation(successor.entry, successor.claimedAt + second);
+    BOOST_TEST(over == successor.claimedAt + second);
+}
+
+// A majority proves that the leadership goes on, not that none of the others has taken over.
+BOOST_AUTO_TEST_CASE(a_scheduler_is_unrivalled_by_replies_of_all_entries_or_by_a_write)
+{
+    struct row
+    {
+        const char *name;
+        member_reply last;
+        bool writes;
+        microseconds provedAfter;
+    };
+    const row rows[] = {{"the last entry is silent", member_reply::none, false, 0},
+                        {"the last entry is claiming", member_reply::claiming, false, 0},
+                        {"all follow", member_reply::follows, false, 100},
+                        {"a write", member_reply::none, true, 300}};
+    for (const row &given : rows) {
+        BOOST_TEST_CONTEXT(given.name)
+        {
+            paused_scheduler scheduler(0);
+            entry_state &entry = scheduler.entry;
+            scheduler.addMembers(2);
+            for (const char *name : {"entry-2", "entry-3", "entry-4"}) {
+                scheduler.reply(name, 200, member_reply::follows);
+            }
+            scheduler.reply("entry-5", 100, given.last);
+            if (given.writes) {
+                confirmByWrite(entry, scheduler.claimedAt + 300);
+            }
+            updateConfirmation(entry, scheduler.claimedAt + 400);
+            BOOST_TEST(entry.leaderState->cell.unrivalledAt
+                       == scheduler.claimedAt + given.provedAfter);
+            BOOST_TEST(entry.leaderState->cell.confirmedAt >= scheduler.claimedAt + 200);
+        }
+    }
+}
--- a/test/cell/takeover_test.cpp
+++ b/test/cell/takeover_test.cpp
@@ -36,11 +36,15 @@
     }
 
     /// Returns the time from the takeover to the start of the restored task, or -1 if it does not
-    /// start within 20 s.
-    microseconds runUntilStart()
+    /// start within 20 s. An earlier scheduler may have a majority for `minorityTime`.
+    microseconds runUntilStart(microseconds minorityTime = 0)
     {
         const timestamp end = tookOverAt + 20 * second;
         for (; now < end; now += stepTime) {
+            if (minorityTime > 0) {
+                cell.predecessorsOverAt =
+                    now < tookOverAt + minorityTime ? distantFuture : tookOverAt + minorityTime;
+            }
             const orders out = decide();
             if (!out.starts.empty()) {
                 return now - tookOverAt;
@@ -76,6 +80,77 @@
     }
 }
 
+// Guards against tasks with two runs: a scheduler that was cut off from the store with a majority
+// of the entries went on beside its successor, which started the tasks of the workers that were cut
+// off with it when the leases should have ended (soak, seed 2).
+BOOST_AUTO_TEST_CASE(twice_tasks_of_workers_that_are_cut_off_with_a_majority_start_again)
+{
+    for (const microseconds minorityTime : {100 * millisecond, 3 * second, 10 * second}) {
+        BOOST_TEST_CONTEXT("for " << minorityTime / millisecond
+                                  << " ms a majority may be elsewhere")
+        {
+            takeover_fixture fixture(0);
+            const timestamp expiredAt =
+                minorityTime + latestLeaseExpiry(fixture.cell.settings.lease, noticeTime);
+            const microseconds waited = fixture.runUntilStart(minorityTime);
+            BOOST_TEST(waited > expiredAt);
+            BOOST_TEST(waited <= expiredAt + 2 * stepTime);
+        }
+    }
+}
+
+// The other side of it: the scheduler that was cut off started the tasks of workers that its
+// successor reached, and whose leases that had renewed.
+BOOST_AUTO_TEST_CASE(twice_tasks_of_silent_workers_start_again_while_an_entry_may_have_taken_over)
+{
+    cell_fixture fixture;
+    const auto out = fixture.run(cell_fixture::makeJob("a", {cell_fixture::makeStep(1, 1'000)}));
+    fixture.confirm(out.starts.at(0));
+    const std::string worker = out.starts[0].worker;
+    orders ignored;
+    onPollFailed(fixture.cell, fixture.makePoll(worker), order_outcome::unanswered, fixture.now,
+                 ignored);
+    const timestamp expiredAt = fixture.cell.workers.at(worker).life.leasesExpiredAt;
+    fixture.now = expiredAt + 10 * second;
+    fixture.cell.confirmedAt = fixture.now; // by a majority
+    fixture.cell.unrivalledAt = expiredAt;
+    BOOST_TEST(fixture.decide().starts.empty());
+    BOOST_TEST(fixture.cell.awaitsProof); // asks for a write
+    fixture.cell.unrivalledAt = expiredAt + 1;
+    BOOST_TEST(fixture.decide().starts.size() == 1U);
+    BOOST_TEST(!fixture.cell.awaitsProof);
+}
+
+// Jobs that no earlier scheduler knows do not wait, nor do those of earlier ones once each worker
+// has answered.
+BOOST_AUTO_TEST_CASE(tasks_start_while_a_majority_may_be_elsewhere)
+{
+    takeover_fixture fixture(0);
+    fixture.cell.predecessorsOverAt = distantFuture;
+    const orders out = fixture.run(cell_fixture::makeJob("b", {cell_fixture::makeStep(1, 1'000)}));
+    BOOST_REQUIRE(out.starts.size() == 1U);
+    BOOST_TEST(out.starts[0].task.job == "b");
+    fixture.report("worker-9", {});
+    BOOST_TEST(fixture.decide().starts.size() == 1U);
+}
+
+// The worker refuses earlier schedulers from its first answer on, but may hold a lease of theirs.
+BOOST_AUTO_TEST_CASE(twice_runs_of_a_worker_that_is_silent_after_its_first_answer)
+{
+    takeover_fixture fixture(0);
+    fixture.cell.predecessorsOverAt = distantFuture;
+    cell::worker_report answer;
+    answer.running.push_back({{"a", 0, 0, 0}, 1, "", 10});
+    const timestamp answeredAt = fixture.now;
+    fixture.report("worker-9", answer);
+    orders ignored;
+    onPollFailed(fixture.cell, fixture.makePoll("worker-9"), order_outcome::unanswered, fixture.now,
+                 ignored);
+    const microseconds waited = fixture.tookOverAt + fixture.runUntilStart() - answeredAt;
+    BOOST_TEST(waited > latestLeaseExpiry(fixture.cell.settings.lease, 0));
+    BOOST_TEST(waited <= latestLeaseExpiry(fixture.cell.settings.lease, 2 * stepTime));
+}
+
 // A successor relies on it: the leases of its predecessor end by a time that it knows.
 BOOST_AUTO_TEST_CASE(leases_are_granted_from_the_last_confirmation_on)
 {
--- a/testing/soak/cell_world.cpp
+++ b/testing/soak/cell_world.cpp
@@ -21,6 +21,10 @@
 /// A worker's clock may be 2 % slow.
 constexpr double slowClockRate = 0.98;
 constexpr microseconds retryPause = 500 * millisecond;
+/// When clients ask for the state of a job after its acceptance.
+constexpr microseconds stateQuestions[] = {300 * millisecond, 3 * second};
+/// Age from which accepted jobs that have not begun must be counted as pending.
+constexpr microseconds pendingAge = 5 * second;
 
 std::string encodeConfig(const std::vector<route> &routes)
 {
@@ -201,6 +205,9 @@
              if (status >= 200 && status < 300) {
                  m_jobs[id].accepted = true;
                  m_jobs[id].acceptedAt = steadyNow();
+                 for (const microseconds delay : stateQuestions) {
+                     at(delay, [this, id] { askState(id); });
+                 }
              }
          });
 }
@@ -224,10 +231,53 @@
             ? entry::textField(document, "state")
             : std::to_string(status);
         job.stateAt = steadyNow();
+        if (job.state == "running" && m_book.begunJobs.count(id) == 0) {
+            m_falseAnswers.push_back(id + " is shown as running, and no worker has begun it");
+        }
         note("client: GET " + id + " -> " + job.state);
     });
 }
 
+void cell_world::askPending(const std::string &queue)
+{
+    const route &asked = m_routes.at(queue);
+    for (std::size_t entry = 0; entry < m_settings.entries.size(); ++entry) {
+        net::http_call call;
+        call.address = m_settings.entries[entry].callers;
+        call.method = "GET";
+        call.target = asked.prefix;
+        call.headers = {{"Host", asked.host},
+                        {"Deadline-Ms", std::to_string(callDeadline / millisecond)}};
+        call.deadline = steadyNow() + callDeadline;
+        m_client.send(std::move(call),
+                      [this, queue, entry, askedAt = steadyNow()](const net::call_result &result) {
+                          rapidjson::Document document;
+                          if (result.outcome == net::call_outcome::answered && result.status == 200
+                              && entry::parseObject(result.body, document)) {
+                              checkPending(queue, entry, askedAt,
+                                           entry::integerField(document, "pending"));
+                          }
+                      });
+    }
+}
+
+void cell_world::checkPending(const std::string &queue, std::size_t entry, timestamp askedAt,
+                              std::int64_t pending)
+{
+    const auto waiting = std::count_if(m_jobs.begin(), m_jobs.end(), [&](const auto &known) {
+        const client_job &job = known.second;
+        return job.queue == queue && job.accepted && !job.isCancelRequested
+            && job.acceptedAt < askedAt - pendingAge && m_book.begunJobs.count(job.id) == 0;
+    });
+    note("client: entry " + std::to_string(entry) + " gives " + std::to_string(pending)
+         + " jobs of " + queue + " as pending, " + std::to_string(waiting) + " wait");
+    if (2 * pending < waiting) {
+        m_falseAnswers.push_back("entry " + std::to_string(entry) + " gives "
+                                 + std::to_string(pending) + " jobs of " + queue
+                                 + " as pending, but " + std::to_string(waiting) + " wait");
+    }
+}
+
 worker *cell_world::workerOf(const std::string &task)
 {
     for (const auto &each : m_workers) {
--- a/testing/soak/cell_world.h
+++ b/testing/soak/cell_world.h
@@ -83,6 +83,11 @@
                 const std::string &extra = "", const std::string &jobExtra = "");
     void cancel(const std::string &id);
     void askState(const std::string &id);
+    /// Asks each entry how many jobs of the queue are pending. The answers of entries that have
+    /// been undisturbed for some seconds must not be too low.
+    void askPending(const std::string &queue);
+    /// Answers about the state of a job, or the number of pending ones, that were false.
+    const std::vector<std::string> &falseAnswers() const { return m_falseAnswers; }
     /// Sends the signal to an entry's process. The script starts a process again that has ended.
     void signalEntry(std::size_t index, int signal);
     /// Ends the loop with the exit code.
@@ -104,6 +109,8 @@
     using answer_handler = std::function<void(int status, const std::string &body)>;
 
     void tick();
+    void checkPending(const std::string &queue, std::size_t entry, timestamp askedAt,
+                      std::int64_t pending);
     void send(const std::string &method, const std::string &id, const std::string &body,
               int retriesLeft, const answer_handler &done);
 
@@ -116,6 +123,7 @@
     std::vector<std::unique_ptr<worker>> m_workers;
     std::map<std::string, route> m_routes;
     std::map<std::string, client_job> m_jobs;
+    std::vector<std::string> m_falseAnswers;
     std::size_t m_nextEntry = 0;
     int m_exitCode = 2;
 };
--- a/testing/soak/soak.cpp
+++ b/testing/soak/soak.cpp
@@ -13,6 +13,8 @@
 
 /// Time without faults in which every accepted job has to end, and what was cancelled has to stop.
 constexpr microseconds calmTime = 20 * second;
+/// Part of it after which every entry must know how many jobs wait.
+constexpr microseconds settledAfter = 5 * second;
 /// Time for the answers to the last questions.
 constexpr microseconds answerTime = 8 * second;
 /// Cancellations acknowledged later than this before the end may still be carried out.
@@ -53,7 +55,7 @@
 }
 
 /// One seed in two brings more work than the workers can do at once, and mostly partitions; one in
-/// four a single partition of the leader.
+/// four a single partition of the leader, and one in twenty one of the leader with a majority.
 bool isPartitionProfile(const soak_run &soak)
 {
     return soak.settings.seed % 2 == 1;
@@ -349,6 +351,19 @@
     cutFor(soak, group, drawMs(*soak, 8'000, 16'000));
 }
 
+/// Cuts the leader off with half of the workers and with so many entries that these are a majority.
+void cutMajority(const soak_ref &soak)
+{
+    cut_group group;
+    group.entries.resize(soak->world.entryCount());
+    const std::size_t leader = findLeader(*soak);
+    for (std::size_t number = 0; number <= group.entries.size() / 2; ++number) {
+        group.entries[(leader + number) % group.entries.size()] = true;
+    }
+    group.workers = workerCount / 2;
+    cutFor(soak, group, drawMs(*soak, 8'000, 12'000));
+}
+
 /// A link between two entries fails in one direction.
 void disturbPeers(const soak_ref &soak)
 {
@@ -437,23 +452,33 @@
     noteAll(repeated);
     noteAll(unwanted);
     noteAll(lost);
+    noteAll(soak->world.falseAnswers());
     int accepted = 0;
     for (const auto &[id, job] : soak->world.jobs()) {
         accepted += job.accepted ? 1 : 0;
     }
-    const bool held = repeated.empty() && unwanted.empty() && lost.empty();
+    const bool held =
+        repeated.empty() && unwanted.empty() && lost.empty() && soak->world.falseAnswers().empty();
     soak->world.finish(held ? 0 : 1,
                        std::string(held ? "held" : "broken") + ": jobs "
                            + std::to_string(soak->jobs) + ", accepted " + std::to_string(accepted)
                            + ", runs " + std::to_string(book.runs.size()) + ", repeated runs "
                            + std::to_string(repeated.size()) + ", unwanted runs "
                            + std::to_string(unwanted.size()) + ", lost jobs "
-                           + std::to_string(lost.size()));
+                           + std::to_string(lost.size()) + ", false answers "
+                           + std::to_string(soak->world.falseAnswers().size()));
 }
 
 /// Ends all faults and, after a calm time, asks for the state of each job.
 void endSoak(const soak_ref &soak)
 {
+    for (microseconds delay = settledAfter; delay < calmTime; delay += second) {
+        soak->world.at(delay, [soak] {
+            for (const route &queue : soakRoutes()) {
+                soak->world.askPending(queue.name);
+            }
+        });
+    }
     soak->world.at(calmTime, [soak] {
         for (const auto &[id, job] : soak->world.jobs()) {
             if (job.accepted && !job.isCancelRequested) {
@@ -484,6 +509,8 @@
     submitJobs(soak);
     if (settings.seed % 4 == 3) {
         world.at(6 * second, [soak] { cutLeader(soak); });
+    } else if (settings.seed % 20 == 13) {
+        world.at(6 * second, [soak] { cutMajority(soak); });
     } else {
         world.at(2 * second, [soak] { injectFaults(soak); });
     }
--- a/testing/soak/worker.cpp
+++ b/testing/soak/worker.cpp
@@ -339,6 +339,7 @@
             members.second = started.startedAt;
         }
     }
+    m_book.begunJobs.insert(task.substr(0, task.find('.')));
     m_book.runs.push_back({task, attempt, m_settings.id, started.startedAt, 0, "", 0, false});
     m_runs.emplace(task, started);
     note("run: " + m_settings.id + " starts " + task + " attempt " + std::to_string(attempt));
--- a/testing/soak/worker.h
+++ b/testing/soak/worker.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 
 #include <boost/asio/io_context.hpp>
 #include <rapidjson/document.h>
@@ -50,6 +51,8 @@
     /// By job id; one element a step.
     std::map<std::string, std::vector<step_behaviour>> jobs;
     std::vector<observed_run> runs;
+    /// Jobs of which a worker has begun a task.
+    std::set<std::string> begunJobs;
     /// Members of each run of a gang that are present on all workers: job, occurrence, step and
     /// attempt, with the time since which all are present (0: not yet).
     std::map<std::string, std::pair<int, timestamp>> gangs;
