A lasting task that fails under load is not late

Cause: the objective of its job, a moment some seconds after it was handed in, was held against each restart. A late step comes after all that is on time, whatever its priority; under overload there is always some.

Change: a step that lasts is never late.

Why it works: it earns while it runs, whenever it starts, so that there is nothing to be late for.

Test: cell_lasting_tasks in virtual time; with the former line the task does not run for 21 s in 3 of 3 rows, now for 9 s at most. Work of a higher priority still goes first.

Also the format of worker_state.h.

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -80,7 +80,7 @@
 endforeach()
 
 # Units that drive the scheduler against simulated workers.
-foreach(unit ends_in_pages pending_jobs unplaceable_gangs unwanted_runs)
+foreach(unit ends_in_pages lasting_tasks pending_jobs unplaceable_gangs unwanted_runs)
     add_executable(cell_${unit}_test test/cell/${unit}_test.cpp testing/cell/simulated_worker.cpp)
     target_include_directories(cell_${unit}_test PRIVATE ${CMAKE_SOURCE_DIR} ${CMAKE_SOURCE_DIR}/test/cell)
     target_link_libraries(cell_${unit}_test PRIVATE bramleygrade_entry Boost::headers)
--- a/src/cell/placement/placement.cpp
+++ b/src/cell/placement/placement.cpp
@@ -54,8 +54,10 @@
         : occurrence.dueAt + (job.objectiveAt - job.receivedAt);
     waiting.orderAt = waiting.objectiveAt;
     const microseconds remaining = job.expectedToEnd[static_cast<std::size_t>(index)];
-    waiting.late = now + static_cast<microseconds>(latenessShare * static_cast<double>(remaining))
-        > waiting.objectiveAt;
+    // A lasting step earns while it runs, whenever it starts.
+    waiting.late = !stepOf(job, index).longRunning
+        && now + static_cast<microseconds>(latenessShare * static_cast<double>(remaining))
+            > waiting.objectiveAt;
     waiting.holdsCapacity = occurrence.steps[static_cast<std::size_t>(index)].holdsCapacity;
     waiting.priority = job.policy.priority;
     waiting.job = &job;
--- a/src/cell/workers/worker_state.h
+++ b/src/cell/workers/worker_state.h
@@ -53,8 +53,8 @@
     /// The worker's clock in its newest answer, and the local time at which it arrived.
     std::int64_t clock = 0;
     timestamp clockReadAt = distantPast;
-    /// Local time after which every lease that this scheduler has granted to the worker has expired,
-    /// and once the worker is fenced those of earlier ones.
+    /// Local time after which every lease that this scheduler has granted to the worker has
+    /// expired, and once the worker is fenced those of earlier ones.
     timestamp leasesExpiredAt = distantPast;
 
     /// Highest sequence number of an end that was received.
