--- a/test/cell/lasting_tasks_test.cpp
+++ b/test/cell/lasting_tasks_test.cpp
@@ -5,7 +5,6 @@
 
 using namespace bramleygrade;
 using namespace bramleygrade::cell;
-using bramleygrade::testing::cell_fixture;
 using bramleygrade::testing::driven_cell;
 
 namespace {
