Histories with restarts: seed 287 traced; all other seeds stay checked

Cause of 287, by a trace of each start and of the unreconciled workers: job48 is restored at 119.7 s, waits for the leases of a dead worker until 125.4 s (5.75 s, as designed), for capacity until 144.4 s behind 55 open jobs, and its steps run until 180.28 s. The history ends at 180.0 s. Ruled out: a task that is held back for good, a wait for `unrivalledAt` (no worker waits for it).

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -250,8 +250,13 @@
 add_test(NAME cell_histories_of_restarts_from_256 COMMAND cell_histories 256 76 restarts)
 add_test(NAME cell_histories_of_restarts_to_180 COMMAND cell_histories 1 180 restarts)
 add_test(NAME cell_histories_of_restarts_from_326 COMMAND cell_histories 326 277 restarts)
+# The same without seeds 265 and 287, which KNOWN-RED.txt lists.
+add_test(NAME cell_histories_of_restarts_to_264 COMMAND cell_histories 1 264 restarts)
+add_test(NAME cell_histories_of_restarts_from_266 COMMAND cell_histories 266 21 restarts)
+add_test(NAME cell_histories_of_restarts_from_288 COMMAND cell_histories 288 44 restarts)
 set_tests_properties(cell_histories_of_restarts cell_histories_of_restarts_from_256
                      cell_histories_of_restarts_to_180 cell_histories_of_restarts_from_326
+                     cell_histories_of_restarts_to_264
                      PROPERTIES COST 500)
 
 # Jobs whose tasks crash the workers that start them.
