Histories: an acknowledgement does not reach a life that began after its connection

Cause, by a trace of the polls: worker-2 restarts at 110.28 s. The poll in flight is answered by the new life at 110.37 s and the answer is lost. The fence at 110.55 s carries `ack 9` for ends of the former life and `connectedBefore` of 109.96 s at the latest. The model delivered it, as the former poll had opened a connection to the new life; the new life took its ends up to 9 for acknowledged before it had any. The client of the product uses such a connection only if it was opened by `connectedBefore` (src/net/http_client.cpp), and so does the model of loaded_cluster.h.

Change: the model of the histories asks the same. No check is changed, and no order is delivered that was not delivered before.

Ruled out: that the scheduler acknowledged an end before it was stored. The end in question is number 8 of the new life, which no poll acknowledged.

--- a/testing/cell/cell_history.cpp
+++ b/testing/cell/cell_history.cpp
@@ -283,7 +283,9 @@
         *this, scheduler, order,
         [this, scheduler, order, report] {
             simulated_worker &worker = findAnswering(order.worker);
-            const bool isConnected = scheduler->connectedLives[order.worker] == worker.clockZero;
+            // A connection to this life that was opened before the life began does not exist.
+            const bool isConnected = scheduler->connectedLives[order.worker] == worker.clockZero
+                && worker.clockZero <= order.connectedBefore;
             if (!isConnected && !isSentOnNewConnections(order)) {
                 return order_outcome::unanswered;
             }
