Names of the proof that there is no successor say what they hold

unrivalledAt is noSuccessorAt, followedQuietlyAt is followedUnclaimingAt, and a test is named after what it shows. The former names were figures of speech.

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -133,7 +133,7 @@
                 twice_scheduler_forgets_the_entries_that_it_cannot_reach
                 twice_successor_with_a_minority_takes_its_predecessor_for_ended
                 predecessors_are_over_when_the_entries_that_may_follow_them_are_forgotten
-                a_scheduler_is_unrivalled_by_replies_of_all_entries_or_by_a_write
+                replies_of_all_entries_or_a_write_prove_that_there_is_no_successor
                 twice_orders_after_a_worker_has_seen_a_newer_token)
     add_test(NAME ${failure} COMMAND cell_confirmation_test --run_test=${failure})
 endforeach()
--- a/src/cell/scheduler.h
+++ b/src/cell/scheduler.h
@@ -218,7 +218,7 @@
     /// Time of the newest proof that there was no successor anywhere: a write, or replies of all
     /// entries. A majority confirms the leadership, but one of the others may have taken over with
     /// the store, and started the tasks of workers that are silent here.
-    timestamp unrivalledAt = distantFuture;
+    timestamp noSuccessorAt = distantFuture;
     /// The leases of a silent worker have expired, and only such a proof is missing.
     bool awaitsProof = false;
     cell_config config;
--- a/src/cell/scheduler_decide.cpp
+++ b/src/cell/scheduler_decide.cpp
@@ -75,11 +75,11 @@
         const bool leasesExpired =
             worker.life.unansweredPolls > 0 && std::min(now, cell.confirmedAt) > expiry;
         const bool mayHaveRuns = !worker.life.runs.empty() || !worker.life.reconciled;
-        const bool isUnrivalled = cell.unrivalledAt > expiry;
-        cell.awaitsProof = cell.awaitsProof || (leasesExpired && mayHaveRuns && !isUnrivalled);
+        const bool isProved = cell.noSuccessorAt > expiry;
+        cell.awaitsProof = cell.awaitsProof || (leasesExpired && mayHaveRuns && !isProved);
         // Neither a refused connection nor a missing registry entry proves that the worker has
         // left: it may be cut off and run on, also while it drains.
-        if (leasesExpired && mayHaveRuns && isUnrivalled) {
+        if (leasesExpired && mayHaveRuns && isProved) {
             ++cell.counters.lostWorkers;
             cell.hasUnknownCrash = cell.hasUnknownCrash || !worker.life.reconciled;
             releaseAllRuns(cell, worker, now, out);
--- a/src/entry/confirmation.cpp
+++ b/src/entry/confirmation.cpp
@@ -121,7 +121,7 @@
 /// not claim; `distantPast` if one has not.
 timestamp followedByAllSince(const entry_state &entry)
 {
-    const auto &followedAt = entry.leaderState->followedQuietlyAt;
+    const auto &followedAt = entry.leaderState->followedUnclaimingAt;
     timestamp since = distantFuture;
     for (const auto &[name, address] : entry.members) {
         if (name != entry.settings.name) {
@@ -143,7 +143,7 @@
 {
     entry.leaderState->verifiedAt = claimedAt;
     entry.leaderState->runningAt = claimedAt;
-    entry.leaderState->unrivalledAt = claimedAt;
+    entry.leaderState->noSuccessorAt = claimedAt;
     entry.leaderState->cell.predecessorsOverAt = distantFuture;
     checkPredecessors(entry, steadyNow());
     confirm(entry, claimedAt);
@@ -158,7 +158,7 @@
         leaderState.evidence.clear();
     }
     confirm(entry, startedAt);
-    leaderState.unrivalledAt = std::max(leaderState.unrivalledAt, startedAt);
+    leaderState.noSuccessorAt = std::max(leaderState.noSuccessorAt, startedAt);
     verifyLeadership(entry, startedAt);
 }
 
@@ -188,10 +188,10 @@
         followedAt = std::max(followedAt, askedAt);
         confirm(entry, followedByMajoritySince(entry));
         if (reply == member_reply::follows) {
-            timestamp &quietAt = leaderState.followedQuietlyAt[name];
-            quietAt = std::max(quietAt, askedAt);
-            leaderState.unrivalledAt =
-                std::max(leaderState.unrivalledAt, followedByAllSince(entry));
+            timestamp &repliedAt = leaderState.followedUnclaimingAt[name];
+            repliedAt = std::max(repliedAt, askedAt);
+            leaderState.noSuccessorAt =
+                std::max(leaderState.noSuccessorAt, followedByAllSince(entry));
         }
         checkPredecessors(entry, steadyNow());
     }
@@ -254,7 +254,7 @@
     checkPredecessors(entry, now);
     const bool alone = entry.members.size() < 2 && !leaderState.needsStoreProof;
     leaderState.cell.confirmedAt = alone ? distantFuture : leaderState.confirmedAt;
-    leaderState.cell.unrivalledAt = alone ? distantFuture : leaderState.unrivalledAt;
+    leaderState.cell.noSuccessorAt = alone ? distantFuture : leaderState.noSuccessorAt;
     const bool suspended = awaitsVerification(leaderState)
         || (!alone && now > leaderState.confirmedAt + confirmationTimeout);
     if (suspended == leaderState.suspended) {
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -147,10 +147,10 @@
     /// When the newest heartbeat was sent to which the member replied that it follows this entry.
     std::map<std::string, timestamp> followedAt;
     /// The same of replies of members that were not claiming.
-    std::map<std::string, timestamp> followedQuietlyAt;
+    std::map<std::string, timestamp> followedUnclaimingAt;
     /// When a message was sent that proved that there was no successor anywhere: a write, or
     /// heartbeats to which all members replied.
-    timestamp unrivalledAt = distantPast;
+    timestamp noSuccessorAt = distantPast;
     /// A worker has seen a newer fencing token, so that only a write can verify the leadership.
     bool needsStoreProof = false;
     /// What has been said against the leadership since the newest such write, and what one has
--- a/test/cell/confirmation_test.cpp
+++ b/test/cell/confirmation_test.cpp
@@ -251,7 +251,7 @@
 }
 
 // A majority proves that the leadership goes on, not that none of the others has taken over.
-BOOST_AUTO_TEST_CASE(a_scheduler_is_unrivalled_by_replies_of_all_entries_or_by_a_write)
+BOOST_AUTO_TEST_CASE(replies_of_all_entries_or_a_write_prove_that_there_is_no_successor)
 {
     struct row
     {
@@ -278,7 +278,7 @@
                 confirmByWrite(entry, scheduler.claimedAt + 300);
             }
             updateConfirmation(entry, scheduler.claimedAt + 400);
-            BOOST_TEST(entry.leaderState->cell.unrivalledAt
+            BOOST_TEST(entry.leaderState->cell.noSuccessorAt
                        == scheduler.claimedAt + given.provedAfter);
             BOOST_TEST(entry.leaderState->cell.confirmedAt >= scheduler.claimedAt + 200);
         }
--- a/test/cell/takeover_test.cpp
+++ b/test/cell/takeover_test.cpp
@@ -113,10 +113,10 @@
     const timestamp expiredAt = fixture.cell.workers.at(worker).life.leasesExpiredAt;
     fixture.now = expiredAt + 10 * second;
     fixture.cell.confirmedAt = fixture.now; // by a majority
-    fixture.cell.unrivalledAt = expiredAt;
+    fixture.cell.noSuccessorAt = expiredAt;
     BOOST_TEST(fixture.decide().starts.empty());
     BOOST_TEST(fixture.cell.awaitsProof); // asks for a write
-    fixture.cell.unrivalledAt = expiredAt + 1;
+    fixture.cell.noSuccessorAt = expiredAt + 1;
     BOOST_TEST(fixture.decide().starts.size() == 1U);
     BOOST_TEST(!fixture.cell.awaitsProof);
 }
--- a/testing/cell/cell_history.cpp
+++ b/testing/cell/cell_history.cpp
@@ -106,7 +106,7 @@
         scheduler->confirmedAt = now;
     }
     scheduler->cell.confirmedAt = scheduler->confirmedAt;
-    scheduler->cell.unrivalledAt = scheduler->confirmedAt;
+    scheduler->cell.noSuccessorAt = scheduler->confirmedAt;
     return now <= scheduler->confirmedAt + confirmationTimeout;
 }
 
