--- a/test/cell/takeover_test.cpp
+++ b/test/cell/takeover_test.cpp
@@ -64,6 +64,22 @@
     timestamp tookOverAt = distantPast;
 };
 
+/// A scheduler whose only task runs on a worker that no longer answers.
+struct silent_worker_fixture : cell_fixture
+{
+    silent_worker_fixture()
+    {
+        const orders out = run(makeJob("a", {makeStep(1, 1'000)}));
+        confirm(out.starts.at(0));
+        const std::string worker = out.starts[0].worker;
+        orders ignored;
+        onPollFailed(cell, makePoll(worker), order_outcome::unanswered, now, ignored);
+        leasesExpiredAt = cell.workers.at(worker).life.leasesExpiredAt;
+    }
+
+    timestamp leasesExpiredAt = distantPast;
+};
+
 } // namespace
 
 // Guards against restored tasks that wait for longer than the leases of a silent worker may last:
@@ -103,14 +119,8 @@
 // successor reached, and whose leases that had renewed.
 BOOST_AUTO_TEST_CASE(twice_tasks_of_silent_workers_start_again_while_an_entry_may_have_taken_over)
 {
-    cell_fixture fixture;
-    const auto out = fixture.run(cell_fixture::makeJob("a", {cell_fixture::makeStep(1, 1'000)}));
-    fixture.confirm(out.starts.at(0));
-    const std::string worker = out.starts[0].worker;
-    orders ignored;
-    onPollFailed(fixture.cell, fixture.makePoll(worker), order_outcome::unanswered, fixture.now,
-                 ignored);
-    const timestamp expiredAt = fixture.cell.workers.at(worker).life.leasesExpiredAt;
+    silent_worker_fixture fixture;
+    const timestamp expiredAt = fixture.leasesExpiredAt;
     fixture.now = expiredAt + 10 * second;
     fixture.cell.confirmedAt = fixture.now; // by a majority
     fixture.cell.noSuccessorAt = expiredAt;
@@ -206,15 +216,9 @@
 // granted were over but its successor had renewed them (cell_histories 579 1 deadly).
 BOOST_AUTO_TEST_CASE(lost_leases_that_a_successor_may_have_renewed)
 {
-    cell_fixture fixture;
-    const auto out = fixture.run(cell_fixture::makeJob("a", {cell_fixture::makeStep(1, 1'000)}));
-    fixture.confirm(out.starts.at(0));
-    const std::string worker = out.starts[0].worker;
-    orders ignored;
-    onPollFailed(fixture.cell, fixture.makePoll(worker), order_outcome::unanswered, fixture.now,
-                 ignored);
+    silent_worker_fixture fixture;
     fixture.cell.confirmedAt = fixture.now;
-    fixture.now = fixture.cell.workers.at(worker).life.leasesExpiredAt + stepTime;
+    fixture.now = fixture.leasesExpiredAt + stepTime;
     BOOST_TEST(fixture.decide().starts.empty());
     fixture.cell.confirmedAt = fixture.now;
     BOOST_TEST(fixture.decide().starts.size() == 1U);
