Rows of progress have a file of their own

The limit of a row is needed by both and is in rows.h. Moved as it was; the unit tests of rows, of storing and of forwarding pass.

--- /dev/null
+++ b/src/entry/progress_rows.cpp
@@ -0,0 +1,282 @@
+#include <algorithm>
+#include <utility>
+
+#include "entry/json_names.h"
+#include "entry/rows.h"
+
+namespace bramleygrade::entry {
+
+namespace {
+
+void writeAttempts(json_writer &out, const char *name, const std::set<int> &attempts)
+{
+    out.Key(name);
+    out.StartArray();
+    for (const int attempt : attempts) {
+        out.Int(attempt);
+    }
+    out.EndArray();
+}
+
+std::set<int> readAttempts(const rapidjson::Value &value, const char *name)
+{
+    std::set<int> attempts;
+    if (const auto *rows = arrayField(value, name)) {
+        for (const auto &attempt : rows->GetArray()) {
+            attempts.insert(static_cast<int>(integerOf(attempt)));
+        }
+    }
+    return attempts;
+}
+
+/// Steps with more tasks are stored with four tasks a character.
+constexpr std::size_t maxTasksAsDigits = 256;
+constexpr std::size_t tasksPerHexDigit = 4;
+
+std::string encodeDoneBits(const std::vector<cell::task_state> &tasks)
+{
+    std::string bits;
+    for (std::size_t first = 0; first < tasks.size(); first += tasksPerHexDigit) {
+        std::size_t digit = 0;
+        for (std::size_t offset = 0; offset < tasksPerHexDigit; ++offset) {
+            const bool isDone = first + offset < tasks.size() && tasks[first + offset].done;
+            digit |= isDone ? std::size_t {1} << offset : 0;
+        }
+        bits += "0123456789abcdef"[digit];
+    }
+    return bits;
+}
+
+/// Marks the tasks as done whose bits are set.
+void decodeDoneBits(const std::string &bits, std::vector<cell::task_state> &tasks)
+{
+    static const std::string digits = "0123456789abcdef";
+    for (std::size_t index = 0; index < tasks.size() && index / tasksPerHexDigit < bits.size();
+         ++index) {
+        const std::size_t digit = digits.find(bits[index / tasksPerHexDigit]);
+        tasks[index].done =
+            digit != std::string::npos && ((digit >> (index % tasksPerHexDigit)) & 1U) != 0;
+    }
+}
+
+void writeStepProgress(json_writer &out, const cell::step_state &step, bool withCheckpoints)
+{
+    out.StartObject();
+    if (step.tasks.size() > maxTasksAsDigits) {
+        put(out, "bits", encodeDoneBits(step.tasks));
+    } else {
+        std::string done;
+        for (const cell::task_state &task : step.tasks) {
+            done += task.done ? '1' : '0';
+        }
+        put(out, "done", done);
+    }
+    writeAttempts(out, "gang", step.gangFailedAttempts);
+    out.Key("tasks");
+    out.StartArray();
+    for (std::size_t index = 0; index < step.tasks.size(); ++index) {
+        const cell::task_state &task = step.tasks[index];
+        const std::string checkpoint = withCheckpoints ? task.checkpoint : "";
+        if (task.done
+            || (task.failedAttempts.empty() && checkpoint.empty() && task.crashedLives.empty()
+                && task.trialLife.empty())) {
+            continue;
+        }
+        out.StartObject();
+        put(out, "index", static_cast<std::int64_t>(index));
+        writeAttempts(out, "failed", task.failedAttempts);
+        put(out, "checkpoint", checkpoint);
+        putNames(out, "crashed", task.crashedLives);
+        putNames(out, "attributed", task.attributedCrashes);
+        if (!task.trialLife.empty()) {
+            put(out, "trial", task.trialLife);
+        }
+        out.EndObject();
+    }
+    out.EndArray();
+    out.EndObject();
+}
+
+void readStepProgress(const rapidjson::Value &value, cell::step_state &step)
+{
+    const std::string done = textField(value, "done");
+    for (std::size_t index = 0; index < step.tasks.size() && index < done.size(); ++index) {
+        step.tasks[index].done = done[index] == '1';
+    }
+    decodeDoneBits(textField(value, "bits"), step.tasks);
+    step.doneCount =
+        static_cast<int>(std::count_if(step.tasks.begin(), step.tasks.end(),
+                                       [](const cell::task_state &task) { return task.done; }));
+    step.gangFailedAttempts = readAttempts(value, "gang");
+    const auto *tasks = arrayField(value, "tasks");
+    if (tasks == nullptr) {
+        return;
+    }
+    for (const auto &row : tasks->GetArray()) {
+        const std::int64_t index = integerField(row, "index", -1);
+        if (index >= 0 && index < static_cast<std::int64_t>(step.tasks.size())) {
+            auto &task = step.tasks[static_cast<std::size_t>(index)];
+            task.failedAttempts = readAttempts(row, "failed");
+            task.checkpoint = textField(row, "checkpoint");
+            task.crashedLives = namesField(row, "crashed");
+            task.attributedCrashes = namesField(row, "attributed");
+            task.trialLife = textField(row, "trial");
+        }
+    }
+}
+
+constexpr char beginField[] = "begun";
+
+/// Whether a later scheduler needs to know anything of the occurrence.
+bool hasProgress(const cell::occurrence_state &occurrence)
+{
+    return std::any_of(
+        occurrence.steps.begin(), occurrence.steps.end(), [](const cell::step_state &step) {
+            return !step.gangFailedAttempts.empty()
+                || std::any_of(
+                    step.tasks.begin(), step.tasks.end(), [](const cell::task_state &task) {
+                        return task.done || !task.failedAttempts.empty() || !task.checkpoint.empty()
+                            || !task.crashedLives.empty() || !task.trialLife.empty();
+                    });
+        });
+}
+
+/// Writes the completed occurrences as ranges of numbers, first and last.
+void writeCompleted(json_writer &out, const cell::job_state &job)
+{
+    out.Key("completed");
+    out.StartArray();
+    std::optional<std::pair<int, int>> range;
+    const auto endRange = [&] {
+        if (range) {
+            out.StartArray();
+            out.Int(range->first);
+            out.Int(range->second);
+            out.EndArray();
+        }
+        range.reset();
+    };
+    for (const auto &[number, occurrence] : job.occurrences) {
+        if (!occurrence.completed) {
+            continue;
+        }
+        if (!range || number != range->second + 1) {
+            endRange();
+            range = {number, number};
+        }
+        range->second = number;
+    }
+    endRange();
+    out.EndArray();
+}
+
+void readCompleted(const rapidjson::Value &document, cell::job_state &job)
+{
+    const auto *ranges = arrayField(document, "completed");
+    for (rapidjson::SizeType index = 0; ranges != nullptr && index < ranges->Size(); ++index) {
+        const rapidjson::Value &range = (*ranges)[index];
+        if (!range.IsArray() || range.Size() != 2) {
+            continue;
+        }
+        const std::int64_t last =
+            std::min<std::int64_t>(integerOf(range[1]), std::max(job.spec.occurrences, 1) - 1);
+        for (std::int64_t number = std::max<std::int64_t>(integerOf(range[0]), 0); number <= last;
+             ++number) {
+            cell::occurrence_state &occurrence =
+                cell::ensureOccurrence(job, static_cast<int>(number));
+            for (cell::step_state &step : occurrence.steps) {
+                for (cell::task_state &task : step.tasks) {
+                    task.done = true;
+                }
+                step.doneCount = static_cast<int>(step.tasks.size());
+            }
+            occurrence.stepsDone = static_cast<int>(occurrence.steps.size());
+            occurrence.completed = true;
+            ++job.occurrencesCompleted;
+        }
+    }
+}
+
+/// Rows of former releases lack the field; they were written once a task had been ordered, mostly
+/// after an end.
+bool readBegin(const rapidjson::Value &document)
+{
+    return findField(document, beginField) == nullptr || boolField(document, beginField);
+}
+
+std::string encodeProgress(const cell::job_state &job, bool withCheckpoints)
+{
+    return writeObject([&](json_writer &out) {
+        put(out, beginField, job.begun);
+        if (job.occurrencesCompleted > 0) {
+            writeCompleted(out, job);
+        }
+        out.Key("occurrences");
+        out.StartArray();
+        for (const auto &[number, occurrence] : job.occurrences) {
+            if (occurrence.completed || !hasProgress(occurrence)) {
+                continue;
+            }
+            out.StartObject();
+            put(out, "number", number);
+            out.Key("steps");
+            out.StartArray();
+            for (const cell::step_state &step : occurrence.steps) {
+                writeStepProgress(out, step, withCheckpoints);
+            }
+            out.EndArray();
+            out.EndObject();
+        }
+        out.EndArray();
+    });
+}
+
+} // namespace
+
+bool needsProgressRow(const cell::job_state &job)
+{
+    return job.ordered && !job.occurrences.empty();
+}
+
+std::string encodeProgress(const cell::job_state &job)
+{
+    std::string row = encodeProgress(job, true);
+    return row.size() <= maxRowBytes ? row : encodeProgress(job, false);
+}
+
+bool decodeProgress(const std::string &value, cell::job_state &job)
+{
+    rapidjson::Document document;
+    const auto *occurrences =
+        parseObject(value, document) ? arrayField(document, "occurrences") : nullptr;
+    if (occurrences == nullptr) {
+        return false;
+    }
+    readCompleted(document, job);
+    for (const auto &row : occurrences->GetArray()) {
+        cell::occurrence_state &occurrence =
+            cell::ensureOccurrence(job, static_cast<int>(integerField(row, "number")));
+        const auto *steps = arrayField(row, "steps");
+        for (std::size_t index = 0;
+             steps != nullptr && index < occurrence.steps.size() && index < steps->Size();
+             ++index) {
+            cell::step_state &step = occurrence.steps[index];
+            readStepProgress((*steps)[static_cast<rapidjson::SizeType>(index)], step);
+            const bool isStepDone = step.doneCount == static_cast<int>(step.tasks.size());
+            occurrence.stepsDone += isStepDone ? 1 : 0;
+        }
+        occurrence.completed = occurrence.stepsDone == static_cast<int>(occurrence.steps.size());
+        job.occurrencesCompleted += occurrence.completed ? 1 : 0;
+    }
+    job.ordered = true;
+    job.begun = readBegin(document);
+    return true;
+}
+
+bool showsBegin(const std::string &value)
+{
+    rapidjson::Document document;
+    return parseObject(value, document) && readBegin(document);
+}
+
+} // namespace bramleygrade::entry
--- a/src/entry/rows.h
+++ b/src/entry/rows.h
@@ -22,6 +22,9 @@
 constexpr char jobTable[] = "jobs";
 constexpr char progressTable[] = "progress";
 constexpr char endedTable[] = "ended";
+/// Limit of a row; the users' table service refuses a write with a row of more than 65,536 bytes,
+/// and with it the changes of all other jobs in that write.
+constexpr std::size_t maxRowBytes = 65'536;
 
 /// The row that elects the scheduler. Every write of the scheduler expects its version and rewrites
 /// it, so that a write fails once another entry has claimed the row. After an unanswered write its
