--- a/review/standin-2/cell.sh
+++ b/review/standin-2/cell.sh
@@ -1,6 +1,6 @@
 # Sourced by the run.sh of the cases 6 to 10: starts the entries as the deploy file does, on
 # loopback addresses, starts each again one second after its end, and ends all of them.
-# Expects: case_folder, entries. Sets: work (temporary folder), first_port.
+# Expects: case_folder, entries, and program if it is not cell_scenario. Sets: work (temporary folder), first_port.
 set -u
 review=$(cd "$case_folder/.." && pwd)
 product=$review/../target/bramleygrade
@@ -47,7 +47,8 @@
 }
 
 # Runs one entry again and again. A process that exceeds its memory is killed, as by the platform.
-# Each end without a signal of the case is a line in the file "ends".
+# Each end without a signal of the case is a line in the file "ends". An entry with a file "gone" is
+# not started again.
 supervise() {
     local n=$1 why rss
     trap - EXIT INT
@@ -68,6 +69,7 @@
         done
         wait "$pid"
         rm -f "$work/pid-$n"
+        [ ! -e "$work/gone-$n" ] || return
         echo "$n $why" >> "$work/ends"
         sleep 1
     done
@@ -96,7 +98,7 @@
     local result=2 tries
     for tries in 1 2 3; do
         choose_ports
-        "$review/standin-2/target/cell_scenario" "$work" "$entries" "$first_port" "$@" &
+        "$review/standin-2/target/${program:-cell_scenario}" "$work" "$entries" "$first_port" "$@" &
         driver=$!
         sleep 0.3
         kill -0 "$driver" 2> /dev/null && break
