--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -9,8 +9,8 @@
 step=""
 job=""
 if [ "${TROUBLE:-1}" != 0 ]; then
-    step='},{"count":1,"cpu":100,"memMb":64,"estimateMs":500,"after":[0],"requirements":"c"'
+    step='},{"count":1,"cpu":64000,"memMb":64,"estimateMs":500,"after":[0]'
     start=$((($(date +%s) - 60000) * 1000))
     job=",\"repeatCount\":${OCCURRENCES:-1000},\"intervalMs\":60000,\"startAtMs\":$start"
 fi
-run_scenario batch 8 500 "$step" "$job"
+run_scenario batch 8 500 "$step" "$job" 0 30
--- a/review/standin-2/cell.sh
+++ b/review/standin-2/cell.sh
@@ -1,6 +1,7 @@
 # Sourced by the run.sh of the cases 6 to 10: starts the entries as the deploy file does, on
 # loopback addresses, starts each again one second after its end, and ends all of them.
-# Expects: case_folder, entries, and program if it is not cell_scenario. Sets: work (temporary folder), first_port.
+# Expects: case_folder, entries, and program if it is not cell_scenario. Sets: work (temporary
+# folder), first_port.
 set -u
 review=$(cd "$case_folder/.." && pwd)
 product=$review/../target/bramleygrade
--- a/review/standin-2/cell_scenario.cpp
+++ b/review/standin-2/cell_scenario.cpp
@@ -32,6 +32,7 @@
 constexpr int cancelledJobs = 4;
 constexpr int shortJobs = 30;
 constexpr microseconds troubleAt = 4 * second;
+constexpr microseconds soundJobInterval = 100 * millisecond;
 constexpr microseconds cancelAt = 12 * second;
 constexpr microseconds shortJobsFrom = 8 * second;
 constexpr microseconds shortJobInterval = 400 * millisecond;
@@ -48,6 +49,8 @@
     soak::step_behaviour firstStep;
     /// Length of the service's name in an entry of another writer; 0: there is no such entry.
     std::size_t foreignServiceBytes = 0;
+    /// Sound jobs in `queue` within the 3 s in which the job of many occurrences comes.
+    int soundJobs = 0;
     std::vector<timestamp> cancelSentAt = std::vector<timestamp>(lastingJobs, 0);
     int broken = 0;
 };
@@ -205,6 +208,11 @@
             run.world.submit(jobId('b', number), "batch", brief);
         });
     }
+    for (int number = 0; number < run.soundJobs; ++number) {
+        run.world.at(troubleAt + number * soundJobInterval, [&run, brief, number] {
+            run.world.submit(jobId('d', number), run.queue, brief);
+        });
+    }
     if (!run.jobFields.empty()) {
         run.world.at(troubleAt, [&run] {
             note("trouble: a client submits a job of many occurrences:" + run.jobFields);
@@ -288,9 +296,9 @@
 /// The record is FOLDER/record.txt, the ends of processes are read from FOLDER/ends.
 int main(int argc, char **argv)
 {
-    if (argc != 9 && argc != 10) {
+    if (argc < 9 || argc > 11) {
         std::cerr << "usage: cell_scenario FOLDER ENTRIES FIRST_PORT QUEUE COUNT MILLISECONDS "
-                     "STEP_FIELDS JOB_FIELDS [SERVICE_BYTES]\n";
+                     "STEP_FIELDS JOB_FIELDS [SERVICE_BYTES [SOUND_JOBS]]\n";
         return 2;
     }
     const std::string folder = argv[1];
@@ -311,6 +319,7 @@
     scenario run {world,   argv[7],
                   argv[8], argv[4],
                   first,   argc < 10 ? std::size_t {0} : std::strtoul(argv[9], nullptr, 10)};
+    run.soundJobs = argc < 11 ? 0 : std::atoi(argv[10]);
     world.whenReady([&] {
         submitJobs(run);
         judgeAfterTraffic(run, folder + "/ends");
