--- a/src/cell/jobs/scheduler_jobs.cpp
+++ b/src/cell/jobs/scheduler_jobs.cpp
@@ -3,6 +3,7 @@
 #include <unordered_map>
 
 #include "cell/ends/crashes.h"
+#include "cell/workers/worker_list.h"
 
 namespace bramleygrade::cell {
 
@@ -281,7 +282,7 @@
     take(true, maxRows - maxRows / nonUrgentShareDivisor);
     take(false, maxRows);
     for (auto &[id, worker] : cell.workers) {
-        worker.inWrite = cell.inWrite.count(workerListChange) > 0;
+        worker.inWrite = worker.listRow && cell.inWrite.count(workerRowChange(*worker.listRow)) > 0;
     }
     cell.writeUrgent = std::any_of(cell.unstored.begin(), cell.unstored.end(),
                                    [](const auto &entry) { return entry.second.urgent; });
--- a/src/cell/placement/gang_order.cpp
+++ b/src/cell/placement/gang_order.cpp
@@ -30,7 +30,9 @@
 {
     std::int64_t sum = 0;
     for (const auto &[id, worker] : cell.workers) {
-        sum += worker.entry.service == service ? worker.entry.capacity.cpuMilli : 0;
+        if (worker.entry.service == service && hasAnswered(worker)) {
+            sum += worker.entry.capacity.cpuMilli;
+        }
     }
     return sum;
 }
--- a/src/cell/placement/placement_round.cpp
+++ b/src/cell/placement/placement_round.cpp
@@ -407,7 +407,9 @@
 {
     std::map<std::string, std::int64_t> budgets;
     for (const auto &[id, worker] : cell.workers) {
-        budgets[worker.entry.service] += worker.entry.capacity.cpuMilli / heldShareDivisor;
+        if (hasAnswered(worker)) {
+            budgets[worker.entry.service] += worker.entry.capacity.cpuMilli / heldShareDivisor;
+        }
     }
     return budgets;
 }
--- a/src/cell/scheduler.h
+++ b/src/cell/scheduler.h
@@ -225,6 +225,8 @@
     team_table teams;
     queued_work queued;
     std::map<std::string, worker_state> workers;
+    /// Bytes of the workers in each row of the stored list.
+    std::vector<std::size_t> workerRowBytes;
     /// Highest fence number issued so far. A worker that was erased and returns starts with this
     /// number, as it refuses lower fencing tokens than it has seen.
     std::int64_t fencesIssued = 0;
@@ -278,11 +280,13 @@
 /// Returns the queue's policy, or null if the configuration has no such queue.
 const queue_policy *findQueue(const cell_config &config, const std::string &name);
 
-/// Adds a worker that a previous scheduler used, whether or not the registry lists it. Must be
-/// called before the first event.
-void restoreWorker(scheduler &cell, const worker_entry &entry, timestamp now);
+/// Adds a worker that a previous scheduler used, whether or not the registry lists it. `row`: row
+/// of the stored list that has it. Must be called before the first event.
+void restoreWorker(scheduler &cell, const worker_entry &entry, timestamp now, std::size_t row = 0);
 
-/// Applies the registry's current list of workers; workers that it lacks get no new tasks.
+/// Applies the registry's current list of workers; workers that it lacks get no new tasks. Workers
+/// that are neither known nor restored cannot have runs of earlier schedulers, which use only
+/// workers of the stored list.
 void changeWorkers(scheduler &cell, const std::vector<worker_entry> &entries, timestamp now);
 
 /// Returns the demand reserved on the worker; zero if it is unknown.
@@ -313,14 +317,11 @@
 /// As `countPendingJobs`, for all queues in one pass over the jobs; queues without pending jobs are
 /// left out.
 std::map<std::string, std::int64_t> countPendingByQueue(const scheduler &cell);
-/// Pseudo job id under which changes of the worker list are recorded.
-constexpr char workerListChange[] = "";
-
 /// Returns the number of rows that storing the job's change takes.
 using rows_of_change = std::function<std::size_t(const std::string &job)>;
 
-/// Moves unstored changes into a new write of at most `maxRows` rows and returns their job ids; one
-/// of the ids may be `workerListChange`. Takes urgent changes first, oldest first, but keeps a
+/// Moves unstored changes into a new write of at most `maxRows` rows and returns their job ids,
+/// among them those of `workerRowChange`. Takes urgent changes first, oldest first, but keeps a
 /// quarter of the rows for all changes by age, so that neither kind starves the other.
 std::vector<std::string> beginWrite(scheduler &cell, std::size_t maxRows,
                                     const rows_of_change &rowsOf);
--- a/src/cell/scheduler_decide.cpp
+++ b/src/cell/scheduler_decide.cpp
@@ -2,6 +2,7 @@
 
 #include "cell/ends/crashes.h"
 #include "cell/interference/scheduler_interference.h"
+#include "cell/workers/worker_list.h"
 
 namespace bramleygrade::cell {
 
@@ -10,6 +11,10 @@
 /// A lease on which runs depend is renewed at least this often before it ends, so that runs survive
 /// when the worker is silent for a while.
 constexpr int renewalsPerLease = 5;
+/// Polls under way, at most, of workers that have never answered, beside the first poll of each,
+/// and the pause of those that must wait for their turn.
+constexpr std::size_t maxOpenProbes = 64;
+constexpr microseconds probeRetryInterval = 250 * millisecond;
 /// Duration of a long poll of a worker whose newest starts may still crash it.
 constexpr microseconds openStartPollWait = 200 * millisecond;
 
@@ -64,9 +69,24 @@
                        : std::max(life.leasesExpiredAt, predecessorLeaseExpiry(cell));
 }
 
+/// Whether the worker has never answered, and has been polled without an answer.
+bool isProbed(const worker_state &worker)
+{
+    return !worker.listRow && worker.life.unansweredPolls > 0;
+}
+
+std::size_t countOpenProbes(const scheduler &cell)
+{
+    return static_cast<std::size_t>(
+        std::count_if(cell.workers.begin(), cell.workers.end(), [](const auto &entry) {
+            return isProbed(entry.second) && entry.second.life.pollInFlight;
+        }));
+}
+
 void pollWorkers(scheduler &cell, timestamp now, orders &out)
 {
     cell.awaitsProof = false;
+    std::size_t openProbes = countOpenProbes(cell);
     for (auto it = cell.workers.begin(); it != cell.workers.end();) {
         worker_state &worker = it->second;
         const bool noPollInFlight = !worker.life.pollInFlight && !worker.life.fenceInFlight;
@@ -87,7 +107,7 @@
         if (noPollInFlight && !worker.listed && worker.life.runs.empty() && worker.life.reconciled
             && !mayHaveCrashed(worker, now)
             && !(cell.teams.hasCaps && mayHoldUnknownRuns(worker, now))) {
-            recordChange(cell, workerListChange, false);
+            removeFromList(cell, worker);
             it = cell.workers.erase(it);
             continue;
         }
@@ -96,7 +116,14 @@
             worker.life.fenceNumber = ++cell.fencesIssued;
             orderPoll(cell, worker, now, true, out);
         } else if (noPollInFlight && now >= worker.life.nextPollAt) {
-            orderPoll(cell, worker, now, false, out);
+            if (!isProbed(worker)) {
+                orderPoll(cell, worker, now, false, out);
+            } else if (openProbes < maxOpenProbes) {
+                ++openProbes;
+                orderPoll(cell, worker, now, false, out);
+            } else {
+                worker.life.nextPollAt = now + probeRetryInterval;
+            }
         }
         ++it;
     }
--- a/src/cell/teams/team_shares.cpp
+++ b/src/cell/teams/team_shares.cpp
@@ -25,7 +25,7 @@
 {
     resources all;
     for (const auto &[id, worker] : cell.workers) {
-        all = all + worker.entry.capacity;
+        all = hasAnswered(worker) ? all + worker.entry.capacity : all;
     }
     return all;
 }
--- a/src/cell/types.h
+++ b/src/cell/types.h
@@ -209,6 +209,9 @@
     std::vector<config_problem> problems;
 };
 
+/// Longest address of a worker that is accepted, in bytes.
+constexpr std::size_t maxAddressBytes = 64;
+
 /// One worker as the registry lists it.
 struct worker_entry
 {
--- a/src/cell/workers/scheduler_workers.cpp
+++ b/src/cell/workers/scheduler_workers.cpp
@@ -2,20 +2,30 @@
 
 #include "cell/ends/crashes.h"
 #include "cell/interference/scheduler_interference.h"
+#include "cell/workers/worker_list.h"
 #include "cell/workers/worker_lives.h"
 
 namespace bramleygrade::cell {
 
 namespace {
 
-/// Pause before the next poll of a worker that did not answer.
+/// Pause before the next poll of a worker that did not answer. If it never has, the pause doubles
+/// with each poll, up to the given number of times.
 constexpr microseconds pollRetryInterval = 250 * millisecond;
+constexpr int maxPollPauseDoublings = 3;
 /// Pause before the next poll while ends are not stored yet, as the worker would answer at once, or
 /// while unexpected runs are being stopped.
 constexpr microseconds throttledPollInterval = 250 * millisecond;
 /// Bits of the fencing token that count the fences within an epoch.
 constexpr int fenceBits = 20;
 
+microseconds pollRetryPause(const worker_state &worker)
+{
+    return worker.listRow
+        ? pollRetryInterval
+        : pollRetryInterval << std::min(worker.life.unansweredPolls, maxPollPauseDoublings);
+}
+
 std::set<task_id> collectReportedTasks(const worker_report &report)
 {
     std::set<task_id> reported;
@@ -141,6 +151,7 @@
             std::min(predecessorLeaseExpiry(cell), latestLeaseExpiry(cell.settings.lease, now)));
     }
     worker.life.fenced = true;
+    addToList(cell, worker);
     worker.life.reconciled = worker.life.reconciled || isComplete;
     // An answer to a poll sent before the fence proves nothing about the unanswered order.
     worker.life.needsFence = worker.life.needsFence && !order.fence;
@@ -200,11 +211,15 @@
     return workerClock(worker, now) + limits.longest - (now - grantedFrom);
 }
 
-void restoreWorker(scheduler &cell, const worker_entry &entry, timestamp now)
+void restoreWorker(scheduler &cell, const worker_entry &entry, timestamp now, std::size_t row)
 {
     worker_state &worker = cell.workers[entry.id];
     worker.entry = entry;
+    if (!hasBoundedTexts(entry)) {
+        worker.entry.service.clear(); // listed by a former release, which had no bound
+    }
     worker.listed = false;
+    restoreToList(cell, worker, row);
     worker.recorded = true;
     worker.life.fenceNumber = cell.fencesIssued;
     worker.life.nextPollAt = now;
@@ -222,14 +237,19 @@
         worker_state &worker = it->second;
         const bool showsOtherLife =
             !inserted && worker.entry.born != entry.born && describesOtherLife(entry, worker.life);
+        const bool isMoved = worker.listRow && worker.entry.service != entry.service;
         changeEntry(worker, entry, now);
+        if (isMoved) {
+            removeFromList(cell, worker); // it may not fit into its row any more
+            addToList(cell, worker);
+        }
         worker.listed = true;
         worker.unlistedAt = distantFuture;
         // The answer to a fence tells which life is the current one, without waiting for the poll
         // that is held.
         worker.life.needsFence = worker.life.needsFence || showsOtherLife;
         if (inserted) {
-            recordChange(cell, workerListChange, true);
+            worker.life.reconciled = true;
             worker.life.fenceNumber = cell.fencesIssued;
             worker.life.nextPollAt = now;
             worker.life.born = entry.born;
@@ -369,7 +389,7 @@
         return;
     }
     (order.fence ? worker.life.fenceInFlight : worker.life.pollInFlight) = false;
-    worker.life.nextPollAt = now + pollRetryInterval;
+    worker.life.nextPollAt = now + pollRetryPause(worker);
     if (outcome == order_outcome::refused_fence) {
         const bool isCurrentToken = order.fencingToken == fencingToken(cell, worker);
         worker.life.nextPollAt = isCurrentToken ? now + pollRetryInterval : now;
--- a/src/cell/workers/worker_lives.cpp
+++ b/src/cell/workers/worker_lives.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "cell/ends/crashes.h"
+#include "cell/workers/worker_list.h"
 
 namespace bramleygrade::cell {
 
@@ -125,7 +126,10 @@
     // successor has not fenced.
     worker.recorded = false;
     worker.inWrite = false;
-    recordChange(cell, workerListChange, true);
+    addToList(cell, worker);
+    if (worker.listRow) {
+        recordChange(cell, workerRowChange(*worker.listRow), true);
+    }
     cell.needsPlacement = true;
 }
 
--- a/src/cell/workers/worker_state.h
+++ b/src/cell/workers/worker_state.h
@@ -115,9 +115,13 @@
     /// The registry lists the worker.
     bool listed = true;
     timestamp unlistedAt = distantFuture;
-    /// The stored worker list contains the worker, so that the next leader reconciles with it.
+    /// Row of the worker list that has the worker, and the bytes that it takes there; nothing if it
+    /// has not answered, so that it cannot have runs.
+    std::optional<std::size_t> listRow;
+    std::size_t listedBytes = 0;
+    /// That row is stored with the worker, so that the next leader reconciles with it.
     bool recorded = false;
-    /// The worker list that is being written contains the worker.
+    /// That row is being written with the worker.
     bool inWrite = false;
     worker_life life;
     /// Demand expected of the steps whose calls for advice are open.
@@ -164,6 +168,13 @@
 /// capacity and labels may not be those of the worker.
 bool describesOtherLife(const worker_entry &entry, const worker_life &life);
 
+/// Whether the worker has answered this scheduler. Until then nothing shows that there is a worker
+/// behind the registry entry, and its capacity does not count.
+inline bool hasAnswered(const worker_state &worker)
+{
+    return worker.life.answeredAt != distantPast;
+}
+
 /// Whether new tasks may be placed on the worker.
 bool isUsable(const worker_state &worker, timestamp now);
 
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -123,6 +123,11 @@
     /// Workers listed in the registry, by row key.
     std::map<std::string, cell::worker_entry> registry;
     std::int64_t registryVersion = 0;
+    /// Number of times that the registry was read from its beginning, to be watched from then on.
+    std::int64_t registryWatches = 0;
+    /// Services to which queues or open jobs send tasks. Registry entries of others are ignored.
+    std::set<std::string> services;
+    timestamp nextIgnoredEntryLogAt = distantPast;
     bool isDecisionPosted = false;
     /// After a long decision the next one is delayed, so that the event loop can serve events,
     /// answers and heartbeats in between.
@@ -178,8 +183,6 @@
     std::map<std::string, int> missedHeartbeats;
     /// The members row in the store is out of date.
     bool membersChanged = true;
-    /// Number of rows of workers that the store may hold.
-    std::size_t workerRowsInUse = 1;
     /// When the newest part of the rows arrived that this entry is loading.
     timestamp rowsArrivedAt = distantPast;
     std::map<std::string, advice_client_state> adviceClients;
--- a/src/entry/leader.cpp
+++ b/src/entry/leader.cpp
@@ -82,13 +82,10 @@
                  const table_load &progress)
 {
     const timestamp now = steadyNow();
-    entry.leaderState->workerRowsInUse = static_cast<std::size_t>(
-        std::count_if(cellRows.rows.begin(), cellRows.rows.end(),
-                      [](const stored_row &row) { return isWorkersRowKey(row.key); }));
     for (const stored_row &row : cellRows.rows) {
-        if (isWorkersRowKey(row.key)) {
+        if (const auto index = workersRowIndex(row.key)) {
             for (const cell::worker_entry &worker : decodeWorkers(row.value)) {
-                cell::restoreWorker(entry.leaderState->cell, worker, now);
+                cell::restoreWorker(entry.leaderState->cell, worker, now, *index);
             }
         }
     }
--- a/src/entry/metrics.cpp
+++ b/src/entry/metrics.cpp
@@ -53,6 +53,9 @@
     {"jobs_pending", "Stored jobs of which no worker has begun a task."},
     {"jobs_waiting", "Jobs with tasks waiting for over 2 s, by reason of the newest report."},
     {"workers", "Workers known."},
+    {"worker_entries_ignored_total",
+     "Rows of the registry read that name no worker to use, such as one of a service without a "
+     "queue."},
     {"workers_unreconciled", "Workers that have not reported since the takeover."},
     {"restored_jobs_held", "Restored jobs held back until all workers are reconciled."},
     {"advice_queue", "Advice calls not sent yet."},
--- a/src/entry/rows.h
+++ b/src/entry/rows.h
@@ -111,22 +111,15 @@
     std::int64_t processorMilli = 0;
 };
 
-/// Encodes id, address, service and start time of the workers in use, so that a later scheduler can
-/// ask each what runs there.
-std::string encodeWorkers(const std::map<std::string, cell::worker_state> &workers);
+/// Encodes id, address, service and start time of the workers in one row of the stored list, so
+/// that a later scheduler can ask each what runs there.
+std::string encodeWorkerRow(const std::map<std::string, cell::worker_state> &workers,
+                            std::size_t index);
 std::vector<cell::worker_entry> decodeWorkers(const std::string &value);
-
-/// As `encodeWorkers`, in as many rows as the size of a row requires; one at least.
-std::vector<std::string> encodeWorkerRows(const std::map<std::string, cell::worker_state> &workers);
-/// Returns the number of rows that `encodeWorkerRows` returns.
-std::size_t countWorkerRows(const std::map<std::string, cell::worker_state> &workers);
 /// Key of the row at position `index`.
 std::string workersRowKey(std::size_t index);
-bool isWorkersRowKey(const std::string &key);
-/// Adds the rows to the write. `rowsInUse`: number of rows that the store may hold, which grows as
-/// needed; those that are needed no longer are written empty.
-void putWorkerRows(const std::map<std::string, cell::worker_state> &workers, std::size_t &rowsInUse,
-                   table_write &write);
+/// Returns the position of the row; nothing if the key is not one of such a row.
+std::optional<std::size_t> workersRowIndex(const std::string &key);
 
 /// Encodes the entries' peer addresses by name, for an entry that has just started.
 std::string encodeMembers(const std::map<std::string, std::string> &members);
--- a/src/entry/state_dump.cpp
+++ b/src/entry/state_dump.cpp
@@ -129,7 +129,7 @@
     std::int64_t all = 0;
     for (const auto &[id, worker] : cell.workers) {
         used += worker.life.used.cpuMilli;
-        all += worker.entry.capacity.cpuMilli;
+        all += cell::hasAnswered(worker) ? worker.entry.capacity.cpuMilli : 0;
     }
     gauges["cpu_milli_promised"] = used;
     gauges["cpu_milli_capacity"] = all;
--- a/src/entry/watches.cpp
+++ b/src/entry/watches.cpp
@@ -21,6 +21,8 @@
 /// Pause between two reads of registry changes. Each worker's heartbeat is a change, so hundreds of
 /// workers would otherwise cause hundreds of answers a second.
 constexpr microseconds registryWatchPause = 50 * millisecond;
+/// Minimum time between two log lines about ignored rows of the registry.
+constexpr microseconds ignoredEntryLogInterval = 1 * second;
 
 void setStoreReachable(entry_state &entry, bool reachable)
 {
@@ -115,30 +117,82 @@
               {"overcommitted", cell::fits(used, worker.capacity) ? "no" : "yes"}});
 }
 
-void applyWorkerRows(entry_state &entry, const std::vector<stored_row> &rows)
+/// A row of the registry: the worker that it names, or nothing if it names none to use.
+struct registry_change
+{
+    std::string key;
+    std::int64_t version = 0;
+    std::optional<cell::worker_entry> worker;
+};
+
+/// Counts a row of the registry that names no worker to use. Other programs may write any number of
+/// such rows again and again, so that few are logged.
+void noteIgnoredRow(entry_state &entry, const stored_row &row, const char *why)
+{
+    ++entry.metrics.counters["worker_entries_ignored_total"];
+    const timestamp now = steadyNow();
+    if (now < entry.leaderState->nextIgnoredEntryLogAt) {
+        return;
+    }
+    entry.leaderState->nextIgnoredEntryLogAt = now + ignoredEntryLogInterval;
+    logEvent(entry, "worker_entry_ignored",
+             {{"worker", row.key},
+              {"row", std::to_string(row.version)},
+              {"bytes", std::to_string(row.value.size())},
+              {"why", why}});
+}
+
+registry_change decodeRegistryRow(entry_state &entry, const stored_row &row)
+{
+    registry_change change {row.key, row.version, std::nullopt};
+    cell::worker_entry worker;
+    if (row.removed) {
+        return change;
+    }
+    if (!entry.ports.codec.decodeWorker(row, worker)) {
+        noteIgnoredRow(entry, row, "invalid");
+    } else if (entry.leaderState->services.count(worker.service) == 0) {
+        noteIgnoredRow(entry, row, "no queue uses the service");
+    } else {
+        change.worker = std::move(worker);
+    }
+    return change;
+}
+
+void applyRegistry(entry_state &entry)
+{
+    leader_state &leaderState = *entry.leaderState;
+    std::vector<cell::worker_entry> workers;
+    for (const auto &[key, worker] : leaderState.registry) {
+        workers.push_back(worker);
+    }
+    cell::changeWorkers(leaderState.cell, workers, steadyNow());
+    requestDecision(entry);
+}
+
+void applyRegistryChanges(entry_state &entry, const std::vector<registry_change> &changes)
 {
     leader_state &leaderState = *entry.leaderState;
     bool changed = false;
-    for (const stored_row &row : rows) {
-        cell::worker_entry worker;
-        const bool usable = !row.removed && entry.ports.codec.decodeWorker(row, worker);
-        const auto known = leaderState.registry.find(row.key);
-        if (!usable) {
+    for (const registry_change &change : changes) {
+        const auto known = leaderState.registry.find(change.key);
+        const std::string version = std::to_string(change.version);
+        if (!change.worker) {
             if (known != leaderState.registry.end()) {
-                logEvent(entry, "worker_unlisted",
-                         {{"worker", row.key}, {"row", std::to_string(row.version)}});
+                logEvent(entry, "worker_unlisted", {{"worker", change.key}, {"row", version}});
                 leaderState.registry.erase(known);
                 changed = true;
             }
             continue;
         }
+        const cell::worker_entry &worker = *change.worker;
         if (known != leaderState.registry.end() && known->second == worker) {
             continue; // a heartbeat
         }
         changed = true;
         if (known == leaderState.registry.end() || known->second.draining != worker.draining) {
             logEvent(entry, worker.draining ? "worker_draining" : "worker_listed",
-                     {{"worker", worker.id}, {"row", std::to_string(row.version)}});
+                     {{"worker", worker.id}, {"row", version}});
         }
         if (known != leaderState.registry.end() && !(known->second.capacity == worker.capacity)) {
             logCapacityChange(entry, known->second, worker);
@@ -146,170 +200,223 @@
         if (known != leaderState.registry.end() && known->second.born != worker.born) {
             logEvent(entry, "worker_restart_listed",
                      {{"worker", worker.id},
-                      {"row", std::to_string(row.version)},
+                      {"row", version},
                       {"born", std::to_string(worker.born)},
                       {"former_born", std::to_string(known->second.born)}});
         }
-        leaderState.registry[row.key] = worker;
+        leaderState.registry[change.key] = worker;
     }
-    if (!changed) {
-        return;
-    }
-    std::vector<cell::worker_entry> workers;
-    for (const auto &[key, worker] : leaderState.registry) {
-        workers.push_back(worker);
+    if (changed) {
+        applyRegistry(entry);
     }
-    cell::changeWorkers(leaderState.cell, workers, steadyNow());
-    requestDecision(entry);
 }
 
-/// Returns true if this entry leads in `epoch`, also while it loads the rows.
-bool isLeaderInEpoch(const entry_state &entry, std::int64_t epoch)
+/// A sequence of reads of the registry. A newer one, or one in another epoch, replaces it.
+struct registry_watch
+{
+    std::int64_t epoch = 0;
+    std::int64_t number = 0;
+};
+
+/// Returns true if this entry leads in the epoch, also while it loads the rows, and no newer watch
+/// has begun.
+bool isCurrent(const entry_state &entry, const registry_watch &watch)
 {
-    return entry.leaderState && entry.epoch == epoch;
+    return entry.leaderState && entry.epoch == watch.epoch
+        && entry.leaderState->registryWatches == watch.number;
 }
 
-/// Applies the rows of known workers. Returns the other rows; empty if they list no worker.
-std::vector<stored_row> applyKnownWorkerRows(entry_state &entry, std::vector<stored_row> rows)
+/// Applies the changes of known workers. Returns those of others that name a worker.
+std::vector<registry_change> applyKnownWorkers(entry_state &entry,
+                                               std::vector<registry_change> changes)
 {
     const auto firstNew =
-        std::stable_partition(rows.begin(), rows.end(), [&](const stored_row &row) {
-            return entry.leaderState->registry.count(row.key) > 0;
+        std::stable_partition(changes.begin(), changes.end(), [&](const registry_change &change) {
+            return entry.leaderState->registry.count(change.key) > 0;
         });
-    std::vector<stored_row> newRows(firstNew, rows.end());
-    rows.erase(firstNew, rows.end());
-    if (!rows.empty()) {
-        applyWorkerRows(entry, rows);
+    std::vector<registry_change> added;
+    std::copy_if(firstNew, changes.end(), std::back_inserter(added),
+                 [](const registry_change &change) { return change.worker.has_value(); });
+    changes.erase(firstNew, changes.end());
+    if (!changes.empty()) {
+        applyRegistryChanges(entry, changes);
     }
-    const bool isAnyListed = std::any_of(newRows.begin(), newRows.end(),
-                                         [](const stored_row &row) { return !row.removed; });
-    return isAnyListed ? newRows : std::vector<stored_row> {};
+    return added;
 }
 
-/// Applies the registry rows, then calls `next`. A new worker is used only if the head row, read
-/// after the worker was seen, still belongs to this entry: a successor then reads the registry
+/// Applies the registry's changes, then calls `next`. A new worker is used only if the head row,
+/// read after the worker was seen, still belongs to this entry: a successor then reads the registry
 /// later, so it knows the worker too and fences it before it relies on what runs there. Changes of
 /// known workers are applied at once.
-void confirmLeadershipAndApplyRows(entry_state &entry, std::int64_t epoch,
-                                   const std::vector<stored_row> &changes,
-                                   const std::function<void()> &next)
+void confirmLeadershipAndApply(entry_state &entry, const registry_watch &watch,
+                               const std::vector<registry_change> &changes,
+                               const std::function<void()> &next)
 {
-    const std::vector<stored_row> rows = applyKnownWorkerRows(entry, changes);
-    if (rows.empty()) {
+    const std::vector<registry_change> added = applyKnownWorkers(entry, changes);
+    if (added.empty()) {
         next();
         return;
     }
     readHead(
         entry,
-        [&entry, epoch, rows, next](const store_result &result, const std::optional<head_row> &head,
-                                    std::int64_t) {
-            if (!isLeaderInEpoch(entry, epoch)) {
+        [&entry, watch, added, next](const store_result &result,
+                                     const std::optional<head_row> &head, std::int64_t) {
+            if (!isCurrent(entry, watch)) {
                 return;
             }
             if (result.outcome != store_outcome::done || !head) {
-                runAfter(entry, watchRetryDelay, [&entry, epoch, rows, next] {
-                    if (isLeaderInEpoch(entry, epoch)) {
-                        confirmLeadershipAndApplyRows(entry, epoch, rows, next);
+                runAfter(entry, watchRetryDelay, [&entry, watch, added, next] {
+                    if (isCurrent(entry, watch)) {
+                        confirmLeadershipAndApply(entry, watch, added, next);
                     }
                 });
                 return;
             }
-            if (head->epoch > epoch) {
+            if (head->epoch > watch.epoch) {
                 recordScheduler(entry, head->epoch, {head->scheduler, head->address}, steadyNow());
                 return;
             }
-            applyWorkerRows(entry, rows);
+            applyRegistryChanges(entry, added);
             next();
         });
 }
 
-void watchRegistry(entry_state &entry, std::int64_t epoch);
+void watchRegistry(entry_state &entry, const registry_watch &watch);
 
-void watchRegistryAfterPause(entry_state &entry, std::int64_t epoch)
+void watchRegistryAfterPause(entry_state &entry, const registry_watch &watch)
 {
-    runAfter(entry, registryWatchPause, [&entry, epoch] {
-        if (isLeaderInEpoch(entry, epoch)) {
-            watchRegistry(entry, epoch);
+    runAfter(entry, registryWatchPause, [&entry, watch] {
+        if (isCurrent(entry, watch)) {
+            watchRegistry(entry, watch);
         }
     });
 }
 
-void watchRegistry(entry_state &entry, std::int64_t epoch)
+void watchWorkersAfterPause(entry_state &entry, const registry_watch &watch)
 {
-    entry.ports.store.watch(
-        entry.ports.codec.workerTable, entry.leaderState->registryVersion, watchDuration,
-        largeReadLimits(steadyNow() + watchDuration + watchTimeoutMargin),
-        [&entry, epoch](const store_result &result) {
-            if (!isLeaderInEpoch(entry, epoch)) {
-                return;
-            }
-            if (result.outcome == store_outcome::done) {
-                entry.leaderState->registryVersion =
-                    std::max(entry.leaderState->registryVersion, result.version);
-                confirmLeadershipAndApplyRows(entry, epoch, result.rows, [&entry, epoch] {
-                    watchRegistryAfterPause(entry, epoch);
-                });
-                return;
-            }
-            runAfter(entry, watchRetryDelay, [&entry, epoch] {
-                if (isLeaderInEpoch(entry, epoch)) {
-                    watchWorkers(entry, epoch);
-                }
-            });
-        });
+    runAfter(entry, watchRetryDelay, [&entry, watch] {
+        if (isCurrent(entry, watch)) {
+            watchWorkers(entry, watch.epoch);
+        }
+    });
+}
+
+void watchRegistry(entry_state &entry, const registry_watch &watch)
+{
+    entry.ports.store.watch(entry.ports.codec.workerTable, entry.leaderState->registryVersion,
+                            watchDuration,
+                            largeReadLimits(steadyNow() + watchDuration + watchTimeoutMargin),
+                            [&entry, watch](const store_result &result) {
+                                if (!isCurrent(entry, watch)) {
+                                    return;
+                                }
+                                if (result.outcome != store_outcome::done) {
+                                    watchWorkersAfterPause(entry, watch);
+                                    return;
+                                }
+                                entry.leaderState->registryVersion =
+                                    std::max(entry.leaderState->registryVersion, result.version);
+                                std::vector<registry_change> changes;
+                                for (const stored_row &row : result.rows) {
+                                    changes.push_back(decodeRegistryRow(entry, row));
+                                }
+                                confirmLeadershipAndApply(entry, watch, changes, [&entry, watch] {
+                                    watchRegistryAfterPause(entry, watch);
+                                });
+                            });
 }
 
 /// State of a read of the registry, page by page. `version` is the version of the first page, so
-/// that the watch that follows reports all changes since that page.
+/// that the watch that follows reports all changes since that page. Rows that name no worker to use
+/// are dropped as their page arrives.
 struct registry_read
 {
-    std::vector<stored_row> rows;
+    std::vector<registry_change> changes;
     std::int64_t version = 0;
 };
 
-/// Returns `rows` and a removal for each known row that is not among them.
-std::vector<stored_row> addRemovals(const entry_state &entry, std::vector<stored_row> rows)
+/// Returns the changes and a removal for each known worker that is not among them.
+std::vector<registry_change> addRemovals(const entry_state &entry,
+                                         std::vector<registry_change> changes)
 {
     std::set<std::string> present;
-    for (const stored_row &row : rows) {
-        present.insert(row.key);
+    for (const registry_change &change : changes) {
+        present.insert(change.key);
     }
     for (const auto &[key, worker] : entry.leaderState->registry) {
         if (present.count(key) == 0) {
-            rows.push_back({entry.ports.codec.workerTable, key, "", 0, true});
+            changes.push_back({key, 0, std::nullopt});
         }
     }
-    return rows;
+    return changes;
 }
 
-void readWorkers(entry_state &entry, std::int64_t epoch, const std::string &from,
+void readWorkers(entry_state &entry, const registry_watch &watch, const std::string &from,
                  const std::shared_ptr<registry_read> &read)
 {
-    entry.ports.store.read(
-        {entry.ports.codec.workerTable, from, "", false},
-        largeReadLimits(steadyNow() + readTimeout),
-        [&entry, epoch, read](const store_result &result) {
-            if (!isLeaderInEpoch(entry, epoch)) {
-                return;
-            }
-            if (result.outcome != store_outcome::done) {
-                runAfter(entry, watchRetryDelay, [&entry, epoch] {
-                    if (isLeaderInEpoch(entry, epoch)) {
-                        watchWorkers(entry, epoch);
-                    }
-                });
-                return;
-            }
-            read->version = read->version == 0 ? result.version : read->version;
-            read->rows.insert(read->rows.end(), result.rows.begin(), result.rows.end());
-            if (result.hasMore && !result.rows.empty()) {
-                readWorkers(entry, epoch, result.rows.back().key + '\0', read);
-                return;
-            }
-            entry.leaderState->registryVersion = read->version;
-            confirmLeadershipAndApplyRows(entry, epoch, addRemovals(entry, read->rows),
-                                          [&entry, epoch] { watchRegistry(entry, epoch); });
-        });
+    entry.ports.store.read({entry.ports.codec.workerTable, from, "", false},
+                           largeReadLimits(steadyNow() + readTimeout),
+                           [&entry, watch, read](const store_result &result) {
+                               if (!isCurrent(entry, watch)) {
+                                   return;
+                               }
+                               if (result.outcome != store_outcome::done) {
+                                   watchWorkersAfterPause(entry, watch);
+                                   return;
+                               }
+                               read->version = read->version == 0 ? result.version : read->version;
+                               for (const stored_row &row : result.rows) {
+                                   registry_change change = decodeRegistryRow(entry, row);
+                                   if (change.worker) {
+                                       read->changes.push_back(std::move(change));
+                                   }
+                               }
+                               if (result.hasMore && !result.rows.empty()) {
+                                   readWorkers(entry, watch, result.rows.back().key + '\0', read);
+                                   return;
+                               }
+                               entry.leaderState->registryVersion = read->version;
+                               confirmLeadershipAndApply(
+                                   entry, watch, addRemovals(entry, read->changes),
+                                   [&entry, watch] { watchRegistry(entry, watch); });
+                           });
+}
+
+/// Returns the services to which the configuration or an open job sends tasks.
+std::set<std::string> collectServices(const entry_state &entry)
+{
+    std::set<std::string> services;
+    for (const cell::queue_policy &queue : entry.config.queues) {
+        services.insert(queue.service);
+    }
+    for (const auto &[id, job] : entry.leaderState->cell.jobs) {
+        if (!job.finalPhase) {
+            services.insert(job.policy.service);
+        }
+    }
+    return services;
+}
+
+/// Applies a change of the services in use: the workers of a new one have been ignored so far, so
+/// that the registry is read again.
+void updateServices(entry_state &entry)
+{
+    leader_state &leaderState = *entry.leaderState;
+    std::set<std::string> services = collectServices(entry);
+    const bool isAnyNew = !std::includes(leaderState.services.begin(), leaderState.services.end(),
+                                         services.begin(), services.end());
+    leaderState.services = std::move(services);
+    const std::size_t before = leaderState.registry.size();
+    for (auto it = leaderState.registry.begin(); it != leaderState.registry.end();) {
+        const bool isUsed = leaderState.services.count(it->second.service) > 0;
+        it = isUsed ? std::next(it) : leaderState.registry.erase(it);
+    }
+    if (leaderState.registry.size() < before) {
+        applyRegistry(entry);
+    }
+    if (isAnyNew && leaderState.registryWatches > 0) {
+        watchWorkers(entry, entry.epoch);
+    }
 }
 
 } // namespace
@@ -375,6 +482,7 @@
     entry.config = std::move(config);
     if (entry.leaderState) {
         cell::changeConfig(entry.leaderState->cell, entry.config);
+        updateServices(entry);
         requestDecision(entry);
     }
     onConfigAdopted(entry, row);
@@ -404,7 +512,10 @@
 
 void watchWorkers(entry_state &entry, std::int64_t epoch)
 {
-    readWorkers(entry, epoch, "", std::make_shared<registry_read>());
+    leader_state &leaderState = *entry.leaderState;
+    leaderState.services = collectServices(entry);
+    const registry_watch watch {epoch, ++leaderState.registryWatches};
+    readWorkers(entry, watch, "", std::make_shared<registry_read>());
 }
 
 } // namespace bramleygrade::entry
--- a/src/entry/worker_rows.cpp
+++ b/src/entry/worker_rows.cpp
@@ -1,5 +1,6 @@
-#include <algorithm>
+#include <charconv>
 
+#include "cell/workers/worker_list.h"
 #include "entry/json_text.h"
 #include "entry/rows.h"
 
@@ -7,30 +8,6 @@
 
 namespace {
 
-/// Limit of a row of workers; the users' table service refuses a write with a row of more than
-/// 65,536 bytes. The difference leaves room for names that JSON has to escape.
-constexpr std::size_t maxWorkerRowBytes = 50'000;
-/// Bytes of a worker in a row beside its texts: punctuation and the start time.
-constexpr std::size_t workerOverheadBytes = 40;
-
-using worker_map = std::map<std::string, cell::worker_state>;
-
-std::size_t sizeInRow(const std::string &id, const cell::worker_entry &worker)
-{
-    return id.size() + worker.address.size() + worker.service.size() + workerOverheadBytes;
-}
-
-/// Returns the end of the row of workers that begins at `first`.
-worker_map::const_iterator findRowEnd(worker_map::const_iterator first,
-                                      worker_map::const_iterator last)
-{
-    std::size_t bytes = 0;
-    return std::find_if(first, last, [&bytes](const auto &worker) {
-        bytes += sizeInRow(worker.first, worker.second.entry);
-        return bytes > maxWorkerRowBytes;
-    });
-}
-
 /// The address at which the life has answered: the registry may show another one by mistake, where
 /// a successor must not take another process's answer for the worker's end.
 const std::string &addressInRow(const cell::worker_state &worker)
@@ -38,23 +15,6 @@
     return worker.life.address.empty() ? worker.entry.address : worker.life.address;
 }
 
-std::string encodeWorkerRange(worker_map::const_iterator first, worker_map::const_iterator last)
-{
-    return writeObject([&](json_writer &out) {
-        out.Key("workers");
-        out.StartArray();
-        for (auto worker = first; worker != last; ++worker) {
-            out.StartArray();
-            putText(out, worker->first);
-            putText(out, addressInRow(worker->second));
-            putText(out, worker->second.entry.service);
-            out.Int64(worker->second.life.born);
-            out.EndArray();
-        }
-        out.EndArray();
-    });
-}
-
 } // namespace
 
 std::string workersRowKey(std::size_t index)
@@ -62,47 +22,41 @@
     return index == 0 ? workersKey : std::string(workersKey) + '/' + std::to_string(index);
 }
 
-bool isWorkersRowKey(const std::string &key)
+std::optional<std::size_t> workersRowIndex(const std::string &key)
 {
-    return key == workersKey || key.rfind(std::string(workersKey) + '/', 0) == 0;
-}
-
-std::string encodeWorkers(const worker_map &workers)
-{
-    return encodeWorkerRange(workers.begin(), workers.end());
-}
-
-std::vector<std::string> encodeWorkerRows(const worker_map &workers)
-{
-    std::vector<std::string> rows;
-    auto first = workers.begin();
-    do {
-        const auto end = findRowEnd(first, workers.end());
-        rows.push_back(encodeWorkerRange(first, end));
-        first = end;
-    } while (first != workers.end());
-    return rows;
-}
-
-std::size_t countWorkerRows(const worker_map &workers)
-{
-    std::size_t rows = 0;
-    auto first = workers.begin();
-    do {
-        first = findRowEnd(first, workers.end());
-        ++rows;
-    } while (first != workers.end());
-    return rows;
+    const std::string prefix = std::string(workersKey) + '/';
+    std::size_t index = 0;
+    if (key == workersKey) {
+        return index;
+    }
+    const char *end = key.data() + key.size();
+    if (key.rfind(prefix, 0) != 0
+        || std::from_chars(key.data() + prefix.size(), end, index).ptr != end
+        || workersRowKey(index) != key || index >= cell::maxListRows) {
+        return std::nullopt;
+    }
+    return index;
 }
 
-void putWorkerRows(const worker_map &workers, std::size_t &rowsInUse, table_write &write)
+std::string encodeWorkerRow(const std::map<std::string, cell::worker_state> &workers,
+                            std::size_t index)
 {
-    std::vector<std::string> rows = encodeWorkerRows(workers);
-    rowsInUse = std::max(rowsInUse, rows.size());
-    rows.resize(rowsInUse, encodeWorkers({}));
-    for (std::size_t index = 0; index < rows.size(); ++index) {
-        write.puts.push_back({headTable, workersRowKey(index), rows[index], 0, false});
-    }
+    return writeObject([&](json_writer &out) {
+        out.Key("workers");
+        out.StartArray();
+        for (const auto &[id, worker] : workers) {
+            if (worker.listRow != index) {
+                continue;
+            }
+            out.StartArray();
+            putText(out, id);
+            putText(out, addressInRow(worker));
+            putText(out, worker.entry.service);
+            out.Int64(worker.life.born);
+            out.EndArray();
+        }
+        out.EndArray();
+    });
 }
 
 std::vector<cell::worker_entry> decodeWorkers(const std::string &value)
--- a/src/entry/writes.cpp
+++ b/src/entry/writes.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 
+#include "cell/workers/worker_list.h"
 #include "entry/authentication/admission.h"
 #include "entry/entry.h"
 
@@ -40,12 +41,9 @@
     return leaderState.backlogExceedsWrite && job.finalPhase && job.stored && !job.finalStored;
 }
 
-/// Returns the number of rows that `addJobRows` adds for the job, or those of the list of workers.
+/// Returns the number of rows that `addJobRows` adds for the job; one for a row of workers.
 std::size_t rowCountOf(leader_state &leaderState, const std::string &id)
 {
-    if (id == cell::workerListChange) {
-        return std::max(leaderState.workerRowsInUse, countWorkerRows(leaderState.cell.workers));
-    }
     const cell::job_state *job = cell::findJob(leaderState.cell, id);
     if (job == nullptr || endsInPlace(leaderState, *job)) {
         return 1;
@@ -125,8 +123,9 @@
     for (const std::string &id : cell::beginWrite(
              leaderState.cell, changeRowsPerWrite,
              [&leaderState](const std::string &job) { return rowCountOf(leaderState, job); })) {
-        if (id == cell::workerListChange) {
-            putWorkerRows(leaderState.cell.workers, leaderState.workerRowsInUse, write);
+        if (const auto row = cell::changedWorkerRow(id)) {
+            write.puts.push_back({headTable, workersRowKey(*row),
+                                  encodeWorkerRow(leaderState.cell.workers, *row), 0, false});
         } else if (const cell::job_state *job = cell::findJob(leaderState.cell, id)) {
             addJobRows(entry, *job, write);
         }
--- a/test/cell/cell_fixture.h
+++ b/test/cell/cell_fixture.h
@@ -94,6 +94,7 @@
         for (const auto &entry : entries) {
             report(entry.id, {});
         }
+        store(); // workers are used once the stored list has them
         decide();
     }
 
--- a/test/cell/cluster_test.cpp
+++ b/test/cell/cluster_test.cpp
@@ -3,6 +3,7 @@
 
 #include <list>
 
+#include "cell/workers/worker_list.h"
 #include "cluster_fixture.h"
 
 using namespace bramleygrade;
@@ -234,7 +235,7 @@
             call(first, "POST", "job-" + std::to_string(++number), statuses.emplace_back(-1));
         }
         if (first.entry->leaderState && !first.entry->leaderState->write) {
-            cell::recordChange(first.entry->leaderState->cell, cell::workerListChange, true);
+            cell::recordChange(first.entry->leaderState->cell, cell::workerRowChange(0), true);
             first.entry->leaderState->nextWriteAt = distantPast;
             advanceWrites(*first.entry);
         }
--- a/test/cell/ends_in_pages_test.cpp
+++ b/test/cell/ends_in_pages_test.cpp
@@ -47,9 +47,16 @@
 /// A successor of the scheduler that started all tasks of a job on one worker.
 struct successor_fixture : driven_cell
 {
+    /// The stored list of workers has those that the former scheduler used.
     explicit successor_fixture(std::int64_t epoch)
         : driven_cell(epoch)
     {
+        cell.workers.clear();
+        cell.workerRowBytes.clear();
+        for (const worker_entry &worker : entries) {
+            restoreWorker(cell, worker, now);
+        }
+        changeWorkers(cell, entries, now);
     }
 
     /// The worker runs all tasks of the job; the first `ended` of them have ended.
--- a/test/cell/rows_test.cpp
+++ b/test/cell/rows_test.cpp
@@ -3,6 +3,7 @@
 
 #include <set>
 
+#include "cell/workers/worker_list.h"
 #include "cell_fixture.h"
 #include "entry/entry_settings.h"
 #include "entry/metrics.h"
@@ -293,8 +294,13 @@
     std::map<std::string, cell::worker_state> workers;
     workers["a"].entry.id = "a";
     workers["a"].life.born = 1'790'000'000'000;
+    workers["a"].listRow = 0;
     workers["b"].entry.id = "b";
-    const auto decoded = entry::decodeWorkers(entry::encodeWorkers(workers));
+    workers["b"].listRow = 0;
+    workers["c"].entry.id = "c";
+    workers["c"].listRow = 1;
+    workers["d"].entry.id = "d"; // in no row
+    const auto decoded = entry::decodeWorkers(entry::encodeWorkerRow(workers, 0));
     BOOST_REQUIRE(decoded.size() == 2U);
     BOOST_TEST(decoded[0].born == 1'790'000'000'000);
     BOOST_TEST(decoded[1].born == 0);
@@ -316,55 +322,130 @@
     }
 }
 
-// Guards against a row that the store refuses: with 1,500 workers the list took one row of more
-// than 65,536 bytes, so that no write succeeded and nothing was accepted.
+namespace {
+
+/// A scheduler whose workers are listed by the registry and have answered.
+cell::scheduler makeAnsweredCell(const std::vector<cell::worker_entry> &entries)
+{
+    const timestamp now = 1'000 * second;
+    cell::scheduler cell;
+    cell::beginEpoch(cell, 1, now);
+    cell::changeWorkers(cell, entries, now);
+    for (const cell::worker_entry &entry : entries) {
+        cell::orders out;
+        const cell::poll_order poll {
+            entry.id, cell::fencingToken(cell, cell.workers.at(entry.id)), 0, 0, 0, false};
+        cell::worker_report report;
+        report.workerClock = now;
+        cell::onReport(cell, poll, report, now, now, out);
+    }
+    return cell;
+}
+
+/// Returns the workers in the rows of the list, whose sizes are checked.
+std::multiset<std::string> readWorkerList(const cell::scheduler &cell)
+{
+    std::multiset<std::string> decoded;
+    for (std::size_t row = 0; row < cell.workerRowBytes.size(); ++row) {
+        const std::string value = entry::encodeWorkerRow(cell.workers, row);
+        BOOST_TEST(value.size() <= entry::maxRowBytes, "row " << row);
+        for (const cell::worker_entry &worker : entry::decodeWorkers(value)) {
+            decoded.insert(worker.id);
+        }
+    }
+    return decoded;
+}
+
+cell::worker_entry makeListedWorker(const std::string &id, const std::string &service)
+{
+    cell::worker_entry worker = cell_fixture::makeWorker(id);
+    worker.address = "10.255.255.255:65535";
+    worker.service = service;
+    worker.born = 1'790'000'000'000;
+    return worker;
+}
+
+} // namespace
+
+// Guards against rows that the store refuses, with which no write succeeded and nothing was
+// accepted: 1,500 workers in one row, and texts that JSON escapes, whose length was not counted. A
+// service of 60,000 bytes made the loop over the rows endless.
 BOOST_AUTO_TEST_CASE(lost_list_of_workers_that_is_larger_than_a_row)
 {
-    constexpr std::size_t maxRowBytes = 65'536;
-    const std::size_t workerCounts[] = {0, 1, 350, 680, 1'500, 3'000};
-    for (const std::size_t count : workerCounts) {
-        std::map<std::string, cell::worker_state> workers;
-        for (std::size_t number = 0; number < count; ++number) {
-            const std::string id = "i-" + std::to_string(1'000'000'000 + number);
-            cell::worker_state &worker = workers[id];
-            worker.entry.id = id;
-            worker.entry.address = "10.255.255.255:65535";
-            worker.entry.service = "a-service-with-a-longer-name";
-            worker.life.born = 1'790'000'000'000;
+    const std::string controls(cell::maxWorkerTextBytes - 10, '\x01');
+    struct row
+    {
+        const char *name;
+        std::size_t workers;
+        std::string idPrefix;
+        std::string service;
+        std::size_t leastRows;
+    };
+    for (const row &given :
+         {row {"none", 0, "i-", "booking", 0}, row {"one", 1, "i-", "booking", 1},
+          row {"a usual site", 350, "i-", "a-service-with-a-longer-name", 1},
+          row {"the target", 680, "i-", "a-service-with-a-longer-name", 2},
+          row {"many", 3'000, "i-", "a-service-with-a-longer-name", 7},
+          row {"longest texts that JSON escapes", 100, controls, controls, 5},
+          row {"a service beyond all bounds", 1, "i-", std::string(60'000, 'a'), 1}}) {
+        std::vector<cell::worker_entry> entries;
+        for (std::size_t number = 0; number < given.workers; ++number) {
+            entries.push_back(makeListedWorker(
+                given.idPrefix + std::to_string(1'000'000'000 + number), given.service));
         }
-        std::size_t rowsInUse = 0;
-        entry::table_write write;
-        entry::putWorkerRows(workers, rowsInUse, write);
-        BOOST_TEST(rowsInUse == entry::countWorkerRows(workers), count);
-        std::set<std::string> decoded;
-        for (std::size_t index = 0; index < write.puts.size(); ++index) {
-            const entry::stored_row &row = write.puts[index];
-            BOOST_TEST(row.key == entry::workersRowKey(index));
-            BOOST_TEST(entry::isWorkersRowKey(row.key));
-            BOOST_TEST(row.value.size() <= maxRowBytes, count << " workers, row " << index);
-            for (const cell::worker_entry &worker : entry::decodeWorkers(row.value)) {
-                decoded.insert(worker.id);
-            }
+        const bool isBounded = entries.empty() || cell::hasBoundedTexts(entries.front());
+        const cell::scheduler cell = makeAnsweredCell(entries);
+        BOOST_TEST(cell.workerRowBytes.size() >= given.leastRows, given.name);
+        if (isBounded) {
+            const auto listed = readWorkerList(cell);
+            BOOST_TEST(listed.size() == given.workers, given.name);
+            BOOST_TEST(std::set<std::string>(listed.begin(), listed.end()).size() == listed.size());
         }
-        BOOST_TEST(decoded.size() == count);
     }
-    for (const char *key : {"head", "members", "workersx"}) {
-        BOOST_TEST(!entry::isWorkersRowKey(key), key);
+}
+
+BOOST_AUTO_TEST_CASE(keys_of_worker_rows)
+{
+    struct row
+    {
+        const char *key;
+        std::optional<std::size_t> index;
+    };
+    for (const row &given :
+         {row {"workers", 0}, row {"workers/1", 1}, row {"workers/999", 999},
+          row {"workers/1000", std::nullopt}, row {"workers/99999999999999999999", std::nullopt},
+          row {"workers/01", std::nullopt}, row {"workers/0", std::nullopt},
+          row {"workers/", std::nullopt}, row {"workers/1x", std::nullopt},
+          row {"workersx", std::nullopt}, row {"head", std::nullopt},
+          row {"members", std::nullopt}}) {
+        BOOST_TEST((entry::workersRowIndex(given.key) == given.index), given.key);
+        BOOST_TEST((!given.index || entry::workersRowKey(*given.index) == given.key), given.key);
     }
 }
 
-// Guards against workers that a takeover reads although they have left: rows that are needed no
-// longer must not keep them.
-BOOST_AUTO_TEST_CASE(rows_of_workers_that_are_needed_no_longer_are_written_empty)
+// Guards against workers that a takeover reads although they have left, and against a list that is
+// written anew as a whole for each of them.
+BOOST_AUTO_TEST_CASE(a_worker_that_leaves_changes_only_its_row)
 {
-    std::map<std::string, cell::worker_state> workers;
-    workers["a"].entry.id = "a";
-    std::size_t rowsInUse = 3;
-    entry::table_write write;
-    entry::putWorkerRows(workers, rowsInUse, write);
-    BOOST_REQUIRE(write.puts.size() == 3U);
-    BOOST_TEST(rowsInUse == 3U);
-    BOOST_TEST(entry::decodeWorkers(write.puts[0].value).size() == 1U);
-    BOOST_TEST(entry::decodeWorkers(write.puts[1].value).empty());
-    BOOST_TEST(entry::decodeWorkers(write.puts[2].value).empty());
+    std::vector<cell::worker_entry> entries;
+    for (int number = 0; number < 1'500; ++number) {
+        entries.push_back(makeListedWorker("i-" + std::to_string(1'000 + number),
+                                           "a-service-with-a-longer-name"));
+    }
+    cell_fixture fixture;
+    fixture.cell = makeAnsweredCell(entries);
+    fixture.store();
+    const std::size_t rows = fixture.cell.workerRowBytes.size();
+    BOOST_REQUIRE(rows >= 3U);
+    const std::string left = entries.back().id;
+    const std::size_t rowOfLeft = *fixture.cell.workers.at(left).listRow;
+    entries.pop_back();
+    cell::changeWorkers(fixture.cell, entries, fixture.now);
+    fixture.cell.workers.at(left).life.pollInFlight = false;
+    fixture.decide();
+    BOOST_REQUIRE(fixture.cell.workers.count(left) == 0U);
+    BOOST_TEST(fixture.cell.unstored.size() == 1U);
+    BOOST_TEST(fixture.cell.unstored.count(cell::workerRowChange(rowOfLeft)) == 1U);
+    BOOST_TEST(readWorkerList(fixture.cell).size() == 1'499U);
+    BOOST_TEST(readWorkerList(fixture.cell).count(left) == 0U);
 }
--- a/test/cell/storing_test.cpp
+++ b/test/cell/storing_test.cpp
@@ -62,6 +62,7 @@
     job.policy = fixture.policy;
     job.acceptedEpoch = 1;
     restoreJob(fixture.cell, job, fixture.now);
+    fixture.reconcileAll();
     fixture.end("worker-1", 1, {"a", 0, 0, 0}, 1, end_kind::done);
     BOOST_TEST(fixture.cell.workers.at("worker-1").life.acknowledgedEnd == 0);
     BOOST_TEST(beginWrite(fixture.cell, 10, oneRow).size() == 1U);
--- a/test/cell/takeover_test.cpp
+++ b/test/cell/takeover_test.cpp
@@ -223,3 +223,78 @@
     fixture.cell.confirmedAt = fixture.now;
     BOOST_TEST(fixture.decide().starts.size() == 1U);
 }
+
+// Guards against restored tasks that waited five seconds for registry entries without a worker
+// behind them: a worker that is not in the stored list cannot have runs of the predecessor.
+BOOST_AUTO_TEST_CASE(lost_restored_tasks_wait_for_entries_that_nobody_serves)
+{
+    cell_fixture fixture(2, false);
+    fixture.entries.clear();
+    for (int number = 1; number <= 200; ++number) {
+        fixture.entries.push_back(cell_fixture::makeWorker("dead-" + std::to_string(number)));
+    }
+    fixture.entries.push_back(cell_fixture::makeWorker("worker-1"));
+    restoreWorker(fixture.cell, fixture.entries.back(), fixture.now);
+    job_state job;
+    job.spec = cell_fixture::makeJob("a", {cell_fixture::makeStep(1, 1'000)});
+    job.policy = fixture.policy;
+    job.acceptedEpoch = 1;
+    restoreJob(fixture.cell, job, fixture.now);
+    changeWorkers(fixture.cell, fixture.entries, fixture.now);
+    fixture.decide();
+    fixture.report("worker-1", {});
+    fixture.store();
+    const orders out = fixture.decide();
+    BOOST_REQUIRE(out.starts.size() == 1U);
+    BOOST_TEST(out.starts[0].worker == "worker-1");
+}
+
+// Guards against entries without a worker that take part in the list of workers, in the capacity of
+// the cell and in most polls.
+BOOST_AUTO_TEST_CASE(lost_cell_beside_hundreds_of_entries_that_nobody_serves)
+{
+    constexpr int deadEntries = 500;
+    constexpr microseconds pollTimeout = 600 * millisecond;
+    cell_fixture fixture;
+    for (int number = 1; number <= deadEntries; ++number) {
+        worker_entry dead = cell_fixture::makeWorker("dead-" + std::to_string(number));
+        dead.capacity = {1'000'000'000'000, 1'000'000'000'000, 0};
+        fixture.entries.insert(fixture.entries.begin(), dead);
+    }
+    changeWorkers(fixture.cell, fixture.entries, fixture.now);
+    std::multimap<timestamp, poll_order> open;
+    std::size_t polls = 0;
+    std::size_t openAtMost = 0;
+    std::size_t firstPolls = 0;
+    constexpr microseconds length = 30 * second;
+    for (const timestamp end = fixture.now + length; fixture.now < end; fixture.now += stepTime) {
+        while (!open.empty() && open.begin()->first <= fixture.now) {
+            orders ignored;
+            onPollFailed(fixture.cell, open.begin()->second, order_outcome::unanswered, fixture.now,
+                         ignored);
+            open.erase(open.begin());
+        }
+        for (const poll_order &poll : fixture.decide().polls) {
+            if (poll.worker.rfind("dead-", 0) == 0) {
+                open.emplace(fixture.now + pollTimeout, poll);
+                ++polls;
+            } else {
+                fixture.report(poll.worker, {});
+            }
+        }
+        firstPolls = firstPolls == 0 ? polls : firstPolls;
+        openAtMost = polls == firstPolls ? openAtMost : std::max(openAtMost, open.size());
+    }
+    BOOST_TEST(firstPolls == static_cast<std::size_t>(deadEntries));
+    BOOST_TEST(openAtMost <= 64U);
+    BOOST_TEST(polls - firstPolls <= 64U * static_cast<std::size_t>(length / pollTimeout));
+    BOOST_TEST(polls - firstPolls > 0U);
+    BOOST_TEST(fixture.cell.unstored.empty());
+    for (const auto &[id, worker] : fixture.cell.workers) {
+        BOOST_TEST(worker.listRow.has_value() == (id.rfind("dead-", 0) != 0), id);
+    }
+    // A worker behind an entry is used once it answers.
+    fixture.report("dead-400", {});
+    fixture.store();
+    BOOST_TEST(isUsable(fixture.cell.workers.at("dead-400"), fixture.now));
+}
--- a/test/cell/watches_test.cpp
+++ b/test/cell/watches_test.cpp
@@ -1,6 +1,7 @@
 #define BOOST_TEST_MODULE watches
 #include <boost/test/included/unit_test.hpp>
 
+#include "cell/workers/worker_list.h"
 #include "entry/entry.h"
 #include "entry/state_dump.h"
 
@@ -19,6 +20,11 @@
         entry.epoch = 1;
         entry.leaderState = std::make_unique<leader_state>();
         entry.leaderState->cell.epoch = 1;
+        cell::queue_policy queue;
+        queue.name = "queue";
+        queue.service = "booking";
+        entry.config.version = 1;
+        entry.config.queues.push_back(queue);
         entry.ports.store.read = [this](const row_range &range, const read_limits &,
                                         const store_completion &done) {
             done(range.table == headTable ? head : registry);
@@ -33,6 +39,7 @@
                                       const auto &) {};
         entry.ports.codec.decodeWorker = [](const stored_row &row, cell::worker_entry &worker) {
             worker.id = row.key;
+            worker.service = row.value == "other" ? "other" : "booking";
             worker.draining = row.value == "draining";
             worker.capacity.cpuMilli = row.value == "small" ? 1'000 : 8'000;
             return true;
@@ -170,3 +177,78 @@
     refreshGauges(entry);
     BOOST_TEST(entry.metrics.gauges.at("workers_overcommitted") == 1);
 }
+
+// Guards against entries of other programs that become part of the stored list of workers: one with
+// a service of 60,000 letters kept every scheduler from writing (review case 6).
+BOOST_FIXTURE_TEST_CASE(lost_cell_beside_registry_entries_that_name_no_worker, registry_fixture)
+{
+    const std::string longest(cell::maxWorkerTextBytes, '"');
+    entry.ports.codec.decodeWorker = [](const stored_row &row, cell::worker_entry &worker) {
+        worker.id = row.key;
+        worker.service = row.value;
+        worker.capacity.cpuMilli = 8'000;
+        return worker.service.size() <= cell::maxWorkerTextBytes;
+    };
+    registry.rows = {makeRow("worker-1", "booking")};
+    for (int number = 0; number < 400; ++number) {
+        registry.rows.push_back(makeRow("other-" + std::to_string(number), longest));
+        registry.rows.push_back(
+            makeRow("long-" + std::to_string(number), std::string(60'000, 'a')));
+    }
+    watchWorkers(entry, 1);
+    runUntilWatched(1);
+    BOOST_TEST(entry.leaderState->registry.size() == 1U);
+    BOOST_TEST(entry.leaderState->cell.workers.size() == 1U);
+    BOOST_TEST(entry.metrics.counters.at("worker_entries_ignored_total") == 800U);
+    // Entries that come and go cause neither decisions nor writes.
+    for (int round = 1; round <= 3; ++round) {
+        stored_row removed = makeRow("other-1", "");
+        removed.removed = round % 2 == 1;
+        removed.value = longest;
+        BOOST_TEST(!change({removed}));
+        runUntilWatched(1 + round);
+    }
+    BOOST_TEST(entry.leaderState->cell.unstored.empty());
+}
+
+// Guards against workers that are not used, as their entries were ignored before the configuration
+// sent work to their service.
+BOOST_FIXTURE_TEST_CASE(workers_of_a_new_service_are_read_again, registry_fixture)
+{
+    registry.rows.push_back(makeRow("worker-3", "other"));
+    entry.ports.codec.decodeConfig = [this](const stored_row &, cell::cell_config &config) {
+        config = entry.config;
+        ++config.version;
+        config.queues.resize(1);
+        if (config.version == 2) {
+            config.queues.push_back(config.queues.front());
+            config.queues.back().name = "queue-2";
+            config.queues.back().service = "other";
+        }
+        return true;
+    };
+    watchWorkers(entry, 1);
+    runUntilWatched(1);
+    BOOST_TEST(entry.leaderState->cell.workers.count("worker-3") == 0U);
+    applyConfigRow(entry, {});
+    runUntilWatched(2);
+    BOOST_REQUIRE(entry.leaderState->cell.workers.count("worker-3") == 1U);
+    BOOST_TEST(entry.leaderState->cell.workers.at("worker-3").listed);
+    applyConfigRow(entry, {});
+    BOOST_TEST(!entry.leaderState->cell.workers.at("worker-3").listed);
+    BOOST_TEST(entry.leaderState->cell.workers.at("worker-1").listed);
+}
+
+// The workers of a queue that the configuration no longer has are used until its jobs have ended.
+BOOST_FIXTURE_TEST_CASE(lost_job_of_a_queue_that_was_removed, registry_fixture)
+{
+    registry.rows.push_back(makeRow("worker-3", "other"));
+    cell::job_state job;
+    job.spec.id = "a";
+    job.spec.steps.resize(1);
+    job.policy.service = "other";
+    cell::restoreJob(entry.leaderState->cell, job, steadyNow());
+    watchWorkers(entry, 1);
+    runUntilWatched(1);
+    BOOST_TEST(entry.leaderState->cell.workers.count("worker-3") == 1U);
+}
--- a/testing/cell/cell_history.cpp
+++ b/testing/cell/cell_history.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "cell/workers/worker_list.h"
 #include "entry/rows.h"
 #include "testing/cell/history_state.h"
 
@@ -82,8 +83,10 @@
         }
         cell::restoreJob(successor->cell, std::move(*job), now);
     }
-    for (const cell::worker_entry &worker : entry::decodeWorkers(store.workers)) {
-        cell::restoreWorker(successor->cell, worker, now);
+    for (const auto &[row, value] : store.workerRows) {
+        for (const cell::worker_entry &worker : entry::decodeWorkers(value)) {
+            cell::restoreWorker(successor->cell, worker, now, row);
+        }
     }
     cell::changeWorkers(successor->cell, readRegistry(successor->cell), now);
     successor->confirmedAt = now;
@@ -312,8 +315,8 @@
     simulated_store change;
     for (const std::string &id :
          cell::beginWrite(cell, maxRowsPerWrite, [](const std::string &) { return 1U; })) {
-        if (id == cell::workerListChange) {
-            change.workers = entry::encodeWorkers(cell.workers);
+        if (const auto row = cell::changedWorkerRow(id)) {
+            change.workerRows[*row] = entry::encodeWorkerRow(cell.workers, *row);
             continue;
         }
         const cell::job_state *job = cell::findJob(cell, id);
@@ -343,7 +346,9 @@
                        return;
                    }
                    store.jobs.insert(change.jobs.begin(), change.jobs.end());
-                   store.workers = change.workers == "{}" ? store.workers : change.workers;
+                   for (const auto &[row, value] : change.workerRows) {
+                       store.workerRows[row] = value;
+                   }
                    for (const auto &[id, value] : change.progress) {
                        store.progress[id] = value;
                    }
--- a/testing/cell/cell_history.h
+++ b/testing/cell/cell_history.h
@@ -69,8 +69,8 @@
     std::map<std::string, cell::job_phase> ended;
     /// In a write: tombstones of ended jobs, stored in `jobs` in place of the job rows.
     std::map<std::string, std::string> tombstones;
-    /// Encoded list of the workers in use; in a write, `{}` leaves the stored list unchanged.
-    std::string workers = "{}";
+    /// Encoded rows of the list of the workers in use; in a write, those that change.
+    std::map<std::size_t, std::string> workerRows;
     bool up = true;
 };
 
