--- a/src/cell/ends/scheduler_ends.cpp
+++ b/src/cell/ends/scheduler_ends.cpp
@@ -114,9 +114,9 @@
     }
 }
 
-void recordCheckpoint(job_state &job, const reported_end &end, task_state &task)
+void recordCheckpoint(scheduler &cell, job_state &job, const reported_end &end, task_state &task)
 {
-    if (end.checkpoint.empty()) {
+    if (!isKeptCheckpoint(cell, end.checkpoint)) {
         return;
     }
     task.checkpoint = end.checkpoint;
@@ -274,7 +274,7 @@
     if (step.gangAttempt == end.attempt && end.how != end_kind::done) {
         step.gangBroken = true;
     }
-    recordCheckpoint(*job, end, *task);
+    recordCheckpoint(cell, *job, end, *task);
     if (end.how == end_kind::done && task->phase == run_phase::running
         && task->attempt == end.attempt && !task->resumed && task->confirmedAt != distantPast) {
         learnFromRun(cell, worker, *job, end.task, step, now - task->confirmedAt, now);
@@ -293,6 +293,13 @@
     cell.needsPlacement = true;
 }
 
+bool isKeptCheckpoint(scheduler &cell, const std::string &checkpoint)
+{
+    const bool isTooLong = checkpoint.size() > maxCheckpointBytes;
+    cell.counters.ignoredCheckpoints += isTooLong ? 1 : 0;
+    return !checkpoint.empty() && !isTooLong;
+}
+
 void stopRun(scheduler &cell, const task_id &id, task_state &task, timestamp now, orders &out)
 {
     const auto worker = cell.workers.find(task.worker);
--- a/src/cell/jobs/job_state.h
+++ b/src/cell/jobs/job_state.h
@@ -176,6 +176,8 @@
     int nextOccurrence = 0;
     /// Number of completed occurrences, open or not.
     int occurrencesCompleted = 0;
+    /// Number of rows of progress that the store may hold.
+    std::size_t progressRows = 1;
     /// Estimate of the job's memory that is counted in `scheduler::reservedBytes`.
     std::size_t reservedBytes = 0;
     /// Loaded from the store at a takeover: tasks may run on workers that have not reported yet.
--- a/src/cell/jobs/open_occurrences.cpp
+++ b/src/cell/jobs/open_occurrences.cpp
@@ -158,6 +158,17 @@
     }
 }
 
+/// Returns the parked ranges, and the texts that tell their done steps as a number of ranges.
+std::size_t weightOfParked(const job_state &job)
+{
+    constexpr std::size_t stepsPerRange = 16;
+    std::size_t weight = 0;
+    for (const auto &[doneSteps, parked] : job.parked) {
+        weight += parked.ranges.size() + doneSteps.size() / stepsPerRange;
+    }
+    return weight;
+}
+
 } // namespace
 
 std::size_t tasksPerOccurrence(const job_spec &spec)
@@ -225,7 +236,7 @@
         return false;
     }
     const std::string doneSteps = doneStepsOf(found->second);
-    if (!isAnyDone(doneSteps)) {
+    if (!isAnyDone(doneSteps) || weightOfParked(job) >= maxParkedRanges) {
         return false;
     }
     insertRange(job.parked[doneSteps], number, number);
--- a/src/cell/jobs/open_occurrences.h
+++ b/src/cell/jobs/open_occurrences.h
@@ -17,7 +17,9 @@
 constexpr std::size_t maxFreshTasks = 512;
 constexpr std::size_t maxParkableTasks = 256;
 /// Tasks that a job has open, unless one occurrence has more.
-constexpr std::size_t maxOpenTasks = 16'384;
+constexpr std::size_t maxOpenTasks = 8'192;
+/// Ranges of parked occurrences that a job has; of long lists of steps, fewer.
+constexpr std::size_t maxParkedRanges = 4'096;
 /// Tasks of one occurrence of a job that is accepted.
 constexpr std::int64_t maxTasksPerOccurrence = 10'000;
 /// Occurrences of a job that is accepted.
--- a/src/cell/jobs/scheduler_jobs.cpp
+++ b/src/cell/jobs/scheduler_jobs.cpp
@@ -257,8 +257,42 @@
     return counts;
 }
 
-std::vector<std::string> beginWrite(scheduler &cell, std::size_t maxRows,
-                                    const rows_of_change &rowsOf)
+namespace {
+
+/// A write that is being filled.
+struct write_filling
+{
+    std::vector<std::string> ids;
+    write_size size;
+};
+
+/// Returns whether a change of this size fits beside those of the write.
+bool fitsIn(const write_filling &write, const write_size &size, const write_limits &limits)
+{
+    return write.size.rows + size.rows <= limits.rows
+        && write.size.bytes + size.bytes <= limits.bytes && write.ids.size() < limits.changes;
+}
+
+/// Returns the limits without the part that is kept for changes by age.
+write_limits limitsOfUrgent(const write_limits &limits)
+{
+    return {limits.rows - limits.rows / nonUrgentShareDivisor,
+            limits.bytes - limits.bytes / nonUrgentShareDivisor, limits.changes};
+}
+
+void takeChange(scheduler &cell, write_filling &write, const std::string &id,
+                const write_size &size)
+{
+    write.size = {write.size.rows + size.rows, write.size.bytes + size.bytes};
+    write.ids.push_back(id);
+    cell.inWrite.emplace(id, cell.unstored.at(id));
+    cell.unstored.erase(id);
+}
+
+} // namespace
+
+std::vector<std::string> beginWrite(scheduler &cell, const write_limits &limits,
+                                    const size_of_change &sizeOf)
 {
     std::vector<std::pair<unstored_change, std::string>> waiting;
     for (const auto &[id, change] : cell.unstored) {
@@ -267,31 +301,40 @@
     std::sort(waiting.begin(), waiting.end(), [](const auto &left, const auto &right) {
         return left.first.number < right.first.number;
     });
-    std::vector<std::string> ids;
-    std::size_t rows = 0;
-    const auto take = [&](bool urgentOnly, std::size_t limit) {
+    write_filling write;
+    const auto take = [&](bool urgentOnly, const write_limits &within) {
         for (const auto &[change, id] : waiting) {
             if ((urgentOnly && !change.urgent) || cell.unstored.count(id) == 0) {
                 continue;
             }
-            const std::size_t needed = rowsOf(id);
-            if (rows + needed > limit) {
+            const write_size size = sizeOf(id);
+            if (!fitsIn({}, size, limits)) {
+                continue;
+            }
+            if (!fitsIn(write, size, within)) {
                 return;
             }
-            rows += needed;
-            ids.push_back(id);
-            cell.inWrite.emplace(id, change);
-            cell.unstored.erase(id);
+            takeChange(cell, write, id, size);
         }
     };
-    take(true, maxRows - maxRows / nonUrgentShareDivisor);
-    take(false, maxRows);
+    if (!waiting.empty()) {
+        const std::string &oldest = waiting.front().second;
+        const write_size size = sizeOf(oldest);
+        const bool isLarge =
+            size.rows > std::max<std::size_t>(limits.rows / nonUrgentShareDivisor, 1)
+            || size.bytes > limits.bytes / nonUrgentShareDivisor;
+        if (isLarge && fitsIn(write, size, limits)) {
+            takeChange(cell, write, oldest, size);
+        }
+    }
+    take(true, limitsOfUrgent(limits));
+    take(false, limits);
     for (auto &[id, worker] : cell.workers) {
         worker.inWrite = worker.listRow && cell.inWrite.count(workerRowChange(*worker.listRow)) > 0;
     }
     cell.writeUrgent = std::any_of(cell.unstored.begin(), cell.unstored.end(),
                                    [](const auto &entry) { return entry.second.urgent; });
-    return ids;
+    return write.ids;
 }
 
 void onWritten(scheduler &cell, timestamp now)
--- a/src/cell/scheduler.h
+++ b/src/cell/scheduler.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <limits>
 #include <map>
 #include <set>
 #include <string>
@@ -192,6 +193,8 @@
     std::uint64_t stalledRuns = 0;
     std::uint64_t preemptedRuns = 0;
     std::uint64_t plannedSteps = 0;
+    /// Checkpoints that were too long to be kept.
+    std::uint64_t ignoredCheckpoints = 0;
     ended_by_size endedBySize;
 };
 
@@ -323,14 +326,30 @@
 /// As `countPendingJobs`, for all queues in one pass over the jobs; queues without pending jobs are
 /// left out.
 std::map<std::string, std::int64_t> countPendingByQueue(const scheduler &cell);
-/// Returns the number of rows that storing the job's change takes.
-using rows_of_change = std::function<std::size_t(const std::string &job)>;
-
-/// Moves unstored changes into a new write of at most `maxRows` rows and returns their job ids,
-/// among them those of `workerRowChange`. Takes urgent changes first, oldest first, but keeps a
-/// quarter of the rows for all changes by age, so that neither kind starves the other.
-std::vector<std::string> beginWrite(scheduler &cell, std::size_t maxRows,
-                                    const rows_of_change &rowsOf);
+/// What a change takes in a write.
+struct write_size
+{
+    std::size_t rows = 0;
+    std::size_t bytes = 0;
+};
+
+/// Returns what storing the change takes.
+using size_of_change = std::function<write_size(const std::string &job)>;
+
+struct write_limits
+{
+    std::size_t rows = 0;
+    std::size_t bytes = std::numeric_limits<std::size_t>::max();
+    std::size_t changes = std::numeric_limits<std::size_t>::max();
+};
+
+/// Moves unstored changes into a new write within the limits and returns their job ids, among them
+/// those of `workerRowChange`. Takes urgent changes first, oldest first, but keeps a quarter of the
+/// write for all changes by age, so that neither kind starves the other. If the oldest change does
+/// not fit into that quarter, it is the first one. A change that exceeds the limits by itself is
+/// left out.
+std::vector<std::string> beginWrite(scheduler &cell, const write_limits &limits,
+                                    const size_of_change &sizeOf);
 /// Ends the write in progress, which is stored; ends whose effect is stored are acknowledged with
 /// the next polls.
 void onWritten(scheduler &cell, timestamp now);
@@ -409,6 +428,8 @@
 /// Applies one reported end to its task, its job and the worker.
 void applyEnd(scheduler &cell, worker_state &worker, const reported_end &end, timestamp now,
               orders &out);
+/// Whether the checkpoint that a worker has reported is to be kept; counts one that is too long.
+bool isKeptCheckpoint(scheduler &cell, const std::string &checkpoint);
 /// Returns the specification of a step; `step` must be a valid index.
 const step_spec &stepOf(const job_state &job, int step);
 /// Updates the speeds that decisions use, and reports when those of a service begin or cease to be
--- a/src/cell/types.h
+++ b/src/cell/types.h
@@ -212,6 +212,9 @@
 /// Longest address of a worker that is accepted, in bytes.
 constexpr std::size_t maxAddressBytes = 64;
 
+/// Longest checkpoint of a worker that is kept, in bytes; a task with a longer one begins anew.
+constexpr std::size_t maxCheckpointBytes = 1'024;
+
 /// One worker as the registry lists it.
 struct worker_entry
 {
--- a/src/cell/workers/scheduler_workers.cpp
+++ b/src/cell/workers/scheduler_workers.cpp
@@ -63,9 +63,10 @@
     out.events.push_back({"stop_unexpected_run", run.task.job, "worker=" + worker.entry.id});
 }
 
-void recordCheckpoint(job_state &job, const reported_run &run, task_state &task, timestamp now)
+void recordCheckpoint(scheduler &cell, job_state &job, const reported_run &run, task_state &task,
+                      timestamp now)
 {
-    if (run.checkpoint.empty()) {
+    if (!isKeptCheckpoint(cell, run.checkpoint)) {
         return;
     }
     task.checkpointAt = task.checkpoint == run.checkpoint ? task.checkpointAt : now;
@@ -113,7 +114,7 @@
         task->percent = run.percent;
         task->progressAt = now;
     }
-    recordCheckpoint(*job, run, *task, now);
+    recordCheckpoint(cell, *job, run, *task, now);
 }
 
 /// Whether the run certainly does not exist if the answer to a poll sent at `sentAt` lacks it.
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -82,6 +82,18 @@
     timestamp backoffUntil = distantPast;
 };
 
+/// Search for a change for which the store rejects writes, see rejected_writes.h.
+struct rejection_state
+{
+    std::size_t changesPerWrite = std::numeric_limits<std::size_t>::max();
+    /// A change that was rejected by itself; the next write with changes has only this one.
+    std::optional<std::string> suspect;
+    /// The write under way is the one without changes.
+    bool isProbe = false;
+    /// Sequence of the write before it, which may have taken effect.
+    std::int64_t uncertainSequence = 0;
+};
+
 /// State that exists only while this entry is the scheduler or loads the rows to become it.
 struct leader_state
 {
@@ -179,6 +191,7 @@
     bool isHandoverRequested = false;
     /// The last handover request failed; the backlog is written before the next request.
     bool mustWriteBeforeHandover = false;
+    rejection_state rejection;
     /// Consecutive unanswered heartbeats of each member, by name.
     std::map<std::string, int> missedHeartbeats;
     /// The members row in the store is out of date.
--- a/src/entry/event_log.cpp
+++ b/src/entry/event_log.cpp
@@ -23,7 +23,10 @@
                                                                {"member_back", 10},
                                                                {"call_unauthenticated", 20},
                                                                {"call_forbidden", 20},
-                                                               {"held_call_refused", 10}};
+                                                               {"held_call_refused", 10},
+                                                               {"checkpoints_not_stored", 5},
+                                                               {"change_too_large", 5},
+                                                               {"store_write_rejected", 20}};
 
 void appendString(std::string &out, const std::string &text)
 {
--- a/src/entry/leader.cpp
+++ b/src/entry/leader.cpp
@@ -78,6 +78,33 @@
         });
 }
 
+using rows_by_key = std::map<std::string, const stored_row *>;
+
+/// Adds the stored progress of the job, if there is any. Returns false if a row is missing or
+/// cannot be read.
+bool restoreProgress(const rows_by_key &progress, cell::job_state &job)
+{
+    const auto first = progress.find(job.spec.id);
+    if (first == progress.end()) {
+        return true;
+    }
+    bool isComplete = true;
+    std::vector<std::string> rows {first->second->value};
+    job.progressRows = progressRowCount(rows.front());
+    for (std::size_t index = 1; index < job.progressRows; ++index) {
+        const auto row = progress.find(progressRowKey(job.spec.id, index));
+        isComplete = isComplete && row != progress.end();
+        if (row != progress.end()) {
+            rows.push_back(row->second->value);
+        }
+    }
+    // The store may hold more rows than are in use.
+    while (progress.count(progressRowKey(job.spec.id, job.progressRows)) > 0) {
+        ++job.progressRows;
+    }
+    return decodeProgress(rows, job) && isComplete;
+}
+
 void restoreRows(entry_state &entry, const table_load &cellRows, const table_load &jobs,
                  const table_load &progress)
 {
@@ -90,9 +117,9 @@
         }
     }
     const std::int64_t wall = wallNow();
-    std::map<std::string, const stored_row *> progressByJob;
+    rows_by_key progressByKey;
     for (const stored_row &row : progress.rows) {
-        progressByJob[row.key] = &row;
+        progressByKey[row.key] = &row;
     }
     for (const stored_row &row : jobs.rows) {
         if (const auto ended = decodeEnded(row.value)) {
@@ -110,8 +137,7 @@
         }
         job->receivedAt = now - std::max<std::int64_t>(wall - accepted, 0);
         job->firstDueAt = now + (job->spec.firstDueWall - wall);
-        const auto found = progressByJob.find(row.key);
-        if (found != progressByJob.end() && !decodeProgress(found->second->value, *job)) {
+        if (!restoreProgress(progressByKey, *job)) {
             logEvent(entry, "row_unreadable", {{"table", progressTable}, {"key", row.key}});
         }
         cell::restoreJob(entry.leaderState->cell, std::move(*job), now);
--- a/src/entry/ports.h
+++ b/src/entry/ports.h
@@ -46,6 +46,7 @@
     refused, ///< nothing was done
     history_dropped, ///< the requested changes are no longer kept
     unanswered, ///< no answer; the call may take effect, now or later
+    rejected, ///< nothing was done, and the same call would be rejected again
 };
 
 struct store_result
--- a/src/entry/progress_rows.cpp
+++ b/src/entry/progress_rows.cpp
@@ -1,7 +1,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "cell/jobs/open_occurrences.h"
+#include "entry/compact_progress.h"
 #include "entry/json_names.h"
 #include "entry/rows.h"
 
@@ -32,35 +32,7 @@
 
 /// Steps with more tasks are stored with four tasks a character.
 constexpr std::size_t maxTasksAsDigits = 256;
-constexpr std::size_t tasksPerHexDigit = 4;
-
-std::string encodeDoneBits(const std::vector<cell::task_state> &tasks)
-{
-    std::string bits;
-    for (std::size_t first = 0; first < tasks.size(); first += tasksPerHexDigit) {
-        std::size_t digit = 0;
-        for (std::size_t offset = 0; offset < tasksPerHexDigit; ++offset) {
-            const bool isDone = first + offset < tasks.size() && tasks[first + offset].done;
-            digit |= isDone ? std::size_t {1} << offset : 0;
-        }
-        bits += "0123456789abcdef"[digit];
-    }
-    return bits;
-}
-
-/// Marks the tasks as done whose bits are set.
-void decodeDoneBits(const std::string &bits, std::vector<cell::task_state> &tasks)
-{
-    static const std::string digits = "0123456789abcdef";
-    for (std::size_t index = 0; index < tasks.size() && index / tasksPerHexDigit < bits.size();
-         ++index) {
-        const std::size_t digit = digits.find(bits[index / tasksPerHexDigit]);
-        tasks[index].done =
-            digit != std::string::npos && ((digit >> (index % tasksPerHexDigit)) & 1U) != 0;
-    }
-}
-
-void writeStepProgress(json_writer &out, const cell::step_state &step, bool withCheckpoints)
+void writeStepProgress(json_writer &out, const cell::step_state &step)
 {
     out.StartObject();
     if (step.tasks.size() > maxTasksAsDigits) {
@@ -77,16 +49,15 @@
     out.StartArray();
     for (std::size_t index = 0; index < step.tasks.size(); ++index) {
         const cell::task_state &task = step.tasks[index];
-        const std::string checkpoint = withCheckpoints ? task.checkpoint : "";
         if (task.done
-            || (task.failedAttempts.empty() && checkpoint.empty() && task.crashedLives.empty()
+            || (task.failedAttempts.empty() && task.checkpoint.empty() && task.crashedLives.empty()
                 && task.trialLife.empty())) {
             continue;
         }
         out.StartObject();
         put(out, "index", static_cast<std::int64_t>(index));
         writeAttempts(out, "failed", task.failedAttempts);
-        put(out, "checkpoint", checkpoint);
+        put(out, "checkpoint", task.checkpoint);
         putNames(out, "crashed", task.crashedLives);
         putNames(out, "attributed", task.attributedCrashes);
         if (!task.trialLife.empty()) {
@@ -126,8 +97,6 @@
     }
 }
 
-constexpr char beginField[] = "begun";
-
 /// Whether a later scheduler needs to know anything of the occurrence.
 bool hasProgress(const cell::occurrence_state &occurrence)
 {
@@ -174,13 +143,6 @@
     return read;
 }
 
-/// The occurrences that need no state of single tasks.
-struct summarised_occurrences
-{
-    cell::occurrence_set completed;
-    std::map<std::string, cell::occurrence_set> parked;
-};
-
 summarised_occurrences summarise(const cell::job_state &job)
 {
     summarised_occurrences summary {job.completed, job.parked};
@@ -229,11 +191,9 @@
             ++job.occurrencesCompleted;
         } else {
             cell::insertRange(job.completed, first, last);
+            job.occurrencesCompleted += last - first + 1;
         }
     }
-    for (const auto &[first, last] : job.completed.ranges) {
-        job.occurrencesCompleted += last - first + 1;
-    }
 }
 
 void readParked(const rapidjson::Value &document, cell::job_state &job)
@@ -258,7 +218,7 @@
     return findField(document, beginField) == nullptr || boolField(document, beginField);
 }
 
-std::string encodeProgress(const cell::job_state &job, bool withCheckpoints)
+std::string encodeDetailed(const cell::job_state &job)
 {
     return writeObject([&](json_writer &out) {
         put(out, beginField, job.begun);
@@ -274,7 +234,7 @@
             out.Key("steps");
             out.StartArray();
             for (const cell::step_state &step : occurrence.steps) {
-                writeStepProgress(out, step, withCheckpoints);
+                writeStepProgress(out, step);
             }
             out.EndArray();
             out.EndObject();
@@ -283,6 +243,27 @@
     });
 }
 
+/// Reads the occurrences of the detailed form.
+void readOccurrences(const rapidjson::Value &occurrences, cell::job_state &job)
+{
+    for (const auto &row : occurrences.GetArray()) {
+        const std::int64_t number = integerField(row, "number");
+        if (number < 0 || number >= std::max(job.spec.occurrences, 1)
+            || cell::contains(job.completed, static_cast<int>(number))) {
+            continue;
+        }
+        cell::occurrence_state &occurrence = cell::ensureOccurrence(job, static_cast<int>(number));
+        const auto *steps = arrayField(row, "steps");
+        for (std::size_t index = 0;
+             steps != nullptr && index < occurrence.steps.size() && index < steps->Size();
+             ++index) {
+            readStepProgress((*steps)[static_cast<rapidjson::SizeType>(index)],
+                             occurrence.steps[index]);
+        }
+        finishRestoredOccurrence(job, static_cast<int>(number));
+    }
+}
+
 } // namespace
 
 bool needsProgressRow(const cell::job_state &job)
@@ -291,51 +272,55 @@
         && !(job.occurrences.empty() && job.completed.ranges.empty() && job.parked.empty());
 }
 
-std::string encodeProgress(const cell::job_state &job)
+encoded_progress encodeProgress(const cell::job_state &job)
+{
+    std::string detailed = encodeDetailed(job);
+    if (detailed.size() <= maxRowBytes) {
+        return {{std::move(detailed)}, 0};
+    }
+    return encodeCompactProgress(job);
+}
+
+std::size_t progressRowCount(const std::string &first)
+{
+    rapidjson::Document document;
+    const std::int64_t rows =
+        parseObject(first, document) ? integerField(document, progressRowsField, 1) : 1;
+    return static_cast<std::size_t>(std::clamp<std::int64_t>(rows, 1, maxProgressRows));
+}
+
+std::string progressRowKey(const std::string &job, std::size_t index)
 {
-    std::string row = encodeProgress(job, true);
-    return row.size() <= maxRowBytes ? row : encodeProgress(job, false);
+    return index == 0 ? job : job + '/' + std::to_string(index);
 }
 
 bool decodeProgress(const std::string &value, cell::job_state &job)
 {
     rapidjson::Document document;
-    const auto *occurrences =
-        parseObject(value, document) ? arrayField(document, "occurrences") : nullptr;
-    if (occurrences == nullptr) {
+    if (!parseObject(value, document)) {
+        return false;
+    }
+    const auto *occurrences = arrayField(document, "occurrences");
+    if (occurrences == nullptr && !isCompactProgress(document)) {
         return false;
     }
     readCompleted(document, job);
     readParked(document, job);
-    for (const auto &row : occurrences->GetArray()) {
-        const std::int64_t number = integerField(row, "number");
-        if (number < 0 || number >= std::max(job.spec.occurrences, 1)
-            || cell::contains(job.completed, static_cast<int>(number))) {
-            continue;
-        }
-        cell::occurrence_state &occurrence = cell::ensureOccurrence(job, static_cast<int>(number));
-        const auto *steps = arrayField(row, "steps");
-        for (std::size_t index = 0;
-             steps != nullptr && index < occurrence.steps.size() && index < steps->Size();
-             ++index) {
-            cell::step_state &step = occurrence.steps[index];
-            readStepProgress((*steps)[static_cast<rapidjson::SizeType>(index)], step);
-            const bool isStepDone = step.doneCount == static_cast<int>(step.tasks.size());
-            occurrence.stepsDone += isStepDone ? 1 : 0;
-        }
-        occurrence.completed = occurrence.stepsDone == static_cast<int>(occurrence.steps.size());
-        job.occurrencesCompleted += occurrence.completed ? 1 : 0;
-        if (occurrence.completed) {
-            cell::retireOccurrence(job, static_cast<int>(number));
-        } else {
-            cell::parkOccurrence(job, static_cast<int>(number));
-        }
+    if (occurrences != nullptr) {
+        readOccurrences(*occurrences, job);
     }
+    readCompactProgress(document, job);
     job.ordered = true;
-    job.begun = readBegin(document);
+    job.begun = job.begun || readBegin(document);
     return true;
 }
 
+bool decodeProgress(const std::vector<std::string> &rows, cell::job_state &job)
+{
+    return std::all_of(rows.begin(), rows.end(),
+                       [&](const std::string &row) { return decodeProgress(row, job); });
+}
+
 bool showsBegin(const std::string &value)
 {
     rapidjson::Document document;
--- a/src/entry/rows.h
+++ b/src/entry/rows.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "cell/jobs/job_state.h"
 #include "cell/scheduler.h"
@@ -57,11 +58,30 @@
 
 /// Returns true if the job has progress that a later scheduler needs.
 bool needsProgressRow(const cell::job_state &job);
+/// Largest number of rows of a job's progress. With the bounds of `open_occurrences.h`, what a
+/// successor must know of a job takes fewer, so that one write can hold it.
+constexpr std::size_t maxProgressRows = 12;
+
+/// The rows of a job's progress, one at least, all within `maxRowBytes`.
+struct encoded_progress
+{
+    std::vector<std::string> rows;
+    /// Checkpoints for which there is no room; their tasks would begin anew after a takeover.
+    std::size_t checkpointsLeftOut = 0;
+    /// Other facts for which there is no room.
+    std::size_t itemsLeftOut = 0;
+};
+
 /// Encodes whether the job has begun, which tasks are done, the failed attempts of the others, and
-/// their newest checkpoints. Leaves the checkpoints out if the row would be too large for the
-/// store.
-std::string encodeProgress(const cell::job_state &job);
-/// Adds the progress to the job; returns false if the value cannot be read.
+/// their newest checkpoints. All rows must be stored by one write.
+encoded_progress encodeProgress(const cell::job_state &job);
+/// Returns the number of rows, which the first one tells.
+std::size_t progressRowCount(const std::string &first);
+/// Key of the row at position `index`; that of the first one is the job's id.
+std::string progressRowKey(const std::string &job, std::size_t index);
+/// Adds the progress to the job; returns false if a row cannot be read.
+bool decodeProgress(const std::vector<std::string> &rows, cell::job_state &job);
+/// The same for one of the rows.
 bool decodeProgress(const std::string &value, cell::job_state &job);
 /// Whether the encoded progress shows that a task of the job has begun.
 bool showsBegin(const std::string &value);
--- a/src/entry/state_dump.cpp
+++ b/src/entry/state_dump.cpp
@@ -228,6 +228,7 @@
     refreshInterferenceMetrics(entry.metrics, cell.interference);
     const cell::scheduler_counters &counts = cell.counters;
     auto &counters = entry.metrics.counters;
+    counters["checkpoints_ignored_total"] = counts.ignoredCheckpoints;
     counters["task_starts_total"] = counts.starts;
     counters["task_starts_refused_total"] = counts.refusedStarts;
     counters["orders_unanswered_total"] = counts.unansweredOrders;
--- a/src/entry/writes.cpp
+++ b/src/entry/writes.cpp
@@ -1,16 +1,18 @@
 #include <algorithm>
 
-#include "cell/workers/worker_list.h"
 #include "entry/authentication/admission.h"
+#include "entry/change_rows.h"
 #include "entry/entry.h"
+#include "entry/rejected_writes.h"
 
 namespace bramleygrade::entry {
 
 namespace {
 
-/// Limit of rows of changes in one write. A transaction of the users' store holds 100 rows, of
-/// which the head row takes two (expectation and put) and the members row one.
+/// Limits of the changes in one write. A transaction of the users' store holds 100 rows, of which
+/// the head row takes two (expectation and put) and the members row one, and 1 MB.
 constexpr std::size_t changeRowsPerWrite = 97;
+constexpr std::size_t changeBytesPerWrite = 900'000;
 /// Rows that a new job takes, the usual change for which a caller waits.
 constexpr std::size_t rowsPerNewJob = 2;
 /// Rows that `beginWrite` reserves in each write for changes for which callers wait.
@@ -34,26 +36,6 @@
 /// Delay after which a refused caller may retry while the store is down or slow.
 constexpr microseconds storeRetryAfter = 2 * second;
 
-/// Returns true if the end of the job is written by replacing its row with a tombstone, which takes
-/// one row. A later write that has room moves the tombstone to the table of ended jobs.
-bool endsInPlace(const leader_state &leaderState, const cell::job_state &job)
-{
-    return leaderState.backlogExceedsWrite && job.finalPhase && job.stored && !job.finalStored;
-}
-
-/// Returns the number of rows that `addJobRows` adds for the job; one for a row of workers.
-std::size_t rowCountOf(leader_state &leaderState, const std::string &id)
-{
-    const cell::job_state *job = cell::findJob(leaderState.cell, id);
-    if (job == nullptr || endsInPlace(leaderState, *job)) {
-        return 1;
-    }
-    if (job->finalPhase) {
-        return job->stored ? 3 : 2;
-    }
-    return (job->stored ? 0 : 2) + (needsProgressRow(*job) ? 1 : 0);
-}
-
 /// Returns true if the backlog of changes does not fit into one write.
 bool doesBacklogExceedWrite(leader_state &leaderState)
 {
@@ -61,45 +43,44 @@
     // Each ended job is counted with all its rows, not as a tombstone in place.
     leaderState.backlogExceedsWrite = false;
     for (const auto &[id, change] : leaderState.cell.unstored) {
-        rows += rowCountOf(leaderState, id);
+        rows += estimateRows(leaderState, id);
     }
     return rows > changeRowsPerWrite;
 }
 
-void addEndRows(leader_state &leaderState, const cell::job_state &job, table_write &write)
+void appendRows(leader_state &leaderState, const std::string &id, change_rows rows,
+                table_write &write)
 {
-    const std::string &id = job.spec.id;
-    const std::string value = encodeEnded({*job.finalPhase, wallNow(), job.spec.team});
-    if (endsInPlace(leaderState, job)) {
-        write.puts.push_back({jobTable, id, value, 0, false});
+    write.expected.insert(write.expected.end(), rows.expected.begin(), rows.expected.end());
+    std::move(rows.puts.begin(), rows.puts.end(), std::back_inserter(write.puts));
+    write.removals.insert(write.removals.end(), rows.removals.begin(), rows.removals.end());
+    if (rows.isNewJob) {
+        leaderState.newJobsInWrite.push_back(id);
+    }
+    if (rows.endsInPlace) {
         leaderState.endedInPlace.push_back(id);
-        return;
     }
-    write.puts.push_back({endedTable, id, value, 0, false});
-    if (job.stored) {
-        write.removals.push_back({jobTable, id, 0});
-        write.removals.push_back({progressTable, id, 0});
+    if (cell::job_state *job = cell::findJob(leaderState.cell, id)) {
+        job->progressRows = std::max(job->progressRows, rows.progressRows);
     }
 }
 
-void addJobRows(entry_state &entry, const cell::job_state &job, table_write &write)
+/// Logs what a change leaves out as there is no room, and a change that no write takes.
+void noteLimits(entry_state &entry, const std::string &id, const change_rows &rows)
 {
-    leader_state &leaderState = *entry.leaderState;
-    const std::string &id = job.spec.id;
-    if (!job.stored) {
-        write.expected.push_back({endedTable, id, 0});
-        leaderState.newJobsInWrite.push_back(id);
-    }
-    if (job.finalPhase) {
-        addEndRows(leaderState, job, write);
-        return;
-    }
-    if (!job.stored) {
-        write.puts.push_back(
-            {jobTable, id, encodeJob(job, leaderState.acceptedWall[id]), 0, false});
-    }
-    if (needsProgressRow(job)) {
-        write.puts.push_back({progressTable, id, encodeProgress(job), 0, false});
+    if (rows.checkpointsLeftOut > 0) {
+        entry.metrics.counters["checkpoints_not_stored_total"] += rows.checkpointsLeftOut;
+        logEvent(entry, "checkpoints_not_stored",
+                 {{"job", id}, {"checkpoints", std::to_string(rows.checkpointsLeftOut)}});
+    }
+    if (rows.itemsLeftOut > 0 || rows.size.rows > changeRowsPerWrite
+        || rows.size.bytes > changeBytesPerWrite) {
+        ++entry.metrics.counters["changes_too_large_total"];
+        logEvent(entry, "change_too_large",
+                 {{"job", id},
+                  {"rows", std::to_string(rows.size.rows)},
+                  {"bytes", std::to_string(rows.size.bytes)},
+                  {"left_out", std::to_string(rows.itemsLeftOut)}});
     }
 }
 
@@ -109,31 +90,32 @@
     leaderState.newJobsInWrite.clear();
     leaderState.endedInPlace.clear();
     leaderState.backlogExceedsWrite = doesBacklogExceedWrite(leaderState);
-    table_write write;
-    write.expected.push_back({headTable, headKey, leaderState.headVersion});
-    leaderState.writeSequence = leaderState.sequence + 1;
-    write.puts.push_back({headTable, headKey,
-                          encodeHead({entry.epoch, leaderState.writeSequence, entry.settings.name,
-                                      entry.settings.peerAddress, entry.incarnation}),
-                          0, false});
-    if (leaderState.membersChanged) {
+    table_write write = makeHeadWrite(entry, leaderState.sequence + 1);
+    const rejection_state &rejection = leaderState.rejection;
+    const bool isIsolating = rejection.suspect.has_value()
+        || rejection.changesPerWrite <= leaderState.cell.unstored.size();
+    if (leaderState.membersChanged && !isIsolating) {
         write.puts.push_back({headTable, membersKey, encodeMembers(entry.members), 0, false});
         leaderState.membersChanged = false;
     }
-    for (const std::string &id : cell::beginWrite(
-             leaderState.cell, changeRowsPerWrite,
-             [&leaderState](const std::string &job) { return rowCountOf(leaderState, job); })) {
-        if (const auto row = cell::changedWorkerRow(id)) {
-            write.puts.push_back({headTable, workersRowKey(*row),
-                                  encodeWorkerRow(leaderState.cell.workers, *row), 0, false});
-        } else if (const cell::job_state *job = cell::findJob(leaderState.cell, id)) {
-            addJobRows(entry, *job, write);
+    std::map<std::string, change_rows> prepared;
+    const auto sizeOf = [&](const std::string &id) {
+        if (rejection.suspect && *rejection.suspect != id) {
+            return cell::write_size {changeRowsPerWrite + 1, 0}; // not in this write
         }
-    }
-    leaderState.write = std::move(write);
-    leaderState.firstAttempt = leaderState.attemptCount + 1;
-    leaderState.writeMayHaveCommitted = false;
-    leaderState.writeStartedAt = steadyNow();
+        const auto [rows, inserted] = prepared.try_emplace(id);
+        if (inserted) {
+            rows->second = makeChangeRows(entry, id);
+            noteLimits(entry, id, rows->second);
+        }
+        return rows->second.size;
+    };
+    const cell::write_limits limits {changeRowsPerWrite, changeBytesPerWrite,
+                                     rejection.changesPerWrite};
+    for (const std::string &id : cell::beginWrite(leaderState.cell, limits, sizeOf)) {
+        appendRows(leaderState, id, std::move(prepared.at(id)), write);
+    }
+    beginAttempts(entry, std::move(write));
 }
 
 void answerStoredWaiters(entry_state &entry, const std::vector<std::string> &ids,
@@ -162,6 +144,11 @@
 {
     leader_state &leaderState = *entry.leaderState;
     const timestamp now = steadyNow();
+    if (leaderState.rejection.isProbe) {
+        endProbe(entry, version);
+        return;
+    }
+    noteAcceptedWrite(leaderState.rejection);
     const microseconds took = now - leaderState.writeStartedAt;
     observeLatency(entry.metrics, "store_write_seconds", took);
     leaderState.averageWriteTime = (leaderState.averageWriteTime + took) / 2;
@@ -226,8 +213,13 @@
             continue;
         }
         const auto head = decodeHead(row.value);
-        if (head && head->epoch == entry.epoch && head->sequence == leaderState.writeSequence
-            && head->incarnation == entry.incarnation) {
+        const bool isOwn =
+            head && head->epoch == entry.epoch && head->incarnation == entry.incarnation;
+        if (isOwn && leaderState.rejection.isProbe
+            && head->sequence == leaderState.rejection.uncertainSequence) {
+            resumeUncertainWrite(leaderState);
+        }
+        if (isOwn && head->sequence == leaderState.writeSequence) {
             endWrite(entry, row.version); // an earlier attempt had taken effect
             return;
         }
@@ -246,8 +238,8 @@
 /// is inconclusive and a newer attempt is under way.
 bool isStale(const leader_state &leaderState, const store_result &result, std::int64_t attempt)
 {
-    const bool isConclusive =
-        result.outcome == store_outcome::done || result.outcome == store_outcome::conflict;
+    const bool isConclusive = result.outcome == store_outcome::done
+        || result.outcome == store_outcome::conflict || result.outcome == store_outcome::rejected;
     return !leaderState.write || attempt < leaderState.firstAttempt
         || (!isConclusive && attempt != leaderState.attemptCount);
 }
@@ -262,6 +254,8 @@
         endWrite(entry, result.version);
     } else if (result.outcome == store_outcome::conflict) {
         onConflict(entry, result);
+    } else if (result.outcome == store_outcome::rejected) {
+        onRejected(entry);
     } else {
         const bool refused = result.outcome == store_outcome::refused;
         if (!leaderState.hasWriteFailed) {
@@ -272,7 +266,7 @@
         leaderState.hasWriteFailed = true;
         leaderState.writeMayHaveCommitted = leaderState.writeMayHaveCommitted || !refused;
         leaderState.nextWriteAt = steadyNow() + writeRetryDelay;
-        if (!leaderState.writeMayHaveCommitted) {
+        if (!leaderState.writeMayHaveCommitted && !leaderState.rejection.isProbe) {
             const timestamp since = leaderState.writeStartedAt;
             cell::onWriteRefused(leaderState.cell);
             leaderState.membersChanged = true;
--- a/test/cell/forwarding_test.cpp
+++ b/test/cell/forwarding_test.cpp
@@ -94,7 +94,7 @@
         job.spec.steps.emplace_back();
         cell::ensureOccurrence(job, 0);
         job.begun = begun;
-        table.rows[{progressTable, "a"}] = {progressTable, "a", encodeProgress(job),
+        table.rows[{progressTable, "a"}] = {progressTable, "a", encodeProgress(job).rows.front(),
                                             ++table.version, false};
     }
 
--- a/test/cell/open_occurrences_test.cpp
+++ b/test/cell/open_occurrences_test.cpp
@@ -154,7 +154,8 @@
                 auto restored = entry::decodeJob("a", entry::encodeJob(*job, 0), wall);
                 restored->firstDueAt = dueAt;
                 if (entry::needsProgressRow(*job)) {
-                    BOOST_REQUIRE(entry::decodeProgress(entry::encodeProgress(*job), *restored));
+                    BOOST_REQUIRE(
+                        entry::decodeProgress(entry::encodeProgress(*job).rows, *restored));
                 }
                 BOOST_TEST(restored->occurrencesCompleted == job->occurrencesCompleted);
                 auto next = std::make_unique<driven_cell>(epoch);
@@ -201,7 +202,7 @@
     BOOST_TEST(countDone(driver, "a", 0) == occurrences);
     BOOST_TEST(countOpenTasks(job) <= 1'100U);
     BOOST_TEST(countRanges(job) <= 20U);
-    BOOST_TEST(entry::encodeProgress(job).size() <= entry::maxRowBytes);
+    BOOST_TEST(entry::encodeProgress(job).rows.size() == 1U);
     // Room for the second step lets all of them go on.
     driver.entries.push_back(cell_fixture::makeWorker("large"));
     driver.entries.back().capacity = {900'000, 1'000'000, 0};
--- a/test/cell/pending_jobs_test.cpp
+++ b/test/cell/pending_jobs_test.cpp
@@ -213,7 +213,7 @@
     BOOST_REQUIRE(restored.has_value());
     // A job is written again only when a change of it was recorded.
     if (former.unstored.count("a") > 0 && entry::needsProgressRow(job)) {
-        BOOST_REQUIRE(entry::decodeProgress(entry::encodeProgress(job), *restored));
+        BOOST_REQUIRE(entry::decodeProgress(entry::encodeProgress(job).rows, *restored));
     }
     restoreJob(successor.cell, std::move(*restored), successor.now);
 }
--- a/test/cell/rows_test.cpp
+++ b/test/cell/rows_test.cpp
@@ -84,8 +84,11 @@
                 job.begun = job.begun || !isOpen;
                 job.occurrencesCompleted += isOpen ? 0 : 1;
             }
-            const std::string encoded = entry::encodeProgress(job);
-            BOOST_TEST(encoded.size() <= maxRowBytes);
+            const std::vector<std::string> encoded = entry::encodeProgress(job).rows;
+            BOOST_TEST(encoded.size() <= entry::maxProgressRows);
+            for (const std::string &row : encoded) {
+                BOOST_TEST(row.size() <= maxRowBytes);
+            }
             cell::job_state read;
             read.spec = job.spec;
             BOOST_REQUIRE(entry::decodeProgress(encoded, read));
@@ -111,6 +114,134 @@
     }
 }
 
+namespace {
+
+/// What a row of progress has to tell of each task of a job.
+struct progress_case
+{
+    const char *name;
+    int occurrences;
+    std::vector<int> tasks;
+    /// The tasks whose index is a multiple are done; 0: none.
+    int doneOf;
+    int failures;
+    std::size_t checkpointBytes;
+    int crashes;
+    std::string lifeOfWorker;
+};
+
+cell::job_state makeProgress(const progress_case &given)
+{
+    cell::job_state job;
+    for (const int count : given.tasks) {
+        job.spec.steps.push_back(cell_fixture::makeStep(count, 1));
+    }
+    job.spec.id = "a";
+    job.spec.occurrences = given.occurrences;
+    job.begun = true;
+    for (int number = 0; number < std::max(given.occurrences, 1); ++number) {
+        for (cell::step_state &step : cell::ensureOccurrence(job, number).steps) {
+            for (std::size_t index = 0; index < step.tasks.size(); ++index) {
+                cell::task_state &task = step.tasks[index];
+                const bool isLast = index + 1 == step.tasks.size();
+                task.done = given.doneOf > 0 && !isLast
+                    && index % static_cast<std::size_t>(given.doneOf) == 0;
+                step.doneCount += task.done ? 1 : 0;
+                for (int attempt = 1; !task.done && attempt <= given.failures; ++attempt) {
+                    task.failedAttempts.insert(7'000'000 + attempt);
+                }
+                task.checkpoint = std::string(task.done ? 0 : given.checkpointBytes, '\x02');
+                for (int crash = 1; !task.done && crash <= given.crashes; ++crash) {
+                    task.crashedLives.insert(given.lifeOfWorker + std::to_string(crash));
+                }
+            }
+        }
+    }
+    return job;
+}
+
+} // namespace
+
+// Guards against rows of progress that outgrow the store's limit, or rows that no write takes
+// together: the write was refused and repeated, with the changes of all jobs (review case 9).
+BOOST_AUTO_TEST_CASE(acks_progress_that_is_larger_than_a_row)
+{
+    constexpr std::size_t maxRowBytes = 65'536;
+    const std::string longLife = std::string(200, '\x01') + "@1790000000000";
+    for (const progress_case &given :
+         {progress_case {"a small job", 0, {4, 4}, 2, 1, 16, 1, "i-1@1790000000000"},
+          progress_case {"a wide step of failures", 0, {10'000}, 0, 3, 0, 0, ""},
+          progress_case {"a wide step of many failures", 0, {10'000}, 2, 40, 0, 0, ""},
+          progress_case {"checkpoints of a wide step", 0, {10'000}, 2, 0, 1'024, 0, ""},
+          progress_case {"crashes of a wide step", 0, {3'000}, 2, 2, 16, 4, longLife},
+          progress_case {"several wide steps", 0, {2'500, 2'500, 2'500, 2'500}, 3, 2, 16, 0, ""},
+          progress_case {"occurrences that are partly done", 2'700, {3}, 2, 1, 16, 0, ""},
+          progress_case {"occurrences that have failed", 8'192, {1}, 0, 3, 0, 0, ""}}) {
+        BOOST_TEST_CONTEXT(given.name)
+        {
+            const cell::job_state job = makeProgress(given);
+            const entry::encoded_progress encoded = entry::encodeProgress(job);
+            BOOST_TEST(encoded.rows.size() <= entry::maxProgressRows);
+            BOOST_TEST(encoded.itemsLeftOut == 0U);
+            BOOST_TEST(entry::progressRowCount(encoded.rows.front()) == encoded.rows.size());
+            std::size_t bytes = 0;
+            for (const std::string &row : encoded.rows) {
+                BOOST_TEST(row.size() <= maxRowBytes);
+                bytes += row.size();
+            }
+            BOOST_TEST(bytes <= std::size_t {640'000});
+            cell::job_state read;
+            read.spec = job.spec;
+            BOOST_REQUIRE(entry::decodeProgress(encoded.rows, read));
+            BOOST_TEST(read.ordered);
+            BOOST_TEST(read.begun);
+            std::size_t checkpointsMissing = 0;
+            std::size_t differences = 0;
+            for (const auto &[number, occurrence] : job.occurrences) {
+                const auto &after = cell::ensureOccurrence(read, number);
+                for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+                    differences +=
+                        after.steps[step].doneCount == occurrence.steps[step].doneCount ? 0 : 1;
+                    for (std::size_t index = 0; index < occurrence.steps[step].tasks.size();
+                         ++index) {
+                        const cell::task_state &expected = occurrence.steps[step].tasks[index];
+                        const cell::task_state &actual = after.steps[step].tasks[index];
+                        const bool isSame = expected.done == actual.done
+                            && expected.failedAttempts.size() == actual.failedAttempts.size()
+                            && expected.crashedLives.size() == actual.crashedLives.size();
+                        differences += isSame ? 0 : 1;
+                        checkpointsMissing += expected.checkpoint == actual.checkpoint ? 0 : 1;
+                    }
+                }
+            }
+            BOOST_TEST(differences == 0U);
+            BOOST_TEST(checkpointsMissing == encoded.checkpointsLeftOut);
+        }
+    }
+}
+
+// A row of another job, or one that was changed by hand, must not change what it does not name.
+BOOST_AUTO_TEST_CASE(items_of_progress_that_name_no_task_are_skipped)
+{
+    for (const char *items :
+         {R"("partial":[[9,0,"*"],[0,9,"*"],[-1,0,"*"],[0],[],7,"x",[0,0]])",
+          R"("failed":[[0,0,99,1,5],[0,0,-1,1],[0,0],["a","b","c"]])",
+          R"("saved":[[0,0,4,"c"],[0,9223372036854775807,0,"c"]],"gangs":[[0],[1,0,3]])",
+          R"("crashes":[[0,0,5,["a"],[],""],[0,0,"x"]],"parked":[{"done":"11","ranges":[[0,0]]}])",
+          R"("parked":7,"completed":"x","failed":{})"}) {
+        cell::job_state job;
+        job.spec = cell_fixture::makeJob("a", {cell_fixture::makeStep(4, 1)});
+        BOOST_TEST(
+            entry::decodeProgress(std::string(R"({"begun":true,"rows":1,)") + items + "}", job),
+            items);
+        for (const cell::task_state &task : cell::ensureOccurrence(job, 0).steps[0].tasks) {
+            BOOST_TEST(!task.done, items);
+            BOOST_TEST(task.failedAttempts.empty(), items);
+            BOOST_TEST(task.checkpoint.empty(), items);
+        }
+    }
+}
+
 // Such a job is refused when it is submitted.
 BOOST_AUTO_TEST_CASE(lost_jobs_beside_one_whose_submission_is_too_large_for_a_row)
 {
@@ -139,7 +270,7 @@
     job.begun = true;
     cell::job_state read;
     read.spec = job.spec;
-    BOOST_REQUIRE(entry::decodeProgress(entry::encodeProgress(job), read));
+    BOOST_REQUIRE(entry::decodeProgress(entry::encodeProgress(job).rows, read));
     const auto &decodedStep = read.occurrences.at(0).steps[0];
     BOOST_TEST(read.begun);
     BOOST_TEST(decodedStep.doneCount == 1);
--- a/test/cell/storing_test.cpp
+++ b/test/cell/storing_test.cpp
@@ -44,7 +44,7 @@
         for (const std::string &id : entry.urgent) {
             recordChange(fixture.cell, id, true);
         }
-        const auto taken = beginWrite(fixture.cell, entry.rows, oneRow);
+        const auto taken = beginWrite(fixture.cell, {entry.rows}, oneRow);
         BOOST_TEST(taken == entry.taken, entry.name << boost::test_tools::per_element());
         BOOST_TEST(fixture.cell.writeUrgent
                    == (taken.size() < entry.urgent.size() + entry.others.size()
@@ -65,7 +65,7 @@
     fixture.reconcileAll();
     fixture.end("worker-1", 1, {"a", 0, 0, 0}, 1, end_kind::done);
     BOOST_TEST(fixture.cell.workers.at("worker-1").life.acknowledgedEnd == 0);
-    BOOST_TEST(beginWrite(fixture.cell, 10, oneRow).size() == 1U);
+    BOOST_TEST(beginWrite(fixture.cell, {10}, oneRow).size() == 1U);
     // Without `ordered` the progress row would not be written.
     BOOST_TEST(findJob(fixture.cell, "a")->ordered);
     BOOST_TEST(findJob(fixture.cell, "a")->begun);
@@ -143,7 +143,7 @@
     BOOST_TEST(withdrawJob(fixture.cell, "a"));
     BOOST_TEST((findJob(fixture.cell, "a") == nullptr));
     acceptJob(fixture.cell, spec, fixture.policy, fixture.now);
-    beginWrite(fixture.cell, 10, oneRow);
+    beginWrite(fixture.cell, {10}, oneRow);
     BOOST_TEST(!withdrawJob(fixture.cell, "a"));
     onWriteRefused(fixture.cell);
     BOOST_TEST(withdrawJob(fixture.cell, "a"));
--- a/test/cell/writes_test.cpp
+++ b/test/cell/writes_test.cpp
@@ -465,3 +465,223 @@
     submitWide(accepted);
     BOOST_TEST((newest.kind == answer_kind::unknown)); // waits for the store
 }
+
+namespace {
+
+/// A store that rejects writes with a row that `isBad`, and answers all others.
+struct rejecting_fixture : write_fixture
+{
+    /// Sends and answers writes until nothing is left to store, or `most` writes were sent.
+    void run(int most)
+    {
+        for (int sent = 0; sent < most && hasWork(); ++sent) {
+            const std::size_t before = writes.size();
+            entry.leaderState->writtenAt = distantPast;
+            write();
+            if (writes.size() == before) {
+                continue;
+            }
+            const auto &puts = writes.back().puts;
+            const bool isRejected = rejectsAll || std::any_of(puts.begin(), puts.end(), isBad);
+            rejections += isRejected ? 1 : 0;
+            if (isRejected) {
+                answer({store_outcome::rejected, {}, 0, false});
+            } else {
+                answerDone();
+            }
+        }
+    }
+
+    bool hasWork() const
+    {
+        return !entry.leaderState->cell.unstored.empty() || entry.leaderState->write.has_value();
+    }
+
+    cell::job_state &job(const std::string &id)
+    {
+        return *cell::findJob(entry.leaderState->cell, id);
+    }
+
+    /// Marks progress of the stored job, so that its row is to be written.
+    void progress(const std::string &id)
+    {
+        cell::ensureOccurrence(job(id), 0).steps[0].tasks[0].failedAttempts.insert(1);
+        job(id).ordered = true;
+        cell::recordChange(entry.leaderState->cell, id, false);
+    }
+
+    std::function<bool(const stored_row &)> isBad = [](const stored_row &) { return false; };
+    bool rejectsAll = false;
+    int rejections = 0;
+};
+
+} // namespace
+
+// Guards against a change that the store rejects: the write was repeated as it was, and no end of
+// any job was stored any more (review case 9).
+BOOST_FIXTURE_TEST_CASE(acks_changes_beside_one_that_the_store_rejects, rejecting_fixture)
+{
+    for (int number = 0; number < 60; ++number) {
+        submit(jobName(number));
+    }
+    run(20);
+    BOOST_REQUIRE(answers.size() == 60U);
+    isBad = [](const stored_row &row) {
+        return row.table == progressTable && row.key == jobName(7);
+    };
+    for (int number = 0; number < 60; ++number) {
+        progress(jobName(number));
+    }
+    run(60);
+    BOOST_TEST(!hasWork());
+    BOOST_TEST(rejections <= 10);
+    BOOST_TEST(entry.metrics.counters.at("changes_rejected_total") == 1U);
+    BOOST_TEST((cell::visiblePhase(job(jobName(7))) == cell::job_phase::failed));
+    for (int number = 0; number < 60; ++number) {
+        BOOST_TEST((number == 7 || !job(jobName(number)).finalPhase), number);
+    }
+    BOOST_TEST(entry.leaderState->rejection.changesPerWrite > 60U);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_new_job_that_the_store_rejects_is_refused, rejecting_fixture)
+{
+    isBad = [](const stored_row &row) { return row.key == "bad"; };
+    submit("a");
+    submit("bad");
+    submit("b");
+    run(30);
+    BOOST_TEST((answers.at("a") == answer_kind::accepted));
+    BOOST_TEST((answers.at("b") == answer_kind::accepted));
+    BOOST_TEST((answers.at("bad") == answer_kind::bad_request));
+    BOOST_TEST(cell::findJob(entry.leaderState->cell, "bad") == nullptr);
+    BOOST_TEST(!hasWork());
+}
+
+// Guards against jobs that fail as the store rejects everything for a while.
+BOOST_FIXTURE_TEST_CASE(lost_jobs_while_the_store_rejects_every_write, rejecting_fixture)
+{
+    for (int number = 0; number < 10; ++number) {
+        submit(jobName(number));
+    }
+    run(20);
+    for (int number = 0; number < 10; ++number) {
+        progress(jobName(number));
+    }
+    rejectsAll = true;
+    run(100);
+    BOOST_TEST(hasWork());
+    BOOST_TEST(entry.metrics.counters.count("changes_rejected_total") == 0U);
+    rejectsAll = false;
+    run(30);
+    BOOST_TEST(!hasWork());
+    for (int number = 0; number < 10; ++number) {
+        BOOST_TEST(!job(jobName(number)).finalPhase, number);
+    }
+}
+
+// Guards against a write that is built anew while an earlier attempt, which got no answer, may
+// still take effect: a write without changes makes that impossible first, or shows that it has
+// happened.
+BOOST_FIXTURE_TEST_CASE(an_uncertain_write_is_settled_before_its_changes_are_built_anew,
+                        write_fixture)
+{
+    for (const bool hasTakenEffect : {false, true}) {
+        BOOST_TEST_CONTEXT("has taken effect: " << hasTakenEffect)
+        {
+            write_fixture fixture;
+            fixture.submit("a");
+            fixture.write();
+            fixture.answer({});
+            fixture.write();
+            const std::string uncertain = fixture.writes.back().puts.front().value;
+            fixture.answer({store_outcome::rejected, {}, 0, false});
+            fixture.write();
+            BOOST_REQUIRE(fixture.writes.size() == 3U);
+            const table_write &probe = fixture.writes.back();
+            BOOST_TEST(probe.puts.size() == 1U);
+            BOOST_TEST(probe.expected.front().version == 40);
+            BOOST_TEST(decodeHead(probe.puts.front().value)->sequence
+                       == decodeHead(uncertain)->sequence + 1);
+            BOOST_TEST(!cell::withdrawJob(fixture.entry.leaderState->cell, "a"));
+            if (hasTakenEffect) {
+                fixture.answer(conflictWith({headTable, headKey, uncertain, 41, false}));
+                BOOST_TEST((fixture.answers.at("a") == answer_kind::accepted));
+                fixture.version = 41;
+                fixture.submit("b");
+                fixture.write();
+                BOOST_TEST(fixture.writes.back().expected.front().version == 41);
+                BOOST_TEST(fixture.puts(jobTable) == 1U);
+                continue;
+            }
+            fixture.answerDone();
+            BOOST_TEST(fixture.answers.count("a") == 0U);
+            fixture.write(); // shows whether the store takes writes at all
+            if (fixture.writes.back().puts.size() == 1U) {
+                fixture.answerDone();
+                fixture.write();
+            }
+            BOOST_TEST(fixture.puts(jobTable) == 1U);
+            fixture.answerDone();
+            BOOST_TEST((fixture.answers.at("a") == answer_kind::accepted));
+        }
+    }
+}
+
+// Guards against a call larger than the store takes, and against changes that wait behind a large
+// one.
+BOOST_FIXTURE_TEST_CASE(acks_writes_larger_than_a_transaction, rejecting_fixture)
+{
+    constexpr std::size_t maxCallBytes = 1'000'000;
+    for (int number = 0; number < 120; ++number) {
+        caller_call call;
+        call.kind = call_kind::submit;
+        call.queue = "queue";
+        call.job = jobName(number);
+        call.spec = cell_fixture::makeJob(call.job, {cell_fixture::makeStep(2, 1'000)});
+        call.spec.payload = std::string(number % 2 == 0 ? 60'000 : 100, 'x');
+        handleCall(
+            entry, call, steadyNow() + 30 * second,
+            [this, id = call.job](const caller_answer &answer) { answers[id] = answer.kind; });
+    }
+    isBad = [](const stored_row &row) { return row.value.size() > maxRowBytes; };
+    std::size_t largest = 0;
+    for (int round = 0; round < 100 && answers.size() < 120; ++round) {
+        write();
+        std::size_t bytes = 0;
+        for (const stored_row &row : writes.back().puts) {
+            bytes += (row.value.size() + 2) / 3 * 4 + row.key.size() + row.table.size() + 60;
+        }
+        largest = std::max(largest, bytes);
+        answerDone();
+    }
+    BOOST_TEST(answers.size() == 120U);
+    BOOST_TEST(largest <= maxCallBytes);
+    BOOST_TEST(largest > maxCallBytes / 2);
+    // The progress of the widest job fits into a write, beside many urgent changes.
+    caller_call call;
+    call.kind = call_kind::submit;
+    call.queue = "queue";
+    call.job = "wide";
+    call.spec = cell_fixture::makeJob("wide", {cell_fixture::makeStep(10'000, 1)});
+    handleCall(entry, call, steadyNow() + 30 * second, [](const caller_answer &) {});
+    run(10);
+    for (cell::task_state &task : cell::ensureOccurrence(job("wide"), 0).steps[0].tasks) {
+        task.failedAttempts = {1, 2, 3};
+        task.checkpoint = std::string(1'000, 'c');
+    }
+    job("wide").ordered = true;
+    cell::recordChange(entry.leaderState->cell, "wide", false);
+    for (int number = 200; number < 400; ++number) {
+        submit(jobName(number), 30 * second);
+    }
+    write();
+    BOOST_TEST(puts(progressTable) > 1U);
+    BOOST_TEST(rowsOfLastWrite() <= rowsPerTransaction);
+    answerDone();
+    run(20);
+    BOOST_TEST(!hasWork());
+    // Its end removes all rows of its progress.
+    cancel("wide");
+    write();
+    BOOST_TEST(writes.back().removals.size() == 1 + job("wide").progressRows);
+}
--- a/testing/cell/cell_driver.h
+++ b/testing/cell/cell_driver.h
@@ -6,10 +6,10 @@
 
 namespace bramleygrade::testing {
 
-/// A `rows_of_change` under which every change takes one row.
-inline std::size_t oneRow(const std::string &)
+/// A `size_of_change` under which every change takes one row.
+inline cell::write_size oneRow(const std::string &)
 {
-    return 1;
+    return {1, 0};
 }
 
 /// A scheduler with a manual clock.
@@ -20,7 +20,7 @@
     {
         constexpr std::size_t rowsPerWrite = 100;
         while (!cell.unstored.empty()) {
-            cell::beginWrite(cell, rowsPerWrite, oneRow);
+            cell::beginWrite(cell, {rowsPerWrite}, oneRow);
             cell::onWritten(cell, now);
         }
     }
--- a/testing/cell/cell_history.cpp
+++ b/testing/cell/cell_history.cpp
@@ -313,8 +313,7 @@
         return;
     }
     simulated_store change;
-    for (const std::string &id :
-         cell::beginWrite(cell, maxRowsPerWrite, [](const std::string &) { return 1U; })) {
+    for (const std::string &id : cell::beginWrite(cell, {maxRowsPerWrite}, oneRow)) {
         if (const auto row = cell::changedWorkerRow(id)) {
             change.workerRows[*row] = entry::encodeWorkerRow(cell.workers, *row);
             continue;
@@ -333,7 +332,7 @@
         }
         change.jobs[id] = entry::encodeJob(*job, 0);
         if (entry::needsProgressRow(*job)) {
-            change.progress[id] = entry::encodeProgress(*job);
+            change.progress[id] = entry::encodeProgress(*job).rows;
         }
     }
     scheduler->writeInFlight = true;
--- a/testing/cell/cell_history.h
+++ b/testing/cell/cell_history.h
@@ -65,7 +65,7 @@
 {
     std::int64_t epoch = 0;
     std::map<std::string, std::string> jobs;
-    std::map<std::string, std::string> progress;
+    std::map<std::string, std::vector<std::string>> progress;
     std::map<std::string, cell::job_phase> ended;
     /// In a write: tombstones of ended jobs, stored in `jobs` in place of the job rows.
     std::map<std::string, std::string> tombstones;
--- a/testing/cell/history_state.h
+++ b/testing/cell/history_state.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "testing/cell/cell_driver.h"
 #include "testing/cell/cell_history.h"
 
 namespace bramleygrade::testing {
--- a/testing/cell/load_simulation.cpp
+++ b/testing/cell/load_simulation.cpp
@@ -504,7 +504,7 @@
         return;
     }
     m_writeInFlight = true;
-    const auto written = cell::beginWrite(m_driver.cell, maxRowsPerWrite, oneRow);
+    const auto written = cell::beginWrite(m_driver.cell, {maxRowsPerWrite}, oneRow);
     schedule(m_driver.now + storeDelay, [this, written] {
         m_writeInFlight = false;
         cell::onWritten(m_driver.cell, m_driver.now);
