The stored list of workers tells their capacity

Cause: runs that a predecessor may have on a silent worker count with the worker's capacity, but the stored list did not have it; a worker that the registry did not list at that moment counted as none.

Change: a row of the list has the largest capacity that the worker had since it is listed; growth is a change of the row. Rows without it are read as before.

--- a/src/cell/workers/scheduler_workers.cpp
+++ b/src/cell/workers/scheduler_workers.cpp
@@ -243,6 +243,7 @@
             !inserted && worker.entry.born != entry.born && describesOtherLife(entry, worker.life);
         const bool isMoved = worker.listRow && worker.entry.service != entry.service;
         changeEntry(worker, entry, now);
+        listCapacity(cell, worker);
         if (isMoved) {
             removeFromList(cell, worker); // it may not fit into its row any more
             addToList(cell, worker);
--- a/src/cell/workers/worker_list.cpp
+++ b/src/cell/workers/worker_list.cpp
@@ -7,9 +7,9 @@
 namespace {
 
 constexpr char rowPrefix = '/';
-/// Bytes of a worker in its row beside id and service: punctuation, the start time, and an address,
-/// which has at most `maxAddressBytes`.
-constexpr std::size_t workerOverheadBytes = 40 + maxAddressBytes;
+/// Bytes of a worker in its row beside id and service: punctuation, the start time, the capacity,
+/// and an address, which has at most `maxAddressBytes`.
+constexpr std::size_t workerOverheadBytes = 90 + maxAddressBytes;
 
 /// Returns the length of the text as a JSON string, without quotes.
 std::size_t jsonLength(const std::string &text)
@@ -35,6 +35,7 @@
 void putIntoRow(scheduler &cell, worker_state &worker, std::size_t row)
 {
     worker.listRow = row;
+    worker.listedCapacity = worker.entry.capacity;
     worker.listedBytes = listedSize(worker.entry);
     bytesOfRow(cell, row) += worker.listedBytes;
 }
@@ -86,6 +87,18 @@
     }
 }
 
+void listCapacity(scheduler &cell, worker_state &worker)
+{
+    const resources &now = worker.entry.capacity;
+    resources &listed = worker.listedCapacity;
+    if (!worker.listRow || fits(now, listed)) {
+        return;
+    }
+    listed = {std::max(listed.cpuMilli, now.cpuMilli), std::max(listed.memoryMb, now.memoryMb),
+              std::max(listed.accelerators, now.accelerators)};
+    recordChange(cell, workerRowChange(*worker.listRow), true);
+}
+
 void restoreToList(scheduler &cell, worker_state &worker, std::size_t row)
 {
     if (worker.listRow && *worker.listRow != row) {
--- a/src/cell/workers/worker_list.h
+++ b/src/cell/workers/worker_list.h
@@ -36,6 +36,8 @@
 
 /// Adds the worker to the list, unless it is listed, and records the change of its row.
 void addToList(scheduler &cell, worker_state &worker);
+/// Records a capacity beyond those that the worker had since it is in the list.
+void listCapacity(scheduler &cell, worker_state &worker);
 /// Adds the worker to the row from which it was loaded.
 void restoreToList(scheduler &cell, worker_state &worker, std::size_t row);
 /// Removes the worker from the list, if it is listed, and records the change of its row.
--- a/src/cell/workers/worker_state.h
+++ b/src/cell/workers/worker_state.h
@@ -119,6 +119,9 @@
     /// has not answered, so that it cannot have runs.
     std::optional<std::size_t> listRow;
     std::size_t listedBytes = 0;
+    /// Largest capacity that the worker had since it is in the list: what may run there, as far as
+    /// a successor knows that does not reach it.
+    resources listedCapacity;
     /// That row is stored with the worker, so that the next leader reconciles with it.
     bool recorded = false;
     /// That row is being written with the worker.
--- a/src/entry/rows.h
+++ b/src/entry/rows.h
@@ -131,8 +131,8 @@
     std::int64_t processorMilli = 0;
 };
 
-/// Encodes id, address, service and start time of the workers in one row of the stored list, so
-/// that a later scheduler can ask each what runs there.
+/// Encodes id, address, service, start time and largest capacity of the workers in one row of the
+/// stored list, so that a later scheduler can ask each what runs there.
 std::string encodeWorkerRow(const std::map<std::string, cell::worker_state> &workers,
                             std::size_t index);
 std::vector<cell::worker_entry> decodeWorkers(const std::string &value);
--- a/src/entry/worker_rows.cpp
+++ b/src/entry/worker_rows.cpp
@@ -53,6 +53,9 @@
             putText(out, addressInRow(worker));
             putText(out, worker.entry.service);
             out.Int64(worker.life.born);
+            out.Int64(worker.listedCapacity.cpuMilli);
+            out.Int64(worker.listedCapacity.memoryMb);
+            out.Int64(worker.listedCapacity.accelerators);
             out.EndArray();
         }
         out.EndArray();
@@ -74,6 +77,9 @@
             worker.address = textOf(row[1]);
             worker.service = textOf(row[2]);
             worker.born = row.Size() >= 4 ? integerOf(row[3]) : 0;
+            if (row.Size() >= 7) {
+                worker.capacity = {integerOf(row[4]), integerOf(row[5]), integerOf(row[6])};
+            }
             workers.push_back(std::move(worker));
         }
     }
--- a/test/cell/rows_test.cpp
+++ b/test/cell/rows_test.cpp
@@ -540,6 +540,40 @@
     }
 }
 
+// Guards against starts past a team's cap after a takeover: a silent worker that the registry does
+// not list counted as one without capacity, as the stored list did not tell it.
+BOOST_AUTO_TEST_CASE(cap_stored_workers_without_their_capacity)
+{
+    std::vector<cell::worker_entry> entries {makeListedWorker("i-1", "booking")};
+    entries.front().capacity = {4'000, 16'000, 1};
+    cell_fixture fixture;
+    fixture.cell = makeAnsweredCell(entries);
+    fixture.store();
+    struct row
+    {
+        const char *name;
+        cell::resources shown;
+        cell::resources stored;
+        bool isWritten;
+    };
+    for (const row &given :
+         {row {"unchanged", {4'000, 16'000, 1}, {4'000, 16'000, 1}, false},
+          row {"less", {1'000, 8'000, 0}, {4'000, 16'000, 1}, false},
+          row {"more memory", {1'000, 32'000, 0}, {4'000, 32'000, 1}, true},
+          row {"more processors", {8'000, 1'000, 2}, {8'000, 32'000, 2}, true}}) {
+        entries.front().capacity = given.shown;
+        cell::changeWorkers(fixture.cell, entries, fixture.now);
+        BOOST_TEST(fixture.cell.unstored.empty() != given.isWritten, given.name);
+        fixture.store();
+        const auto read = entry::decodeWorkers(entry::encodeWorkerRow(fixture.cell.workers, 0));
+        BOOST_REQUIRE(read.size() == 1U);
+        BOOST_TEST((read.front().capacity == given.stored), given.name);
+    }
+    // A row of a former release tells no capacity.
+    const auto former = entry::decodeWorkers(R"({"workers":[["a","h:1","s",5]]})");
+    BOOST_TEST((former.front().capacity == cell::resources {}));
+}
+
 BOOST_AUTO_TEST_CASE(keys_of_worker_rows)
 {
     struct row
