--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -250,7 +250,12 @@
 add_test(NAME cell_histories_of_restarts_from_256 COMMAND cell_histories 256 76 restarts)
 add_test(NAME cell_histories_of_restarts_to_180 COMMAND cell_histories 1 180 restarts)
 add_test(NAME cell_histories_of_restarts_from_326 COMMAND cell_histories 326 277 restarts)
-# The same without seeds 265 and 287, which KNOWN-RED.txt lists.
+# The same without seeds 266, 444 and 462, which KNOWN-RED.txt lists.
+add_test(NAME cell_histories_of_restarts_from_265 COMMAND cell_histories 265 1 restarts)
+add_test(NAME cell_histories_of_restarts_from_267 COMMAND cell_histories 267 59 restarts)
+add_test(NAME cell_histories_of_restarts_from_332 COMMAND cell_histories 332 112 restarts)
+add_test(NAME cell_histories_of_restarts_from_445 COMMAND cell_histories 445 17 restarts)
+add_test(NAME cell_histories_of_restarts_from_463 COMMAND cell_histories 463 140 restarts)
 add_test(NAME cell_histories_of_restarts_to_264 COMMAND cell_histories 1 264 restarts)
 add_test(NAME cell_histories_of_restarts_from_266 COMMAND cell_histories 266 21 restarts)
 add_test(NAME cell_histories_of_restarts_from_288 COMMAND cell_histories 288 44 restarts)
--- a/src/cell/jobs/job_state.cpp
+++ b/src/cell/jobs/job_state.cpp
@@ -44,7 +44,7 @@
 {
     for (auto it = job.parked.begin(); it != job.parked.end(); ++it) {
         if (contains(it->second, number)) {
-            const std::string doneSteps = it->first;
+            std::string doneSteps = it->first;
             removeNumber(it->second, number);
             if (it->second.ranges.empty()) {
                 job.parked.erase(it);
--- a/src/entry/calls.cpp
+++ b/src/entry/calls.cpp
@@ -107,6 +107,26 @@
     return found == queues.end() ? nullptr : &entry.config.queues[found->second.position];
 }
 
+/// Refuses a job that the store or this process cannot hold. Returns whether it did.
+bool refuseForSize(entry_state &entry, const caller_call &call, const answer_function &answer,
+                   const cell::job_spec &spec, const cell::queue_policy &policy)
+{
+    if (!fitsJobRow(spec, policy)) {
+        caller_answer reply;
+        reply.kind = answer_kind::bad_request;
+        reply.reason = "the job is larger than a row of the table service; give fewer steps or "
+                       "shorter texts";
+        answer(reply);
+        return true;
+    }
+    if (!cell::hasMemoryFor(entry.leaderState->cell, spec)) {
+        refuse(entry, call, answer, memoryRetryAfter,
+               "the open jobs take all memory that is meant for them; retry later");
+        return true;
+    }
+    return false;
+}
+
 void submit(entry_state &entry, const caller_call &call, timestamp deadline,
             const answer_function &answer)
 {
@@ -138,17 +158,7 @@
     spec.id = call.job;
     spec.queue = call.queue;
     spec.team = call.team;
-    if (!fitsJobRow(spec, *policy)) {
-        caller_answer reply;
-        reply.kind = answer_kind::bad_request;
-        reply.reason = "the job is larger than a row of the table service; give fewer steps or "
-                       "shorter texts";
-        answer(reply);
-        return;
-    }
-    if (!cell::hasMemoryFor(leaderState.cell, spec)) {
-        refuse(entry, call, answer, memoryRetryAfter,
-               "the open jobs take all memory that is meant for them; retry later");
+    if (refuseForSize(entry, call, answer, spec, *policy)) {
         return;
     }
     if (const auto refusal = cell::admitOrRefuse(leaderState.cell, spec, *policy, now)) {
--- a/src/entry/compact_progress.cpp
+++ b/src/entry/compact_progress.cpp
@@ -142,6 +142,25 @@
     }
 }
 
+/// Encodes the next ranges, up to a limit, and advances `range` behind them.
+std::string encodeParked(const std::string &doneSteps, std::map<int, int>::const_iterator &range,
+                         std::map<int, int>::const_iterator end)
+{
+    constexpr int rangesPerItem = 200;
+    return writeObject([&](json_writer &out) {
+        put(out, "done", doneSteps);
+        out.Key("ranges");
+        out.StartArray();
+        for (int count = 0; count < rangesPerItem && range != end; ++count, ++range) {
+            out.StartArray();
+            out.Int(range->first);
+            out.Int(range->second);
+            out.EndArray();
+        }
+        out.EndArray();
+    });
+}
+
 void addRanges(item_list &items, const summarised_occurrences &summary)
 {
     for (const auto &[first, last] : summary.completed.ranges) {
@@ -150,25 +169,11 @@
             out.Int(last);
         });
     }
-    for (const auto &[doneSteps, occurrences] : summary.parked) {
-        auto range = occurrences.ranges.begin();
-        while (range != occurrences.ranges.end()) {
-            constexpr int rangesPerItem = 200;
-            progress_item item {item_kind::parked, writeObject([&](json_writer &out) {
-                                    put(out, "done", doneSteps);
-                                    out.Key("ranges");
-                                    out.StartArray();
-                                    for (int count = 0;
-                                         count < rangesPerItem && range != occurrences.ranges.end();
-                                         ++count, ++range) {
-                                        out.StartArray();
-                                        out.Int(range->first);
-                                        out.Int(range->second);
-                                        out.EndArray();
-                                    }
-                                    out.EndArray();
-                                })};
-            items.push_back(std::move(item));
+    for (const auto &parked : summary.parked) {
+        auto range = parked.second.ranges.begin();
+        while (range != parked.second.ranges.end()) {
+            items.push_back(
+                {item_kind::parked, encodeParked(parked.first, range, parked.second.ranges.end())});
         }
     }
 }
--- a/test/cell/rows_test.cpp
+++ b/test/cell/rows_test.cpp
@@ -598,6 +598,7 @@
 BOOST_AUTO_TEST_CASE(a_worker_that_leaves_changes_only_its_row)
 {
     std::vector<cell::worker_entry> entries;
+    entries.reserve(1'500);
     for (int number = 0; number < 1'500; ++number) {
         entries.push_back(makeListedWorker("i-" + std::to_string(1'000 + number),
                                            "a-service-with-a-longer-name"));
