--- a/src/cell/ends/order_outcomes.cpp
+++ b/src/cell/ends/order_outcomes.cpp
@@ -11,6 +11,24 @@
 /// rules.
 constexpr microseconds refusalPause = 800 * millisecond;
 
+/// Logs a start that another life of the worker has carried out, or may carry out.
+void logDoubtfulStart(const worker_state &worker, const task_state &task, const start_order &order,
+                      order_outcome outcome, std::int64_t workerClock, orders &out)
+{
+    const bool isOfOtherLife = isClockOfOtherLife(worker.life, workerClock, task.startedAt);
+    if (outcome != order_outcome::unanswered && !isOfOtherLife) {
+        return;
+    }
+    out.events.push_back(
+        {isOfOtherLife ? "start_answered_by_other_life" : "start_unanswered", order.task.job,
+         "worker=" + order.worker + " attempt=" + std::to_string(order.attempt)
+             + " token=" + std::to_string(order.fencingToken)
+             + " born=" + std::to_string(worker.life.born)
+             + " listed_born=" + std::to_string(worker.entry.born)
+             + " clock_ms=" + std::to_string(workerClock / millisecond)
+             + " known_clock_ms=" + std::to_string(worker.life.clock / millisecond)});
+}
+
 /// Applies a start that the worker has refused, and releases its run.
 void applyRefusal(scheduler &cell, worker_state &worker, job_state &job, task_state &task,
                   const start_order &order, order_outcome outcome, timestamp now, orders &out)
@@ -63,11 +81,14 @@
 }
 
 void onStartOutcome(scheduler &cell, const start_order &order, order_outcome outcome, timestamp now,
-                    orders &out)
+                    orders &out, std::int64_t workerClock)
 {
     job_state *job = findJob(cell, order.task.job);
     task_state *task = job == nullptr ? nullptr : findTask(*job, order.task);
     const auto worker = cell.workers.find(order.worker);
+    if (task != nullptr && worker != cell.workers.end()) {
+        logDoubtfulStart(worker->second, *task, order, outcome, workerClock, out);
+    }
     if (job != nullptr && outcome == order_outcome::accepted) {
         noteBegin(*job);
     }
--- a/src/cell/scheduler.h
+++ b/src/cell/scheduler.h
@@ -362,9 +362,10 @@
 // Answers of workers and of the advisory service.
 
 /// Handles the outcome of a start order. An unanswered order requests a fence of the worker; a
-/// refused one releases the run.
+/// refused one releases the run. `workerClock`: the worker's steady clock in the answer,
+/// microseconds; 0 if it is not known.
 void onStartOutcome(scheduler &cell, const start_order &order, order_outcome outcome, timestamp now,
-                    orders &out);
+                    orders &out, std::int64_t workerClock = 0);
 /// Handles the outcome of a stop order; the run is released when its end is reported.
 void onStopOutcome(scheduler &cell, const stop_order &order, order_outcome outcome, timestamp now);
 /// Handles a worker's answer to a poll that was sent at `sentAt`.
--- a/src/cell/workers/worker_state.cpp
+++ b/src/cell/workers/worker_state.cpp
@@ -26,6 +26,18 @@
     return worker.life.clock + (now - worker.life.clockReadAt);
 }
 
+bool isClockOfOtherLife(const worker_life &life, std::int64_t clock, timestamp readAt)
+{
+    if (clock == 0 || life.clockReadAt == distantPast) {
+        return false;
+    }
+    const lease_limits limits;
+    const microseconds before = std::max<microseconds>(life.clockReadAt - readAt, 0);
+    const auto longest =
+        static_cast<microseconds>(static_cast<double>(before) * (1.0 + limits.clockRateError));
+    return clock < life.clock - longest - (before > 0 ? limits.clockReadingMargin : 0);
+}
+
 timestamp latestLeaseExpiry(const lease_limits &limits, timestamp grantedFrom)
 {
     const double longestLocalDuration =
--- a/src/cell/workers/worker_state.h
+++ b/src/cell/workers/worker_state.h
@@ -160,6 +160,10 @@
 /// Estimates the worker's clock at `now` from its newest answer.
 std::int64_t workerClock(const worker_state &worker, timestamp now);
 
+/// Whether a reading of the clock at `readAt` or later, 0 if there is none, cannot be one of the
+/// process of which `life` knows the clock.
+bool isClockOfOtherLife(const worker_life &life, std::int64_t clock, timestamp readAt);
+
 /// Returns the local time after which a lease granted from `grantedFrom` on has expired on the
 /// worker, whatever its clock rate within the bound.
 timestamp latestLeaseExpiry(const lease_limits &limits, timestamp grantedFrom);
--- a/src/entry/leader.cpp
+++ b/src/entry/leader.cpp
@@ -216,14 +216,15 @@
               {"token", std::to_string(order.fencingToken)}});
     entry.ports.workers.start(
         addressOf(entry, order.worker), order, sentAt + orderTimeout,
-        [&entry, order, sentAt, epoch = entry.epoch](cell::order_outcome outcome) {
+        [&entry, order, sentAt, epoch = entry.epoch](cell::order_outcome outcome,
+                                                     std::int64_t workerClock) {
             const timestamp now = steadyNow();
             observeLatency(entry.metrics, "start_seconds", now - sentAt);
             if (!isSchedulingInEpoch(entry, epoch)) {
                 return;
             }
             cell::orders out;
-            cell::onStartOutcome(entry.leaderState->cell, order, outcome, now, out);
+            cell::onStartOutcome(entry.leaderState->cell, order, outcome, now, out, workerClock);
             runOrders(entry, out);
             if (outcome != cell::order_outcome::accepted) {
                 requestDecision(entry);
--- a/src/entry/ports.h
+++ b/src/entry/ports.h
@@ -94,8 +94,9 @@
 
 struct worker_port
 {
+    /// `workerClock`: the worker's steady clock in its answer, microseconds; 0 if there is none.
     std::function<void(const std::string &address, const cell::start_order &, timestamp deadline,
-                       std::function<void(cell::order_outcome)>)>
+                       std::function<void(cell::order_outcome, std::int64_t workerClock)>)>
         start;
     std::function<void(const std::string &address, const cell::stop_order &, timestamp deadline,
                        std::function<void(cell::order_outcome)>)>
--- a/test/cell/loaded_cluster.h
+++ b/test/cell/loaded_cluster.h
@@ -218,10 +218,17 @@
         entry::worker_port &port = member.entry->ports.workers;
         port.start = [this, &loop, &counts](const std::string &address,
                                             const cell::start_order &order, timestamp,
-                                            const std::function<void(cell::order_outcome)> &done) {
+                                            const std::function<void(cell::order_outcome,
+                                                                     std::int64_t)> &done) {
             ++counts.workerCalls;
-            const auto outcome = startRun(workers.at(address), record, order, entry::steadyNow());
-            boost::asio::post(loop, [done, outcome] { done(outcome); });
+            const timestamp now = entry::steadyNow();
+            simulated_worker &worker = workers.at(address);
+            const auto outcome = startRun(worker, record, order, now);
+            const bool isAnswered = outcome != cell::order_outcome::unanswered;
+            boost::asio::post(loop,
+                              [done, outcome, clock = isAnswered ? now - worker.clockZero : 0] {
+                                  done(outcome, clock);
+                              });
         };
         port.stop = [this, &loop, &counts](const std::string &address,
                                            const cell::stop_order &order, timestamp,
--- a/testing/cell/cell_history.cpp
+++ b/testing/cell/cell_history.cpp
@@ -206,11 +206,12 @@
     }
     if (!history.faultsStopped && history.drawBool(history.injectedFaults.delayedOrderShare)) {
         scheduleAnswer(timeoutAt, order_outcome::unanswered);
-        // The worker holds the order, so that a restart of the worker ends it.
+        // The worker holds the order, so that a restart of the worker ends it in most histories.
         const timestamp lifeStart = history.workers.at(order.worker).clockZero;
         history.scheduleAt(history.now + history.drawBetween(2 * second, 12 * second),
                            [&history, deliver, id = order.worker, lifeStart] {
-                               if (history.workers.at(id).clockZero == lifeStart) {
+                               if (history.injectedFaults.delayedOrdersSurviveCrashes
+                                   || history.workers.at(id).clockZero == lifeStart) {
                                    deliver();
                                }
                            });
@@ -242,11 +243,18 @@
 void cell_history::state::sendStart(const scheduler_pointer &scheduler,
                                     const cell::start_order &order)
 {
+    const auto answerClock = std::make_shared<std::int64_t>(0);
     sendOrder(
-        *this, scheduler, order, [this, order, sentAt = now] { return startTask(order, sentAt); },
-        [this, scheduler, order](order_outcome outcome) {
+        *this, scheduler, order,
+        [this, order, answerClock, sentAt = now] {
+            const order_outcome outcome = startTask(order, sentAt);
+            *answerClock = now - findAnswering(order.worker).clockZero;
+            return outcome;
+        },
+        [this, scheduler, order, answerClock](order_outcome outcome) {
             cell::orders out;
-            cell::onStartOutcome(scheduler->cell, order, outcome, now, out);
+            cell::onStartOutcome(scheduler->cell, order, outcome, now, out,
+                                 outcome == order_outcome::unanswered ? 0 : *answerClock);
             sendOrders(scheduler, out);
         });
 }
--- a/testing/cell/cell_history.h
+++ b/testing/cell/cell_history.h
@@ -39,6 +39,12 @@
     /// Mean time between waves in which a third of the workers crash and start again under their
     /// ids; 0: never.
     microseconds restartWaveInterval = 0;
+    /// Mean time between waves in which a third of the workers crash, start again under their ids
+    /// within a second and are cut off soon after, for seconds; 0: never.
+    microseconds recutWaveInterval = 0;
+    /// Delayed orders are carried out by the life of the worker that is up then; otherwise a crash
+    /// of the worker ends them.
+    bool delayedOrdersSurviveCrashes = false;
     /// Share of steps that are gangs: their tasks run at the same time or not at all.
     double gangStepShare = 0.3;
     double checkpointingStepShare = 0.5;
--- a/testing/cell/histories_main.cpp
+++ b/testing/cell/histories_main.cpp
@@ -56,7 +56,8 @@
     const bool isLarge = kind == "takeovers";
     const bool workersCrash = argc > 4 && argv[4] == std::string("crashes");
     testing::history_faults faults = isLarge ? makeTakeoverFaults(workersCrash) : makeMixedFaults();
-    const int workers = isLarge ? 350 : 8;
+    const bool isRecut = kind == "recuts" || kind == "late-recuts";
+    const int workers = isLarge ? 350 : (isRecut ? 24 : 8);
     if (kind == "capacity") {
         faults.capacityChangeInterval = 300 * millisecond;
         faults.scavengingStepShare = 0.15;
@@ -68,6 +69,16 @@
         faults.restartWaveInterval = 7 * second;
         faults.crashingJobShare = 0.02;
     }
+    if (isRecut) {
+        faults = {};
+        faults.longTaskShare = 0.4;
+        faults.submitInterval = 400 * millisecond;
+        faults.recutWaveInterval = 4 * second;
+        faults.schedulerCrashInterval = 5 * second;
+        faults.delayedOrderShare = kind == "late-recuts" ? 0.05 : 0;
+        faults.delayedOrdersSurviveCrashes = kind == "late-recuts";
+        faults.restartUnderIdShare = 0.8;
+    }
     if (kind == "teams") {
         faults.capChangeInterval = 2 * second;
         faults.schedulerCrashInterval = 4 * second;
--- a/testing/cell/history_state.h
+++ b/testing/cell/history_state.h
@@ -84,6 +84,9 @@
     bool isConnectionRetried(const std::string &id);
     /// Starts the worker again under its id; the registry shows it later.
     void startAgain(const std::string &id);
+    /// Crashes the worker if it is up, starts it again under its id within a second and cuts it off
+    /// soon after. The registry shows the new life at once.
+    void restartAndCutOff(const std::string &id);
     /// Returns the start time that the worker tells at its next start: later than the last one,
     /// earlier as its clock was set back, or none.
     std::int64_t drawStartTime(const simulated_worker &worker);
--- a/testing/cell/history_workers.cpp
+++ b/testing/cell/history_workers.cpp
@@ -140,6 +140,32 @@
     scheduleAt(now + drawBetween(0, heartbeatInterval), [this, id] { reportCapacity(id); });
 }
 
+void cell_history::state::restartAndCutOff(const std::string &id)
+{
+    simulated_worker &worker = workers.at(id);
+    if (!worker.up) {
+        return;
+    }
+    crashWorker(worker, record);
+    ++counts.workerCrashes;
+    worker.listedUntil = distantFuture;
+    const timestamp upAt = now + drawBetween(50 * millisecond, 600 * millisecond);
+    scheduleAt(upAt, [this, id] {
+        startAgain(id);
+        reportCapacity(id);
+    });
+    // Soon enough that some lives are cut off before a scheduler has heard of them.
+    const timestamp cutAt = upAt + (drawBool(0.5) ? drawBetween(0, 500 * millisecond)
+                                                  : drawBetween(0, 2'500 * millisecond));
+    scheduleAt(cutAt, [this, id] {
+        if (!faultsStopped) {
+            partitionedWorkers.insert(id);
+        }
+    });
+    scheduleAt(cutAt + drawBetween(6 * second, 12 * second),
+               [this, id] { partitionedWorkers.erase(id); });
+}
+
 void cell_history::state::restoreCapacities()
 {
     for (const auto &[id, worker] : workers) {
