Review of restarted workers: signs of a restart outlast a takeover and a late answer

A reviewer who had not seen the fix before found sequences of events in which it does not hold:

- A successor does not see the restart if its predecessor has stored the new life already, or if the registry entry is gone.
The worker's stored row now says that a restart was seen, until a fence is answered.
- A run that the new life lists before it has answered the fence was bounded by that answer, although a late order may still extend its lease.
- A stop that the former life accepted counted as a confirmation of the start.
- The former life's answer to a fence, read after the registry had shown the new one, ended the wait.
- Runs that the former life had confirmed and that were being stopped waited for late orders, and each new life began the wait anew.
Neither is needed.
- Team caps did not count unknown runs of a restart that only the registry or an answer to a start had shown.

--- a/src/cell/ends/order_outcomes.cpp
+++ b/src/cell/ends/order_outcomes.cpp
@@ -2,6 +2,7 @@
 
 #include "cell/ends/crashes.h"
 #include "cell/interference/scheduler_interference.h"
+#include "cell/workers/worker_lives.h"
 
 namespace bramleygrade::cell {
 
@@ -97,7 +98,10 @@
     const bool isOfOtherLife =
         isCurrent && isClockOfOtherLife(worker->second.life, workerClock, task->startedAt);
     if (isCurrent && (outcome == order_outcome::unanswered || isOfOtherLife)) {
-        task->unansweredAt = now;
+        task->strayStartAt = now;
+    }
+    if (worker != cell.workers.end() && outcome == order_outcome::unanswered) {
+        worker->second.life.unansweredAt = now;
     }
     if (!isCurrent || order.life != worker->second.life.number) {
         if (job != nullptr) {
@@ -106,8 +110,7 @@
         return;
     }
     if (isOfOtherLife) {
-        worker->second.life.needsFence = true;
-        worker->second.life.mayHaveRestarted = true;
+        noteRestart(cell, worker->second, now);
     }
     if (outcome == order_outcome::accepted && isOfOtherLife) {
         task->phase = task->phase == run_phase::starting ? run_phase::unconfirmed : task->phase;
--- a/src/cell/jobs/job_state.h
+++ b/src/cell/jobs/job_state.h
@@ -43,7 +43,7 @@
     timestamp confirmedAt = distantPast;
     /// Time at which the start order got no answer, or one of another life of the worker, so that a
     /// life that is not known may carry it out; `distantPast`: there is no such order.
-    timestamp unansweredAt = distantPast;
+    timestamp strayStartAt = distantPast;
     int percent = 0;
     /// Time at which `percent` last changed.
     timestamp progressAt = distantPast;
--- a/src/cell/placement/placement_round.cpp
+++ b/src/cell/placement/placement_round.cpp
@@ -129,7 +129,7 @@
     task.orderedAt = now;
     task.startedAt = now;
     task.confirmedAt = distantPast;
-    task.unansweredAt = distantPast;
+    task.strayStartAt = distantPast;
     task.progressAt = now;
     task.percent = 0;
     task.token = fencingToken(cell, worker);
--- a/src/cell/scheduler.h
+++ b/src/cell/scheduler.h
@@ -77,8 +77,6 @@
     bool fence = false;
     /// `worker_life::number` of the life for which the poll is meant.
     std::uint64_t life = 0;
-    /// Local time at which the poll was sent; `distantPast`: not known.
-    timestamp sentAt = distantPast;
 };
 
 /// Asks the advisory service which workers may run a step.
--- a/src/cell/teams/team_usage.cpp
+++ b/src/cell/teams/team_usage.cpp
@@ -189,7 +189,7 @@
 bool mayHoldUnknownRuns(const worker_state &worker, timestamp now)
 {
     const worker_life &life = worker.life;
-    const bool isUnfencedLife = life.number > 0 && !life.fenced;
+    const bool isUnfencedLife = mayCarryOutFormerOrders(life) || (life.number > 0 && !life.fenced);
     return !life.reconciled
         || (now < life.leasesExpiredAt && (life.unexpectedRuns > 0 || isUnfencedLife));
 }
--- a/src/cell/types.h
+++ b/src/cell/types.h
@@ -227,6 +227,8 @@
     std::vector<std::string> labels;
     resources capacity;
     bool draining = false;
+    /// In the stored list: a restart of the worker was seen, and no fence was answered since.
+    bool hasRestarted = false;
     /// Wall-clock time at which the worker's process started, milliseconds since 1970; 0: not
     /// known. Differs between two processes that run under one id, one after the other.
     std::int64_t born = 0;
--- a/src/cell/workers/scheduler_workers.cpp
+++ b/src/cell/workers/scheduler_workers.cpp
@@ -110,6 +110,11 @@
         task->confirmedAt = now;
         task->progressAt = now;
     }
+    if (isCurrent) {
+        // An order for an earlier life may extend the lease of a life that is not fenced.
+        const bool isFenced = worker.life.fenced && !mayCarryOutFormerOrders(worker.life);
+        task->strayStartAt = isFenced ? distantPast : std::max(task->strayStartAt, now);
+    }
     if (task->percent != run.percent) {
         task->percent = run.percent;
         task->progressAt = now;
@@ -137,9 +142,11 @@
 /// schedulers are known only once all ends are, which may take several answers: the worker lists
 /// the next ends when those before them are acknowledged.
 void applyFencedAnswer(scheduler &cell, worker_state &worker, const poll_order &order,
-                       const worker_report &report, timestamp now, orders &out)
+                       const worker_report &report, timestamp sentAt, timestamp now, orders &out)
 {
-    const bool isFenceAnswered = worker.life.needsFence && order.fence;
+    // The life that has answered a fence from before the restart may be the former one.
+    const bool isFenceAnswered =
+        worker.life.needsFence && order.fence && sentAt >= worker.life.restartSeenAt;
     const bool isComplete = listsAllEnds(report);
     if (!worker.life.reconciled || isFenceAnswered) {
         cell.needsPlacement = true;
@@ -154,17 +161,20 @@
             worker.life.leasesExpiredAt,
             std::min(predecessorLeaseExpiry(cell), latestLeaseExpiry(cell.settings.lease, now)));
     }
-    if (worker.life.mayHaveRestarted && (isFenceAnswered || !worker.life.fenced)) {
+    if (mayCarryOutFormerOrders(worker.life) && (isFenceAnswered || !worker.life.fenced)) {
         // From now on the worker refuses the orders that were meant for an earlier life.
         worker.life.leasesExpiredAt =
             std::max(worker.life.leasesExpiredAt, strayLeaseExpiry(cell.settings.lease, now));
-        worker.life.mayHaveRestarted = false;
+        worker.life.restartSeenAt = distantPast;
+        if (worker.listRow) {
+            recordChange(cell, workerRowChange(*worker.listRow), false);
+        }
     }
     worker.life.fenced = true;
     addToList(cell, worker);
     worker.life.reconciled = worker.life.reconciled || isComplete;
     // An answer to a poll sent before the fence proves nothing about the unanswered order.
-    worker.life.needsFence = worker.life.needsFence && !order.fence;
+    worker.life.needsFence = worker.life.needsFence && !isFenceAnswered;
 }
 
 void releaseAbsentRuns(scheduler &cell, worker_state &worker, const poll_order &order,
@@ -203,8 +213,9 @@
     if (life.fenced) {
         return life.leasesExpiredAt;
     }
-    const timestamp ofPredecessors =
-        life.mayHaveRestarted ? strayPredecessorLeaseExpiry(cell) : predecessorLeaseExpiry(cell);
+    const timestamp ofPredecessors = mayCarryOutFormerOrders(life)
+        ? strayPredecessorLeaseExpiry(cell)
+        : predecessorLeaseExpiry(cell);
     return std::max(life.leasesExpiredAt, ofPredecessors);
 }
 
@@ -213,15 +224,16 @@
 timestamp runExpiry(const scheduler &cell, const worker_life &life, const task_state &task)
 {
     const timestamp expiry = leaseExpiry(cell, life);
-    if (!life.mayHaveRestarted || task.confirmedAt != distantPast) {
+    const bool isStray = task.strayStartAt != distantPast;
+    if (!mayCarryOutFormerOrders(life) || (!isStray && task.confirmedAt != distantPast)) {
         return expiry;
     }
-    if (task.unansweredAt == distantPast) {
+    if (!isStray) {
         return distantFuture; // the outcome of the start order is yet to come
     }
     const lease_limits &limits = cell.settings.lease;
-    const timestamp orderedBy = std::max(task.unansweredAt, life.unansweredLeaseAt);
-    return std::max(expiry, strayLeaseExpiry(limits, orderedBy + limits.orderDelay));
+    const timestamp lastOrderAt = std::max(task.strayStartAt, life.unansweredAt);
+    return std::max(expiry, strayLeaseExpiry(limits, lastOrderAt + limits.orderDelay));
 }
 
 /// Releases runs that can no longer exist on the silent worker.
@@ -299,6 +311,7 @@
     worker.life.born = entry.born;
     worker.life.address = entry.address;
     worker.life.largestCapacity = entry.capacity;
+    worker.life.restartSeenAt = entry.hasRestarted ? now : distantPast;
 }
 
 void changeWorkers(scheduler &cell, const std::vector<worker_entry> &entries, timestamp now)
@@ -319,10 +332,9 @@
         }
         worker.listed = true;
         worker.unlistedAt = distantFuture;
-        // The answer to a fence tells which life is the current one, without waiting for the poll
-        // that is held.
-        worker.life.needsFence = worker.life.needsFence || showsOtherLife;
-        worker.life.mayHaveRestarted = worker.life.mayHaveRestarted || showsOtherLife;
+        if (showsOtherLife) {
+            noteRestart(cell, worker, now);
+        }
         if (inserted) {
             worker.life.reconciled = true;
             worker.life.fenceNumber = cell.fencesIssued;
@@ -443,7 +455,7 @@
     worker.life.clock = report.workerClock;
     worker.life.clockReadAt = now;
     if (order.fencingToken == fencingToken(cell, worker)) {
-        applyFencedAnswer(cell, worker, order, report, now, out);
+        applyFencedAnswer(cell, worker, order, report, sentAt, now, out);
     }
     for (const reported_end &end : report.ended) {
         if (end.sequence > worker.life.lastEnd) {
@@ -473,8 +485,7 @@
     }
     worker_state &worker = found->second;
     if (outcome == order_outcome::unanswered && order.leaseUntil != 0) {
-        worker.life.unansweredLeaseAt = std::max(worker.life.unansweredLeaseAt,
-                                                 order.sentAt == distantPast ? now : order.sentAt);
+        worker.life.unansweredAt = now;
     }
     if (order.life != worker.life.number) {
         return;
--- a/src/cell/workers/worker_list.cpp
+++ b/src/cell/workers/worker_list.cpp
@@ -8,8 +8,8 @@
 
 constexpr char rowPrefix = '/';
 /// Bytes of a worker in its row beside id and service: punctuation, the start time, the capacity,
-/// and an address, which has at most `maxAddressBytes`.
-constexpr std::size_t workerOverheadBytes = 90 + maxAddressBytes;
+/// whether it has restarted, and an address, which has at most `maxAddressBytes`.
+constexpr std::size_t workerOverheadBytes = 92 + maxAddressBytes;
 
 /// Returns the length of the text as a JSON string, without quotes.
 std::size_t jsonLength(const std::string &text)
--- a/src/cell/workers/worker_lives.cpp
+++ b/src/cell/workers/worker_lives.cpp
@@ -31,12 +31,12 @@
         }
         ensureOccurrence(*job, id.occurrence).steps[static_cast<std::size_t>(id.step)].gangBroken =
             true;
-        if (task->confirmedAt == distantPast) {
-            task->unansweredAt = now;
+        if (task->confirmedAt == distantPast && task->strayStartAt == distantPast) {
+            task->strayStartAt = now; // its outcome is yet to come
         }
         if (task->phase == run_phase::stopping) {
-            task->unansweredAt = now;
-            task->confirmedAt = distantPast;
+            // Only an answer to a poll sent from now on, which carries the raised token, ends it.
+            task->confirmedAt = task->confirmedAt == distantPast ? distantPast : now;
         } else {
             task->phase = run_phase::unconfirmed;
         }
@@ -91,6 +91,16 @@
     return report.born != life.born || (sentAt >= life.clockReadAt && isClockBehind(life, report));
 }
 
+void noteRestart(scheduler &cell, worker_state &worker, timestamp now)
+{
+    const bool isKnown = mayCarryOutFormerOrders(worker.life);
+    worker.life.restartSeenAt = now;
+    worker.life.needsFence = true;
+    if (!isKnown && worker.listRow) {
+        recordChange(cell, workerRowChange(*worker.listRow), true);
+    }
+}
+
 void beginLife(scheduler &cell, worker_state &worker, const worker_report &report, timestamp now,
                orders &out)
 {
@@ -110,8 +120,8 @@
     next.runs = std::move(worker.life.runs);
     next.used = worker.life.used;
     next.usedByLasting = worker.life.usedByLasting;
-    next.mayHaveRestarted = true;
-    next.unansweredLeaseAt = worker.life.unansweredLeaseAt;
+    next.restartSeenAt = now;
+    next.unansweredAt = worker.life.unansweredAt;
     next.leasesExpiredAt =
         std::max(worker.life.leasesExpiredAt, strayLeaseExpiry(cell.settings.lease, now));
     // The new life has answered this scheduler, so that it refuses the orders of earlier ones.
--- a/src/cell/workers/worker_lives.h
+++ b/src/cell/workers/worker_lives.h
@@ -25,6 +25,10 @@
 /// limited number of them, oldest first.
 bool listsAllEnds(const worker_report &report);
 
+/// Notes that another life of the worker than the known one is up. A fence tells which one is the
+/// current one and keeps it from carrying out earlier orders; until then a successor has to know.
+void noteRestart(scheduler &cell, worker_state &worker, timestamp now);
+
 /// Begins the life that has sent `report`. Counts the crash of the former one, unless only one of
 /// the two names its start time. Starts that may still be on their way could be carried out by the
 /// new life, so that all runs stay reserved until a poll with a raised fencing token is answered.
--- a/src/cell/workers/worker_state.h
+++ b/src/cell/workers/worker_state.h
@@ -57,11 +57,12 @@
     /// expired, and once the worker is fenced those of earlier ones.
     timestamp leasesExpiredAt = distantPast;
 
-    /// Another life of the worker may have carried out orders that were meant for an earlier one,
-    /// as the registry or the answer to a start has shown one and no fence was answered since.
-    bool mayHaveRestarted = false;
-    /// When the newest poll was sent that renewed the lease and got no answer.
-    timestamp unansweredLeaseAt = distantPast;
+    /// When a sign of another life of the worker was last seen: its registry entry, or its answer
+    /// to a start or a poll. `distantPast`: there was none, or a fence has been answered since.
+    /// Until then that life may carry out orders that were meant for an earlier one.
+    timestamp restartSeenAt = distantPast;
+    /// When an order that grants a lease last got no answer.
+    timestamp unansweredAt = distantPast;
 
     /// Highest sequence number of an end that was received.
     std::int64_t lastEnd = 0;
@@ -185,6 +186,12 @@
 /// Whether the start times are those of two processes; not if one of them is not known.
 bool areDifferentLives(std::int64_t oneBorn, std::int64_t otherBorn);
 
+/// Whether a life that is not fenced may carry out orders that were meant for an earlier one.
+inline bool mayCarryOutFormerOrders(const worker_life &life)
+{
+    return life.restartSeenAt != distantPast;
+}
+
 /// Whether the worker's registry entry describes another life than the current one, so that its
 /// capacity and labels may not be those of the worker.
 bool describesOtherLife(const worker_entry &entry, const worker_life &life);
--- a/src/entry/leader.cpp
+++ b/src/entry/leader.cpp
@@ -256,12 +256,10 @@
         return;
     }
     ++entry.metrics.counters["looks_total"];
-    cell::poll_order sent = order;
-    sent.sentAt = sentAt;
     entry.ports.workers.poll(
-        addressOf(entry, order.worker), sent, sentAt + order.wait + reportTimeoutMargin,
-        [&entry, order = sent, sentAt, epoch = entry.epoch](cell::order_outcome outcome,
-                                                            const cell::worker_report &report) {
+        addressOf(entry, order.worker), order, sentAt + order.wait + reportTimeoutMargin,
+        [&entry, order, sentAt, epoch = entry.epoch](cell::order_outcome outcome,
+                                                     const cell::worker_report &report) {
             if (!isSchedulingInEpoch(entry, epoch)) {
                 return;
             }
--- a/src/entry/worker_rows.cpp
+++ b/src/entry/worker_rows.cpp
@@ -56,6 +56,7 @@
             out.Int64(worker.listedCapacity.cpuMilli);
             out.Int64(worker.listedCapacity.memoryMb);
             out.Int64(worker.listedCapacity.accelerators);
+            out.Int64(cell::mayCarryOutFormerOrders(worker.life) ? 1 : 0);
             out.EndArray();
         }
         out.EndArray();
@@ -80,6 +81,7 @@
             if (row.Size() >= 7) {
                 worker.capacity = {integerOf(row[4]), integerOf(row[5]), integerOf(row[6])};
             }
+            worker.hasRestarted = row.Size() >= 8 && integerOf(row[7]) != 0;
             workers.push_back(std::move(worker));
         }
     }
--- a/test/cell/restarted_worker_cut_off_test.cpp
+++ b/test/cell/restarted_worker_cut_off_test.cpp
@@ -5,6 +5,7 @@
 #include <optional>
 
 #include "cell_fixture.h"
+#include "entry/rows.h"
 
 using namespace bramleygrade;
 using namespace bramleygrade::cell;
@@ -219,3 +220,138 @@
         BOOST_TEST(*startedAt <= expiredAt + 2 * stepTime);
     }
 }
+
+namespace {
+
+/// A start order of a job of one task whose worker has answered for a while.
+struct ordered_start : cut_off_fixture
+{
+    explicit ordered_start(bool isGang = false)
+    {
+        settle();
+        step_spec step = makeStep(1, 1'000);
+        step.gang = isGang;
+        out = run(makeJob("a", {step}));
+        BOOST_REQUIRE(out.starts.size() == 1U);
+        order = out.starts[0];
+    }
+
+    void deliver(order_outcome outcome)
+    {
+        orders ignored;
+        onStartOutcome(cell, order, outcome, now, ignored);
+    }
+
+    const worker_life &life() const { return cell.workers.at(order.worker).life; }
+
+    orders out;
+    start_order order;
+};
+
+} // namespace
+
+// A successor took a new life that its predecessor had not fenced for the one that had the orders.
+BOOST_AUTO_TEST_CASE(twice_successor_of_a_scheduler_that_saw_the_restart)
+{
+    for (const bool isListed : {true, false}) {
+        BOOST_TEST_CONTEXT((isListed ? "the registry shows the new life" : "its entry is gone"))
+        {
+            ordered_start before;
+            before.restartWorkerOf(before.order);
+            before.now = before.restartedAt;
+            before.listRestart();
+            const std::string row = entry::encodeWorkerRow(before.cell.workers, 0);
+
+            cut_off_fixture after(2);
+            after.now = before.now;
+            beginEpoch(after.cell, 2, after.now);
+            const timestamp leaseEnd = after.now + 12 * second + longestLease;
+            job_state job;
+            job.spec = cell_fixture::makeJob("a", {cell_fixture::makeStep(1, 1'000)});
+            job.policy = after.policy;
+            job.acceptedEpoch = 1;
+            restoreJob(after.cell, job, after.now);
+            for (worker_entry &listed : after.entries) {
+                listed.born = listed.id == before.order.worker ? newBorn : formerBorn;
+            }
+            for (worker_entry stored : entry::decodeWorkers(row)) {
+                stored.capacity = {8'000, 16'000, 0};
+                stored.born = stored.id == before.order.worker ? newBorn : formerBorn;
+                restoreWorker(after.cell, stored, after.now);
+            }
+            after.restartWorkerOf(before.order);
+            if (!isListed) {
+                after.entries.erase(std::find_if(
+                    after.entries.begin(), after.entries.end(),
+                    [&](const auto &listed) { return listed.id == before.order.worker; }));
+            }
+            after.settle();
+            const auto startedAt = after.runUntilStart();
+            BOOST_REQUIRE(startedAt.has_value());
+            BOOST_TEST(*startedAt >= leaseEnd);
+        }
+    }
+}
+
+// A late poll for the former life extended the lease of a run that the new life had confirmed.
+BOOST_AUTO_TEST_CASE(twice_run_confirmed_by_a_new_life_that_is_not_fenced)
+{
+    ordered_start fixture;
+    poll_order late = fixture.makePoll(fixture.order.worker);
+    late.leaseUntil = fixture.order.leaseUntil;
+    fixture.restartWorkerOf(fixture.order);
+    const timestamp leaseEnd = fixture.now + 12 * second + longestLease;
+    fixture.now += orderTimeout;
+    orders ignored;
+    onPollFailed(fixture.cell, late, order_outcome::unanswered, fixture.now, ignored);
+    auto answer = fixture.reportOf(fixture.order.worker);
+    answer.running.push_back({fixture.order.task, fixture.order.attempt, "", 0});
+    onReport(fixture.cell, fixture.makePoll(fixture.order.worker), answer, fixture.now, fixture.now,
+             ignored);
+    fixture.answerPolls(fixture.out);
+    const auto startedAt = fixture.runUntilStart();
+    BOOST_REQUIRE(startedAt.has_value());
+    BOOST_TEST(*startedAt >= leaseEnd);
+}
+
+// The former life accepted a stop of a run that it had not started; the new life knows of no stop.
+BOOST_AUTO_TEST_CASE(twice_stop_accepted_by_the_former_life)
+{
+    ordered_start fixture(true);
+    orders stops;
+    stopRun(fixture.cell, fixture.order.task,
+            *findTask(fixture.cell.jobs.at("a"), fixture.order.task), fixture.now, stops);
+    BOOST_REQUIRE(stops.stops.size() == 1U);
+    onStopOutcome(fixture.cell, stops.stops[0], order_outcome::accepted, fixture.now);
+    fixture.restartWorkerOf(fixture.order);
+    const timestamp leaseEnd = fixture.now + 12 * second + longestLease;
+    fixture.now += orderTimeout;
+    fixture.deliver(order_outcome::unanswered);
+    fixture.listRestart();
+    fixture.answerPolls(fixture.out);
+    const auto startedAt = fixture.runUntilStart();
+    BOOST_REQUIRE(startedAt.has_value());
+    BOOST_TEST(*startedAt >= leaseEnd);
+}
+
+// The former life's answer to a fence, read after the registry had shown the new one, counted for
+// that one.
+BOOST_AUTO_TEST_CASE(twice_fence_answered_by_the_former_life)
+{
+    ordered_start fixture;
+    fixture.deliver(order_outcome::unanswered);
+    const orders fenced = fixture.decide();
+    const auto fence =
+        std::find_if(fenced.polls.begin(), fenced.polls.end(),
+                     [&](const auto &poll) { return poll.worker == fixture.order.worker; });
+    BOOST_REQUIRE((fence != fenced.polls.end() && fence->fence));
+    const timestamp sentAt = fixture.now;
+    const auto answer = fixture.reportOf(fixture.order.worker);
+    fixture.restartWorkerOf(fixture.order);
+    fixture.now = fixture.restartedAt;
+    fixture.listRestart();
+    orders ignored;
+    onReport(fixture.cell, *fence, answer, sentAt, fixture.now, ignored);
+    BOOST_TEST(mayCarryOutFormerOrders(fixture.life()));
+    BOOST_TEST(fixture.life().needsFence);
+}
