A start that was held back over a pause is sent only if it is still awaited

A scheduler that has been paused holds its orders back until its leadership is verified, and then sent them as they had been built. Meanwhile the run may have been released, so that the task started elsewhere, or the worker may have begun another life, which would carry the order out with a lease of its own. Such an order now ends as not sent. The test names the two cases.

--- a/src/cell/ends/order_outcomes.cpp
+++ b/src/cell/ends/order_outcomes.cpp
@@ -80,6 +80,16 @@
     }
 }
 
+bool isAwaited(scheduler &cell, const start_order &order)
+{
+    job_state *job = findJob(cell, order.task.job);
+    const task_state *task = job == nullptr ? nullptr : findTask(*job, order.task);
+    const auto worker = cell.workers.find(order.worker);
+    return task != nullptr && worker != cell.workers.end() && task->worker == order.worker
+        && task->attempt == order.attempt && task->phase == run_phase::starting
+        && order.life == worker->second.life.number;
+}
+
 void onStartOutcome(scheduler &cell, const start_order &order, order_outcome outcome, timestamp now,
                     orders &out, std::int64_t workerClock)
 {
--- a/src/entry/leader.cpp
+++ b/src/entry/leader.cpp
@@ -202,10 +202,25 @@
         + std::to_string(id.index);
 }
 
+void sendStart(entry_state &entry, const cell::start_order &order);
+
+/// Sends a start order that was held back, unless it has lost its purpose meanwhile.
+void sendHeldStart(entry_state &entry, const cell::start_order &order)
+{
+    if (cell::isAwaited(entry.leaderState->cell, order)) {
+        sendStart(entry, order);
+        return;
+    }
+    cell::orders out;
+    cell::onStartOutcome(entry.leaderState->cell, order, cell::order_outcome::not_sent, steadyNow(),
+                         out);
+    runOrders(entry, out);
+}
+
 void sendStart(entry_state &entry, const cell::start_order &order)
 {
     const timestamp sentAt = steadyNow();
-    if (holdOrder(entry, sentAt, [&entry, order] { sendStart(entry, order); })) {
+    if (holdOrder(entry, sentAt, [&entry, order] { sendHeldStart(entry, order); })) {
         return;
     }
     logEvent(entry, "start_ordered",
--- a/test/cell/restarted_worker_cut_off_test.cpp
+++ b/test/cell/restarted_worker_cut_off_test.cpp
@@ -355,3 +355,25 @@
     BOOST_TEST(mayCarryOutFormerOrders(fixture.life()));
     BOOST_TEST(fixture.life().needsFence);
 }
+
+// A start order that was held back over a pause of the scheduler was sent although its run had been
+// released, or its worker had begun another life.
+BOOST_AUTO_TEST_CASE(twice_start_held_back_that_is_not_awaited)
+{
+    ordered_start fixture;
+    BOOST_TEST(isAwaited(fixture.cell, fixture.order));
+    orders ignored;
+    worker_state &worker = fixture.cell.workers.at(fixture.order.worker);
+    fixture.restartWorkerOf(fixture.order);
+    fixture.now = fixture.restartedAt + stepTime;
+    onReport(fixture.cell, fixture.makePoll(fixture.order.worker),
+             fixture.reportOf(fixture.order.worker), fixture.now, fixture.now, ignored);
+    BOOST_TEST(worker.life.number == 1U);
+    BOOST_TEST(!isAwaited(fixture.cell, fixture.order));
+
+    ordered_start released;
+    orders out;
+    releaseAllRuns(released.cell, released.cell.workers.at(released.order.worker), released.now,
+                   out);
+    BOOST_TEST(!isAwaited(released.cell, released.order));
+}
