Soak of workers that start again under their ids and are cut off

The soak had no run in which workers restart under their ids and are cut off soon after while long tasks run. The profile "recut" plays it, with calls that are carried out late by the life that is there then, also behind a cut, and with pauses, kills and a slow store. The check tells the times of both runs. The draws of the other profiles are as before.

--- a/testing/soak/checks.cpp
+++ b/testing/soak/checks.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <set>
 
+#include "record.h"
+
 namespace bramleygrade::soak {
 
 namespace {
@@ -25,8 +27,9 @@
 
 std::string describe(const observed_run &run)
 {
-    return "attempt " + std::to_string(run.attempt) + " on " + run.worker + " ("
-        + (run.endedAt == 0 ? "running" : run.how) + ")";
+    return "attempt " + std::to_string(run.attempt) + " on " + run.worker + " from "
+        + recordTime(run.startedAt) + " (" + (run.endedAt == 0 ? "running" : run.how + " at ")
+        + (run.endedAt == 0 ? "" : recordTime(run.endedAt)) + ")";
 }
 
 std::string inMs(microseconds time)
@@ -60,6 +63,20 @@
     return found;
 }
 
+microseconds longestSilence(const run_book &book)
+{
+    microseconds longest = 0;
+    for (const auto &[task, runs] : groupByTask(book)) {
+        for (std::size_t next = 1; next < runs.size(); ++next) {
+            const observed_run &lost = *runs[next - 1];
+            if (lost.how == "crashed") {
+                longest = std::max(longest, runs[next]->startedAt - lost.endedAt);
+            }
+        }
+    }
+    return longest;
+}
+
 std::vector<std::string> findUnwantedRuns(const run_book &book,
                                           const std::map<std::string, client_job> &jobs,
                                           timestamp cancelledBefore)
--- a/testing/soak/checks.h
+++ b/testing/soak/checks.h
@@ -14,6 +14,9 @@
 /// an end `done` that was acknowledged.
 std::vector<std::string> findRepeatedRuns(const run_book &book, timestamp now);
 
+/// Returns the longest time from the crash of a worker under a task to the next start of the task.
+microseconds longestSilence(const run_book &book);
+
 /// Returns a line for each run of a job whose cancellation was acknowledged before
 /// `cancelledBefore` that still goes on.
 std::vector<std::string> findUnwantedRuns(const run_book &book,
--- a/testing/soak/main.cpp
+++ b/testing/soak/main.cpp
@@ -1,7 +1,9 @@
 #include <cstdlib>
 #include <iostream>
+#include <set>
 
 #include "record.h"
+#include "recut.h"
 #include "soak.h"
 
 namespace {
@@ -13,6 +15,22 @@
     return "127.0.0.1:" + std::to_string(port);
 }
 
+/// Reads the arguments that follow the ports. Returns false if they are not known.
+bool readProfile(int count, char **arguments, soak::soak_settings &run)
+{
+    static const std::set<std::string> troubles {"pause", "kill", "held", "feed", "takeover"};
+    if (count == 0) {
+        return true;
+    }
+    run.isRecut = std::string(arguments[0]) == "recut";
+    if (!run.isRecut || count < 2 || count > 3) {
+        return false;
+    }
+    run.callDelay = std::atoll(arguments[1]) * millisecond;
+    run.trouble = count == 3 ? arguments[2] : "";
+    return run.trouble.empty() || troubles.count(run.trouble) > 0;
+}
+
 } // namespace
 
 /// Arguments: SEED SECONDS RECORD PID_FOLDER ENTRIES FIRST_PORT. The ports are, from the first one
@@ -20,10 +38,14 @@
 /// each entry a port at which it reaches each entry; for each worker a port for each entry.
 int main(int argc, char **argv)
 {
-    if (argc != 7) {
-        std::cerr << "usage: soak SEED SECONDS RECORD PID_FOLDER ENTRIES FIRST_PORT\n";
+    soak::soak_settings run;
+    if (argc < 7 || !readProfile(argc - 7, argv + 7, run)) {
+        std::cerr << "usage: soak SEED SECONDS RECORD PID_FOLDER ENTRIES FIRST_PORT"
+                     " [recut DELAY_MS [pause|kill|held|feed|takeover]]\n";
         return 2;
     }
+    run.seed = static_cast<std::uint64_t>(std::atoll(argv[1]));
+    run.length = std::atoll(argv[2]) * second;
     const int entries = std::atoi(argv[5]);
     int port = std::atoi(argv[6]);
     soak::openRecord(argv[3]);
@@ -55,10 +77,7 @@
         std::cerr << error << "\n";
         return 2;
     }
-    world.whenReady([&] {
-        soak::runSoak(
-            world, {static_cast<std::uint64_t>(std::atoll(argv[1])), std::atoll(argv[2]) * second});
-    });
+    world.whenReady([&] { run.isRecut ? soak::runRecut(world, run) : soak::runSoak(world, run); });
     loop.run();
     return world.exitCode();
 }
--- a/testing/soak/record.cpp
+++ b/testing/soak/record.cpp
@@ -119,11 +119,17 @@
     recordOpenedAt = steadyNow();
 }
 
+std::string recordTime(timestamp at)
+{
+    char time[32];
+    std::snprintf(time, sizeof(time), "%.3f", static_cast<double>(at - recordOpenedAt) / second);
+    return time;
+}
+
 void note(const std::string &line)
 {
     char time[32];
-    std::snprintf(time, sizeof(time), "%8.3f ",
-                  static_cast<double>(steadyNow() - recordOpenedAt) / second);
+    std::snprintf(time, sizeof(time), "%8s ", recordTime(steadyNow()).c_str());
     recordFile << time << line << '\n';
 }
 
--- a/testing/soak/record.h
+++ b/testing/soak/record.h
@@ -23,6 +23,8 @@
 
 /// Opens the file to which `note` writes.
 void openRecord(const std::string &path);
+/// Returns the seconds since `openRecord`.
+std::string recordTime(timestamp at);
 /// Writes one line with the seconds since `openRecord`.
 void note(const std::string &line);
 
--- /dev/null
+++ b/testing/soak/recut.cpp
@@ -0,0 +1,164 @@
+#include "recut.h"
+
+#include <csignal>
+#include <memory>
+#include <random>
+
+#include "record.h"
+
+namespace bramleygrade::soak {
+
+namespace {
+
+constexpr microseconds firstCrashAt = 4 * second;
+constexpr microseconds roundLength = 14 * second;
+constexpr microseconds downTime = 600 * millisecond;
+/// Time from the restart to the cut.
+constexpr microseconds cutAfter = 2 * second;
+constexpr microseconds cutTime = 9 * second;
+constexpr microseconds pauseTime = 3 * second;
+/// Time without submissions in which the tasks that were lost last have to end.
+constexpr microseconds endTime = 24 * second;
+constexpr microseconds answerTime = 4 * second;
+constexpr step_behaviour longTasks {6, 1'000, false, false, false, 11 * second};
+
+struct recut_run
+{
+    cell_world &world;
+    soak_settings settings;
+    std::mt19937_64 random;
+    timestamp endsAt = 0;
+    int jobs = 0;
+    std::size_t rounds = 0;
+};
+
+using recut_ref = std::shared_ptr<recut_run>;
+
+microseconds drawMs(recut_run &run, std::int64_t low, std::int64_t high)
+{
+    return std::uniform_int_distribution<std::int64_t>(low, high)(run.random) * millisecond;
+}
+
+void submitJobs(const recut_ref &run)
+{
+    if (steadyNow() >= run->endsAt) {
+        return;
+    }
+    const std::string number = std::to_string(++run->jobs);
+    run->world.submit(std::string(16 - number.size(), '0') + number, "batch", longTasks);
+    run->world.at(drawMs(*run, 100, 500), [run] { submitJobs(run); });
+}
+
+void signalAll(cell_world &world, int signal)
+{
+    for (std::size_t entry = 0; entry < world.entryCount(); ++entry) {
+        world.signalEntry(entry, signal);
+    }
+}
+
+void pauseAll(const recut_ref &run, microseconds length)
+{
+    signalAll(run->world, SIGSTOP);
+    run->world.at(length, [run] { signalAll(run->world, SIGCONT); });
+}
+
+void delayStore(const recut_ref &run, microseconds delay)
+{
+    note("trouble: the store answers " + std::to_string(delay / millisecond) + " ms late");
+    for (std::size_t entry = 0; entry < run->world.entryCount(); ++entry) {
+        run->world.store().linkOf(entry).delay = delay;
+    }
+}
+
+void killLeader(const recut_ref &run)
+{
+    const std::string name = run->world.store().leaderName();
+    run->world.signalEntry(name.empty() ? 0 : static_cast<std::size_t>(name.back() - '0'), SIGKILL);
+}
+
+/// What befalls the entries shortly before the crash.
+void troubleBeforeCrash(const recut_ref &run)
+{
+    if (run->settings.trouble == "held") {
+        pauseAll(run, downTime + drawMs(*run, 100, 500));
+    } else if (run->settings.trouble == "feed") {
+        delayStore(run, drawMs(*run, 1'000, 2'000));
+        run->world.at(downTime + cutAfter, [run] { delayStore(run, 0); });
+    } else if (run->settings.trouble == "takeover") {
+        killLeader(run);
+    }
+}
+
+/// What befalls the entries as the cut begins.
+void troubleAtCut(const recut_ref &run)
+{
+    if (run->settings.trouble == "pause") {
+        pauseAll(run, pauseTime);
+    } else if (run->settings.trouble == "kill" && run->rounds % 2 == 1) {
+        killLeader(run);
+    } else if (run->settings.trouble == "kill") {
+        signalAll(run->world, SIGKILL);
+    }
+}
+
+template <typename Change>
+void changeHalf(const recut_ref &run, std::size_t half, const Change &change)
+{
+    const std::size_t size = run->world.workerCount() / 2;
+    for (std::size_t index = 0; index < size; ++index) {
+        change(run->world.workerAt(half * size + index));
+    }
+}
+
+void delayCalls(const recut_ref &run, std::size_t half, microseconds delay)
+{
+    changeHalf(run, half, [&](worker &each) {
+        for (std::size_t entry = 0; entry < run->world.entryCount(); ++entry) {
+            each.linkOf(entry).delay = delay;
+        }
+    });
+}
+
+/// Half of the workers crash, start again under their ids and are cut off.
+void recutHalf(const recut_ref &run)
+{
+    if (steadyNow() >= run->endsAt) {
+        return;
+    }
+    const std::size_t half = run->rounds++ % 2;
+    const microseconds crashIn = drawMs(*run, 300, 900);
+    delayCalls(run, half, run->settings.callDelay);
+    run->world.at(crashIn - drawMs(*run, 20, 200), [run] { troubleBeforeCrash(run); });
+    run->world.at(crashIn,
+                  [run, half] { changeHalf(run, half, [](worker &each) { each.crash(); }); });
+    run->world.at(crashIn + downTime,
+                  [run, half] { changeHalf(run, half, [](worker &each) { each.restart(); }); });
+    run->world.at(crashIn + downTime + cutAfter, [run, half] {
+        delayCalls(run, half, 0);
+        changeHalf(run, half, [](worker &each) { each.cutOff(false); });
+        troubleAtCut(run);
+    });
+    run->world.at(crashIn + downTime + cutAfter + cutTime,
+                  [run, half] { changeHalf(run, half, [](worker &each) { each.reconnect(); }); });
+    run->world.at(roundLength, [run] { recutHalf(run); });
+}
+
+} // namespace
+
+void runRecut(cell_world &world, const soak_settings &settings)
+{
+    const auto run = std::make_shared<recut_run>(
+        recut_run {world, settings, std::mt19937_64(settings.seed), steadyNow() + settings.length});
+    submitJobs(run);
+    world.at(firstCrashAt, [run] { recutHalf(run); });
+    world.at(settings.length + endTime, [run] {
+        for (const auto &[id, job] : run->world.jobs()) {
+            if (job.accepted) {
+                run->world.askState(id);
+            }
+        }
+        run->world.at(answerTime, [run] { checkPromises(run->world, run->jobs); });
+    });
+}
+
+} // namespace bramleygrade::soak
--- a/testing/soak/run.sh
+++ b/testing/soak/run.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Runs the soak once: run.sh PRODUCT SOAK SEED SECONDS FOLDER. PRODUCT and SOAK are the two programs;
-# records and logs go to FOLDER. Starts the entries as the deploy file does, on loopback addresses,
+# Runs the soak once: run.sh PRODUCT SOAK SEED SECONDS FOLDER [PROFILE...]. PRODUCT and SOAK are the two
+# programs; records and logs go to FOLDER. PROFILE: recut DELAY_MS [pause|kill|held|feed|takeover]. Starts the entries as the deploy file does, on loopback addresses,
 # and again one second after each end. Exit code: 0 all promises held, 1 broken, 2 could not run.
 set -u
 product=$1
@@ -8,6 +8,7 @@
 seed=$3
 length=$4
 folder=$5
+shift 5
 entries=5
 mkdir -p "$folder"
 first_port=$((10000 + seed % 140 * 140))
@@ -62,7 +63,7 @@
 }
 SETTINGS
 done
-"$soak" "$seed" "$length" "$folder/record.txt" "$folder" "$entries" "$first_port" &
+"$soak" "$seed" "$length" "$folder/record.txt" "$folder" "$entries" "$first_port" "$@" &
 driver=$!
 sleep 0.3
 for ((n = 0; n < entries; ++n)); do
--- a/testing/soak/soak.cpp
+++ b/testing/soak/soak.cpp
@@ -442,33 +442,6 @@
     }
 }
 
-void check(const soak_ref &soak)
-{
-    const timestamp now = steadyNow();
-    const run_book &book = soak->world.book();
-    const auto repeated = findRepeatedRuns(book, now);
-    const auto unwanted = findUnwantedRuns(book, soak->world.jobs(), now - cancelSettleTime);
-    const auto lost = findLostJobs(book, soak->world.jobs());
-    noteAll(repeated);
-    noteAll(unwanted);
-    noteAll(lost);
-    noteAll(soak->world.falseAnswers());
-    int accepted = 0;
-    for (const auto &[id, job] : soak->world.jobs()) {
-        accepted += job.accepted ? 1 : 0;
-    }
-    const bool held =
-        repeated.empty() && unwanted.empty() && lost.empty() && soak->world.falseAnswers().empty();
-    soak->world.finish(held ? 0 : 1,
-                       std::string(held ? "held" : "broken") + ": jobs "
-                           + std::to_string(soak->jobs) + ", accepted " + std::to_string(accepted)
-                           + ", runs " + std::to_string(book.runs.size()) + ", repeated runs "
-                           + std::to_string(repeated.size()) + ", unwanted runs "
-                           + std::to_string(unwanted.size()) + ", lost jobs "
-                           + std::to_string(lost.size()) + ", false answers "
-                           + std::to_string(soak->world.falseAnswers().size()));
-}
-
 /// Ends all faults and, after a calm time, asks for the state of each job.
 void endSoak(const soak_ref &soak)
 {
@@ -485,7 +458,7 @@
                 soak->world.askState(id);
             }
         }
-        soak->world.at(answerTime, [soak] { check(soak); });
+        soak->world.at(answerTime, [soak] { checkPromises(soak->world, soak->jobs); });
     });
 }
 
@@ -502,6 +475,34 @@
     return routes;
 }
 
+void checkPromises(cell_world &world, int jobs)
+{
+    const timestamp now = steadyNow();
+    const run_book &book = world.book();
+    const auto repeated = findRepeatedRuns(book, now);
+    const auto unwanted = findUnwantedRuns(book, world.jobs(), now - cancelSettleTime);
+    const auto lost = findLostJobs(book, world.jobs());
+    noteAll(repeated);
+    note("measure: longest time from the crash under a task to its next start "
+         + std::to_string(longestSilence(book) / millisecond) + " ms");
+    noteAll(unwanted);
+    noteAll(lost);
+    noteAll(world.falseAnswers());
+    int accepted = 0;
+    for (const auto &[id, job] : world.jobs()) {
+        accepted += job.accepted ? 1 : 0;
+    }
+    const bool held =
+        repeated.empty() && unwanted.empty() && lost.empty() && world.falseAnswers().empty();
+    world.finish(
+        held ? 0 : 1,
+        std::string(held ? "held" : "broken") + ": jobs " + std::to_string(jobs) + ", accepted "
+            + std::to_string(accepted) + ", runs " + std::to_string(book.runs.size())
+            + ", repeated runs " + std::to_string(repeated.size()) + ", unwanted runs "
+            + std::to_string(unwanted.size()) + ", lost jobs " + std::to_string(lost.size())
+            + ", false answers " + std::to_string(world.falseAnswers().size()));
+}
+
 void runSoak(cell_world &world, const soak_settings &settings)
 {
     const auto soak = std::make_shared<soak_run>(soak_run {
--- a/testing/soak/soak.h
+++ b/testing/soak/soak.h
@@ -16,6 +16,13 @@
     std::uint64_t seed = 1;
     /// Time in which jobs are submitted and faults happen. A calm time follows.
     microseconds length = 40 * second;
+    /// Workers crash, start again and are cut off, in place of the faults by chance.
+    bool isRecut = false;
+    /// Time by which calls to these workers are carried out late.
+    microseconds callDelay = 0;
+    /// What befalls the entries: "pause" or "kill" as the cut begins; "held" (paused over the
+    /// crash), "feed" (a slow store) or "takeover" shortly before the crash; empty: nothing.
+    std::string trouble;
 };
 
 constexpr int workerCount = 16;
@@ -26,4 +33,7 @@
 /// Runs the soak once all entries are ready, and ends the world with 0 (all promises held) or 1.
 void runSoak(cell_world &world, const soak_settings &settings);
 
+/// Notes which promises were broken, and ends the world.
+void checkPromises(cell_world &world, int jobs);
+
 } // namespace bramleygrade::soak
--- a/testing/soak/worker.cpp
+++ b/testing/soak/worker.cpp
@@ -248,8 +248,9 @@
     const auto timer = std::make_shared<boost::asio::steady_timer>(m_loop);
     timer->expires_after(std::chrono::microseconds(link.delay));
     timer->async_wait([this, timer, request, answer](boost::system::error_code error) {
-        if (!error && m_up && !m_cut) {
-            carryOut(request, answer);
+        if (!error && m_up) {
+            // By the life that is there now. What has arrived is done, also behind a cut.
+            carryOut(request, m_cut ? makeLostResponder(m_loop, answer) : answer);
         } else {
             abandonCall(m_loop, answer);
         }
--- a/testing/soak/worker.h
+++ b/testing/soak/worker.h
@@ -80,7 +80,7 @@
     bool silent = false;
     /// Calls are carried out and not answered.
     bool losesAnswers = false;
-    /// Calls are carried out this much later.
+    /// Calls are carried out this much later, by the life that is there then.
     microseconds delay = 0;
 };
 
