Soak of restarted workers that are cut off: more starts on their way, cuts soon after the restart

Sixteen more jobs a round are submitted around it. "early" cuts the workers off within 0.4 s of the restart, for the ways without late calls.

--- a/testing/soak/main.cpp
+++ b/testing/soak/main.cpp
@@ -23,12 +23,14 @@
         return true;
     }
     run.isRecut = std::string(arguments[0]) == "recut";
-    if (!run.isRecut || count < 2 || count > 3) {
+    if (!run.isRecut || count < 2) {
         return false;
     }
     run.callDelay = std::atoll(arguments[1]) * millisecond;
-    run.trouble = count == 3 ? arguments[2] : "";
-    return run.trouble.empty() || troubles.count(run.trouble) > 0;
+    run.isCutEarly = std::string(arguments[count - 1]) == "early";
+    const int named = run.isCutEarly ? count - 1 : count;
+    run.trouble = named == 3 ? arguments[2] : "";
+    return named == 2 || (named == 3 && troubles.count(run.trouble) > 0);
 }
 
 } // namespace
@@ -41,7 +43,7 @@
     soak::soak_settings run;
     if (argc < 7 || !readProfile(argc - 7, argv + 7, run)) {
         std::cerr << "usage: soak SEED SECONDS RECORD PID_FOLDER ENTRIES FIRST_PORT"
-                     " [recut DELAY_MS [pause|kill|held|feed|takeover]]\n";
+                     " [recut DELAY_MS [pause|kill|held|feed|takeover] [early]]\n";
         return 2;
     }
     run.seed = static_cast<std::uint64_t>(std::atoll(argv[1]));
--- a/testing/soak/recut.cpp
+++ b/testing/soak/recut.cpp
@@ -13,13 +13,15 @@
 constexpr microseconds firstCrashAt = 4 * second;
 constexpr microseconds roundLength = 14 * second;
 constexpr microseconds downTime = 600 * millisecond;
-/// Time from the restart to the cut.
+/// Time from the restart to the cut, if it is not early.
 constexpr microseconds cutAfter = 2 * second;
 constexpr microseconds cutTime = 9 * second;
 constexpr microseconds pauseTime = 3 * second;
 /// Time without submissions in which the tasks that were lost last have to end.
 constexpr microseconds endTime = 24 * second;
 constexpr microseconds answerTime = 4 * second;
+/// Jobs that are submitted from shortly before the crash until shortly after the restart.
+constexpr int jobsOnTheWay = 16;
 constexpr step_behaviour longTasks {6, 1'000, false, false, false, 11 * second};
 
 struct recut_run
@@ -39,13 +41,18 @@
     return std::uniform_int_distribution<std::int64_t>(low, high)(run.random) * millisecond;
 }
 
+void submitJob(const recut_ref &run)
+{
+    const std::string number = std::to_string(++run->jobs);
+    run->world.submit(std::string(16 - number.size(), '0') + number, "batch", longTasks);
+}
+
 void submitJobs(const recut_ref &run)
 {
     if (steadyNow() >= run->endsAt) {
         return;
     }
-    const std::string number = std::to_string(++run->jobs);
-    run->world.submit(std::string(16 - number.size(), '0') + number, "batch", longTasks);
+    submitJob(run);
     run->world.at(drawMs(*run, 100, 500), [run] { submitJobs(run); });
 }
 
@@ -127,18 +134,24 @@
     }
     const std::size_t half = run->rounds++ % 2;
     const microseconds crashIn = drawMs(*run, 300, 900);
+    const microseconds backIn = crashIn + downTime;
+    const microseconds cutIn =
+        backIn + (run->settings.isCutEarly ? drawMs(*run, 20, 400) : cutAfter);
+    for (int job = 0; job < jobsOnTheWay; ++job) {
+        run->world.at(drawMs(*run, 0, backIn / millisecond + 200), [run] { submitJob(run); });
+    }
     delayCalls(run, half, run->settings.callDelay);
     run->world.at(crashIn - drawMs(*run, 20, 200), [run] { troubleBeforeCrash(run); });
     run->world.at(crashIn,
                   [run, half] { changeHalf(run, half, [](worker &each) { each.crash(); }); });
     run->world.at(crashIn + downTime,
                   [run, half] { changeHalf(run, half, [](worker &each) { each.restart(); }); });
-    run->world.at(crashIn + downTime + cutAfter, [run, half] {
+    run->world.at(cutIn, [run, half] {
         delayCalls(run, half, 0);
         changeHalf(run, half, [](worker &each) { each.cutOff(false); });
         troubleAtCut(run);
     });
-    run->world.at(crashIn + downTime + cutAfter + cutTime,
+    run->world.at(cutIn + cutTime,
                   [run, half] { changeHalf(run, half, [](worker &each) { each.reconnect(); }); });
     run->world.at(roundLength, [run] { recutHalf(run); });
 }
--- a/testing/soak/soak.h
+++ b/testing/soak/soak.h
@@ -23,6 +23,8 @@
     /// What befalls the entries: "pause" or "kill" as the cut begins; "held" (paused over the
     /// crash), "feed" (a slow store) or "takeover" shortly before the crash; empty: nothing.
     std::string trouble;
+    /// The cut begins within 0.4 s of the restart.
+    bool isCutEarly = false;
 };
 
 constexpr int workerCount = 16;
