--- a/testing/soak/recut.cpp
+++ b/testing/soak/recut.cpp
@@ -15,6 +15,7 @@
 constexpr microseconds downTime = 600 * millisecond;
 /// Time from the restart to the cut, if it is not early.
 constexpr microseconds cutAfter = 2 * second;
+constexpr microseconds heldAfterBack = 100 * millisecond;
 constexpr microseconds cutTime = 9 * second;
 constexpr microseconds pauseTime = 3 * second;
 /// Time without submissions in which the tasks that were lost last have to end.
@@ -83,11 +84,11 @@
     run->world.signalEntry(name.empty() ? 0 : static_cast<std::size_t>(name.back() - '0'), SIGKILL);
 }
 
-/// What befalls the entries shortly before the crash.
-void troubleBeforeCrash(const recut_ref &run)
+/// What befalls the entries shortly before the crash. The workers are back `untilBack` later.
+void troubleBeforeCrash(const recut_ref &run, microseconds untilBack)
 {
     if (run->settings.trouble == "held") {
-        pauseAll(run, downTime + drawMs(*run, 100, 500));
+        pauseAll(run, untilBack + heldAfterBack);
     } else if (run->settings.trouble == "feed") {
         delayStore(run, drawMs(*run, 1'000, 2'000));
         run->world.at(downTime + cutAfter, [run] { delayStore(run, 0); });
@@ -135,16 +136,20 @@
     const std::size_t half = run->rounds++ % 2;
     const microseconds crashIn = drawMs(*run, 300, 900);
     const microseconds backIn = crashIn + downTime;
-    const microseconds cutIn =
-        backIn + (run->settings.isCutEarly ? drawMs(*run, 20, 400) : cutAfter);
+    const bool isHeld = run->settings.trouble == "held";
+    const microseconds early =
+        isHeld ? heldAfterBack + drawMs(*run, 10, 60) : drawMs(*run, 20, 400);
+    const microseconds cutIn = backIn + (run->settings.isCutEarly ? early : cutAfter);
+    const microseconds troubleIn = crashIn - drawMs(*run, 20, 200);
     for (int job = 0; job < jobsOnTheWay; ++job) {
         run->world.at(drawMs(*run, 0, backIn / millisecond + 200), [run] { submitJob(run); });
     }
     delayCalls(run, half, run->settings.callDelay);
-    run->world.at(crashIn - drawMs(*run, 20, 200), [run] { troubleBeforeCrash(run); });
+    run->world.at(troubleIn,
+                  [run, backIn, troubleIn] { troubleBeforeCrash(run, backIn - troubleIn); });
     run->world.at(crashIn,
                   [run, half] { changeHalf(run, half, [](worker &each) { each.crash(); }); });
-    run->world.at(crashIn + downTime,
+    run->world.at(backIn,
                   [run, half] { changeHalf(run, half, [](worker &each) { each.restart(); }); });
     run->world.at(cutIn, [run, half] {
         delayCalls(run, half, 0);
