--- a/testing/soak/main.cpp
+++ b/testing/soak/main.cpp
@@ -18,7 +18,8 @@
 /// Reads the arguments that follow the ports. Returns false if they are not known.
 bool readProfile(int count, char **arguments, soak::soak_settings &run)
 {
-    static const std::set<std::string> troubles {"pause", "kill", "held", "feed", "takeover"};
+    static const std::set<std::string> troubles {"pause", "kill",     "held",
+                                                 "feed",  "takeover", "unlisted"};
     if (count == 0) {
         return true;
     }
@@ -43,7 +44,7 @@
     soak::soak_settings run;
     if (argc < 7 || !readProfile(argc - 7, argv + 7, run)) {
         std::cerr << "usage: soak SEED SECONDS RECORD PID_FOLDER ENTRIES FIRST_PORT"
-                     " [recut DELAY_MS [pause|kill|held|feed|takeover] [early]]\n";
+                     " [recut DELAY_MS [pause|kill|held|feed|takeover|unlisted] [early]]\n";
         return 2;
     }
     run.seed = static_cast<std::uint64_t>(std::atoll(argv[1]));
--- a/testing/soak/recut.cpp
+++ b/testing/soak/recut.cpp
@@ -149,15 +149,28 @@
                   [run, backIn, troubleIn] { troubleBeforeCrash(run, backIn - troubleIn); });
     run->world.at(crashIn,
                   [run, half] { changeHalf(run, half, [](worker &each) { each.crash(); }); });
-    run->world.at(backIn,
-                  [run, half] { changeHalf(run, half, [](worker &each) { each.restart(); }); });
+    const bool isUnlisted = run->settings.trouble == "unlisted";
+    run->world.at(backIn, [run, half, isUnlisted] {
+        changeHalf(run, half, [isUnlisted](worker &each) {
+            if (isUnlisted) {
+                each.silenceHeartbeats(true);
+            }
+            each.restart();
+        });
+    });
     run->world.at(cutIn, [run, half] {
         delayCalls(run, half, 0);
         changeHalf(run, half, [](worker &each) { each.cutOff(false); });
         troubleAtCut(run);
     });
-    run->world.at(cutIn + cutTime,
-                  [run, half] { changeHalf(run, half, [](worker &each) { each.reconnect(); }); });
+    run->world.at(cutIn + cutTime, [run, half, isUnlisted] {
+        changeHalf(run, half, [isUnlisted](worker &each) {
+            if (isUnlisted) {
+                each.silenceHeartbeats(false);
+            }
+            each.reconnect();
+        });
+    });
     run->world.at(roundLength, [run] { recutHalf(run); });
 }
 
--- a/testing/soak/soak.h
+++ b/testing/soak/soak.h
@@ -21,7 +21,8 @@
     /// Time by which calls to these workers are carried out late.
     microseconds callDelay = 0;
     /// What befalls the entries: "pause" or "kill" as the cut begins; "held" (paused over the
-    /// crash), "feed" (a slow store) or "takeover" shortly before the crash; empty: nothing.
+    /// crash), "feed" (a slow store) or "takeover" shortly before the crash; "unlisted" (no beat of
+    /// the new lives reaches the store); empty: nothing.
     std::string trouble;
     /// The cut begins within 0.4 s of the restart.
     bool isCutEarly = false;
--- a/testing/soak/worker.cpp
+++ b/testing/soak/worker.cpp
@@ -84,7 +84,7 @@
 std::string worker::start()
 {
     std::string error = listen();
-    if (error.empty()) {
+    if (error.empty() && m_mutes == 0) {
         beat();
     }
     return error;
