--- a/testing/soak/recut.cpp
+++ b/testing/soak/recut.cpp
@@ -23,7 +23,7 @@
 constexpr microseconds answerTime = 4 * second;
 /// Jobs that are submitted from shortly before the crash until shortly after the restart.
 constexpr int jobsOnTheWay = 16;
-constexpr step_behaviour longTasks {6, 1'000, false, false, false, 11 * second};
+constexpr step_behaviour longTasks {6, 500, false, false, false, 11 * second};
 
 struct recut_run
 {
@@ -112,9 +112,8 @@
 template <typename Change>
 void changeHalf(const recut_ref &run, std::size_t half, const Change &change)
 {
-    const std::size_t size = run->world.workerCount() / 2;
-    for (std::size_t index = 0; index < size; ++index) {
-        change(run->world.workerAt(half * size + index));
+    for (std::size_t index = half; index < run->world.workerCount(); index += 2) {
+        change(run->world.workerAt(index));
     }
 }
 
