Failing tests: clients that fill the memory or the descriptors of an entry

Callers saw an entry end, out of memory, when clients sent trailers without end. The tests start an entry of 64 MB and send 20 to 400 requests that never end to each of its ports, or open 1,100 connections.

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -317,3 +317,17 @@
 add_executable(cell_connection_limits_test test/cell/connection_limits_test.cpp)
 target_link_libraries(cell_connection_limits_test PRIVATE bramleygrade_entry Boost::headers)
 add_test(NAME cell_connection_limits COMMAND cell_connection_limits_test)
+
+# Hostile clients of an entry process; each failure is a test of its own.
+add_executable(cell_hostile_clients_test test/cell/hostile_clients_test.cpp)
+target_include_directories(cell_hostile_clients_test PRIVATE ${CMAKE_SOURCE_DIR}/test/cell)
+target_link_libraries(cell_hostile_clients_test PRIVATE Boost::headers)
+foreach(failure memory_filled_by_requests_that_never_end descriptors_taken_by_idle_connections)
+    add_test(NAME ${failure}
+             COMMAND cell_hostile_clients_test --run_test=${failure} -- $<TARGET_FILE:bramleygrade>)
+    set_tests_properties(${failure} PROPERTIES RUN_SERIAL TRUE COST 1)
+endforeach()
+
+add_executable(cell_http_server_test test/cell/http_server_test.cpp)
+target_link_libraries(cell_http_server_test PRIVATE bramleygrade_entry Boost::headers)
+add_test(NAME cell_http_server COMMAND cell_http_server_test)
