Each port of an entry bounds the memory and the connections of its clients

Callers saw an entry end, out of memory, when clients sent trailers, chunk headers or unfinished bodies without end. The parser's limits hold for the header and the bytes of chunks; what stands between and behind them collected in the buffer, fields that arrived one by one were not counted, and nothing bounded all connections together.

A server reserves the memory of the requests it reads or handles, within a part of memory_limit_mb for its port and one for all ports; beyond it the request that has been arriving longest gets 503 before it is handled.

--- a/src/entry/daemon.cpp
+++ b/src/entry/daemon.cpp
@@ -15,6 +15,7 @@
 
 #include "entry/authentication/admission.h"
 #include "entry/authentication/confirmation_exchange.h"
+#include "entry/client_limits.h"
 #include "entry/entry.h"
 #include "entry/state_dump.h"
 
@@ -44,14 +45,16 @@
 /// others are for callers, peers and files.
 constexpr std::size_t outgoingShareMilli = 850;
 
-/// Returns the number of outgoing connections that the descriptors allow.
-std::size_t outgoingConnectionLimit()
+constexpr std::size_t allMilli = 1'000;
+
+/// Returns a share of the descriptors of the process, which may be unlimited.
+std::size_t descriptorShare(std::size_t milli)
 {
     rlimit limit {};
     if (getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur == RLIM_INFINITY) {
         return std::numeric_limits<std::size_t>::max();
     }
-    return static_cast<std::size_t>(limit.rlim_cur) * outgoingShareMilli / 1'000;
+    return static_cast<std::size_t>(limit.rlim_cur) * milli / allMilli;
 }
 
 std::string makeIncarnation()
@@ -101,27 +104,30 @@
 
 std::string startServers(entry_state &entry)
 {
-    net::server_limits limits;
-    limits.maxBodyBytes = 1U << 20U;
+    const client_limits limits = limitsOfClients(entry.settings.memoryLimitMb,
+                                                 descriptorShare(allMilli - outgoingShareMilli));
+    entry.receiving.limit = limits.receivedBytes;
     entry.callerServer = std::make_unique<net::http_server>(
         entry.loop,
         [&entry](const net::http_request &request, const net::http_server::responder &respond) {
             serveCaller(entry, request, respond);
         },
-        limits);
+        limits.callers);
     entry.readinessServer = std::make_unique<net::http_server>(
         entry.loop,
         [&entry](const net::http_request &, const net::http_server::responder &respond) {
             serveReadiness(entry, respond);
-        });
-    limits.maxBodyBytes = 16U << 20U;
-    limits.idleTimeout = 3'600 * second;
+        },
+        limits.readiness);
     entry.peerServer = std::make_unique<net::http_server>(
         entry.loop,
         [&entry](const net::http_request &request, const net::http_server::responder &respond) {
             countAndServePeer(entry, request, respond);
         },
-        limits);
+        limits.peers);
+    for (const auto &server : {&entry.callerServer, &entry.readinessServer, &entry.peerServer}) {
+        (*server)->share(entry.receiving);
+    }
     entry.peerServer->onClose([&entry](const std::string &peer) { onPeerClosed(entry, peer); });
     entry.callerServer->measure(entry.meter,
                                 [](const net::http_request &) { return net::duty::caller; });
@@ -138,7 +144,9 @@
             entry.loop,
             [&entry](const net::http_request &request, const net::http_server::responder &respond) {
                 serveMetrics(entry, request, respond);
-            });
+            },
+            limits.metrics);
+        entry.metricsServer->share(entry.receiving);
         error = entry.metricsServer->listen(entry.settings.metricsAddress);
     }
     return error;
@@ -212,6 +220,7 @@
     monitorConfirmation(entry, now);
     monitorHeldCalls(entry, now);
     expireForwarded(entry, now);
+    reportRefusals(entry);
     if (entry.stopping) {
         continueStop(entry, now);
     }
@@ -351,7 +360,7 @@
     std::signal(SIGPIPE, SIG_IGN);
     boost::asio::io_context loop(1);
     entry_state entry(loop, *settings);
-    entry.client.limitConnections(outgoingConnectionLimit());
+    entry.client.limitConnections(descriptorShare(outgoingShareMilli));
     entry.ports = connect(entry.settings, entry.client);
     const std::string error = startEntry(entry);
     if (!error.empty()) {
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <list>
 #include <map>
 #include <memory>
@@ -239,11 +240,15 @@
     entry_metrics metrics;
     net::busy_meter meter;
     entry_observation observed;
+    /// Memory of the messages that are being read.
+    net::receive_budget receiving;
     net::http_client client;
     std::unique_ptr<net::http_server> callerServer;
     std::unique_ptr<net::http_server> readinessServer;
     std::unique_ptr<net::http_server> peerServer;
     std::unique_ptr<net::http_server> metricsServer;
+    /// What has been reported of callers', readiness, peers' and metrics port.
+    std::array<net::server_refusals, 4> reportedRefusals {};
     boost::asio::steady_timer tickTimer;
     boost::asio::steady_timer decideTimer;
 
--- a/src/entry/event_log.cpp
+++ b/src/entry/event_log.cpp
@@ -22,6 +22,7 @@
                                                                {"member_silent", 10},
                                                                {"member_back", 10},
                                                                {"call_unauthenticated", 20},
+                                                               {"clients_refused", 4},
                                                                {"call_forbidden", 20},
                                                                {"held_call_refused", 10},
                                                                {"checkpoints_not_stored", 5},
--- a/src/entry/metrics.cpp
+++ b/src/entry/metrics.cpp
@@ -115,6 +115,11 @@
     {"tasks_separated_total", "Tasks placed away from a clashing image."},
     {"jobs_in_memory", "Jobs in memory, ended ones included."},
     {"connections_opened", "Outgoing connections opened."},
+    {"connections_closed_total", "Incoming connections closed for newer ones, by port."},
+    {"requests_dropped_total",
+     "Requests not read to their end, or answers not read by the client, for lack of memory; by "
+     "port."},
+    {"received_bytes", "Memory of the messages that are being read or answered."},
     {"event_loop_delay_seconds", "Lateness of the event loop's timer."},
     {"decision_seconds", "Duration of a decision."},
     {"start_seconds", "Time to a worker's answer to a start order."},
--- a/test/cell/http_server_test.cpp
+++ b/test/cell/http_server_test.cpp
@@ -162,6 +162,13 @@
     return limits;
 }
 
+net::server_limits limitsOfMemory(std::size_t bytes)
+{
+    net::server_limits limits;
+    limits.maxHeldBytes = bytes;
+    return limits;
+}
+
 } // namespace
 
 // Guards against fields behind the body that replace or add what decides about a request.
@@ -204,3 +211,94 @@
     BOOST_TEST(sent <= 17'000U);
     BOOST_TEST(server.requests.empty());
 }
+
+// Guards against requests that never end and keep the memory from those that do.
+BOOST_AUTO_TEST_CASE(the_request_that_has_arrived_longest_makes_room)
+{
+    recording_server server(limitsOfMemory(100'000));
+    plain_client first(server);
+    plain_client second(server);
+    plain_client third(server);
+    for (plain_client *const client : {&first, &second}) {
+        client->send(post("/", 40'000) + std::string(39'999, 'a'));
+    }
+    third.send(post("/", 40'000) + std::string(40'000, 'a'));
+    const std::string refusal = first.received();
+    BOOST_TEST(statusOf(refusal) == "503");
+    BOOST_TEST(refusal.find("Retry-After: 1\r\n") != std::string::npos);
+    BOOST_TEST(first.hasBeenClosed());
+    BOOST_TEST(statusOf(third.received()) == "200");
+    BOOST_TEST(second.received() == "");
+    second.send("a");
+    BOOST_TEST(statusOf(second.received()) == "200");
+    BOOST_TEST(server.requests.size() == 2U);
+    BOOST_TEST(server.server.refusals().forMemory == 1U);
+}
+
+// Guards against a refusal of a request that is being handled, which may take effect.
+BOOST_AUTO_TEST_CASE(requests_that_are_handled_keep_their_memory)
+{
+    recording_server server(limitsOfMemory(100'000));
+    plain_client handled(server);
+    plain_client other(server);
+    handled.send(post("/held", 70'000) + std::string(70'000, 'a'));
+    BOOST_TEST(server.waiting.size() == 1U);
+    other.send(post("/", 70'000) + std::string(70'000, 'a'));
+    BOOST_TEST(statusOf(other.received()) == "503");
+    BOOST_TEST(server.requests.size() == 1U);
+    server.waiting[0]({200, {}, ""});
+    server.settle();
+    BOOST_TEST(statusOf(handled.received()) == "200");
+    plain_client later(server);
+    later.send(post("/", 70'000) + std::string(70'000, 'a'));
+    BOOST_TEST(statusOf(later.received()) == "200");
+}
+
+// Guards against a limit for all servers that one of them does not heed, or memory that is not
+// given back.
+BOOST_AUTO_TEST_CASE(servers_share_a_budget)
+{
+    net::receive_budget shared {100'000, 50'000, 0};
+    recording_server server(limitsOfMemory(200'000));
+    server.server.share(shared);
+    plain_client first(server);
+    first.send(post("/", 70'000) + std::string(100, 'a'));
+    BOOST_TEST(statusOf(first.received()) == "503");
+    BOOST_TEST(shared.used == 50'000U);
+    release(shared, 50'000);
+    plain_client second(server);
+    second.send(post("/", 70'000) + std::string(100, 'a'));
+    BOOST_TEST(shared.used >= 70'000U);
+    second.socket.close();
+    server.settle();
+    BOOST_TEST(shared.used == 0U);
+    plain_client third(server);
+    third.send(post("/", 70'000) + std::string(70'000, 'a'));
+    BOOST_TEST(statusOf(third.received()) == "200");
+    BOOST_TEST(shared.used == 0U);
+}
+
+// Guards against connections that wait for nothing and keep others out.
+BOOST_AUTO_TEST_CASE(connections_without_a_request_are_closed_first)
+{
+    net::server_limits limits;
+    limits.maxConnections = 3;
+    recording_server server(limits);
+    plain_client used(server);
+    used.send(post("/", 0));
+    BOOST_TEST(statusOf(used.received()) == "200");
+    plain_client handled(server);
+    handled.send(post("/held", 0));
+    std::list<plain_client> idle;
+    for (int count = 0; count < 4; ++count) {
+        idle.emplace_back(server);
+    }
+    BOOST_TEST(idle.front().hasBeenClosed());
+    BOOST_TEST(!idle.back().hasBeenClosed());
+    used.send(post("/", 0));
+    BOOST_TEST(statusOf(used.received()) == "200");
+    server.waiting[0]({200, {}, ""});
+    server.settle();
+    BOOST_TEST(statusOf(handled.received()) == "200");
+    BOOST_TEST(server.server.refusals().forConnections == 3U);
+}
