Failing tests: answers without end that an entry reads

Callers would see an entry end for lack of memory. The real program, with memory_limit_mb 64, is given a store, or 100 workers, that answer without end; its memory must stay under 100 MiB.

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -317,3 +317,17 @@
 add_executable(cell_connection_limits_test test/cell/connection_limits_test.cpp)
 target_link_libraries(cell_connection_limits_test PRIVATE bramleygrade_entry Boost::headers)
 add_test(NAME cell_connection_limits COMMAND cell_connection_limits_test)
+
+# The real program against a store and workers that answer without end.
+add_executable(cell_hostile_answers_test test/cell/hostile_answers_test.cpp testing/soak/peer_links.cpp
+                                         testing/soak/record.cpp testing/soak/table_store.cpp)
+target_include_directories(cell_hostile_answers_test PRIVATE ${CMAKE_SOURCE_DIR} ${CMAKE_SOURCE_DIR}/test/cell)
+target_link_libraries(cell_hostile_answers_test PRIVATE bramleygrade_entry Boost::headers)
+foreach(sender store_answers workers_answer)
+    add_test(NAME memory_of_an_entry_whose_${sender}_without_end
+             COMMAND cell_hostile_answers_test
+                     --run_test=memory_of_an_entry_whose_${sender}_without_end
+                     -- $<TARGET_FILE:bramleygrade>)
+    set_tests_properties(memory_of_an_entry_whose_${sender}_without_end
+                         PROPERTIES RUN_SERIAL TRUE COST 1)
+endforeach()
