Failing test: requests without end to the own interface

Callers would see an entry end for lack of memory. The real program is given 16 clients on each of its ports that send a line, headers, chunks or a body without end; its memory must stay under 150 MiB.

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -331,3 +331,12 @@
     set_tests_properties(memory_of_an_entry_whose_${sender}_without_end
                          PROPERTIES RUN_SERIAL TRUE COST 1)
 endforeach()
+
+# The own interface against callers, operators and peers that send without end.
+add_executable(hostile_callers_test test/hostile_callers_test.cpp)
+target_include_directories(hostile_callers_test PRIVATE ${CMAKE_SOURCE_DIR}/test)
+target_link_libraries(hostile_callers_test PRIVATE Boost::headers Threads::Threads)
+add_test(NAME memory_of_an_entry_whose_callers_send_without_end
+         COMMAND hostile_callers_test -- $<TARGET_FILE:bramleygrade>)
+set_tests_properties(memory_of_an_entry_whose_callers_send_without_end
+                     PROPERTIES RUN_SERIAL TRUE COST 1)
