Bounds on what an entry reads of an answer

Callers saw: an entry ended for lack of memory while its store or workers sent answers without end. Cause: the client bounded the body of an answer only (16 MiB for each), not the lines between chunks and the trailers, which its buffer collected without a limit, nor all answers at once. Such a call ends as unanswered, counted in answers_beyond_limits. A connection on which something follows an answer is not used again.

--- a/src/entry/daemon.cpp
+++ b/src/entry/daemon.cpp
@@ -54,6 +54,12 @@
     return static_cast<std::size_t>(limit.rlim_cur) * outgoingShareMilli / 1'000;
 }
 
+/// Returns the bytes that answers which are being read may take: a quarter of the memory.
+std::size_t answerBudget(const cell_settings &settings)
+{
+    return static_cast<std::size_t>(settings.memoryLimitMb) << 18U;
+}
+
 std::string makeIncarnation()
 {
     std::random_device random;
@@ -349,9 +355,11 @@
         return 2;
     }
     std::signal(SIGPIPE, SIG_IGN);
+    net::receive_budget answers {answerBudget(*settings)};
     boost::asio::io_context loop(1);
     entry_state entry(loop, *settings);
     entry.client.limitConnections(outgoingConnectionLimit());
+    entry.client.limitReceived(&answers);
     entry.ports = connect(entry.settings, entry.client);
     const std::string error = startEntry(entry);
     if (!error.empty()) {
--- a/src/entry/metrics.cpp
+++ b/src/entry/metrics.cpp
@@ -115,6 +115,7 @@
     {"tasks_separated_total", "Tasks placed away from a clashing image."},
     {"jobs_in_memory", "Jobs in memory, ended ones included."},
     {"connections_opened", "Outgoing connections opened."},
+    {"answers_beyond_limits", "Calls that ended because their answers exceeded a limit."},
     {"event_loop_delay_seconds", "Lateness of the event loop's timer."},
     {"decision_seconds", "Duration of a decision."},
     {"start_seconds", "Time to a worker's answer to a start order."},
--- a/src/entry/state_dump.cpp
+++ b/src/entry/state_dump.cpp
@@ -205,6 +205,7 @@
     }
     gauges["calls_waiting"] = static_cast<std::int64_t>(entry.forwardedCalls.size());
     gauges["members"] = static_cast<std::int64_t>(entry.members.size());
+    gauges["answers_beyond_limits"] = static_cast<std::int64_t>(entry.client.answersBeyondLimits());
     gauges["connections_opened"] = static_cast<std::int64_t>(entry.client.connectionsOpened());
     gauges["log_lines_written"] = static_cast<std::int64_t>(entry.log.written);
     gauges["log_lines_dropped"] = static_cast<std::int64_t>(entry.log.dropped);
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -23,8 +23,12 @@
 
 namespace {
 
-/// Maximum size of a response body; the users' store sends up to 1 MB of rows, in base64 and JSON.
-constexpr std::uint64_t maxResponseBytes = 16U << 20U;
+/// Maximum size of the head of a response.
+constexpr std::uint32_t maxHeadBytes = 16'384;
+/// Maximum number of bytes that wait in the buffer: a line between chunks, or all trailers.
+constexpr std::size_t maxBufferedBytes = 65'536;
+/// Maximum number of bytes around the body, beyond one for each byte of it.
+constexpr std::size_t maxFramingBytes = 65'536;
 /// Time without a further part after which a response that has begun counts as cut off. A slow link
 /// that is full delays a part by up to half a second.
 constexpr microseconds maxResponsePause = 1 * second;
@@ -60,7 +64,7 @@
     std::string address;
     /// Number of connections that the client has.
     std::shared_ptr<std::size_t> openCount;
-    boost::beast::flat_buffer buffer;
+    boost::beast::flat_buffer buffer {maxBufferedBytes};
     timestamp openedAt = distantPast;
     /// When the newest response was read.
     timestamp usedAt = distantPast;
@@ -82,6 +86,8 @@
     std::size_t mostOpen = std::numeric_limits<std::size_t>::max();
     std::uint64_t opened = 0;
     busy_meter *meter = nullptr;
+    receive_budget *budget = nullptr;
+    std::uint64_t beyondLimits = 0;
 };
 
 namespace {
@@ -137,6 +143,10 @@
         }
     }
 
+    ~exchange() { releaseHeld(); }
+    exchange(const exchange &) = delete;
+    exchange &operator=(const exchange &) = delete;
+
     void start()
     {
         prepare();
@@ -250,7 +260,10 @@
     void read()
     {
         parser.emplace();
-        parser->body_limit(maxResponseBytes);
+        parser->header_limit(maxHeadBytes);
+        parser->body_limit(call.maxBodyBytes);
+        releaseHeld();
+        consumed = 0;
         parser->eager(true);
         partAt = distantPast;
         readPart();
@@ -263,16 +276,67 @@
             conn->buffer.reserve(largeReadBytes);
         }
         http::async_read_some(conn->socket, conn->buffer, *parser,
-                              [self = shared_from_this()](error_code error, std::size_t) {
+                              [self = shared_from_this()](error_code error, std::size_t size) {
                                   setDuty(self->client->meter, self->callDuty);
                                   if (!self->finished) {
-                                      error ? self->retryOrFail() : self->handlePart();
+                                      self->consumed += size;
+                                      error ? self->handleReadError(error) : self->handlePart();
                                   }
                               });
     }
 
+    /// An answer beyond a limit is not asked for again.
+    void handleReadError(error_code error)
+    {
+        const bool isBeyondLimit = error == http::error::body_limit
+            || error == http::error::header_limit || error == http::error::buffer_overflow;
+        isBeyondLimit ? endBeyondLimit() : retryOrFail();
+    }
+
+    void endBeyondLimit()
+    {
+        ++client->beyondLimits;
+        finish({call_outcome::unanswered, 0, ""});
+    }
+
+    /// Adds what has arrived to the budget; returns false if it exceeds a limit.
+    bool hold()
+    {
+        const std::size_t body = parser->get().body().size();
+        if (consumed > maxFramingBytes + 2 * body) {
+            return false;
+        }
+        receive_budget *const budget = client->budget;
+        const std::size_t wanted = body + conn->buffer.size();
+        if (budget == nullptr || wanted <= held) {
+            return true;
+        }
+        const std::size_t more = wanted - held;
+        if (call.sparesBudget && budget->used + more > budget->limit / 2) {
+            ++budget->refused;
+            return false;
+        }
+        if (!reserve(*budget, more)) {
+            return false;
+        }
+        held = wanted;
+        return true;
+    }
+
+    void releaseHeld()
+    {
+        if (client->budget != nullptr) {
+            release(*client->budget, held);
+        }
+        held = 0;
+    }
+
     void handlePart()
     {
+        if (!hold()) {
+            endBeyondLimit();
+            return;
+        }
         if (parser->is_done()) {
             handleResponse();
             return;
@@ -299,7 +363,9 @@
     void handleResponse()
     {
         auto &idleConnections = client->idle[call.address];
-        if (parser->get().keep_alive() && idleConnections.size() < maxIdlePerAddress) {
+        // What follows an answer without a request is not the answer to the next one.
+        if (parser->get().keep_alive() && conn->buffer.size() == 0
+            && idleConnections.size() < maxIdlePerAddress) {
             conn->usedAt = client->now();
             conn->buffer.shrink_to_fit();
             putIdle(*client, conn);
@@ -341,6 +407,10 @@
     http::request<http::string_body> message;
     std::optional<http::response_parser<http::string_body>> parser;
     duty callDuty = duty::other;
+    /// Bytes of the response that the parser has taken, with the head and what is between chunks.
+    std::size_t consumed = 0;
+    /// Bytes reserved in the client's budget.
+    std::size_t held = 0;
     timestamp writtenAt = distantPast;
     /// When the newest part of an incomplete response arrived.
     timestamp partAt = distantPast;
@@ -379,6 +449,16 @@
     m_state->mostOpen = most;
 }
 
+void http_client::limitReceived(receive_budget *budget)
+{
+    m_state->budget = budget;
+}
+
+std::uint64_t http_client::answersBeyondLimits() const
+{
+    return m_state->beyondLimits;
+}
+
 void http_client::send(http_call call, completion done)
 {
     std::make_shared<exchange>(m_state, std::move(call), std::move(done))->start();
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -7,6 +7,7 @@
 
 #include "net/busy_meter.h"
 #include "net/http_message.h"
+#include "net/receive_budget.h"
 
 namespace bramleygrade::net {
 
@@ -34,6 +35,13 @@
     /// closed. Connections in use are not limited.
     void limitConnections(std::size_t most);
 
+    /// Sets the budget for the answers that are being read, which must outlive the client's calls;
+    /// null: none. A call whose answer exceeds it ends unanswered.
+    void limitReceived(receive_budget *budget);
+
+    /// Returns the number of calls that ended because their answers exceeded a limit.
+    std::uint64_t answersBeyondLimits() const;
+
     /// Returns the number of connections opened so far.
     std::uint64_t connectionsOpened() const;
 
--- a/src/net/http_message.h
+++ b/src/net/http_message.h
@@ -34,6 +34,10 @@
     std::shared_ptr<void> whileWritten = nullptr;
 };
 
+/// Limit of an answer's body for which no other is given; the users' store sends up to 1 MB of
+/// rows, in base64 and JSON.
+constexpr std::size_t maxAnswerBytes = 16U << 20U;
+
 /// An outgoing request. It is abandoned at `deadline`, or at `completeBy` if the response is
 /// arriving.
 struct http_call
@@ -59,6 +63,10 @@
     timestamp completeBy = distantPast;
     /// Called for each part of the response, with the bytes of the body so far. May be empty.
     std::function<void(std::size_t)> onPart = nullptr;
+    /// A call whose answer has a larger body ends unanswered.
+    std::size_t maxBodyBytes = maxAnswerBytes;
+    /// The answers of these calls leave half of the client's budget to the others.
+    bool sparesBudget = false;
 };
 
 enum class call_outcome {
