--- a/src/entry/client_limits.h
+++ b/src/entry/client_limits.h
@@ -7,7 +7,7 @@
 /// Limits of an entry on what its clients may make it hold.
 struct client_limits
 {
-    /// Maximum memory of all messages that are being read, answers of other processes included.
+    /// Maximum memory of the requests at all ports together.
     std::size_t receivedBytes = 0;
     net::server_limits callers;
     net::server_limits readiness;
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -240,7 +240,7 @@
     entry_metrics metrics;
     net::busy_meter meter;
     entry_observation observed;
-    /// Memory of the messages that are being read.
+    /// Memory of the requests that are being read or answered.
     net::receive_budget receiving;
     net::http_client client;
     std::unique_ptr<net::http_server> callerServer;
--- a/src/entry/metrics.cpp
+++ b/src/entry/metrics.cpp
@@ -120,6 +120,7 @@
      "Requests not read to their end, or answers not read by the client, for lack of memory; by "
      "port."},
     {"received_bytes", "Memory of the messages that are being read or answered."},
+    {"answers_beyond_limits", "Calls that ended because their answers exceeded a limit."},
     {"event_loop_delay_seconds", "Lateness of the event loop's timer."},
     {"decision_seconds", "Duration of a decision."},
     {"start_seconds", "Time to a worker's answer to a start order."},
