--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -158,6 +158,11 @@
          COMMAND ${CMAKE_SOURCE_DIR}/testing/soak/run_seeds.sh $<TARGET_FILE:bramleygrade>
                  $<TARGET_FILE:soak> ${CMAKE_BINARY_DIR}/soak-runs 20 11 15)
 set_tests_properties(soak_of_fixed_seeds PROPERTIES RUN_SERIAL TRUE COST 1)
+# Tasks run twice: new lives of workers carry out late starts and are cut off.
+add_test(NAME twice_recut_of_real_processes
+         COMMAND ${CMAKE_SOURCE_DIR}/testing/soak/run.sh $<TARGET_FILE:bramleygrade>
+                 $<TARGET_FILE:soak> 120 19 ${CMAKE_BINARY_DIR}/soak-runs/recut recut 1500)
+set_tests_properties(twice_recut_of_real_processes PROPERTIES RUN_SERIAL TRUE COST 1)
 
 add_executable(platform_formats_test platform/test/formats_test.cpp)
 target_link_libraries(platform_formats_test PRIVATE bramleygrade_platform Boost::headers)
