Bounds on what the own interface reads of a request and of an answer

Callers saw: an entry grew with each line, head or chunked body that a client sent without end, before any check of the caller. Cause: cpp-httplib collects lines, headers and chunked or compressed bodies without a limit; answers to the entry's own calls as well. Change: servers read through a stream of their own, which counts lines and bodies of a request, bounds all requests at once and the time in which one arrives; encoded bodies get 415; a connection whose head can't be read is closed. Bodies of answers are limited to 16 MiB; their lines and trailers are not yet.

--- a/src/daemon/caller_server.h
+++ b/src/daemon/caller_server.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <thread>
 
+#include "daemon/bounded_server.h"
 #include "daemon/decision_loop.h"
 #include "daemon/http.h"
 #include "daemon/pending_answers.h"
@@ -48,7 +49,7 @@
     std::atomic<std::uint32_t> m_reachableHomes {0};
     std::atomic<bool> m_isHealthCheckFailing {false};
     std::atomic<bool> m_isRefusingRequests {false};
-    httplib::Server m_server;
+    bounded_server m_server;
     std::thread m_thread;
 };
 
--- a/src/daemon/http.cpp
+++ b/src/daemon/http.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "daemon/clock.h"
+#include "daemon/log.h"
 
 namespace bramleygrade {
 
@@ -13,6 +14,8 @@
 constexpr microseconds clientIdleTimeout = 10 * second;
 constexpr std::size_t maxIdlePerAddress = 16;
 constexpr std::size_t maxPayloadBytes = 2ul * 1024 * 1024;
+/// A call whose answer has a larger body counts as lost.
+constexpr std::size_t maxAnswerBytes = 16ul * 1024 * 1024;
 constexpr time_t serverReadWriteTimeoutSeconds = 5;
 /// Idle server connections are closed after this time because each occupies a server thread.
 constexpr time_t serverKeepAliveTimeoutSeconds = 2;
@@ -91,8 +94,28 @@
         return result;
     }
     setTimeouts(*client, now, deadline);
-    const httplib::Result response = client->Post(path.c_str(), headers, body, "application/json");
+    httplib::Request request;
+    request.method = "POST";
+    request.path = path;
+    request.headers = headers;
+    request.headers.emplace("Content-Type", "application/json");
+    request.body = body;
+    request.content_receiver = [&result](const char *part, std::size_t size, std::uint64_t,
+                                         std::uint64_t) {
+        if (size > maxAnswerBytes - result.body.size()) {
+            return false;
+        }
+        result.body.append(part, size);
+        return true;
+    };
+    const httplib::Result response = client->send(request);
     if (!response) {
+        if (response.error() == httplib::Error::Canceled || !result.body.empty()) {
+            logWarning("event=answer-dropped address=" + address
+                       + " bytes=" + std::to_string(result.body.size())
+                       + " reason=\"it is incomplete or exceeds the limit of answers\"");
+        }
+        result.body.clear();
         result.delivery = toDelivery(response.error());
         absl::MutexLock lock(&m_mutex);
         m_idle.erase(address);
@@ -100,7 +123,6 @@
     }
     result.delivery = http_delivery::answered;
     result.status = response->status;
-    result.body = response->body;
     result.isLeaving = response->has_header("Bramley-Leaving");
     result.entityTag = response->get_header_value("ETag");
     release(address, std::move(client));
--- a/src/daemon/operator_server.h
+++ b/src/daemon/operator_server.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <thread>
 
+#include "daemon/bounded_server.h"
 #include "daemon/decision_loop.h"
 #include "daemon/http.h"
 #include "daemon/pending_answers.h"
@@ -41,7 +42,7 @@
     decision_queue &m_decisions;
     daemon_state_formatter m_formatDaemonState;
     pending_answers<answer_operator> m_pendingAnswers;
-    httplib::Server m_server;
+    bounded_server m_server;
     std::thread m_thread;
 };
 
--- a/src/daemon/peer_transport.h
+++ b/src/daemon/peer_transport.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <thread>
 
+#include "daemon/bounded_server.h"
 #include "daemon/decision_loop.h"
 #include "daemon/http.h"
 
@@ -82,7 +83,7 @@
     const int m_port;
     const std::string m_cellKey;
     decision_queue &m_decisions;
-    httplib::Server m_server;
+    bounded_server m_server;
     std::thread m_thread;
 };
 
