Room for 500 connections of callers and of peers at 4,100 descriptors

With 15 % of the descriptors for incoming connections, peers had 206 of 4,100, and a cell of 300 entries has more than that at its scheduler, which would close idle ones beside their next request. The entry's own calls keep 70 %.

--- a/src/entry/client_limits.cpp
+++ b/src/entry/client_limits.cpp
@@ -15,8 +15,8 @@
 
 /// Parts per thousand of the descriptors for incoming connections. Peers apart, so that other
 /// clients cannot take the place of heartbeats.
-constexpr std::size_t callerShareMilli = 500;
-constexpr std::size_t peerShareMilli = 350;
+constexpr std::size_t callerShareMilli = 400;
+constexpr std::size_t peerShareMilli = 420;
 constexpr std::size_t readinessShareMilli = 80;
 
 std::size_t shareOf(std::size_t all, std::size_t milli)
--- a/src/entry/daemon.cpp
+++ b/src/entry/daemon.cpp
@@ -43,7 +43,7 @@
 
 /// Share of the process's descriptors that outgoing connections may use, in parts per thousand. The
 /// others are for callers, peers and files.
-constexpr std::size_t outgoingShareMilli = 850;
+constexpr std::size_t outgoingShareMilli = 700;
 
 constexpr std::size_t allMilli = 1'000;
 
