--- a/test/hostile_callers_test.cpp
+++ b/test/hostile_callers_test.cpp
@@ -126,6 +126,7 @@
     boost::asio::io_context loop;
     std::size_t bytesLeft = mostBytesSent;
     std::vector<std::unique_ptr<hostile_client>> crowd;
+    crowd.reserve(clientCount);
     for (int number = 0; number < clientCount; ++number) {
         crowd.push_back(
             std::make_unique<hostile_client>(loop, entry.endpoint(server), request, bytesLeft));
--- a/testing/cell/history_events.cpp
+++ b/testing/cell/history_events.cpp
@@ -119,14 +119,7 @@
             }
         }
     });
-    scheduleRecurring(injectedFaults.recutWaveInterval, [this] {
-        constexpr double waveShare = 1.0 / 3;
-        for (const auto &[id, worker] : workers) {
-            if (worker.up && drawBool(waveShare)) {
-                restartAndCutOff(id);
-            }
-        }
-    });
+    scheduleRecurring(injectedFaults.recutWaveInterval, [this] { cutOffRestartedWorkers(); });
     scheduleRecurring(injectedFaults.capacityChangeInterval, [this] { changeRandomCapacity(); });
     scheduleRecurring(injectedFaults.capChangeInterval, [this] {
         constexpr double shares[] = {1.0, 1.0, 0.5, 0.25};
--- a/testing/cell/history_state.h
+++ b/testing/cell/history_state.h
@@ -84,6 +84,8 @@
     bool isConnectionRetried(const std::string &id);
     /// Starts the worker again under its id; the registry shows it later.
     void startAgain(const std::string &id);
+    /// Calls `restartAndCutOff` for a third of the workers.
+    void cutOffRestartedWorkers();
     /// Crashes the worker if it is up, starts it again under its id within a second and cuts it off
     /// soon after. The registry shows the new life at once.
     void restartAndCutOff(const std::string &id);
--- a/testing/cell/history_workers.cpp
+++ b/testing/cell/history_workers.cpp
@@ -166,6 +166,16 @@
                [this, id] { partitionedWorkers.erase(id); });
 }
 
+void cell_history::state::cutOffRestartedWorkers()
+{
+    constexpr double waveShare = 1.0 / 3;
+    for (const auto &[id, worker] : workers) {
+        if (worker.up && drawBool(waveShare)) {
+            restartAndCutOff(id);
+        }
+    }
+}
+
 void cell_history::state::restoreCapacities()
 {
     for (const auto &[id, worker] : workers) {
