--- a/src/cell/workers/worker_state.h
+++ b/src/cell/workers/worker_state.h
@@ -53,7 +53,7 @@
     /// The worker's clock in its newest answer, and the local time at which it arrived.
     std::int64_t clock = 0;
     timestamp clockReadAt = distantPast;
-    /// Local time after which every lease that this scheduler has granted to the worker has
+    /// Local time after which every lease that this scheduler has granted to this life has
     /// expired, and once the worker is fenced those of earlier ones.
     timestamp leasesExpiredAt = distantPast;
 
@@ -162,8 +162,8 @@
     double clockRateError = 0.02;
     /// Longest time between a worker reading its clock and the reading being used.
     microseconds clockReadingMargin = 100 * millisecond;
-    /// Longest time after which a worker carries out an order that got no answer (users' bench:
-    /// 2 to 12 s).
+    /// Longest time after which a worker carries out an order that got no answer. The worker
+    /// protocol says "seconds later"; the users' test tool delays such orders by up to 12 s.
     microseconds orderDelay = 12 * second;
 };
 
@@ -178,7 +178,8 @@
 /// worker, whatever its clock rate within the bound.
 timestamp latestLeaseExpiry(const lease_limits &limits, timestamp grantedFrom);
 
-/// Returns the local time after which a lease has expired that a life with another clock was given
+/// Of a stray order, one that another life carries out than the one for which it was built: returns
+/// the local time after which a lease has expired that a life with another clock was given
 /// by an order it carried out until `carriedOutBy`: the end of the lease on the clock of the former
 /// life is far in the future there, so that the worker shortens the lease to its own limit.
 timestamp strayLeaseExpiry(const lease_limits &limits, timestamp carriedOutBy);
