Leases and the release of lost runs are a file of their own

What bounds leases and releases the runs of silent workers moves to workers/leases.cpp unchanged, but for the loop body that it shared with the begin of a life, which is one function now (breakGangOf). No decision changes.

--- a/src/cell/scheduler.h
+++ b/src/cell/scheduler.h
@@ -402,9 +402,6 @@
 /// Returns the time after which every lease that an earlier scheduler granted to a worker that has
 /// not been fenced has expired; `distantFuture` if that is not known.
 timestamp predecessorLeaseExpiry(const scheduler &cell);
-/// As `predecessorLeaseExpiry`, for a worker of which another life may have carried out the orders
-/// of an earlier scheduler.
-timestamp strayPredecessorLeaseExpiry(const scheduler &cell);
 /// Grants the longest lease allowed at `now` and returns its end on the worker's clock.
 std::int64_t grantLease(const scheduler &cell, worker_state &worker, timestamp now);
 /// Computes the job's objective, and the expected times to its end, from the run times observed in
--- /dev/null
+++ b/src/cell/workers/leases.cpp
@@ -0,0 +1,135 @@
+#include <algorithm>
+
+#include "cell/ends/crashes.h"
+#include "cell/interference/scheduler_interference.h"
+#include "cell/workers/worker_lives.h"
+
+namespace bramleygrade::cell {
+
+namespace {
+
+/// As `predecessorLeaseExpiry`, for a worker of which another life may have carried out the orders
+/// of an earlier scheduler.
+timestamp strayPredecessorLeaseExpiry(const scheduler &cell)
+{
+    if (cell.predecessorsOverAt == distantFuture) {
+        return distantFuture;
+    }
+    const lease_limits &limits = cell.settings.lease;
+    return strayLeaseExpiry(limits, cell.predecessorsOverAt + limits.orderDelay)
+        + cell.settings.predecessorGrace;
+}
+
+/// Returns the local time after which every lease on the worker has expired, but those of lives
+/// that are not known.
+timestamp leaseExpiry(const scheduler &cell, const worker_life &life)
+{
+    if (life.fenced) {
+        return life.leasesExpiredAt;
+    }
+    const timestamp ofPredecessors = mayCarryOutFormerOrders(life)
+        ? strayPredecessorLeaseExpiry(cell)
+        : predecessorLeaseExpiry(cell);
+    return std::max(life.leasesExpiredAt, ofPredecessors);
+}
+
+/// Returns the local time after which the run cannot exist on the silent worker, whichever of its
+/// lives has carried out the start. `distantFuture` if that is not known yet.
+timestamp runExpiry(const scheduler &cell, const worker_life &life, const task_state &task)
+{
+    const timestamp expiry = leaseExpiry(cell, life);
+    const bool isStray = task.strayStartAt != distantPast;
+    if (!mayCarryOutFormerOrders(life) || (!isStray && task.confirmedAt != distantPast)) {
+        return expiry;
+    }
+    if (!isStray) {
+        return distantFuture; // the outcome of the start order is yet to come
+    }
+    const lease_limits &limits = cell.settings.lease;
+    const timestamp lastOrderAt = std::max(task.strayStartAt, life.unansweredAt);
+    return std::max(expiry, strayLeaseExpiry(limits, lastOrderAt + limits.orderDelay));
+}
+
+/// Releases runs that can no longer exist on the silent worker.
+void releaseRuns(scheduler &cell, worker_state &worker, const std::set<task_id> &runs,
+                 timestamp now, orders &out)
+{
+    for (const task_id &id : runs) {
+        const auto [job, task] = breakGangOf(cell, id);
+        if (task == nullptr) {
+            continue;
+        }
+        worker.life.lostRuns[id] = suspectedRun(cell, *job, *task);
+        const std::string trialLife = task->trialLife;
+        releaseRun(cell, id, *job, *task);
+        task->trialLife = trialLife; // the worker may have crashed
+    }
+    worker.life.reconciled = true;
+    cell.needsPlacement = true;
+    out.events.push_back({"worker_runs_lost", "",
+                          "worker=" + worker.entry.id + " runs=" + std::to_string(runs.size())
+                              + " held=" + std::to_string(worker.life.runs.size()) + " silent_ms="
+                              + std::to_string((now - worker.life.answeredAt) / millisecond)});
+}
+
+} // namespace
+
+timestamp predecessorLeaseExpiry(const scheduler &cell)
+{
+    if (cell.predecessorsOverAt == distantFuture) {
+        return distantFuture;
+    }
+    return latestLeaseExpiry(cell.settings.lease, cell.predecessorsOverAt)
+        + cell.settings.predecessorGrace;
+}
+
+std::int64_t grantLease(const scheduler &cell, worker_state &worker, timestamp now)
+{
+    const lease_limits &limits = cell.settings.lease;
+    const timestamp grantedFrom = std::min(now, cell.confirmedAt);
+    worker.life.leasesExpiredAt =
+        std::max(worker.life.leasesExpiredAt, latestLeaseExpiry(limits, grantedFrom));
+    return workerClock(worker, now) + limits.longest - (now - grantedFrom);
+}
+
+void releaseAllRuns(scheduler &cell, worker_state &worker, timestamp now, orders &out)
+{
+    releaseRuns(cell, worker, std::set<task_id>(worker.life.runs), now, out);
+    worker.life.runs.clear();
+    worker.life.used = {};
+    worker.life.usedByLasting = {};
+    clearPresence(worker.images);
+}
+
+void releaseExpiredRuns(scheduler &cell, worker_state &worker, timestamp now, orders &out)
+{
+    const auto isOver = [&](timestamp expiry) {
+        // A successor may have renewed the leases unless the leadership was confirmed since.
+        const bool isExpired = std::min(now, cell.confirmedAt) > expiry;
+        const bool isProved = cell.noSuccessorAt > expiry;
+        cell.awaitsProof = cell.awaitsProof || (isExpired && !isProved);
+        return isExpired && isProved;
+    };
+    std::set<task_id> expired;
+    for (const task_id &id : worker.life.runs) {
+        job_state *job = findJob(cell, id.job);
+        const task_state *task = job == nullptr ? nullptr : findTask(*job, id);
+        if (isOver(task == nullptr ? leaseExpiry(cell, worker.life)
+                                   : runExpiry(cell, worker.life, *task))) {
+            expired.insert(id);
+        }
+    }
+    const bool isReconciled = worker.life.reconciled || isOver(leaseExpiry(cell, worker.life));
+    if (expired.empty() && isReconciled == worker.life.reconciled) {
+        return;
+    }
+    ++cell.counters.lostWorkers;
+    cell.hasUnknownCrash = cell.hasUnknownCrash || !worker.life.reconciled;
+    if (expired.size() == worker.life.runs.size()) {
+        releaseAllRuns(cell, worker, now, out);
+    } else {
+        releaseRuns(cell, worker, expired, now, out);
+    }
+}
+
+} // namespace bramleygrade::cell
--- a/src/cell/workers/worker_lives.cpp
+++ b/src/cell/workers/worker_lives.cpp
@@ -24,13 +24,10 @@
 void holdRuns(scheduler &cell, worker_state &worker, timestamp now)
 {
     for (const task_id &id : worker.life.runs) {
-        job_state *job = findJob(cell, id.job);
-        task_state *task = job == nullptr ? nullptr : findTask(*job, id);
+        task_state *task = breakGangOf(cell, id).task;
         if (task == nullptr) {
             continue;
         }
-        ensureOccurrence(*job, id.occurrence).steps[static_cast<std::size_t>(id.step)].gangBroken =
-            true;
         if (task->confirmedAt == distantPast && task->strayStartAt == distantPast) {
             task->strayStartAt = now; // its outcome is yet to come
         }
@@ -91,6 +88,18 @@
     return report.born != life.born || (sentAt >= life.clockReadAt && isClockBehind(life, report));
 }
 
+known_run breakGangOf(scheduler &cell, const task_id &id)
+{
+    job_state *job = findJob(cell, id.job);
+    task_state *task = job == nullptr ? nullptr : findTask(*job, id);
+    if (task == nullptr) {
+        return {};
+    }
+    ensureOccurrence(*job, id.occurrence).steps[static_cast<std::size_t>(id.step)].gangBroken =
+        true;
+    return {job, task};
+}
+
 void noteRestart(scheduler &cell, worker_state &worker, timestamp now)
 {
     const bool isKnown = mayCarryOutFormerOrders(worker.life);
--- a/src/cell/workers/worker_lives.h
+++ b/src/cell/workers/worker_lives.h
@@ -25,6 +25,17 @@
 /// limited number of them, oldest first.
 bool listsAllEnds(const worker_report &report);
 
+/// A run of a task that is known.
+struct known_run
+{
+    job_state *job = nullptr;
+    task_state *task = nullptr;
+};
+
+/// Notes that the gang of the task, if it is in one, has lost a member. Returns the task; null if
+/// it is not known any more.
+known_run breakGangOf(scheduler &cell, const task_id &id);
+
 /// Notes that another life of the worker than the known one is up. A fence tells which one is the
 /// current one and keeps it from carrying out earlier orders; until then a successor has to know.
 void noteRestart(scheduler &cell, worker_state &worker, timestamp now);
