Fields of an answer count with the memory that they take

A head of 16 KB with some 4,000 short fields takes some 360 KB once it is read: at an entry's ports 400 such heads took 145 MB. On the other side, a client counted only the body and what waits in its buffer against the budget of answers, so that the heads of a few hundred workers at once were bounded by their number only.

Each byte of a head now counts as 32, up to the largest head; an ordinary answer of 100 bytes counts 3 KB more until it is read. The new test of one answer and a budget of 120,000 bytes failed before (the call waited for its deadline, nothing was counted), and passes now.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -25,6 +25,8 @@
 
 /// Maximum size of the head of a response.
 constexpr std::uint32_t maxHeadBytes = 16'384;
+/// A byte of the head may take this many bytes of memory, if its fields are short.
+constexpr std::size_t headWeight = 32;
 /// Maximum number of bytes that wait in the buffer: a line between chunks, or all trailers.
 constexpr std::size_t maxBufferedBytes = 65'536;
 /// Maximum number of bytes around the body, beyond one for each byte of it.
@@ -307,7 +309,9 @@
             return false;
         }
         receive_budget *const budget = client->budget;
-        const std::size_t wanted = body + conn->buffer.size();
+        const std::size_t framing = consumed > body ? consumed - body : 0;
+        const std::size_t wanted =
+            body + conn->buffer.size() + headWeight * std::min<std::size_t>(framing, maxHeadBytes);
         if (budget == nullptr || wanted <= held) {
             return true;
         }
--- a/test/cell/http_client_test.cpp
+++ b/test/cell/http_client_test.cpp
@@ -139,3 +139,36 @@
     BOOST_TEST(run.result->receivedBytes == 3 * bodyBytes / 8);
     BOOST_TEST(run.reported == 3 * bodyBytes / 8);
 }
+
+// Guards against answers whose fields take far more memory than their bytes, and than the budget.
+BOOST_AUTO_TEST_CASE(memory_of_an_answer_with_many_short_fields)
+{
+    constexpr std::size_t headBytes = 12'000;
+    boost::asio::io_context loop;
+    tcp::acceptor acceptor(loop, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+    tcp::socket socket(loop);
+    std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n";
+    while (head.size() < headBytes) {
+        head += "a:\r\n";
+    }
+    head += "\r\n";
+    acceptor.async_accept(socket, [&](boost::system::error_code) {
+        boost::system::error_code ignored;
+        boost::asio::write(socket, boost::asio::buffer(head), ignored);
+    });
+    net::receive_budget budget {10 * headBytes};
+    net::http_client client(loop, steadyNow);
+    client.limitReceived(&budget);
+    net::http_call call;
+    call.address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+    call.deadline = steadyNow() + 2 * second;
+    std::optional<net::call_result> result;
+    client.send(std::move(call), [&](net::call_result given) { result = std::move(given); });
+    while (!result) {
+        loop.run_one();
+    }
+    BOOST_TEST((result->outcome == net::call_outcome::unanswered));
+    BOOST_TEST(client.answersBeyondLimits() == 1U);
+    BOOST_TEST(budget.refused == 1U);
+    BOOST_TEST(budget.used == 0U);
+}
