--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -2,16 +2,12 @@
 
 #include <algorithm>
 #include <iterator>
-#include <limits>
-#include <list>
-#include <map>
 #include <optional>
 
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
+#include "net/client_connections.h"
 #include "net/ip_endpoint.h"
 
 namespace bramleygrade::net {
@@ -27,8 +23,6 @@
 constexpr std::uint32_t maxHeadBytes = 16'384;
 /// A byte of the head may take this many bytes of memory, if its fields are short.
 constexpr std::size_t headWeight = 32;
-/// Maximum number of bytes that wait in the buffer: a line between chunks, or all trailers.
-constexpr std::size_t maxBufferedBytes = 65'536;
 /// Maximum number of bytes around the body, beyond one for each byte of it.
 constexpr std::size_t maxFramingBytes = 65'536;
 /// Time without a further part after which a response that has begun counts as cut off. A slow link
@@ -47,88 +41,6 @@
                     : std::nullopt;
 }
 
-} // namespace
-
-struct connection
-{
-    connection(asio::io_context &loop, std::string peer, std::shared_ptr<std::size_t> counter)
-        : socket(loop)
-        , address(std::move(peer))
-        , openCount(std::move(counter))
-    {
-        ++*openCount;
-    }
-    ~connection() { --*openCount; }
-    connection(const connection &) = delete;
-    connection &operator=(const connection &) = delete;
-
-    tcp::socket socket;
-    std::string address;
-    /// Number of connections that the client has.
-    std::shared_ptr<std::size_t> openCount;
-    boost::beast::flat_buffer buffer {maxBufferedBytes};
-    timestamp openedAt = distantPast;
-    /// When the newest response was read.
-    timestamp usedAt = distantPast;
-    /// Position in `idleByUse`; valid while the connection is idle.
-    std::list<std::shared_ptr<connection>>::iterator position;
-};
-
-using connection_list = std::vector<std::shared_ptr<connection>>;
-
-struct http_client::state
-{
-    asio::io_context &loop;
-    clock_function now;
-    /// Idle connections by address; the last one was used last.
-    std::map<std::string, connection_list> idle;
-    /// All idle connections; the first one was used longest ago.
-    std::list<std::shared_ptr<connection>> idleByUse;
-    std::shared_ptr<std::size_t> openCount = std::make_shared<std::size_t>(0);
-    std::size_t mostOpen = std::numeric_limits<std::size_t>::max();
-    std::uint64_t opened = 0;
-    busy_meter *meter = nullptr;
-    receive_budget *budget = nullptr;
-    std::uint64_t beyondLimits = 0;
-};
-
-namespace {
-
-void putIdle(http_client::state &client, const std::shared_ptr<connection> &conn)
-{
-    client.idle[conn->address].push_back(conn);
-    conn->position = client.idleByUse.insert(client.idleByUse.end(), conn);
-}
-
-/// Takes an idle connection out; the caller uses it, or drops it, which closes it.
-std::shared_ptr<connection> takeIdle(http_client::state &client, connection_list &connections,
-                                     connection_list::iterator taken)
-{
-    std::shared_ptr<connection> conn = *taken;
-    client.idleByUse.erase(conn->position);
-    connections.erase(taken);
-    return conn;
-}
-
-/// Closes idle connections so that one more can be opened within the limit.
-void makeRoom(http_client::state &client)
-{
-    while (*client.openCount >= client.mostOpen && !client.idleByUse.empty()) {
-        const std::string address = client.idleByUse.front()->address;
-        const auto found = client.idle.find(address);
-        connection_list &connections = found->second;
-        takeIdle(client, connections,
-                 std::find(connections.begin(), connections.end(), client.idleByUse.front()));
-        if (connections.empty()) {
-            client.idle.erase(found);
-        }
-    }
-}
-
-} // namespace
-
-namespace {
-
 /// One call in progress.
 struct exchange : std::enable_shared_from_this<exchange>
 {
