Failing test: a table that answers the own interface without end

An entry of the own interface reads what its table sends: the body of an answer has a limit, its lines, headers and trailers have none.

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -368,7 +368,10 @@
 add_executable(hostile_callers_test test/hostile_callers_test.cpp)
 target_include_directories(hostile_callers_test PRIVATE ${CMAKE_SOURCE_DIR}/test)
 target_link_libraries(hostile_callers_test PRIVATE Boost::headers Threads::Threads)
-add_test(NAME memory_of_an_entry_whose_callers_send_without_end
-         COMMAND hostile_callers_test -- $<TARGET_FILE:bramleygrade>)
-set_tests_properties(memory_of_an_entry_whose_callers_send_without_end
-                     PROPERTIES RUN_SERIAL TRUE COST 1)
+foreach(sender callers_send table_answers)
+    add_test(NAME memory_of_an_entry_whose_${sender}_without_end
+             COMMAND hostile_callers_test --run_test=memory_of_an_entry_whose_${sender}_without_end
+                     -- $<TARGET_FILE:bramleygrade>)
+    set_tests_properties(memory_of_an_entry_whose_${sender}_without_end
+                         PROPERTIES RUN_SERIAL TRUE COST 1)
+endforeach()
--- a/test/cell/hostile_answers_test.cpp
+++ b/test/cell/hostile_answers_test.cpp
@@ -39,21 +39,6 @@
     std::uint16_t workers = 0;
 };
 
-const std::string chunkedAnswer = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
-const std::string filler(1'000, 'a');
-
-const endless_answer endlessAnswers[] = {
-    {"trailers", chunkedAnswer + "0\r\n", "X-Trailer: " + filler + "\r\n"},
-    {"trailer", chunkedAnswer + "0\r\nX-Trailer: ", filler},
-    {"extension", chunkedAnswer + "1;name=", filler},
-    {"extensions", chunkedAnswer, "1;name=" + filler + "\r\na\r\n"},
-    {"zeros", chunkedAnswer, std::string(1'000, '0')},
-    {"chunks", chunkedAnswer, "3e8\r\n" + filler + "\r\n"},
-    {"headers", "HTTP/1.1 200 OK\r\n", "X-Header: " + filler + "\r\n"},
-    {"header", "HTTP/1.1 200 OK\r\nX-Header: ", filler},
-    {"body", "HTTP/1.1 200 OK\r\nContent-Length: 16000000\r\n\r\n", filler},
-};
-
 tcp::endpoint endpointOf(std::uint16_t port)
 {
     return {boost::asio::ip::make_address(ownAddress()), port};
--- a/test/hostile_callers_test.cpp
+++ b/test/hostile_callers_test.cpp
@@ -17,7 +17,6 @@
 constexpr long descriptorBound = 400;
 constexpr auto crowdTime = std::chrono::seconds(5);
 
-const std::string filler(1'000, 'a');
 const std::string post = "POST /v1/services/booking/x HTTP/1.1\r\nHost: a\r\nBramley-Team: t\r\n";
 const std::string chunkedPost = post + "Transfer-Encoding: chunked\r\n\r\n";
 
@@ -138,3 +137,18 @@
     crowd.clear();
     BOOST_TEST(entry.isHealthy());
 }
+
+// Guards against an entry that collects what its table sends without end.
+BOOST_DATA_TEST_CASE(memory_of_an_entry_whose_table_answers_without_end, endlessAnswers, answer)
+{
+    const entry_run entry(answer.name);
+    BOOST_REQUIRE(entry.isHealthy());
+    boost::asio::io_context loop;
+    const hostile_server table(loop, entry.endpoint(3), answer, mostBytesSent);
+    loop.run_for(crowdTime);
+    BOOST_TEST(table.answersBegun() > 0);
+    BOOST_REQUIRE(entry.program->lives());
+    BOOST_TEST(entry.program->mostMemoryMb() < memoryBoundMb);
+    BOOST_TEST(entry.program->openDescriptors() < descriptorBound);
+    BOOST_TEST(entry.isHealthy());
+}
