Answers to the own interface are bounded like requests

A table, worker or peer of the own interface could send lines, headers or trailers without end: only the body of an answer had a limit, and the time of a call was looked at between reads only, so that an answer that kept arriving held its thread for good.

The stream that counts what a server reads of a request is a file of its own now, and a client uses it for answers, with the deadline of the call. Budget and limits of lines are those of requests; bodies stay at 16 MiB.

--- a/src/daemon/bounded_server.h
+++ b/src/daemon/bounded_server.h
@@ -4,9 +4,6 @@
 
 namespace bramleygrade {
 
-/// Bytes that the requests which all servers of a process are reading may take.
-constexpr std::size_t requestBudgetBytes = 192ul * 1024 * 1024;
-
 /// Server that bounds what it reads of each request, and of all requests at once. A request beyond
 /// a limit is refused with 400 or without an answer, and its connection is closed; no handler sees
 /// it.
--- a/src/daemon/http.cpp
+++ b/src/daemon/http.cpp
@@ -25,12 +25,13 @@
     return host + ":" + std::to_string(port);
 }
 
-void setTimeouts(httplib::Client &client, timestamp now, timestamp deadline)
+void setTimeouts(bounded_client &client, timestamp now, timestamp deadline)
 {
     const microseconds remaining = std::max<microseconds>(deadline - now, millisecond);
     const microseconds connect = std::min(remaining, connectTimeout);
     client.set_connection_timeout(connect / second, connect % second);
     client.set_read_timeout(remaining / second, remaining % second);
+    client.setReadBy(deadline);
     client.set_write_timeout(connect / second, connect % second);
 }
 
@@ -43,7 +44,7 @@
 
 } // namespace
 
-std::unique_ptr<httplib::Client> connection_pool::acquire(const std::string &address)
+std::unique_ptr<bounded_client> connection_pool::acquire(const std::string &address)
 {
     absl::MutexLock lock(&m_mutex);
     std::vector<idle_connection> &idle = m_idle[address];
@@ -57,7 +58,7 @@
     return nullptr;
 }
 
-void connection_pool::release(const std::string &address, std::unique_ptr<httplib::Client> client)
+void connection_pool::release(const std::string &address, std::unique_ptr<bounded_client> client)
 {
     absl::MutexLock lock(&m_mutex);
     std::vector<idle_connection> &idle = m_idle[address];
@@ -81,9 +82,9 @@
                                   timestamp startBy, timestamp deadline)
 {
     const std::string address = addressOf(host, port);
-    std::unique_ptr<httplib::Client> client = acquire(address);
+    std::unique_ptr<bounded_client> client = acquire(address);
     if (client == nullptr) {
-        client = std::make_unique<httplib::Client>(host, port);
+        client = std::make_unique<bounded_client>(host, port);
         client->set_keep_alive(true);
         client->set_tcp_nodelay(true);
     }
--- a/src/daemon/http.h
+++ b/src/daemon/http.h
@@ -9,6 +9,7 @@
 
 #include "absl/synchronization/mutex.h"
 #include "bramleygrade/values.h"
+#include "daemon/bounded_client.h"
 
 /// \file
 /// HTTP client and server helpers on cpp-httplib, shared by all parts of the daemon.
@@ -55,12 +56,12 @@
 private:
     struct idle_connection
     {
-        std::unique_ptr<httplib::Client> client;
+        std::unique_ptr<bounded_client> client;
         timestamp reusableUntil = 0;
     };
 
-    std::unique_ptr<httplib::Client> acquire(const std::string &address);
-    void release(const std::string &address, std::unique_ptr<httplib::Client> client);
+    std::unique_ptr<bounded_client> acquire(const std::string &address);
+    void release(const std::string &address, std::unique_ptr<bounded_client> client);
 
     mutable absl::Mutex m_mutex;
     std::map<std::string, std::vector<idle_connection>> m_idle;
