Tests link the unit test framework instead of compiling it

The tests link libboost_unit_test_framework.a instead, which libboost-test-dev installs already. Modules, cases and checks are the same.

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -23,16 +23,19 @@
 target_link_libraries(histories PRIVATE bramleygrade_fakes absl::flags absl::flags_parse)
 
 enable_testing()
+# Linked, as the header-only variant is compiled and linted again with each test.
+set(Boost_USE_STATIC_LIBS ON)
+find_package(Boost REQUIRED COMPONENTS unit_test_framework)
 foreach(unit json_codec settings authority request_home request_queue worker_pool cell_view documents
              task_owner)
     add_executable(${unit}_test test/${unit}_test.cpp)
     target_include_directories(${unit}_test PRIVATE ${CMAKE_SOURCE_DIR}/src)
-    target_link_libraries(${unit}_test PRIVATE bramleygrade_daemon Boost::headers)
+    target_link_libraries(${unit}_test PRIVATE bramleygrade_daemon Boost::unit_test_framework)
     add_test(NAME ${unit} COMMAND ${unit}_test)
 endforeach()
 
 add_executable(jobs_test test/jobs_test.cpp)
-target_link_libraries(jobs_test PRIVATE bramleygrade_fakes Boost::headers)
+target_link_libraries(jobs_test PRIVATE bramleygrade_fakes Boost::unit_test_framework)
 add_test(NAME jobs COMMAND jobs_test)
 
 # 10,000 randomised histories in virtual time; the fixed seeds make the result reproducible.
@@ -75,7 +78,7 @@
              team_takeover uneven_workers waiting_jobs watches worker_loss worker_speeds writes)
     add_executable(cell_${unit}_test test/cell/${unit}_test.cpp)
     target_include_directories(cell_${unit}_test PRIVATE ${CMAKE_SOURCE_DIR} ${CMAKE_SOURCE_DIR}/test/cell)
-    target_link_libraries(cell_${unit}_test PRIVATE bramleygrade_platform Boost::headers)
+    target_link_libraries(cell_${unit}_test PRIVATE bramleygrade_platform Boost::unit_test_framework)
     add_test(NAME cell_${unit} COMMAND cell_${unit}_test)
 endforeach()
 
@@ -83,23 +86,23 @@
 foreach(unit ends_in_pages lasting_tasks open_occurrences pending_jobs unplaceable_gangs unwanted_runs)
     add_executable(cell_${unit}_test test/cell/${unit}_test.cpp testing/cell/simulated_worker.cpp)
     target_include_directories(cell_${unit}_test PRIVATE ${CMAKE_SOURCE_DIR} ${CMAKE_SOURCE_DIR}/test/cell)
-    target_link_libraries(cell_${unit}_test PRIVATE bramleygrade_entry Boost::headers)
+    target_link_libraries(cell_${unit}_test PRIVATE bramleygrade_entry Boost::unit_test_framework)
     add_test(NAME cell_${unit} COMMAND cell_${unit}_test)
 endforeach()
 
 add_executable(explain_test test/cell/explain_test.cpp src/tools/explain.cpp)
-target_link_libraries(explain_test PRIVATE bramleygrade_platform Boost::headers)
+target_link_libraries(explain_test PRIVATE bramleygrade_platform Boost::unit_test_framework)
 add_test(NAME explain COMMAND explain_test)
 
 add_executable(cell_cluster_test test/cell/cluster_test.cpp testing/cell/memory_table.cpp)
 target_include_directories(cell_cluster_test PRIVATE ${CMAKE_SOURCE_DIR} ${CMAKE_SOURCE_DIR}/test/cell)
-target_link_libraries(cell_cluster_test PRIVATE bramleygrade_platform Boost::headers)
+target_link_libraries(cell_cluster_test PRIVATE bramleygrade_platform Boost::unit_test_framework)
 add_test(NAME cell_cluster COMMAND cell_cluster_test)
 
 # Input that is nested deeply, also with an entry on the loopback interface.
 add_executable(cell_deep_input_test test/cell/deep_input_test.cpp testing/cell/memory_table.cpp)
 target_include_directories(cell_deep_input_test PRIVATE ${CMAKE_SOURCE_DIR} ${CMAKE_SOURCE_DIR}/test/cell)
-target_link_libraries(cell_deep_input_test PRIVATE bramleygrade_platform Boost::headers)
+target_link_libraries(cell_deep_input_test PRIVATE bramleygrade_platform Boost::unit_test_framework)
 add_test(NAME cell_deep_input COMMAND cell_deep_input_test)
 
 # A cell of production size under its peak load. Call counts decide; the load is paced in real time.
@@ -108,7 +111,7 @@
                                               testing/cell/simulated_worker.cpp)
 target_include_directories(cell_overloaded_scheduler_test PRIVATE ${CMAKE_SOURCE_DIR}
                                                                   ${CMAKE_SOURCE_DIR}/test/cell)
-target_link_libraries(cell_overloaded_scheduler_test PRIVATE bramleygrade_platform Boost::headers)
+target_link_libraries(cell_overloaded_scheduler_test PRIVATE bramleygrade_platform Boost::unit_test_framework)
 foreach(failure lost_overloaded_scheduler lost_scheduler_busy_queueing_advice lost_nameless_member)
     add_test(NAME ${failure} COMMAND cell_overloaded_scheduler_test --run_test=${failure})
     set_tests_properties(${failure} PROPERTIES RUN_SERIAL TRUE COST 1)
@@ -119,13 +122,13 @@
                                                    testing/cell/simulated_worker.cpp)
 target_include_directories(cell_restarted_workers_cluster_test PRIVATE ${CMAKE_SOURCE_DIR}
                                                                        ${CMAKE_SOURCE_DIR}/test/cell)
-target_link_libraries(cell_restarted_workers_cluster_test PRIVATE bramleygrade_platform Boost::headers)
+target_link_libraries(cell_restarted_workers_cluster_test PRIVATE bramleygrade_platform Boost::unit_test_framework)
 add_test(NAME twice_workers_restart_around_a_takeover COMMAND cell_restarted_workers_cluster_test)
 set_tests_properties(twice_workers_restart_around_a_takeover PROPERTIES RUN_SERIAL TRUE COST 1)
 
 # A scheduler that was paused and may have been replaced meanwhile.
 add_executable(cell_confirmation_test test/cell/confirmation_test.cpp)
-target_link_libraries(cell_confirmation_test PRIVATE bramleygrade_entry Boost::headers)
+target_link_libraries(cell_confirmation_test PRIVATE bramleygrade_entry Boost::unit_test_framework)
 foreach(failure twice_orders_of_a_scheduler_that_was_paused
                 twice_answers_to_questions_from_before_a_pause
                 twice_verification_by_some_members_only lost_verification_beside_silent_members
@@ -142,7 +145,7 @@
 add_executable(cell_forwarding_test test/cell/forwarding_test.cpp testing/cell/memory_table.cpp)
 target_include_directories(cell_forwarding_test PRIVATE ${CMAKE_SOURCE_DIR}
                                                         ${CMAKE_SOURCE_DIR}/test/cell)
-target_link_libraries(cell_forwarding_test PRIVATE bramleygrade_platform Boost::headers)
+target_link_libraries(cell_forwarding_test PRIVATE bramleygrade_platform Boost::unit_test_framework)
 add_test(NAME cell_forwarding COMMAND cell_forwarding_test "--run_test=!lost_*")
 foreach(failure lost_answer_on_a_silent_connection lost_answer_while_no_scheduler_answers
                 lost_answer_while_the_rows_are_loaded lost_job_accepted_by_a_successor)
@@ -165,15 +168,15 @@
 set_tests_properties(twice_recut_of_real_processes PROPERTIES RUN_SERIAL TRUE COST 1)
 
 add_executable(platform_formats_test platform/test/formats_test.cpp)
-target_link_libraries(platform_formats_test PRIVATE bramleygrade_platform Boost::headers)
+target_link_libraries(platform_formats_test PRIVATE bramleygrade_platform Boost::unit_test_framework)
 add_test(NAME platform_formats COMMAND platform_formats_test)
 
 add_executable(platform_configuration_test platform/test/configuration_test.cpp)
-target_link_libraries(platform_configuration_test PRIVATE bramleygrade_platform Boost::headers)
+target_link_libraries(platform_configuration_test PRIVATE bramleygrade_platform Boost::unit_test_framework)
 add_test(NAME platform_configuration COMMAND platform_configuration_test)
 
 add_executable(platform_worker_calls_test platform/test/worker_calls_test.cpp)
-target_link_libraries(platform_worker_calls_test PRIVATE bramleygrade_platform Boost::headers)
+target_link_libraries(platform_worker_calls_test PRIVATE bramleygrade_platform Boost::unit_test_framework)
 add_test(NAME platform_worker_calls COMMAND platform_worker_calls_test)
 foreach(failure twice_acknowledgement_on_another_connection twice_start_sent_after_a_pause
                 twice_acknowledgement_on_the_connection_of_a_start)
@@ -199,10 +202,10 @@
 add_executable(cell_loads testing/cell/loads_main.cpp)
 target_link_libraries(cell_loads PRIVATE cell_load_simulation)
 add_executable(short_wide_steps_test test/cell/short_wide_steps_test.cpp)
-target_link_libraries(short_wide_steps_test PRIVATE cell_load_simulation Boost::headers)
+target_link_libraries(short_wide_steps_test PRIVATE cell_load_simulation Boost::unit_test_framework)
 add_test(NAME short_wide_steps COMMAND short_wide_steps_test)
 add_executable(short_largest_gangs_test test/cell/short_largest_gangs_test.cpp)
-target_link_libraries(short_largest_gangs_test PRIVATE cell_load_simulation Boost::headers)
+target_link_libraries(short_largest_gangs_test PRIVATE cell_load_simulation Boost::unit_test_framework)
 set(number 0)
 foreach(seed 2 5 6 8)
     add_test(NAME short_largest_gangs_seed_${seed}
@@ -211,13 +214,13 @@
     math(EXPR number "${number} + 1")
 endforeach()
 add_executable(uneven_speeds_test test/cell/uneven_speeds_test.cpp)
-target_link_libraries(uneven_speeds_test PRIVATE cell_load_simulation Boost::headers)
+target_link_libraries(uneven_speeds_test PRIVATE cell_load_simulation Boost::unit_test_framework)
 foreach(part like_workers_are_served_as_before uneven_workers_throw_away_half_of_the_work)
     add_test(NAME uneven_speeds_${part} COMMAND uneven_speeds_test --run_test=${part})
     set_tests_properties(uneven_speeds_${part} PROPERTIES COST 30)
 endforeach()
 add_executable(team_loads_test test/cell/team_loads_test.cpp)
-target_link_libraries(team_loads_test PRIVATE cell_load_simulation Boost::headers)
+target_link_libraries(team_loads_test PRIVATE cell_load_simulation Boost::unit_test_framework)
 foreach(load nineteen_teams_lose_nothing_to_the_twentieth
              bursts_of_all_teams_cost_no_more_than_without_teams
              all_teams_burst_and_none_is_starved)
@@ -232,17 +235,17 @@
 add_test(NAME cell_histories_of_crashes_at_takeovers COMMAND cell_histories 1 1 takeovers crashes)
 
 add_executable(cell_advice_clients_test test/cell/advice_clients_test.cpp)
-target_link_libraries(cell_advice_clients_test PRIVATE bramleygrade_cell Boost::headers)
+target_link_libraries(cell_advice_clients_test PRIVATE bramleygrade_cell Boost::unit_test_framework)
 add_test(NAME cell_advice_clients COMMAND cell_advice_clients_test)
 
 add_executable(cell_crash_attribution_test test/cell/crash_attribution_test.cpp)
 target_include_directories(cell_crash_attribution_test PRIVATE ${CMAKE_SOURCE_DIR} ${CMAKE_SOURCE_DIR}/test/cell)
-target_link_libraries(cell_crash_attribution_test PRIVATE bramleygrade_cell Boost::headers)
+target_link_libraries(cell_crash_attribution_test PRIVATE bramleygrade_cell Boost::unit_test_framework)
 add_test(NAME budget_crashing_tasks COMMAND cell_crash_attribution_test)
 # Workers that start again under their ids; each failure is a test of its own.
 add_executable(cell_worker_restart_test test/cell/worker_restart_test.cpp)
 target_include_directories(cell_worker_restart_test PRIVATE ${CMAKE_SOURCE_DIR} ${CMAKE_SOURCE_DIR}/test/cell)
-target_link_libraries(cell_worker_restart_test PRIVATE bramleygrade_cell Boost::headers)
+target_link_libraries(cell_worker_restart_test PRIVATE bramleygrade_cell Boost::unit_test_framework)
 foreach(failure twice_end_of_a_restarted_worker twice_acknowledgement_for_a_former_life
                 twice_late_answer_of_a_former_life budget_crashes_of_one_worker
                 limit_restarted_worker_of_another_kind twice_start_on_its_way_to_a_restarted_worker
@@ -286,21 +289,21 @@
 
 # Interference between tasks: what is learned, and what it changes in the placement.
 add_executable(cell_interference_test test/cell/interference_test.cpp)
-target_link_libraries(cell_interference_test PRIVATE bramleygrade_cell Boost::headers)
+target_link_libraries(cell_interference_test PRIVATE bramleygrade_cell Boost::unit_test_framework)
 add_test(NAME cell_interference COMMAND cell_interference_test)
 add_executable(cell_clashing_placement_test test/cell/clashing_placement_test.cpp)
 target_include_directories(cell_clashing_placement_test PRIVATE ${CMAKE_SOURCE_DIR}/test/cell)
-target_link_libraries(cell_clashing_placement_test PRIVATE cell_load_simulation Boost::headers)
+target_link_libraries(cell_clashing_placement_test PRIVATE cell_load_simulation Boost::unit_test_framework)
 add_test(NAME cell_clashing_placement COMMAND cell_clashing_placement_test)
 
 add_executable(platform_config_check_test platform/test/config_check_test.cpp src/tools/check_config.cpp)
-target_link_libraries(platform_config_check_test PRIVATE bramleygrade_platform Boost::headers)
+target_link_libraries(platform_config_check_test PRIVATE bramleygrade_platform Boost::unit_test_framework)
 add_test(NAME platform_config_check COMMAND platform_config_check_test)
 
 # Several entries, one of them cut off from the configuration in one way or another, in real time.
 add_executable(cell_keys_cluster_test test/cell/keys_cluster_test.cpp testing/cell/memory_table.cpp)
 target_include_directories(cell_keys_cluster_test PRIVATE ${CMAKE_SOURCE_DIR} ${CMAKE_SOURCE_DIR}/test/cell)
-target_link_libraries(cell_keys_cluster_test PRIVATE bramleygrade_platform Boost::headers)
+target_link_libraries(cell_keys_cluster_test PRIVATE bramleygrade_platform Boost::unit_test_framework)
 add_test(NAME cell_keys_cluster COMMAND cell_keys_cluster_test)
 set_tests_properties(cell_keys_cluster PROPERTIES RUN_SERIAL TRUE COST 1)
 
@@ -308,7 +311,7 @@
 add_executable(cell_slow_links_cluster_test test/cell/slow_links_cluster_test.cpp testing/cell/memory_table.cpp
                                             testing/cell/throttled_link.cpp)
 target_include_directories(cell_slow_links_cluster_test PRIVATE ${CMAKE_SOURCE_DIR} ${CMAKE_SOURCE_DIR}/test/cell)
-target_link_libraries(cell_slow_links_cluster_test PRIVATE bramleygrade_platform Boost::headers)
+target_link_libraries(cell_slow_links_cluster_test PRIVATE bramleygrade_platform Boost::unit_test_framework)
 foreach(failure lost_entries_that_never_complete_a_large_configuration
                 lost_answers_of_entries_behind_a_large_configuration
                 lost_links_filled_by_heartbeats_that_name_idle_queues
@@ -322,7 +325,7 @@
 add_executable(cell_slow_takeover_cluster_test test/cell/slow_takeover_cluster_test.cpp
                                                testing/cell/memory_table.cpp testing/cell/throttled_link.cpp)
 target_include_directories(cell_slow_takeover_cluster_test PRIVATE ${CMAKE_SOURCE_DIR} ${CMAKE_SOURCE_DIR}/test/cell)
-target_link_libraries(cell_slow_takeover_cluster_test PRIVATE bramleygrade_platform Boost::headers)
+target_link_libraries(cell_slow_takeover_cluster_test PRIVATE bramleygrade_platform Boost::unit_test_framework)
 foreach(failure lost_leadership_of_entries_that_load_many_rows_over_slow_links)
     add_test(NAME ${failure} COMMAND cell_slow_takeover_cluster_test --run_test=${failure})
     set_tests_properties(${failure} PROPERTIES RUN_SERIAL TRUE COST 1)
@@ -330,13 +333,13 @@
 
 # Processes that run out of descriptors.
 add_executable(cell_connection_limits_test test/cell/connection_limits_test.cpp)
-target_link_libraries(cell_connection_limits_test PRIVATE bramleygrade_entry Boost::headers)
+target_link_libraries(cell_connection_limits_test PRIVATE bramleygrade_entry Boost::unit_test_framework)
 add_test(NAME cell_connection_limits COMMAND cell_connection_limits_test)
 
 # Hostile clients of an entry process; each failure is a test of its own.
 add_executable(cell_hostile_clients_test test/cell/hostile_clients_test.cpp)
 target_include_directories(cell_hostile_clients_test PRIVATE ${CMAKE_SOURCE_DIR}/test/cell)
-target_link_libraries(cell_hostile_clients_test PRIVATE Boost::headers)
+target_link_libraries(cell_hostile_clients_test PRIVATE Boost::unit_test_framework)
 foreach(failure memory_filled_by_requests_that_never_end descriptors_taken_by_idle_connections)
     add_test(NAME ${failure}
              COMMAND cell_hostile_clients_test --run_test=${failure} -- $<TARGET_FILE:bramleygrade>)
@@ -344,17 +347,17 @@
 endforeach()
 
 add_executable(cell_http_server_test test/cell/http_server_test.cpp)
-target_link_libraries(cell_http_server_test PRIVATE bramleygrade_entry Boost::headers)
+target_link_libraries(cell_http_server_test PRIVATE bramleygrade_entry Boost::unit_test_framework)
 add_test(NAME cell_http_server COMMAND cell_http_server_test)
 add_executable(cell_client_limits_test test/cell/client_limits_test.cpp)
-target_link_libraries(cell_client_limits_test PRIVATE bramleygrade_entry Boost::headers)
+target_link_libraries(cell_client_limits_test PRIVATE bramleygrade_entry Boost::unit_test_framework)
 add_test(NAME cell_client_limits COMMAND cell_client_limits_test)
 
 # The real program against a store and workers that answer without end.
 add_executable(cell_hostile_answers_test test/cell/hostile_answers_test.cpp testing/soak/peer_links.cpp
                                          testing/soak/record.cpp testing/soak/table_store.cpp)
 target_include_directories(cell_hostile_answers_test PRIVATE ${CMAKE_SOURCE_DIR} ${CMAKE_SOURCE_DIR}/test/cell)
-target_link_libraries(cell_hostile_answers_test PRIVATE bramleygrade_entry Boost::headers)
+target_link_libraries(cell_hostile_answers_test PRIVATE bramleygrade_entry Boost::unit_test_framework)
 foreach(sender store_answers workers_answer)
     add_test(NAME memory_of_an_entry_whose_${sender}_without_end
              COMMAND cell_hostile_answers_test
@@ -367,7 +370,7 @@
 # The own interface against callers, operators and peers that send without end.
 add_executable(hostile_callers_test test/hostile_callers_test.cpp)
 target_include_directories(hostile_callers_test PRIVATE ${CMAKE_SOURCE_DIR}/test)
-target_link_libraries(hostile_callers_test PRIVATE Boost::headers Threads::Threads)
+target_link_libraries(hostile_callers_test PRIVATE Boost::unit_test_framework Threads::Threads)
 foreach(sender callers_send table_answers)
     add_test(NAME memory_of_an_entry_whose_${sender}_without_end
              COMMAND hostile_callers_test --run_test=memory_of_an_entry_whose_${sender}_without_end
--- a/test/cell/caller_keys_test.cpp
+++ b/test/cell/caller_keys_test.cpp
@@ -1,5 +1,5 @@
 #define BOOST_TEST_MODULE caller_keys
-#include <boost/test/included/unit_test.hpp>
+#include <boost/test/unit_test.hpp>
 
 #include "entry/authentication/caller_keys.h"
 #include "entry/authentication/config_confirmation.h"
--- a/test/cell/claim_order_test.cpp
+++ b/test/cell/claim_order_test.cpp
@@ -1,5 +1,5 @@
 #define BOOST_TEST_MODULE claim_order
-#include <boost/test/included/unit_test.hpp>
+#include <boost/test/unit_test.hpp>
 
 #include <ostream>
 #include <vector>
--- a/test/cell/ends_in_pages_test.cpp
+++ b/test/cell/ends_in_pages_test.cpp
@@ -1,5 +1,5 @@
 #define BOOST_TEST_MODULE ends_in_pages
-#include <boost/test/included/unit_test.hpp>
+#include <boost/test/unit_test.hpp>
 
 #include "driven_cell.h"
 
--- a/test/cell/entry_test.cpp
+++ b/test/cell/entry_test.cpp
@@ -1,5 +1,5 @@
 #define BOOST_TEST_MODULE entry
-#include <boost/test/included/unit_test.hpp>
+#include <boost/test/unit_test.hpp>
 
 #include "entry/entry.h"
 #include "entry/json_text.h"
--- a/test/cell/forwarding_test.cpp
+++ b/test/cell/forwarding_test.cpp
@@ -1,5 +1,5 @@
 #define BOOST_TEST_MODULE forwarding
-#include <boost/test/included/unit_test.hpp>
+#include <boost/test/unit_test.hpp>
 
 #include <list>
 #include <set>
--- a/test/cell/hostile_answers_test.cpp
+++ b/test/cell/hostile_answers_test.cpp
@@ -1,5 +1,5 @@
 #define BOOST_TEST_MODULE hostile_answers
-#include <boost/test/included/unit_test.hpp>
+#include <boost/test/unit_test.hpp>
 
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
--- a/test/cell/hostile_clients_test.cpp
+++ b/test/cell/hostile_clients_test.cpp
@@ -2,7 +2,7 @@
 #define BOOST_TEST_MODULE hostile_clients
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
-#include <boost/test/included/unit_test.hpp>
+#include <boost/test/unit_test.hpp>
 
 #include <algorithm>
 #include <cstdio>
--- a/test/cell/http_server_test.cpp
+++ b/test/cell/http_server_test.cpp
@@ -1,7 +1,7 @@
 #define BOOST_TEST_MODULE http_server
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
-#include <boost/test/included/unit_test.hpp>
+#include <boost/test/unit_test.hpp>
 
 #include <list>
 
--- a/test/cell/job_sizes_test.cpp
+++ b/test/cell/job_sizes_test.cpp
@@ -1,5 +1,5 @@
 #define BOOST_TEST_MODULE job_sizes
-#include <boost/test/included/unit_test.hpp>
+#include <boost/test/unit_test.hpp>
 
 #include "cell/jobs/job_sizes.h"
 
--- a/test/cell/observation_test.cpp
+++ b/test/cell/observation_test.cpp
@@ -1,5 +1,5 @@
 #define BOOST_TEST_MODULE observation
-#include <boost/test/included/unit_test.hpp>
+#include <boost/test/unit_test.hpp>
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
--- a/test/cell/restarted_worker_cut_off_test.cpp
+++ b/test/cell/restarted_worker_cut_off_test.cpp
@@ -1,5 +1,5 @@
 #define BOOST_TEST_MODULE restarted_worker_cut_off
-#include <boost/test/included/unit_test.hpp>
+#include <boost/test/unit_test.hpp>
 
 #include <algorithm>
 #include <optional>
--- a/test/cell/run_times_test.cpp
+++ b/test/cell/run_times_test.cpp
@@ -1,6 +1,6 @@
 #define BOOST_TEST_MODULE run_times
 #include <boost/test/data/test_case.hpp>
-#include <boost/test/included/unit_test.hpp>
+#include <boost/test/unit_test.hpp>
 
 #include <algorithm>
 #include <map>
--- a/test/cell/scheduler_admission_test.cpp
+++ b/test/cell/scheduler_admission_test.cpp
@@ -1,5 +1,5 @@
 #define BOOST_TEST_MODULE scheduler_admission
-#include <boost/test/included/unit_test.hpp>
+#include <boost/test/unit_test.hpp>
 
 #include "admission_fixture.h"
 
--- a/test/cell/short_largest_gangs_test.cpp
+++ b/test/cell/short_largest_gangs_test.cpp
@@ -1,7 +1,7 @@
 #define BOOST_TEST_MODULE short_largest_gangs
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
-#include <boost/test/included/unit_test.hpp>
+#include <boost/test/unit_test.hpp>
 
 #include "testing/cell/load_presets.h"
 
--- a/test/cell/short_wide_steps_test.cpp
+++ b/test/cell/short_wide_steps_test.cpp
@@ -1,5 +1,5 @@
 #define BOOST_TEST_MODULE short_wide_steps
-#include <boost/test/included/unit_test.hpp>
+#include <boost/test/unit_test.hpp>
 
 #include "testing/cell/load_presets.h"
 
--- a/test/cell/slow_links_cluster_test.cpp
+++ b/test/cell/slow_links_cluster_test.cpp
@@ -1,5 +1,5 @@
 #define BOOST_TEST_MODULE slow_links_cluster
-#include <boost/test/included/unit_test.hpp>
+#include <boost/test/unit_test.hpp>
 
 #include <list>
 
--- a/test/cell/team_takeover_test.cpp
+++ b/test/cell/team_takeover_test.cpp
@@ -1,5 +1,5 @@
 #define BOOST_TEST_MODULE team_takeover
-#include <boost/test/included/unit_test.hpp>
+#include <boost/test/unit_test.hpp>
 
 #include "cell/placement/waiting_jobs.h"
 #include "team_fixture.h"
--- a/test/cell/waiting_jobs_test.cpp
+++ b/test/cell/waiting_jobs_test.cpp
@@ -1,5 +1,5 @@
 #define BOOST_TEST_MODULE waiting_jobs
-#include <boost/test/included/unit_test.hpp>
+#include <boost/test/unit_test.hpp>
 
 #include "cell/placement/waiting_jobs.h"
 #include "cell_fixture.h"
--- a/test/cell/watches_test.cpp
+++ b/test/cell/watches_test.cpp
@@ -1,5 +1,5 @@
 #define BOOST_TEST_MODULE watches
-#include <boost/test/included/unit_test.hpp>
+#include <boost/test/unit_test.hpp>
 
 #include "cell/workers/worker_list.h"
 #include "entry/entry.h"
--- a/test/cell/worker_restart_test.cpp
+++ b/test/cell/worker_restart_test.cpp
@@ -1,5 +1,5 @@
 #define BOOST_TEST_MODULE worker_restart
-#include <boost/test/included/unit_test.hpp>
+#include <boost/test/unit_test.hpp>
 
 #include <algorithm>
 #include <utility>
--- a/test/documents_test.cpp
+++ b/test/documents_test.cpp
@@ -1,6 +1,6 @@
 #define BOOST_TEST_MODULE documents
 #include <boost/test/data/test_case.hpp>
-#include <boost/test/included/unit_test.hpp>
+#include <boost/test/unit_test.hpp>
 
 #include "core/documents.h"
 #include "core/table_rows.h"
--- a/test/request_home_test.cpp
+++ b/test/request_home_test.cpp
@@ -1,6 +1,6 @@
 #define BOOST_TEST_MODULE request_home
 #include <boost/test/data/test_case.hpp>
-#include <boost/test/included/unit_test.hpp>
+#include <boost/test/unit_test.hpp>
 
 #include "core/request_home.h"
 
--- a/test/request_queue_test.cpp
+++ b/test/request_queue_test.cpp
@@ -1,5 +1,5 @@
 #define BOOST_TEST_MODULE request_queue
-#include <boost/test/included/unit_test.hpp>
+#include <boost/test/unit_test.hpp>
 
 #include "core/request_queue.h"
 
