Known red tests run in parallel like the others

One call of ctest runs them all; those that are marked as serial still run alone. What is printed for each test, and what fails the run, stay as they were.

Tried with a list of a failing, a passing and a missing test: "still fails", "passes now", "there is no such test" and exit code 1.

--- a/scripts/run_tests.sh
+++ b/scripts/run_tests.sh
@@ -11,14 +11,20 @@
 fi
 ctest --test-dir "$BUILD" --output-on-failure -j "${JOBS:-$(nproc)}" "${excluded[@]}"
 status=$?
+failures=$BUILD/Testing/Temporary/LastTestsFailed.log
+if [ -n "$known" ]; then
+    rm -f "$failures"
+    ctest --test-dir "$BUILD" --output-on-failure -j "${JOBS:-$(nproc)}" \
+        -R "^($(echo "$known" | paste -sd '|'))\$"
+fi
 for name in $known; do
     if ! ctest --test-dir "$BUILD" -N -R "^$name\$" | grep -q "Test *#[0-9]*: $name\$"; then
         echo "KNOWN-RED.txt lists $name, but there is no such test: remove its entry"
         status=1
-    elif ctest --test-dir "$BUILD" --output-on-failure -R "^$name\$"; then
-        echo "known red: $name passes now: remove its entry from KNOWN-RED.txt"
-    else
+    elif grep -q ":$name\$" "$failures" 2> /dev/null; then
         echo "known red: $name still fails"
+    else
+        echo "known red: $name passes now: remove its entry from KNOWN-RED.txt"
     fi
 done
 exit "$status"
