Values of a JSON text are bounded like its depth

A client of the peers' port, which has no keys, could end an entry with one request inside every limit: a JSON text has a value for every two bytes, a document takes 16 bytes and more for each, and a message may have 16 MB. An answer of the store grows in the same way, and each of its rows takes 112 bytes even if it is empty.

A job has at most 10,000 steps of up to some 37 values; a page of the store has 500 rows, a report 500 ends.

The tests start the real program with a memory limit of 64 MB.

only_the_depth_of_the_input_is_bounded said that a text may have any number of values, which is no longer true: its cases stay, two at the new bound are added, and its name says both.

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -340,7 +340,8 @@
 add_executable(cell_hostile_clients_test test/cell/hostile_clients_test.cpp)
 target_include_directories(cell_hostile_clients_test PRIVATE ${CMAKE_SOURCE_DIR}/test/cell)
 target_link_libraries(cell_hostile_clients_test PRIVATE Boost::unit_test_framework)
-foreach(failure memory_filled_by_requests_that_never_end descriptors_taken_by_idle_connections)
+foreach(failure memory_filled_by_requests_that_never_end memory_filled_by_requests_of_many_values
+                descriptors_taken_by_idle_connections)
     add_test(NAME ${failure}
              COMMAND cell_hostile_clients_test --run_test=${failure} -- $<TARGET_FILE:bramleygrade>)
     set_tests_properties(${failure} PROPERTIES RUN_SERIAL TRUE COST 1)
@@ -358,13 +359,12 @@
                                          testing/soak/record.cpp testing/soak/table_store.cpp)
 target_include_directories(cell_hostile_answers_test PRIVATE ${CMAKE_SOURCE_DIR} ${CMAKE_SOURCE_DIR}/test/cell)
 target_link_libraries(cell_hostile_answers_test PRIVATE bramleygrade_entry Boost::unit_test_framework)
-foreach(sender store_answers workers_answer)
-    add_test(NAME memory_of_an_entry_whose_${sender}_without_end
-             COMMAND cell_hostile_answers_test
-                     --run_test=memory_of_an_entry_whose_${sender}_without_end
+foreach(answers store_answers_without_end workers_answer_without_end store_answers_many_values
+                workers_answer_many_values)
+    add_test(NAME memory_of_an_entry_whose_${answers}
+             COMMAND cell_hostile_answers_test --run_test=memory_of_an_entry_whose_${answers}
                      -- $<TARGET_FILE:bramleygrade>)
-    set_tests_properties(memory_of_an_entry_whose_${sender}_without_end
-                         PROPERTIES RUN_SERIAL TRUE COST 1)
+    set_tests_properties(memory_of_an_entry_whose_${answers} PROPERTIES RUN_SERIAL TRUE COST 1)
 endforeach()
 
 # The own interface against callers, operators and peers that send without end.
--- a/src/entry/entry_settings.cpp
+++ b/src/entry/entry_settings.cpp
@@ -98,7 +98,7 @@
     const rapidjson::ParseResult parsed = parseJsonText<flags>(text, document);
     if (parsed.IsError()) {
         const std::string why = parsed.Code() == rapidjson::kParseErrorTermination
-            ? "Values are nested too deeply."
+            ? "There are too many values, or they are nested too deeply."
             : rapidjson::GetParseError_En(parsed.Code());
         return makeError(origin, lineAt(text, parsed.Offset()),
                          why + " Correct the JSON there; comments are // or /* */.");
--- a/src/entry/json_text.h
+++ b/src/entry/json_text.h
@@ -115,44 +115,51 @@
 /// Maximum depth of objects and arrays within each other. The reader recurses, so deeper input
 /// could exhaust the stack; the formats that are read have up to five levels.
 constexpr std::size_t maxJsonDepth = 64;
+/// Maximum number of values, names of members included, in one text. A document takes 16 bytes and
+/// more for each, and a text may have one for every two bytes. A job has at most 10,000 steps.
+constexpr std::size_t maxJsonValues = 500'000;
 
 /// Passes the events of the reader on to `target`, and stops it at a value that is nested more
-/// deeply than `maxJsonDepth`. The names are those that the reader requires.
-class depth_limiter
+/// deeply than `maxJsonDepth` or beyond `maxValues`. The names are those that the reader requires.
+class json_limiter
 {
 public:
-    explicit depth_limiter(rapidjson::Document &target)
+    json_limiter(rapidjson::Document &target, std::size_t maxValues)
         : m_target(target)
+        , m_valuesLeft(maxValues)
     {
     }
 
     // NOLINTBEGIN(readability-identifier-naming)
-    bool Null() { return m_target.Null(); }
-    bool Bool(bool value) { return m_target.Bool(value); }
-    bool Int(int value) { return m_target.Int(value); }
-    bool Uint(unsigned value) { return m_target.Uint(value); }
-    bool Int64(std::int64_t value) { return m_target.Int64(value); }
-    bool Uint64(std::uint64_t value) { return m_target.Uint64(value); }
-    bool Double(double value) { return m_target.Double(value); }
+    bool Null() { return takeValue() && m_target.Null(); }
+    bool Bool(bool value) { return takeValue() && m_target.Bool(value); }
+    bool Int(int value) { return takeValue() && m_target.Int(value); }
+    bool Uint(unsigned value) { return takeValue() && m_target.Uint(value); }
+    bool Int64(std::int64_t value) { return takeValue() && m_target.Int64(value); }
+    bool Uint64(std::uint64_t value) { return takeValue() && m_target.Uint64(value); }
+    bool Double(double value) { return takeValue() && m_target.Double(value); }
     bool RawNumber(const char *text, rapidjson::SizeType size, bool copy)
     {
-        return m_target.RawNumber(text, size, copy);
+        return takeValue() && m_target.RawNumber(text, size, copy);
     }
     bool String(const char *text, rapidjson::SizeType size, bool copy)
     {
-        return m_target.String(text, size, copy);
+        return takeValue() && m_target.String(text, size, copy);
     }
     bool Key(const char *name, rapidjson::SizeType size, bool copy)
     {
-        return m_target.Key(name, size, copy);
+        return takeValue() && m_target.Key(name, size, copy);
+    }
+    bool StartObject()
+    {
+        return takeValue() && ++m_depth <= maxJsonDepth && m_target.StartObject();
     }
-    bool StartObject() { return ++m_depth <= maxJsonDepth && m_target.StartObject(); }
     bool EndObject(rapidjson::SizeType members)
     {
         --m_depth;
         return m_target.EndObject(members);
     }
-    bool StartArray() { return ++m_depth <= maxJsonDepth && m_target.StartArray(); }
+    bool StartArray() { return takeValue() && ++m_depth <= maxJsonDepth && m_target.StartArray(); }
     bool EndArray(rapidjson::SizeType elements)
     {
         --m_depth;
@@ -161,21 +168,32 @@
     // NOLINTEND(readability-identifier-naming)
 
 private:
+    bool takeValue()
+    {
+        if (m_valuesLeft == 0) {
+            return false;
+        }
+        --m_valuesLeft;
+        return true;
+    }
+
     rapidjson::Document &m_target;
+    std::size_t m_valuesLeft;
     std::size_t m_depth = 0;
 };
 
 /// Parses `text` into `document`, which stays null on an error. Values that are nested more deeply
-/// than `maxJsonDepth` are the error `kParseErrorTermination`. All JSON from outside is read by
-/// this function or by `readLocatedJson`, which has the same bound.
+/// than `maxJsonDepth`, or beyond `maxValues`, are the error `kParseErrorTermination`. All JSON
+/// from outside is read by this function or by `readLocatedJson`, which bounds the depth as well.
 template <unsigned flags = rapidjson::kParseDefaultFlags>
-rapidjson::ParseResult parseJsonText(std::string_view text, rapidjson::Document &document)
+rapidjson::ParseResult parseJsonText(std::string_view text, rapidjson::Document &document,
+                                     std::size_t maxValues = maxJsonValues)
 {
     rapidjson::ParseResult result;
     const auto generate = [&](rapidjson::Document &target) {
         rapidjson::MemoryStream bytes(text.data(), text.size());
         rapidjson::EncodedInputStream<rapidjson::UTF8<>, rapidjson::MemoryStream> stream(bytes);
-        depth_limiter limiter(target);
+        json_limiter limiter(target, maxValues);
         rapidjson::Reader reader;
         result = reader.Parse<flags>(stream, limiter);
         return !result.IsError();
@@ -184,11 +202,11 @@
     return result;
 }
 
-/// Parses `text` into `document`. Returns whether it is one JSON object that is not nested too
-/// deeply.
-inline bool parseObject(std::string_view text, rapidjson::Document &document)
+/// Parses `text` into `document`. Returns whether it is one JSON object within the limits.
+inline bool parseObject(std::string_view text, rapidjson::Document &document,
+                        std::size_t maxValues = maxJsonValues)
 {
-    return !parseJsonText(text, document).IsError() && document.IsObject();
+    return !parseJsonText(text, document, maxValues).IsError() && document.IsObject();
 }
 
 /// Returns the text of a JSON object whose members are written by `fill`.
--- a/test/cell/deep_input_test.cpp
+++ b/test/cell/deep_input_test.cpp
@@ -283,8 +283,8 @@
     }
 }
 
-// Guards against a bound that rejects what is not deep: the text may have any number of values.
-BOOST_AUTO_TEST_CASE(only_the_depth_of_the_input_is_bounded)
+// Guards against a bound that rejects what is neither deep nor has too many values.
+BOOST_AUTO_TEST_CASE(only_depth_and_number_of_values_are_bounded)
 {
     struct test_case
     {
@@ -298,6 +298,8 @@
         {"64 objects", repeat(R"({"x":)", 64) + "1" + repeat("}", 64), true},
         {"65 objects", repeat(R"({"x":)", 65) + "1" + repeat("}", 65), false},
         {"many values side by side", R"({"x":[)" + repeat("[[],{}],", 100'000) + "1]}", true},
+        {"500,000 values", R"({"x":[)" + repeat("0,", 499'996) + "0]}", true},
+        {"500,001 values", R"({"x":[)" + repeat("0,", 499'997) + "0]}", false},
         {"brackets in a text", R"({"x":")" + repeat("[", 100'000) + R"("})", true},
         {"text after the object", R"({"x":1} 2)", false},
         {"no object", "[1]", false},
--- a/test/cell/hostile_answers_test.cpp
+++ b/test/cell/hostile_answers_test.cpp
@@ -49,6 +49,32 @@
     return ownAddress() + ":" + std::to_string(port);
 }
 
+/// A complete answer: a JSON object with a list of `value`, and an empty one that is required.
+endless_answer listOf(const char *name, const std::string &member, const std::string &other,
+                      const std::string &value, std::size_t values)
+{
+    std::string body = "{\"" + other + "\":[],\"" + member + "\":[" + value;
+    for (std::size_t count = 1; count < values; ++count) {
+        body += "," + value;
+    }
+    body += "]}";
+    return {name,
+            "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body,
+            filler};
+}
+
+// Within the limit of one answer.
+const endless_answer storeAnswersOfManyValues[] = {
+    listOf("numbers", "rows", "parts", "0", 7'500'000),
+    listOf("objects", "rows", "parts", "{}", 5'000'000),
+    listOf("texts", "rows", "parts", "\"\"", 5'000'000),
+};
+const endless_answer workerAnswersOfManyValues[] = {
+    listOf("numbers", "running", "finished", "0", 2'000'000),
+    listOf("objects", "running", "finished", "{}", 1'300'000),
+    listOf("ends", "finished", "running", "{}", 1'300'000),
+};
+
 /// Writes the settings of an entry and returns the command that starts it.
 std::vector<std::string> entryCommand(const case_ports &ports)
 {
@@ -124,3 +150,31 @@
     loop.run_for(workerTime);
     checkEntry(entry, ports, workers, workerCount / 2);
 }
+
+// Guards against an entry that holds many times the size of an answer of its store in its values.
+BOOST_DATA_TEST_CASE(memory_of_an_entry_whose_store_answers_many_values, storeAnswersOfManyValues,
+                     answer)
+{
+    const case_ports ports;
+    boost::asio::io_context loop;
+    const hostile_server store(loop, endpointOf(ports.store), answer, mostBytesSent);
+    const started_program entry(entryCommand(ports), std::string("values-store-") + answer.name);
+    loop.run_for(storeTime);
+    checkEntry(entry, ports, store, 1);
+}
+
+// Guards against an entry that holds many times the size of workers' reports in their values.
+BOOST_DATA_TEST_CASE(memory_of_an_entry_whose_workers_answer_many_values, workerAnswersOfManyValues,
+                     answer)
+{
+    const case_ports ports;
+    boost::asio::io_context loop;
+    const soak::peer_links peers(loop, {address(ports.peers)}, {{address(ports.peers)}});
+    soak::table_store store(loop, peers);
+    BOOST_REQUIRE_EQUAL(store.listen(address(ports.store)), "");
+    listWorkers(store, ports);
+    const hostile_server workers(loop, endpointOf(ports.workers), answer, mostBytesSent);
+    const started_program entry(entryCommand(ports), std::string("values-workers-") + answer.name);
+    loop.run_for(workerTime);
+    checkEntry(entry, ports, workers, workerCount / 2);
+}
--- a/test/cell/hostile_clients_test.cpp
+++ b/test/cell/hostile_clients_test.cpp
@@ -209,6 +209,28 @@
     {"many fields", peers, 400, {manyFields(), "", 0}},
 };
 
+/// A request whose body is one JSON object with a list of `value` as its only member.
+crowd::stream listOf(const std::string &path, const std::string &member, const std::string &value,
+                     std::size_t values)
+{
+    std::string body = "{\"" + member + "\":[" + value;
+    for (std::size_t count = 1; count < values; ++count) {
+        body += "," + value;
+    }
+    body += "]}";
+    return {"POST " + path + " HTTP/1.1\r\nHost: a\r\nContent-Length: "
+                + std::to_string(body.size()) + "\r\n\r\n" + body,
+            "", 0};
+}
+
+/// Complete requests within the limits of the peers' port.
+const hostile_crowd valueCrowds[] = {
+    {"numbers", peers, 1, listOf("/beat", "known", "0", 3'500'000)},
+    {"objects", peers, 1, listOf("/beat", "known", "{}", 2'300'000)},
+    {"lists", peers, 1, listOf("/advice", "workers", "[0]", 1'700'000)},
+    {"texts", peers, 1, listOf("/advice", "workers", "\"\"", 2'300'000)},
+};
+
 const hostile_crowd descriptorCrowds[] = {
     {"idle connections", callers, 1'100, {"", "", 0}},
     {"idle connections", readiness, 1'100, {"", "", 0}},
@@ -267,6 +289,13 @@
     play(given, 8'000, 8'000 * 15 / 100);
 }
 
+// Guards against a process that holds many times the size of a request in its values.
+BOOST_DATA_TEST_CASE(memory_filled_by_requests_of_many_values,
+                     boost::unit_test::data::make(valueCrowds), given)
+{
+    play(given, 8'000, 8'000 * 15 / 100);
+}
+
 // Guards against connections that take the descriptors kept for calls of workers and the store, or
 // all of them.
 BOOST_DATA_TEST_CASE(descriptors_taken_by_idle_connections,
