Texts of a message to the own interface are bounded

A text of more than 8 MiB without the end of a string is refused before it is parsed. The largest body of a request, 4 MiB, has 5.6 MB in base64.

The new unit test has a text at the limit and texts beyond it.

--- a/src/codec/json_codec.cpp
+++ b/src/codec/json_codec.cpp
@@ -12,6 +12,27 @@
 
 constexpr std::string_view settingsType = "bramleygrade.wire.entry_settings";
 
+/// Maximum length of a string or another token; the largest body, 4 MiB, has 5.6 MB in base64. The
+/// parser holds several copies of the token that it reads.
+constexpr std::size_t maxTokenBytes = 8ul * 1024 * 1024;
+
+/// Returns whether the text has a stretch of more than `maxTokenBytes` without the end of a string.
+bool hasLongToken(const std::string &text)
+{
+    std::size_t begin = 0;
+    while (text.size() - begin > maxTokenBytes) {
+        std::size_t quote = text.rfind('"', begin + maxTokenBytes);
+        while (quote != std::string::npos && quote > begin && text[quote - 1] == '\\') {
+            quote = text.rfind('"', quote - 1);
+        }
+        if (quote == std::string::npos || quote < begin) {
+            return true;
+        }
+        begin = quote + 1;
+    }
+    return false;
+}
+
 flatbuffers::IDLOptions jsonOptions()
 {
     flatbuffers::IDLOptions options;
@@ -48,6 +69,11 @@
 
 tl::expected<std::string, codec_error> parseToBuffer(const char *typeName, const std::string &text)
 {
+    if (hasLongToken(text)) {
+        return tl::make_unexpected(codec_error {"a text is longer than "
+                                                + std::to_string(maxTokenBytes)
+                                                + " bytes; shorten it in " + typeName});
+    }
     flatbuffers::Parser &parser = parserFor(typeName);
     if (!parser.ParseJson(text.c_str())) {
         return tl::make_unexpected(codec_error {
--- a/test/json_codec_test.cpp
+++ b/test/json_codec_test.cpp
@@ -58,6 +58,37 @@
     BOOST_TEST(server.handle(call).find(R"("result":1)") != std::string::npos);
 }
 
+// Guards against a parser that holds several copies of a text of any length.
+BOOST_AUTO_TEST_CASE(texts_beyond_a_length_are_rejected)
+{
+    constexpr std::size_t longest = 8ul * 1024 * 1024;
+    const std::string beginning = R"({"service":")";
+    std::string escapedQuotes;
+    while (escapedQuotes.size() <= longest) {
+        escapedQuotes += R"(\")";
+    }
+    struct test_case
+    {
+        const char *name;
+        std::string text;
+        bool isReadable;
+    };
+    const test_case testCases[] = {
+        {"at the limit", beginning + std::string(longest, 'a') + R"("})", true},
+        {"beyond the limit", beginning + std::string(longest + 1, 'a') + R"("})", false},
+        {"escaped quotes", beginning + escapedQuotes + R"("})", false},
+        {"no quotes", std::string(longest + 1, 'a'), false},
+    };
+    for (const test_case &testCase : testCases) {
+        const auto parsed = parseJson<service_document>(testCase.text);
+        BOOST_TEST(parsed.has_value() == testCase.isReadable, testCase.name);
+        const std::string message = parsed ? "" : parsed.error().message;
+        BOOST_TEST((message.find("is longer than 8388608 bytes") == std::string::npos)
+                       == testCase.isReadable,
+                   testCase.name);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(comments_are_allowed)
 {
     const auto parsed = parseJson<service_document>("{ // comment\n \"service\": \"booking\" }");
