--- a/test/cell/hostile_answers_test.cpp
+++ b/test/cell/hostile_answers_test.cpp
@@ -91,7 +91,7 @@
     return {suite.argv[1], "cell", "--settings", path};
 }
 
-/// Checks what must hold after the crowd, whatever the speed of the machine.
+/// Checks what must hold after the crowd, however long it takes.
 void checkEntry(const started_program &entry, const case_ports &ports, const hostile_server &crowd,
                 int leastAnswers)
 {
@@ -122,10 +122,7 @@
     }
 }
 
-} // namespace
-
-// Guards against an entry that collects what its store sends without end.
-BOOST_DATA_TEST_CASE(memory_of_an_entry_whose_store_answers_without_end, endlessAnswers, answer)
+void playStore(const endless_answer &answer)
 {
     const case_ports ports;
     boost::asio::io_context loop;
@@ -135,9 +132,7 @@
     checkEntry(entry, ports, store, 1);
 }
 
-// Guards against an entry that collects what many workers send without end, each within the limit
-// of one answer.
-BOOST_DATA_TEST_CASE(memory_of_an_entry_whose_workers_answer_without_end, endlessAnswers, answer)
+void playWorkers(const endless_answer &answer)
 {
     const case_ports ports;
     boost::asio::io_context loop;
@@ -151,30 +146,31 @@
     checkEntry(entry, ports, workers, workerCount / 2);
 }
 
+} // namespace
+
+// Guards against an entry that collects what its store sends without end.
+BOOST_DATA_TEST_CASE(memory_of_an_entry_whose_store_answers_without_end, endlessAnswers, answer)
+{
+    playStore(answer);
+}
+
+// Guards against an entry that collects what many workers send without end, each within the limit
+// of one answer.
+BOOST_DATA_TEST_CASE(memory_of_an_entry_whose_workers_answer_without_end, endlessAnswers, answer)
+{
+    playWorkers(answer);
+}
+
 // Guards against an entry that holds many times the size of an answer of its store in its values.
 BOOST_DATA_TEST_CASE(memory_of_an_entry_whose_store_answers_many_values, storeAnswersOfManyValues,
                      answer)
 {
-    const case_ports ports;
-    boost::asio::io_context loop;
-    const hostile_server store(loop, endpointOf(ports.store), answer, mostBytesSent);
-    const started_program entry(entryCommand(ports), std::string("values-store-") + answer.name);
-    loop.run_for(storeTime);
-    checkEntry(entry, ports, store, 1);
+    playStore(answer);
 }
 
 // Guards against an entry that holds many times the size of workers' reports in their values.
 BOOST_DATA_TEST_CASE(memory_of_an_entry_whose_workers_answer_many_values, workerAnswersOfManyValues,
                      answer)
 {
-    const case_ports ports;
-    boost::asio::io_context loop;
-    const soak::peer_links peers(loop, {address(ports.peers)}, {{address(ports.peers)}});
-    soak::table_store store(loop, peers);
-    BOOST_REQUIRE_EQUAL(store.listen(address(ports.store)), "");
-    listWorkers(store, ports);
-    const hostile_server workers(loop, endpointOf(ports.workers), answer, mostBytesSent);
-    const started_program entry(entryCommand(ports), std::string("values-workers-") + answer.name);
-    loop.run_for(workerTime);
-    checkEntry(entry, ports, workers, workerCount / 2);
+    playWorkers(answer);
 }
