Logs tell which life of a worker has a run

Two runs of one task at once could not be traced: no line told for which life a start was built, which life listed a run whose start had got no answer, or what was known of the start of a run that was given up; the line of given-up runs named no job, so that a search for a job missed it.

start_ordered tells the start time of the life it is meant for. run_found tells the life that lists a run without a confirmed start, or an adopted one. run_lost names each given-up run with its job, and when its start was sent, confirmed or left without an answer.

--- a/src/cell/types.h
+++ b/src/cell/types.h
@@ -64,6 +64,13 @@
     }
 };
 
+/// Returns the number of the task within its job, as in log lines: occurrence, step and index.
+inline std::string formatTaskNumber(const task_id &id)
+{
+    return std::to_string(id.occurrence) + "." + std::to_string(id.step) + "."
+        + std::to_string(id.index);
+}
+
 /// A step of a job: equal tasks that may run in parallel.
 struct step_spec
 {
--- a/src/cell/workers/leases.cpp
+++ b/src/cell/workers/leases.cpp
@@ -50,6 +50,21 @@
     return std::max(expiry, strayLeaseExpiry(limits, lastOrderAt + limits.orderDelay));
 }
 
+/// Logs a run that can no longer exist, and what was known of its start.
+void logRunLost(const worker_state &worker, const task_id &id, const task_state &task,
+                timestamp now, orders &out)
+{
+    const auto ageOf = [&](timestamp at) {
+        return at == distantPast ? std::string("-") : std::to_string((now - at) / millisecond);
+    };
+    out.events.push_back(
+        {"run_lost", id.job,
+         "task=" + formatTaskNumber(id) + " worker=" + worker.entry.id + " attempt="
+             + std::to_string(task.attempt) + " born=" + std::to_string(worker.life.born)
+             + " started_ms_ago=" + ageOf(task.startedAt) + " confirmed_ms_ago="
+             + ageOf(task.confirmedAt) + " unanswered_ms_ago=" + ageOf(task.strayStartAt)});
+}
+
 /// Releases runs that can no longer exist on the silent worker.
 void releaseRuns(scheduler &cell, worker_state &worker, const std::set<task_id> &runs,
                  timestamp now, orders &out)
@@ -59,6 +74,7 @@
         if (task == nullptr) {
             continue;
         }
+        logRunLost(worker, id, *task, now, out);
         worker.life.lostRuns[id] = suspectedRun(cell, *job, *task);
         const std::string trialLife = task->trialLife;
         releaseRun(cell, id, *job, *task);
--- a/src/cell/workers/scheduler_workers.cpp
+++ b/src/cell/workers/scheduler_workers.cpp
@@ -36,6 +36,18 @@
     return reported;
 }
 
+/// Logs which life of the worker has a run that no answer to a start of this scheduler has
+/// confirmed.
+void logRunFound(const worker_state &worker, const reported_run &run, bool isAdopted, orders &out)
+{
+    out.events.push_back({"run_found", run.task.job,
+                          "task=" + formatTaskNumber(run.task) + " worker=" + worker.entry.id
+                              + " attempt=" + std::to_string(run.attempt)
+                              + " born=" + std::to_string(worker.life.born)
+                              + " adopted=" + (isAdopted ? "yes" : "no")
+                              + " clock_ms=" + std::to_string(worker.life.clock / millisecond)});
+}
+
 void adoptRun(scheduler &cell, worker_state &worker, job_state &job, task_state &task,
               const reported_run &run, timestamp sentAt, orders &out)
 {
@@ -105,7 +117,9 @@
             return;
         }
         adoptRun(cell, worker, *job, *task, run, sentAt, out);
+        logRunFound(worker, run, true, out);
     } else if (task->phase == run_phase::starting || task->phase == run_phase::unconfirmed) {
+        logRunFound(worker, run, false, out);
         task->phase = run_phase::running;
         task->confirmedAt = now;
         task->progressAt = now;
--- a/src/entry/leader.cpp
+++ b/src/entry/leader.cpp
@@ -182,6 +182,14 @@
     loadTable(entry, entry.epoch, progress, "", onTableLoaded);
 }
 
+/// Returns the start time of the life of the worker for which orders are built; 0 if it is not
+/// known.
+std::int64_t bornOf(const entry_state &entry, const std::string &worker)
+{
+    const auto found = entry.leaderState->cell.workers.find(worker);
+    return found == entry.leaderState->cell.workers.end() ? 0 : found->second.life.born;
+}
+
 /// Returns the address of the worker, or an empty text if it is not known any more.
 std::string addressOf(const entry_state &entry, const std::string &worker)
 {
@@ -196,12 +204,6 @@
     return entry.leaderState && entry.epoch == epoch && entry.role == entry_role::scheduler;
 }
 
-std::string formatTask(const cell::task_id &id)
-{
-    return std::to_string(id.occurrence) + "." + std::to_string(id.step) + "."
-        + std::to_string(id.index);
-}
-
 void sendStart(entry_state &entry, const cell::start_order &order);
 
 /// Sends a start order that was held back, unless it has lost its purpose meanwhile.
@@ -225,10 +227,11 @@
     }
     logEvent(entry, "start_ordered",
              {{"job", order.task.job},
-              {"task", formatTask(order.task)},
+              {"task", cell::formatTaskNumber(order.task)},
               {"worker", order.worker},
               {"attempt", std::to_string(order.attempt)},
-              {"token", std::to_string(order.fencingToken)}});
+              {"token", std::to_string(order.fencingToken)},
+              {"born", std::to_string(bornOf(entry, order.worker))}});
     entry.ports.workers.start(addressOf(entry, order.worker), order, sentAt + orderTimeout,
                               [&entry, order, sentAt, epoch = entry.epoch](
                                   cell::order_outcome outcome, std::int64_t workerClock) {
@@ -254,7 +257,9 @@
         return;
     }
     logEvent(entry, "stop_ordered",
-             {{"job", order.task.job}, {"task", formatTask(order.task)}, {"worker", order.worker}});
+             {{"job", order.task.job},
+              {"task", cell::formatTaskNumber(order.task)},
+              {"worker", order.worker}});
     entry.ports.workers.stop(addressOf(entry, order.worker), order, sentAt + orderTimeout,
                              [&entry, order, epoch = entry.epoch](cell::order_outcome outcome) {
                                  if (isSchedulingInEpoch(entry, epoch)) {
