--- a/test/cell/cut_off_fixture.h
+++ b/test/cell/cut_off_fixture.h
@@ -71,7 +71,7 @@
     {
         cell::worker_report report;
         report.born = worker == restarted ? newBorn : formerBorn;
-        report.workerClock = worker == restarted ? now - restartedAt : now;
+        report.workerClock = now - (worker == restarted ? restartedAt : formerBornAt);
         return report;
     }
 
@@ -122,6 +122,8 @@
         return std::nullopt;
     }
 
+    /// Where the clocks of the lives before the restart were zero.
+    timestamp formerBornAt = 0;
     std::string restarted;
     std::string cutOff;
     timestamp restartedAt = distantPast;
@@ -130,13 +132,14 @@
 /// A start order of a job of one task whose worker has answered for a while.
 struct ordered_start : cut_off_fixture
 {
-    explicit ordered_start(bool isGang = false)
+    explicit ordered_start(bool isGang = false, bool isLasting = false)
     {
         settle();
         now += 60 * second; // no lease of an earlier scheduler is left
         settle();
         cell::step_spec step = makeStep(1, 1'000);
         step.gang = isGang;
+        step.longRunning = isLasting;
         out = run(makeJob("a", {step}));
         BOOST_REQUIRE(out.starts.size() == 1U);
         order = out.starts[0];
--- /dev/null
+++ b/test/cell/lives_that_nothing_shows_test.cpp
@@ -0,0 +1,180 @@
+#define BOOST_TEST_MODULE lives_that_nothing_shows
+#include <boost/test/unit_test.hpp>
+
+#include "cut_off_fixture.h"
+
+using namespace bramleygrade;
+using namespace bramleygrade::cell;
+using namespace bramleygrade::testing;
+
+namespace {
+
+constexpr microseconds predecessorGrace = 500 * millisecond;
+
+/// How a life that nothing shows carries out a start order that got no answer.
+struct unseen_start
+{
+    const char *name;
+    microseconds carriedOutAfter;
+    bool isGang;
+    bool isLasting;
+};
+
+const unseen_start unseenStarts[] = {
+    {"at once", 0, false, false},
+    {"after 0.6 s", 600 * millisecond, false, false},
+    {"after 1.5 s", 1'500 * millisecond, false, false},
+    {"after 12 s", 12 * second, false, false},
+    {"at once, a gang", 0, true, false},
+    {"after 1.5 s, a lasting task", 1'500 * millisecond, false, true},
+};
+
+/// Workers that have started again so recently that their clocks are near zero.
+struct young_workers : cut_off_fixture
+{
+    young_workers()
+    {
+        settle();
+        now += 60 * second; // no lease of an earlier scheduler is left
+        settle();
+        formerBornAt = now - stepTime;
+        settle();
+        settle();
+    }
+};
+
+/// A successor that restores a job of one task, which its predecessor has started just before.
+struct successor : cut_off_fixture
+{
+    explicit successor(const ordered_start &before)
+        : cut_off_fixture(2)
+    {
+        cell.settings.predecessorGrace = predecessorGrace;
+        now = before.now;
+        beginEpoch(cell, 2, now);
+        job_state job;
+        job.spec = makeJob("a", {makeStep(1, 1'000)});
+        job.policy = policy;
+        job.acceptedEpoch = 1;
+        restoreJob(cell, job, now);
+        for (const worker_entry &entry : entries) {
+            restoreWorker(cell, entry, now);
+        }
+    }
+};
+
+} // namespace
+
+// Guards against tasks that ran twice: the longer lease of a start that a new life has carried out
+// was counted only once something had shown that life.
+BOOST_AUTO_TEST_CASE(twice_start_without_an_answer_carried_out_by_a_life_that_nothing_shows)
+{
+    for (const unseen_start &given : unseenStarts) {
+        BOOST_TEST_CONTEXT(given.name)
+        {
+            ordered_start fixture(given.isGang, given.isLasting);
+            fixture.restartWorkerOf(fixture.order);
+            const timestamp leaseEnd = fixture.now + given.carriedOutAfter + longestLease;
+            fixture.now += orderTimeout;
+            fixture.deliver(order_outcome::unanswered);
+            fixture.answerPolls(fixture.out);
+            const auto startedAt = fixture.runUntilStart();
+            BOOST_REQUIRE(startedAt.has_value());
+            BOOST_TEST(*startedAt >= leaseEnd);
+        }
+    }
+}
+
+// The former life had been up for so short a time at its newest answer that the clock of the next
+// one was ahead of that reading.
+BOOST_AUTO_TEST_CASE(twice_start_answered_by_the_successor_of_a_young_life)
+{
+    young_workers fixture;
+    const microseconds silence = 900 * millisecond;
+    const microseconds uptime = 300 * millisecond;
+    fixture.now += silence;
+    const orders out = fixture.run(cell_fixture::makeJob("a", {cell_fixture::makeStep(1, 1'000)}));
+    BOOST_REQUIRE(out.starts.size() == 1U);
+    const start_order &order = out.starts[0];
+    BOOST_REQUIRE(fixture.cell.workers.at(order.worker).life.clock < uptime);
+    fixture.restartWorkerOf(order);
+    const timestamp leaseEnd = fixture.now + longestLease;
+    orders ignored;
+    onStartOutcome(fixture.cell, order, order_outcome::accepted, fixture.now, ignored, uptime);
+    fixture.answerPolls(out);
+    const auto startedAt = fixture.runUntilStart();
+    BOOST_REQUIRE(startedAt.has_value());
+    BOOST_TEST(*startedAt >= leaseEnd);
+}
+
+// An answer of the known life, whose clock may be slow, starts nothing over.
+BOOST_AUTO_TEST_CASE(start_answered_by_a_life_with_a_slow_clock_is_confirmed)
+{
+    young_workers fixture;
+    const std::int64_t reading = fixture.cell.workers.begin()->second.life.clock;
+    const microseconds silence = 10 * second;
+    fixture.now += silence;
+    const orders out = fixture.run(cell_fixture::makeJob("a", {cell_fixture::makeStep(1, 1'000)}));
+    BOOST_REQUIRE(out.starts.size() == 1U);
+    orders outcome;
+    onStartOutcome(fixture.cell, out.starts[0], order_outcome::accepted, fixture.now, outcome,
+                   reading + silence * 98 / 100);
+    BOOST_TEST(outcome.events.empty());
+    BOOST_TEST(!fixture.cell.workers.at(out.starts[0].worker).life.needsFence);
+}
+
+// A life that nothing shows had taken an order of the predecessor, which the successor counted with
+// the shorter lease that schedulers grant.
+BOOST_AUTO_TEST_CASE(twice_successor_of_a_scheduler_whose_start_a_life_that_nothing_shows_has_taken)
+{
+    const ordered_start before;
+    successor after(before);
+    after.restartWorkerOf(before.order);
+    const timestamp leaseEnd = after.now + longestLease;
+    after.settle();
+    const auto startedAt = after.runUntilStart();
+    BOOST_REQUIRE(startedAt.has_value());
+    BOOST_TEST(*startedAt >= leaseEnd);
+}
+
+// The life that listed the run may hold it for the workers' limit, as its start was meant for an
+// earlier one; the successor counted the lease that schedulers grant.
+BOOST_AUTO_TEST_CASE(twice_adopted_run_of_a_worker_that_is_cut_off_after_its_first_answer)
+{
+    const ordered_start before;
+    successor after(before);
+    changeWorkers(after.cell, after.entries, after.now);
+    const orders out = after.decide();
+    for (const poll_order &poll : out.polls) {
+        auto answer = after.reportOf(poll.worker);
+        if (poll.worker == before.order.worker) {
+            answer.running.push_back({before.order.task, before.order.attempt, "", 0});
+        }
+        orders ignored;
+        onReport(after.cell, poll, answer, after.now, after.now, ignored);
+    }
+    after.cutOff = before.order.worker;
+    const timestamp leaseEnd = after.now + longestLease;
+    after.store();
+    const auto startedAt = after.runUntilStart();
+    BOOST_REQUIRE(startedAt.has_value());
+    BOOST_TEST(*startedAt >= leaseEnd);
+}
+
+// A life has accepted the stop of a run whose start is still on its way; the next life knows of no
+// stop and carries the start out.
+BOOST_AUTO_TEST_CASE(twice_stop_accepted_before_a_start_that_a_life_that_nothing_shows_carries_out)
+{
+    ordered_start fixture(true);
+    orders stops;
+    stopRun(fixture.cell, fixture.order.task,
+            *findTask(fixture.cell.jobs.at("a"), fixture.order.task), fixture.now, stops);
+    BOOST_REQUIRE(stops.stops.size() == 1U);
+    onStopOutcome(fixture.cell, stops.stops[0], order_outcome::accepted, fixture.now);
+    fixture.restartWorkerOf(fixture.order);
+    const timestamp leaseEnd = fixture.now + 12 * second + longestLease;
+    fixture.answerPolls(fixture.out);
+    const auto startedAt = fixture.runUntilStart();
+    BOOST_REQUIRE(startedAt.has_value());
+    BOOST_TEST(*startedAt >= leaseEnd);
+}
