A start without an answer counts for lives that nothing shows

A worker had started again under its id and taken a start that its former life was meant to get; its answer was lost, and it was cut off. Nothing showed the restart, so that the scheduler counted the lease that it had granted, 5 s from the building of the order. The clock of the new life is near zero, and it held the lease for its own limit of 6 s from then on, up to 12 s later.

Cause: runExpiry counted the longer lease only once the registry, an answer or a poll had shown another life. A start without an answer is itself the doubt, whoever may have it: its run now counts until a lease of the workers' limit from the latest time at which any life may carry the order out. Runs that the known life has confirmed wait as before.

A run that is listed while it is being stopped counts as confirmed, as its expiry would never come otherwise.

--- a/src/cell/workers/leases.cpp
+++ b/src/cell/workers/leases.cpp
@@ -34,12 +34,13 @@
 }
 
 /// Returns the local time after which the run cannot exist on the silent worker, whichever of its
-/// lives has carried out the start. `distantFuture` if that is not known yet.
+/// lives has carried out the start, also one that nothing has shown. `distantFuture` if that is not
+/// known yet.
 timestamp runExpiry(const scheduler &cell, const worker_life &life, const task_state &task)
 {
     const timestamp expiry = leaseExpiry(cell, life);
     const bool isStray = task.strayStartAt != distantPast;
-    if (!mayCarryOutFormerOrders(life) || (!isStray && task.confirmedAt != distantPast)) {
+    if (!isStray && task.confirmedAt != distantPast) {
         return expiry;
     }
     if (!isStray) {
--- a/src/cell/workers/scheduler_workers.cpp
+++ b/src/cell/workers/scheduler_workers.cpp
@@ -123,6 +123,8 @@
         task->phase = run_phase::running;
         task->confirmedAt = now;
         task->progressAt = now;
+    } else if (task->confirmedAt == distantPast) {
+        task->confirmedAt = now; // the run is being stopped
     }
     if (isCurrent) {
         // An order for an earlier life may extend the lease of a life that is not fenced.
