A clock that is behind where it must be shows another life

A life that starts again soon after its predecessor began may show a clock ahead of the predecessor's newest reading, though far behind where that clock must be by now. The answer of such a life to a start counted as one of the known life, and its lease as one on that life's clock, up to 0.9 s too short.

The reading in an answer is now compared with the newest reading advanced by the time since, less 2 % for the clock's rate and 100 ms for reading it. Reports keep the comparison with the reading itself: they name their life, and a worker whose clock stood still must not count as crashed.

twice_start_answered_by_the_successor_of_a_young_life failed (0.82 s too early) and passes; start_answered_by_a_life_with_a_slow_clock_is_confirmed passes before and after.

--- a/src/cell/workers/worker_state.cpp
+++ b/src/cell/workers/worker_state.cpp
@@ -32,10 +32,11 @@
         return false;
     }
     const lease_limits limits;
-    const microseconds before = std::max<microseconds>(life.clockReadAt - readAt, 0);
-    const auto longest =
-        static_cast<microseconds>(static_cast<double>(before) * (1.0 + limits.clockRateError));
-    return clock < life.clock - longest - (before > 0 ? limits.clockReadingMargin : 0);
+    const auto elapsed = static_cast<double>(readAt - life.clockReadAt);
+    const double rateError = elapsed < 0 ? limits.clockRateError : -limits.clockRateError;
+    const std::int64_t earliest = life.clock
+        + static_cast<std::int64_t>(elapsed * (1.0 + rateError)) - limits.clockReadingMargin;
+    return clock < (elapsed < 0 ? earliest : std::max(earliest, life.clock));
 }
 
 timestamp latestLeaseExpiry(const lease_limits &limits, timestamp grantedFrom)
--- a/src/cell/workers/worker_state.h
+++ b/src/cell/workers/worker_state.h
@@ -171,7 +171,8 @@
 std::int64_t workerClock(const worker_state &worker, timestamp now);
 
 /// Whether a reading of the clock at `readAt` or later, 0 if there is none, cannot be one of the
-/// process of which `life` knows the clock.
+/// process of which `life` knows the clock: that clock must have advanced since its newest reading,
+/// by the time that has passed less the clock's rate error.
 bool isClockOfOtherLife(const worker_life &life, std::int64_t clock, timestamp readAt);
 
 /// Returns the local time after which a lease granted from `grantedFrom` on has expired on the
