A stop accepted before its start does not bind a later life

The life that accepts a stop refuses the run; a later life under the same id knows of no stop and may carry the start out, if that is still on its way. The accepted stop counted as a confirmation of the run by the known life, and the shorter lease was counted.

Such a start now counts as one without an answer from the acceptance on. twice_stop_accepted_before_a_start_that_a_life_that_nothing_shows_carries_out failed (12.9 s too early) and passes.

--- a/src/cell/ends/order_outcomes.cpp
+++ b/src/cell/ends/order_outcomes.cpp
@@ -77,6 +77,8 @@
     }
     if (outcome == order_outcome::accepted && task->confirmedAt == distantPast) {
         task->confirmedAt = now;
+        // A later life knows of no stop, and may carry the start out.
+        task->strayStartAt = std::max(task->strayStartAt, now);
     }
 }
 
