A successor counts the workers' limit for its predecessor's leases

A successor waited 5.25 s and a grace of 0.5 s for the leases that its predecessor had granted on silent workers, and counted 5.25 s for a run that a worker listed at its first answer. A life that nothing has shown, which took an order meant for an earlier one, holds its lease for the workers' limit, 6.12 s on a slow clock.

Both now count the workers' limit. What the longer wait costs after takeovers is to be measured before the landing, above all where workers grant 10 s.

--- a/src/cell/workers/leases.cpp
+++ b/src/cell/workers/leases.cpp
@@ -96,7 +96,7 @@
     if (cell.predecessorsOverAt == distantFuture) {
         return distantFuture;
     }
-    return latestLeaseExpiry(cell.settings.lease, cell.predecessorsOverAt)
+    return strayLeaseExpiry(cell.settings.lease, cell.predecessorsOverAt)
         + cell.settings.predecessorGrace;
 }
 
--- a/src/cell/workers/scheduler_workers.cpp
+++ b/src/cell/workers/scheduler_workers.cpp
@@ -172,10 +172,11 @@
                                   + " ended=" + std::to_string(report.ended.size())});
     }
     if (!worker.life.fenced) {
-        // From now on the worker refuses earlier schedulers.
+        // From now on the worker refuses earlier schedulers. One of them may have built its orders
+        // for an earlier life.
         worker.life.leasesExpiredAt = std::max(
             worker.life.leasesExpiredAt,
-            std::min(predecessorLeaseExpiry(cell), latestLeaseExpiry(cell.settings.lease, now)));
+            std::min(predecessorLeaseExpiry(cell), strayLeaseExpiry(cell.settings.lease, now)));
     }
     if (mayCarryOutFormerOrders(worker.life) && (isFenceAnswered || !worker.life.fenced)) {
         // From now on the worker refuses the orders that were meant for an earlier life.
