--- a/review/build.sh
+++ b/review/build.sh
@@ -6,8 +6,9 @@
 flags="-std=c++17 -O1 -Wall -Wextra -Iinclude -Igenerated -Isrc -Ireview/standin"
 objects=""
 pids=""
-for source in review/standin/*.cpp src/net/busy_meter.cpp src/net/http_client.cpp \
-    src/net/http_server.cpp src/net/ip_endpoint.cpp; do
+for source in review/standin/*.cpp src/net/busy_meter.cpp src/net/client_connections.cpp \
+    src/net/http_client.cpp src/net/http_server.cpp src/net/http_session.cpp \
+    src/net/ip_endpoint.cpp; do
     object=review/out/$(basename "$source" .cpp).o
     # shellcheck disable=SC2086
     g++ $flags -c "$source" -o "$object" &
