--- a/test/cell/lives_that_nothing_shows_test.cpp
+++ b/test/cell/lives_that_nothing_shows_test.cpp
@@ -123,18 +123,24 @@
     BOOST_TEST(!fixture.cell.workers.at(out.starts[0].worker).life.needsFence);
 }
 
-// A life that nothing shows had taken an order of the predecessor, which the successor counted with
-// the shorter lease that schedulers grant.
-BOOST_AUTO_TEST_CASE(twice_successor_of_a_scheduler_whose_start_a_life_that_nothing_shows_has_taken)
+// A life that nothing shows had taken a start or a poll of the predecessor that was meant for an
+// earlier life. The successor counted the shorter lease that schedulers grant.
+BOOST_AUTO_TEST_CASE(twice_successor_of_a_scheduler_whose_order_a_life_that_nothing_shows_has_taken)
 {
-    const ordered_start before;
-    successor after(before);
-    after.restartWorkerOf(before.order);
-    const timestamp leaseEnd = after.now + longestLease;
-    after.settle();
-    const auto startedAt = after.runUntilStart();
-    BOOST_REQUIRE(startedAt.has_value());
-    BOOST_TEST(*startedAt >= leaseEnd);
+    for (const microseconds limit : {6 * second, 10 * second}) {
+        BOOST_TEST_CONTEXT("workers grant " << limit / second << " s")
+        {
+            const ordered_start before;
+            successor after(before);
+            after.cell.settings.lease.workerLimit = limit;
+            after.restartWorkerOf(before.order);
+            const timestamp leaseEnd = after.now + limit * 102 / 100;
+            after.settle();
+            const auto startedAt = after.runUntilStart();
+            BOOST_REQUIRE(startedAt.has_value());
+            BOOST_TEST(*startedAt >= leaseEnd);
+        }
+    }
 }
 
 // The life that listed the run may hold it for the workers' limit, as its start was meant for an
