The soak's recut profile takes several words

A profile named one trouble, so that a restart hidden from the store could not meet stopped entries, lost answers or a killed leader. It takes words in any order now, which parseRecut turns into settings; an unknown word is an error that names it. New words: mute and mute-long (answers of the workers are lost in the last 200 ms before the cut, or from the restart on), outbound-first and inbound-first (one direction fails up to a second before the other). Former orders of words are valid as before.

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -156,7 +156,7 @@
 add_executable(soak testing/soak/cell_world.cpp testing/soak/checks.cpp testing/soak/main.cpp
                     testing/soak/peer_links.cpp testing/soak/record.cpp testing/soak/recut.cpp
                     testing/soak/soak.cpp testing/soak/table_store.cpp testing/soak/worker.cpp)
-target_link_libraries(soak PRIVATE bramleygrade_entry)
+target_link_libraries(soak PRIVATE absl::strings bramleygrade_entry)
 add_test(NAME soak_of_fixed_seeds
          COMMAND ${CMAKE_SOURCE_DIR}/testing/soak/run_seeds.sh $<TARGET_FILE:bramleygrade>
                  $<TARGET_FILE:soak> ${CMAKE_BINARY_DIR}/soak-runs 20 11 15)
--- a/testing/soak/main.cpp
+++ b/testing/soak/main.cpp
@@ -1,6 +1,6 @@
 #include <cstdlib>
 #include <iostream>
-#include <set>
+#include <optional>
 
 #include "record.h"
 #include "recut.h"
@@ -15,23 +15,28 @@
     return "127.0.0.1:" + std::to_string(port);
 }
 
-/// Reads the arguments that follow the ports. Returns false if they are not known.
-bool readProfile(int count, char **arguments, soak::soak_settings &run)
+/// Parses the arguments that follow the ports: a profile, or none for the faults by chance.
+tl::expected<std::optional<soak::recut_settings>, std::string>
+parseProfile(const std::vector<std::string> &arguments)
 {
-    static const std::set<std::string> troubles {"pause", "kill",     "held",
-                                                 "feed",  "takeover", "unlisted"};
-    if (count == 0) {
-        return true;
+    if (arguments.empty()) {
+        return std::nullopt;
     }
-    run.isRecut = std::string(arguments[0]) == "recut";
-    if (!run.isRecut || count < 2) {
-        return false;
+    if (arguments.front() != "recut") {
+        return tl::make_unexpected("the profile " + arguments.front() + " is unknown");
     }
-    run.callDelay = std::atoll(arguments[1]) * millisecond;
-    run.isCutEarly = std::string(arguments[count - 1]) == "early";
-    const int named = run.isCutEarly ? count - 1 : count;
-    run.trouble = named == 3 ? arguments[2] : "";
-    return named == 2 || (named == 3 && troubles.count(run.trouble) > 0);
+    return soak::parseRecut({arguments.begin() + 1, arguments.end()});
+}
+
+int printUsage(const std::string &error)
+{
+    std::cerr << error
+              << "\nusage: soak SEED SECONDS RECORD PID_FOLDER ENTRIES FIRST_PORT"
+                 " [recut DELAY_MS [WORD...]]\n";
+    for (const auto &[word, meaning] : soak::recutWords()) {
+        std::cerr << "  " << word << ": " << meaning << "\n";
+    }
+    return 2;
 }
 
 } // namespace
@@ -41,12 +46,14 @@
 /// each entry a port at which it reaches each entry; for each worker a port for each entry.
 int main(int argc, char **argv)
 {
-    soak::soak_settings run;
-    if (argc < 7 || !readProfile(argc - 7, argv + 7, run)) {
-        std::cerr << "usage: soak SEED SECONDS RECORD PID_FOLDER ENTRIES FIRST_PORT"
-                     " [recut DELAY_MS [pause|kill|held|feed|takeover|unlisted] [early]]\n";
-        return 2;
+    if (argc < 7) {
+        return printUsage("too few arguments");
     }
+    const auto recut = parseProfile({argv + 7, argv + argc});
+    if (!recut) {
+        return printUsage(recut.error());
+    }
+    soak::soak_settings run;
     run.seed = static_cast<std::uint64_t>(std::atoll(argv[1]));
     run.length = std::atoll(argv[2]) * second;
     const int entries = std::atoi(argv[5]);
@@ -80,7 +87,8 @@
         std::cerr << error << "\n";
         return 2;
     }
-    world.whenReady([&] { run.isRecut ? soak::runRecut(world, run) : soak::runSoak(world, run); });
+    world.whenReady(
+        [&] { *recut ? soak::runRecut(world, run, **recut) : soak::runSoak(world, run); });
     loop.run();
     return world.exitCode();
 }
--- a/testing/soak/recut.cpp
+++ b/testing/soak/recut.cpp
@@ -1,9 +1,13 @@
 #include "recut.h"
 
+#include <algorithm>
 #include <csignal>
+#include <functional>
 #include <memory>
 #include <random>
 
+#include "absl/strings/numbers.h"
+
 #include "record.h"
 
 namespace bramleygrade::soak {
@@ -17,6 +21,8 @@
 constexpr microseconds cutAfter = 2 * second;
 constexpr microseconds heldAfterBack = 100 * millisecond;
 constexpr microseconds cutTime = 9 * second;
+/// Time before the cut in which answers are lost, unless they are from the restart on.
+constexpr microseconds muteTime = 200 * millisecond;
 constexpr microseconds pauseTime = 3 * second;
 /// Time without submissions in which the tasks that were lost last have to end.
 constexpr microseconds endTime = 24 * second;
@@ -28,7 +34,7 @@
 struct recut_run
 {
     cell_world &world;
-    soak_settings settings;
+    recut_settings settings;
     std::mt19937_64 random;
     timestamp endsAt = 0;
     int jobs = 0;
@@ -37,6 +43,11 @@
 
 using recut_ref = std::shared_ptr<recut_run>;
 
+bool has(const recut_run &run, const char *word)
+{
+    return run.settings.words.count(word) > 0;
+}
+
 microseconds drawMs(recut_run &run, std::int64_t low, std::int64_t high)
 {
     return std::uniform_int_distribution<std::int64_t>(low, high)(run.random) * millisecond;
@@ -87,12 +98,14 @@
 /// What befalls the entries shortly before the crash. The workers are back `untilBack` later.
 void troubleBeforeCrash(const recut_ref &run, microseconds untilBack)
 {
-    if (run->settings.trouble == "held") {
+    if (has(*run, "held")) {
         pauseAll(run, untilBack + heldAfterBack);
-    } else if (run->settings.trouble == "feed") {
+    }
+    if (has(*run, "feed")) {
         delayStore(run, drawMs(*run, 1'000, 2'000));
         run->world.at(downTime + cutAfter, [run] { delayStore(run, 0); });
-    } else if (run->settings.trouble == "takeover") {
+    }
+    if (has(*run, "takeover")) {
         killLeader(run);
     }
 }
@@ -100,12 +113,11 @@
 /// What befalls the entries as the cut begins.
 void troubleAtCut(const recut_ref &run)
 {
-    if (run->settings.trouble == "pause") {
+    if (has(*run, "pause")) {
         pauseAll(run, pauseTime);
-    } else if (run->settings.trouble == "kill" && run->rounds % 2 == 1) {
-        killLeader(run);
-    } else if (run->settings.trouble == "kill") {
-        signalAll(run->world, SIGKILL);
+    }
+    if (has(*run, "kill")) {
+        run->rounds % 2 == 1 ? killLeader(run) : signalAll(run->world, SIGKILL);
     }
 }
 
@@ -126,6 +138,37 @@
     });
 }
 
+/// One direction fails before the cut and until its end.
+void failOneDirection(const recut_ref &run, std::size_t half, microseconds backIn,
+                      microseconds cutIn)
+{
+    using change = std::function<void(worker &, bool)>;
+    const auto failIn = [&](microseconds from, const change &fail) {
+        run->world.at(std::max(backIn, from), [run, half, fail] {
+            changeHalf(run, half, [&fail](worker &each) { fail(each, true); });
+        });
+        run->world.at(cutIn + cutTime, [run, half, fail] {
+            changeHalf(run, half, [&fail](worker &each) { fail(each, false); });
+        });
+    };
+    const change loseAnswers = [](worker &each, bool loses) { each.loseAnswers(loses); };
+    if (has(*run, "mute-long")) {
+        failIn(backIn, loseAnswers);
+    } else if (has(*run, "mute")) {
+        failIn(cutIn - muteTime, loseAnswers);
+    }
+    if (has(*run, "outbound-first")) {
+        failIn(cutIn - drawMs(*run, 200, 1'000), [](worker &each, bool loses) {
+            each.loseAnswers(loses);
+            each.silenceHeartbeats(loses);
+        });
+    }
+    if (has(*run, "inbound-first")) {
+        failIn(cutIn - drawMs(*run, 200, 1'000),
+               [](worker &each, bool loses) { each.loseCalls(loses); });
+    }
+}
+
 /// Half of the workers crash, start again under their ids and are cut off.
 void recutHalf(const recut_ref &run)
 {
@@ -135,10 +178,9 @@
     const std::size_t half = run->rounds++ % 2;
     const microseconds crashIn = drawMs(*run, 300, 900);
     const microseconds backIn = crashIn + downTime;
-    const bool isHeld = run->settings.trouble == "held";
     const microseconds early =
-        isHeld ? heldAfterBack + drawMs(*run, 10, 60) : drawMs(*run, 20, 400);
-    const microseconds cutIn = backIn + (run->settings.isCutEarly ? early : cutAfter);
+        has(*run, "held") ? heldAfterBack + drawMs(*run, 10, 60) : drawMs(*run, 20, 400);
+    const microseconds cutIn = backIn + (has(*run, "early") ? early : cutAfter);
     const microseconds troubleIn = crashIn - drawMs(*run, 20, 200);
     for (int job = 0; job < jobsOnTheWay; ++job) {
         run->world.at(drawMs(*run, 0, backIn / millisecond + 200), [run] { submitJob(run); });
@@ -148,7 +190,7 @@
                   [run, backIn, troubleIn] { troubleBeforeCrash(run, backIn - troubleIn); });
     run->world.at(crashIn,
                   [run, half] { changeHalf(run, half, [](worker &each) { each.crash(); }); });
-    const bool isUnlisted = run->settings.trouble == "unlisted";
+    const bool isUnlisted = has(*run, "unlisted");
     run->world.at(backIn, [run, half, isUnlisted] {
         changeHalf(run, half, [isUnlisted](worker &each) {
             if (isUnlisted) {
@@ -157,6 +199,7 @@
             each.restart();
         });
     });
+    failOneDirection(run, half, backIn, cutIn);
     run->world.at(cutIn, [run, half] {
         delayCalls(run, half, 0);
         changeHalf(run, half, [](worker &each) { each.cutOff(false); });
@@ -175,10 +218,44 @@
 
 } // namespace
 
-void runRecut(cell_world &world, const soak_settings &settings)
+const std::map<std::string, std::string> &recutWords()
+{
+    static const std::map<std::string, std::string> words {
+        {"early", "the cut begins within 0.4 s of the restart"},
+        {"feed", "the store answers slowly from shortly before the crash until the cut"},
+        {"held", "all entries are paused over the crash"},
+        {"inbound-first", "calls are lost 0.2 to 1 s before the cut begins"},
+        {"kill", "the leader, then all entries, are killed as the cut begins"},
+        {"mute", "answers are lost in the last 200 ms before the cut"},
+        {"mute-long", "answers are lost from the restart on"},
+        {"outbound-first", "answers and beats are lost 0.2 to 1 s before the cut begins"},
+        {"pause", "all entries are paused for 3 s as the cut begins"},
+        {"takeover", "the leader is killed shortly before the crash"},
+        {"unlisted", "no beat of the new lives reaches the store until the cut ends"}};
+    return words;
+}
+
+tl::expected<recut_settings, std::string> parseRecut(const std::vector<std::string> &arguments)
+{
+    recut_settings parsed;
+    std::int64_t delayMs = 0;
+    if (arguments.empty() || !absl::SimpleAtoi(arguments.front(), &delayMs) || delayMs < 0) {
+        return tl::make_unexpected("recut needs a delay in milliseconds");
+    }
+    parsed.callDelay = delayMs * millisecond;
+    parsed.words.insert(arguments.begin() + 1, arguments.end());
+    for (const std::string &word : parsed.words) {
+        if (recutWords().count(word) == 0) {
+            return tl::make_unexpected("recut does not know the word " + word);
+        }
+    }
+    return parsed;
+}
+
+void runRecut(cell_world &world, const soak_settings &settings, const recut_settings &recut)
 {
     const auto run = std::make_shared<recut_run>(
-        recut_run {world, settings, std::mt19937_64(settings.seed), steadyNow() + settings.length});
+        recut_run {world, recut, std::mt19937_64(settings.seed), steadyNow() + settings.length});
     submitJobs(run);
     world.at(firstCrashAt, [run] { recutHalf(run); });
     world.at(settings.length + endTime, [run] {
--- a/testing/soak/run.sh
+++ b/testing/soak/run.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Runs the soak once: run.sh PRODUCT SOAK SEED SECONDS FOLDER [PROFILE...]. PRODUCT and SOAK are the two
 # programs; records and logs go to FOLDER. PROFILE: recut DELAY_MS
-# [pause|kill|held|feed|takeover|unlisted] [early]. Starts the entries as the deploy file does, on
+# [WORD...]; SOAK without arguments prints the words. Starts the entries as the deploy file does, on
 # loopback addresses, and again one second after each end. Exit code: 0 all promises held, 1 broken,
 # 2 could not run.
 set -u
--- a/testing/soak/soak.h
+++ b/testing/soak/soak.h
@@ -16,16 +16,6 @@
     std::uint64_t seed = 1;
     /// Time in which jobs are submitted and faults happen. A calm time follows.
     microseconds length = 40 * second;
-    /// Workers crash, start again and are cut off, in place of the faults by chance.
-    bool isRecut = false;
-    /// Time by which calls to these workers are carried out late.
-    microseconds callDelay = 0;
-    /// What befalls the entries: "pause" or "kill" as the cut begins; "held" (paused over the
-    /// crash), "feed" (a slow store) or "takeover" shortly before the crash; "unlisted" (no beat of
-    /// the new lives reaches the store); empty: nothing.
-    std::string trouble;
-    /// The cut begins within 0.4 s of the restart.
-    bool isCutEarly = false;
 };
 
 constexpr int workerCount = 16;
--- a/testing/soak/worker.cpp
+++ b/testing/soak/worker.cpp
@@ -176,6 +176,25 @@
     m_waiters.clear();
 }
 
+void worker::loseAnswers(bool loses)
+{
+    note("trouble: answers of " + m_settings.id + (loses ? " are lost" : " pass again"));
+    for (worker_link &link : m_links) {
+        link.losesAnswers = loses;
+    }
+    if (loses) {
+        abandonWaiters();
+    }
+}
+
+void worker::loseCalls(bool loses)
+{
+    note("trouble: calls to " + m_settings.id + (loses ? " are lost" : " pass again"));
+    for (worker_link &link : m_links) {
+        link.silent = loses;
+    }
+}
+
 void worker::reconnect()
 {
     note("trouble: " + m_settings.id + " is reachable again, with " + std::to_string(m_runs.size())
--- a/testing/soak/worker.h
+++ b/testing/soak/worker.h
@@ -101,6 +101,10 @@
     /// Its heartbeats do not reach the store, but calls reach it.
     void silenceHeartbeats(bool silent) { m_mutes += silent ? 1 : -1; }
     worker_link &linkOf(std::size_t entry) { return m_links[entry]; }
+    /// Calls are carried out, but no answer reaches an entry, also of the calls that are held.
+    void loseAnswers(bool loses);
+    /// Calls neither arrive nor are answered; its heartbeats and the answers of held calls pass.
+    void loseCalls(bool loses);
     /// The process ends without a word.
     void crash();
     /// Another process starts under the same id.
