The recut soak asks for jobs once the last runs can have ended

The check asked 24 s after the last submission, 12.6 s after the workers of the last round are reachable again at the latest. Tasks whose starts got no answer are held until then; they start about 2 s later and take 11 s. The time is 30 s now, the sum of its parts: the rest of a round, the poll of workers that are reachable again, and a run. Each accepted job must still be completed; one that waits longer is still lost.

--- a/testing/soak/recut.cpp
+++ b/testing/soak/recut.cpp
@@ -24,12 +24,13 @@
 /// Time before the cut in which answers are lost, unless they are from the restart on.
 constexpr microseconds muteTime = 200 * millisecond;
 constexpr microseconds pauseTime = 3 * second;
-/// Time without submissions in which the tasks that were lost last have to end.
-constexpr microseconds endTime = 24 * second;
 constexpr microseconds answerTime = 4 * second;
 /// Jobs that are submitted from shortly before the crash until shortly after the restart.
 constexpr int jobsOnTheWay = 16;
 constexpr step_behaviour longTasks {6, 500, false, false, false, 11 * second};
+/// Time without submissions in which the tasks that were lost last have to end: the rest of a
+/// round, until workers that are reachable again are polled, and a run.
+constexpr microseconds endTime = roundLength + 5 * second + longTasks.duration;
 
 struct recut_run
 {
