A ctest plays lives that nothing shows with real processes

The test plays 'recut 0 held unlisted mute-long': the entries are stopped over the crash of half of the workers; no beat and no answer of the new lives arrives before they are cut off 2 s later.

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -166,6 +166,13 @@
          COMMAND ${CMAKE_SOURCE_DIR}/testing/soak/run.sh $<TARGET_FILE:bramleygrade>
                  $<TARGET_FILE:soak> 120 19 ${CMAKE_BINARY_DIR}/soak-runs/recut recut 1500)
 set_tests_properties(twice_recut_of_real_processes PROPERTIES RUN_SERIAL TRUE COST 1)
+# Tasks run twice: a life that no beat and no answer shows carries out a start and is cut off.
+add_test(NAME twice_lives_that_nothing_shows_of_real_processes
+         COMMAND ${CMAKE_SOURCE_DIR}/testing/soak/run.sh $<TARGET_FILE:bramleygrade>
+                 $<TARGET_FILE:soak> 232 19 ${CMAKE_BINARY_DIR}/soak-runs/unseen recut 0 held unlisted
+                 mute-long)
+set_tests_properties(twice_lives_that_nothing_shows_of_real_processes
+                     PROPERTIES RUN_SERIAL TRUE COST 1)
 
 add_executable(platform_formats_test platform/test/formats_test.cpp)
 target_link_libraries(platform_formats_test PRIVATE bramleygrade_platform Boost::unit_test_framework)
