Histories of restarts that nothing shows before the cut

In all histories the registry showed a worker that had started again at once, or soon, and answers of restarted workers were lost only at random.

With hidden-recuts a third of the workers crash and start again while the scheduler stands still. The registry lists their former lives until the cut is over, and their answers are lost for the last 200 ms before the cut, or from the restart on, while they carry out orders. No order is late.

Histories of recuts and restarts are unchanged.

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -280,7 +280,10 @@
 # Workers that start again under their ids and are cut off soon after, as in issue 56.
 add_test(NAME cell_histories_of_recuts COMMAND cell_histories 1 100 recuts)
 add_test(NAME cell_histories_of_late_recuts COMMAND cell_histories 1 100 late-recuts)
-set_tests_properties(cell_histories_of_recuts cell_histories_of_late_recuts PROPERTIES COST 500)
+# The same where nothing shows that the workers have started again, as in issue 59.
+add_test(NAME cell_histories_of_hidden_recuts COMMAND cell_histories 1 100 hidden-recuts)
+set_tests_properties(cell_histories_of_recuts cell_histories_of_late_recuts
+                     cell_histories_of_hidden_recuts PROPERTIES COST 500)
 
 # Jobs whose tasks crash the workers that start them.
 add_test(NAME cell_histories_of_crashing_tasks COMMAND cell_histories 1 400 deadly)
--- a/testing/cell/cell_history.cpp
+++ b/testing/cell/cell_history.cpp
@@ -231,7 +231,8 @@
                 return;
             }
             const order_outcome outcome = deliver();
-            const bool isUnanswered = isAnswerLost || outcome == order_outcome::unanswered;
+            const bool isUnanswered = isAnswerLost || history.mutedWorkers.count(id) > 0
+                || outcome == order_outcome::unanswered;
             scheduleAnswer(isUnanswered ? timeoutAt
                                         : history.now + history.drawBetween(200, 3 * millisecond),
                            isUnanswered ? order_outcome::unanswered : outcome);
@@ -408,6 +409,8 @@
         history.store.up = true;
         history.partitionedWorkers.clear();
         history.workersCutOffFrom.clear();
+        history.hiddenWorkers.clear();
+        history.mutedWorkers.clear();
         history.unregisteredWorkers.clear();
         history.restoreCapacities();
         if (!history.record.capVersions.empty()) {
--- a/testing/cell/cell_history.h
+++ b/testing/cell/cell_history.h
@@ -42,6 +42,10 @@
     /// Mean time between waves in which a third of the workers crash, start again under their ids
     /// within a second and are cut off soon after, for seconds; 0: never.
     microseconds recutWaveInterval = 0;
+    /// Nothing shows the new lives of these waves: the registry lists the former ones until the cut
+    /// is over, and answers of the workers are lost for the last 200 ms before the cut, or from the
+    /// restart on.
+    bool recutsAreHidden = false;
     /// Delayed orders are carried out by the life of the worker that is up then; otherwise a crash
     /// of the worker ends them.
     bool delayedOrdersSurviveCrashes = false;
--- a/testing/cell/histories_main.cpp
+++ b/testing/cell/histories_main.cpp
@@ -40,15 +40,16 @@
 }
 
 /// Faults of a cell whose workers start again under their ids and are cut off soon after.
-testing::history_faults makeRecutFaults(bool isLate)
+testing::history_faults makeRecutFaults(bool isLate, bool isHidden)
 {
     testing::history_faults faults;
     faults.longTaskShare = 0.4;
     faults.submitInterval = 400 * millisecond;
     faults.recutWaveInterval = 4 * second;
-    faults.schedulerCrashInterval = 5 * second;
+    faults.schedulerCrashInterval = isHidden ? 15 * second : 5 * second;
     faults.delayedOrderShare = isLate ? 0.05 : 0;
     faults.delayedOrdersSurviveCrashes = isLate;
+    faults.recutsAreHidden = isHidden;
     faults.restartUnderIdShare = 0.8;
     return faults;
 }
@@ -56,14 +57,15 @@
 } // namespace
 
 /// Runs randomised histories of the cell scheduler: cell_histories FIRST_SEED COUNT [takeovers
-/// [crashes] | capacity | deadly | restarts | recuts | late-recuts | teams]. The defaults are 1 and
-/// 100. With `takeovers` the cell has 350 workers and wide steps, and schedulers replace one
-/// another every second or two; with `crashes` workers crash as well. With `capacity` in their
-/// place, the workers' capacities shrink and grow; with `deadly`, the tasks of some jobs crash the
-/// workers that start them; with `restarts`, most of the crashed workers start again under their
-/// ids; with `recuts`, waves of them are cut off soon after, and with `late-recuts` orders are also
-/// carried out late; with `teams`, jobs belong to teams with caps that change. Exit code 1 if a
-/// history violates a rule.
+/// [crashes] | capacity | deadly | restarts | recuts | late-recuts | hidden-recuts | teams]. The
+/// defaults are 1 and 100. With `takeovers` the cell has 350 workers and wide steps, and schedulers
+/// replace one another every second or two; with `crashes` workers crash as well. With `capacity`
+/// in their place, the workers' capacities shrink and grow; with `deadly`, the tasks of some jobs
+/// crash the workers that start them; with `restarts`, most of the crashed workers start again
+/// under their ids; with `recuts`, waves of them are cut off soon after; with `late-recuts` orders
+/// are also carried out late, and with `hidden-recuts` nothing shows that the workers have started
+/// again; with `teams`, jobs belong to teams with caps that change. Exit code 1 if a history
+/// violates a rule.
 int main(int argc, char **argv)
 {
     const std::uint64_t first = argc > 1 ? std::strtoull(argv[1], nullptr, 10) : 1;
@@ -72,7 +74,7 @@
     const bool isLarge = kind == "takeovers";
     const bool workersCrash = argc > 4 && argv[4] == std::string("crashes");
     testing::history_faults faults = isLarge ? makeTakeoverFaults(workersCrash) : makeMixedFaults();
-    const bool isRecut = kind == "recuts" || kind == "late-recuts";
+    const bool isRecut = kind == "recuts" || kind == "late-recuts" || kind == "hidden-recuts";
     const int workers = isLarge ? 350 : (isRecut ? 24 : 8);
     if (kind == "capacity") {
         faults.capacityChangeInterval = 300 * millisecond;
@@ -85,7 +87,7 @@
         faults.restartWaveInterval = 7 * second;
         faults.crashingJobShare = 0.02;
     } else if (isRecut) {
-        faults = makeRecutFaults(kind == "late-recuts");
+        faults = makeRecutFaults(kind == "late-recuts", kind == "hidden-recuts");
     }
     if (kind == "teams") {
         faults.capChangeInterval = 2 * second;
--- a/testing/cell/history_state.h
+++ b/testing/cell/history_state.h
@@ -43,6 +43,10 @@
     /// Workers that are cut off from all schedulers from this epoch on.
     std::map<std::string, std::int64_t> workersCutOffFrom;
     std::set<std::string> unregisteredWorkers;
+    /// Workers that have started again, whose former entries the registry goes on showing.
+    std::set<std::string> hiddenWorkers;
+    /// Workers that carry out orders and whose answers are lost.
+    std::set<std::string> mutedWorkers;
     execution_record record;
     simulated_store store;
     std::vector<scheduler_pointer> schedulers;
@@ -84,10 +88,11 @@
     bool isConnectionRetried(const std::string &id);
     /// Starts the worker again under its id; the registry shows it later.
     void startAgain(const std::string &id);
-    /// Calls `restartAndCutOff` for a third of the workers.
+    /// Calls `restartAndCutOff` for a third of the workers, while the newest scheduler is paused if
+    /// nothing is to show the new lives.
     void cutOffRestartedWorkers();
     /// Crashes the worker if it is up, starts it again under its id within a second and cuts it off
-    /// soon after. The registry shows the new life at once.
+    /// soon after. The registry shows the new life at once, or not before the cut is over.
     void restartAndCutOff(const std::string &id);
     /// Returns the start time that the worker tells at its next start: later than the last one,
     /// earlier as its clock was set back, or none.
--- a/testing/cell/history_workers.cpp
+++ b/testing/cell/history_workers.cpp
@@ -77,7 +77,7 @@
 {
     constexpr microseconds retryInterval = 100 * millisecond;
     simulated_worker &reporting = workers.at(worker);
-    if (!store.up) {
+    if (!store.up || hiddenWorkers.count(worker) > 0) {
         // The worker can tell nobody, so that the capacity shown counts until it can.
         reporting.formerCapacities.push_back(
             {reporting.entry.capacity, now + retryInterval + contactTime});
@@ -142,6 +142,10 @@
 
 void cell_history::state::restartAndCutOff(const std::string &id)
 {
+    /// Time before a cut without a sign of the new life, for which answers are lost.
+    constexpr microseconds answersLostBeforeCut = 200 * millisecond;
+    const microseconds soonestCuts =
+        injectedFaults.recutsAreHidden ? 60 * millisecond : 500 * millisecond;
     simulated_worker &worker = workers.at(id);
     if (!worker.up) {
         return;
@@ -149,26 +153,46 @@
     crashWorker(worker, record);
     ++counts.workerCrashes;
     worker.listedUntil = distantFuture;
+    if (injectedFaults.recutsAreHidden) {
+        hiddenWorkers.insert(id);
+    }
     const timestamp upAt = now + drawBetween(50 * millisecond, 600 * millisecond);
     scheduleAt(upAt, [this, id] {
         startAgain(id);
         reportCapacity(id);
     });
     // Soon enough that some lives are cut off before a scheduler has heard of them.
-    const timestamp cutAt = upAt
-        + (drawBool(0.5) ? drawBetween(0, 500 * millisecond) : drawBetween(0, 2'500 * millisecond));
+    const timestamp cutAt = std::max(upAt, schedulers.back()->pausedUntil)
+        + (drawBool(0.5) ? drawBetween(0, soonestCuts) : drawBetween(0, 2'500 * millisecond));
     scheduleAt(cutAt, [this, id] {
         if (!faultsStopped) {
             partitionedWorkers.insert(id);
         }
     });
-    scheduleAt(cutAt + drawBetween(6 * second, 12 * second),
-               [this, id] { partitionedWorkers.erase(id); });
+    if (injectedFaults.recutsAreHidden) {
+        const timestamp mutedAt =
+            drawBool(0.5) ? upAt : std::max(upAt, cutAt - answersLostBeforeCut);
+        scheduleAt(mutedAt, [this, id] {
+            if (!faultsStopped) {
+                mutedWorkers.insert(id);
+            }
+        });
+    }
+    scheduleAt(cutAt + drawBetween(6 * second, 12 * second), [this, id] {
+        partitionedWorkers.erase(id);
+        hiddenWorkers.erase(id);
+        mutedWorkers.erase(id);
+    });
 }
 
 void cell_history::state::cutOffRestartedWorkers()
 {
     constexpr double waveShare = 1.0 / 3;
+    if (injectedFaults.recutsAreHidden) {
+        // The scheduler stands still over the restarts, so that it orders starts on the clocks of
+        // the former lives when it goes on.
+        schedulers.back()->pausedUntil = now + drawBetween(300 * millisecond, 900 * millisecond);
+    }
     for (const auto &[id, worker] : workers) {
         if (worker.up && drawBool(waveShare)) {
             restartAndCutOff(id);
