--- a/test/cell/life_without_fence_test.cpp
+++ b/test/cell/life_without_fence_test.cpp
@@ -55,16 +55,28 @@
 // The restart is written at once: a successor that does not know of it would not wait.
 BOOST_AUTO_TEST_CASE(twice_restart_that_is_not_written_for_a_successor)
 {
-    ordered_start fixture;
-    fixture.store();
-    fixture.restartWorkerOf(fixture.order);
-    fixture.now = fixture.restartedAt;
-    fixture.listRestart();
-    const worker_state &worker = fixture.cell.workers.at(fixture.order.worker);
-    BOOST_REQUIRE(worker.listRow.has_value());
-    const std::vector<std::string> written = beginWrite(fixture.cell, {100}, oneRow);
-    BOOST_TEST((std::find(written.begin(), written.end(), workerRowChange(*worker.listRow))
-                != written.end()));
+    for (const bool isListed : {true, false}) {
+        BOOST_TEST_CONTEXT((isListed ? "shown by the registry" : "shown by an answer"))
+        {
+            ordered_start fixture;
+            const std::string id = fixture.order.worker;
+            fixture.store();
+            fixture.restartWorkerOf(fixture.order);
+            fixture.now = fixture.restartedAt;
+            if (isListed) {
+                fixture.listRestart();
+            } else {
+                orders ignored;
+                onReport(fixture.cell, fixture.makePoll(id), fixture.reportOf(id), fixture.now,
+                         fixture.now, ignored);
+            }
+            const worker_state &worker = fixture.cell.workers.at(id);
+            BOOST_REQUIRE(worker.listRow.has_value());
+            const std::vector<std::string> written = beginWrite(fixture.cell, {100}, oneRow);
+            BOOST_TEST((std::find(written.begin(), written.end(), workerRowChange(*worker.listRow))
+                        != written.end()));
+        }
+    }
 }
 
 // A late poll for the former life extended the lease of a run that the new life had confirmed.
@@ -224,3 +236,11 @@
                    out);
     BOOST_TEST(!isAwaited(released.cell, released.order));
 }
+
+// The order names the life for which it was built, whatever the phase of its run shows.
+BOOST_AUTO_TEST_CASE(twice_start_held_back_for_a_former_life)
+{
+    ordered_start fixture;
+    ++fixture.cell.workers.at(fixture.order.worker).life.number;
+    BOOST_TEST(!isAwaited(fixture.cell, fixture.order));
+}
--- a/test/cell/lives_that_nothing_shows_test.cpp
+++ b/test/cell/lives_that_nothing_shows_test.cpp
@@ -29,6 +29,29 @@
     {"after 1.5 s, a lasting task", 1'500 * millisecond, false, true},
 };
 
+/// A reading of a clock in the answer to an order, and whether it shows another life than the one
+/// whose clock stood at `lastReading`.
+struct clock_reading
+{
+    const char *name;
+    /// Time from the newest reading to the sending of the order; negative: it was sent earlier.
+    microseconds sentAfter;
+    std::int64_t reading;
+    bool isOfOtherLife;
+};
+
+constexpr std::int64_t lastReading = 60 * second;
+
+const clock_reading clockReadings[] = {
+    {"at once, behind the newest reading", 20 * millisecond, lastReading - 30 * millisecond, true},
+    {"at once, ahead of it", 20 * millisecond, lastReading + 10 * millisecond, false},
+    {"after 10 s, 2 % slow", 10 * second, lastReading + 9'750 * millisecond, false},
+    {"after 10 s, slower", 10 * second, lastReading + 9'650 * millisecond, true},
+    {"sent 10 s before, 2 % fast", -10 * second, lastReading - 10'250 * millisecond, false},
+    {"sent 10 s before, earlier", -10 * second, lastReading - 10'350 * millisecond, true},
+    {"no clock", 20 * millisecond, 0, false},
+};
+
 /// Workers that have started again so recently that their clocks are near zero.
 struct young_workers : cut_off_fixture
 {
@@ -107,6 +130,37 @@
     BOOST_TEST(*startedAt >= leaseEnd);
 }
 
+// The error bounds of a clock are wide enough for the known life, and no wider.
+BOOST_AUTO_TEST_CASE(twice_clock_of_another_life_taken_for_the_known_one)
+{
+    worker_life life;
+    life.clock = lastReading;
+    life.clockReadAt = 1'000 * second;
+    for (const clock_reading &given : clockReadings) {
+        BOOST_TEST_CONTEXT(given.name)
+        {
+            BOOST_TEST(isClockOfOtherLife(life, given.reading, life.clockReadAt + given.sentAfter)
+                       == given.isOfOtherLife);
+        }
+    }
+}
+
+// While the scheduler stands still, the outcome of a start may come after the lease that was
+// granted with it; any life may have taken the start until then.
+BOOST_AUTO_TEST_CASE(twice_start_whose_outcome_comes_after_its_lease)
+{
+    ordered_start fixture;
+    fixture.restartWorkerOf(fixture.order);
+    fixture.answerPolls(fixture.out);
+    BOOST_TEST(!fixture.runUntilStart().has_value());
+    const lease_limits &limits = fixture.cell.settings.lease;
+    const timestamp leaseEnd = fixture.now + limits.orderDelay + longestLease;
+    fixture.deliver(order_outcome::unanswered);
+    const auto startedAt = fixture.runUntilStart();
+    BOOST_REQUIRE(startedAt.has_value());
+    BOOST_TEST(*startedAt >= leaseEnd);
+}
+
 // An answer of the known life, whose clock may be slow, starts nothing over.
 BOOST_AUTO_TEST_CASE(start_answered_by_a_life_with_a_slow_clock_is_confirmed)
 {
@@ -161,10 +215,29 @@
     }
     after.cutOff = before.order.worker;
     const timestamp leaseEnd = after.now + longestLease;
+    const timestamp expiredAt = strayLeaseExpiry(after.cell.settings.lease, after.now);
     after.store();
     const auto startedAt = after.runUntilStart();
     BOOST_REQUIRE(startedAt.has_value());
     BOOST_TEST(*startedAt >= leaseEnd);
+    BOOST_TEST(*startedAt <= expiredAt + 2 * stepTime);
+}
+
+// A worker that answers for the first time has no lease of schedulers that ended long ago, so that
+// nothing waits for one.
+BOOST_AUTO_TEST_CASE(late_wait_for_leases_of_schedulers_that_ended_long_ago)
+{
+    cut_off_fixture fixture;
+    fixture.settle();
+    fixture.now += 60 * second;
+    fixture.settle();
+    fixture.entries.push_back(cell_fixture::makeWorker("worker-4"));
+    fixture.entries.back().born = formerBorn;
+    changeWorkers(fixture.cell, fixture.entries, fixture.now);
+    fixture.answerPolls(fixture.decide());
+    const worker_life &life = fixture.cell.workers.at("worker-4").life;
+    BOOST_TEST(life.fenced);
+    BOOST_TEST(life.leasesExpiredAt < fixture.now);
 }
 
 // A life has accepted the stop of a run whose start is still on its way; the next life knows of no
@@ -184,3 +257,22 @@
     BOOST_REQUIRE(startedAt.has_value());
     BOOST_TEST(*startedAt >= leaseEnd);
 }
+
+// Guards against a task that never starts again: a run that was listed while it was being stopped
+// had neither a start without an answer nor a confirmation.
+BOOST_AUTO_TEST_CASE(lost_run_that_was_listed_while_it_was_being_stopped)
+{
+    ordered_start fixture;
+    const std::string id = fixture.order.worker;
+    fixture.deliver(order_outcome::unanswered);
+    orders ignored;
+    stopRun(fixture.cell, fixture.order.task,
+            *findTask(fixture.cell.jobs.at("a"), fixture.order.task), fixture.now, ignored);
+    auto answer = fixture.reportOf(id);
+    answer.running.push_back({fixture.order.task, fixture.order.attempt, "", 0});
+    fixture.now += stepTime;
+    onReport(fixture.cell, fixture.makePoll(id), answer, fixture.now, fixture.now, ignored);
+    fixture.cutOff = id;
+    fixture.answerPolls(fixture.out);
+    BOOST_TEST(fixture.runUntilStart().has_value());
+}
