A test of held starts that are no longer awaited

That sendHeldStart asks isAwaited before a held start is sent had no unit test: with the question removed, the other ten tests of cell_confirmation pass.

twice_held_start_that_is_sent_for_a_former_life fails without the question (the start of a former life is sent) and passes with it; a start that is awaited is sent in both.

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -128,6 +128,7 @@
 
 # A scheduler that was paused and may have been replaced meanwhile.
 add_executable(cell_confirmation_test test/cell/confirmation_test.cpp)
+target_include_directories(cell_confirmation_test PRIVATE ${CMAKE_SOURCE_DIR})
 target_link_libraries(cell_confirmation_test PRIVATE bramleygrade_entry Boost::unit_test_framework)
 foreach(failure twice_orders_of_a_scheduler_that_was_paused
                 twice_answers_to_questions_from_before_a_pause
@@ -137,7 +138,8 @@
                 twice_successor_with_a_minority_takes_its_predecessor_for_ended
                 predecessors_are_over_when_the_entries_that_may_follow_them_are_forgotten
                 replies_of_all_entries_or_a_write_prove_that_there_is_no_successor
-                twice_orders_after_a_worker_has_seen_a_newer_token)
+                twice_orders_after_a_worker_has_seen_a_newer_token
+                twice_held_start_that_is_sent_for_a_former_life)
     add_test(NAME ${failure} COMMAND cell_confirmation_test --run_test=${failure})
 endforeach()
 
--- a/test/cell/confirmation_test.cpp
+++ b/test/cell/confirmation_test.cpp
@@ -1,6 +1,7 @@
 #define BOOST_TEST_MODULE confirmation
 #include <boost/test/unit_test.hpp>
 
+#include "cell_fixture.h"
 #include "entry/entry.h"
 
 using namespace bramleygrade;
@@ -87,6 +88,37 @@
     BOOST_TEST(paused.order());
 }
 
+// A start that was held back over the pause was sent although its run had been released, or its
+// worker had begun another life.
+BOOST_AUTO_TEST_CASE(twice_held_start_that_is_sent_for_a_former_life)
+{
+    for (const bool isAwaited : {true, false}) {
+        BOOST_TEST_CONTEXT((isAwaited ? "awaited" : "of a former life"))
+        {
+            testing::cell_fixture fixture;
+            const cell::orders out = fixture.run(
+                testing::cell_fixture::makeJob("a", {testing::cell_fixture::makeStep(1, 1'000)}));
+            BOOST_REQUIRE(out.starts.size() == 1U);
+            paused_scheduler paused(5 * second);
+            int started = 0;
+            paused.entry.ports.workers.start = [&started](const std::string &,
+                                                          const cell::start_order &, timestamp,
+                                                          const auto &) { ++started; };
+            BOOST_TEST(!paused.order());
+            paused.entry.leaderState->cell = fixture.cell;
+            cell::orders held;
+            held.starts = out.starts;
+            runOrders(paused.entry, held);
+            BOOST_TEST(started == 0);
+            paused.entry.leaderState->cell.workers.at(out.starts[0].worker).life.number +=
+                isAwaited ? 0 : 1;
+            confirmByWrite(paused.entry, paused.wokenAt + millisecond);
+            BOOST_TEST(paused.countSent() == 1);
+            BOOST_TEST(started == (isAwaited ? 1 : 0));
+        }
+    }
+}
+
 // What was asked before the pause proves nothing about the time after it.
 BOOST_AUTO_TEST_CASE(twice_answers_to_questions_from_before_a_pause)
 {
