--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -73,8 +73,8 @@
 
 
 # Unit tests of the cell scheduler and its formats, and randomised histories in virtual time.
-foreach(unit admission advice_dispatch caller_keys changing_capacity claim_order entry handover http_client ip_endpoint job_sizes life_without_fence membership observation
-             placement_round restarted_worker_cut_off run_times scheduler scheduler_admission storing rows takeover team_caps team_shares
+foreach(unit admission advice_dispatch caller_keys changing_capacity claim_order entry handover http_client ip_endpoint job_sizes late_orders_at_takeovers life_without_fence membership observation
+             placement_round restarted_worker_cut_off run_times runs_of_unseen_lives scheduler scheduler_admission storing rows takeover team_caps team_shares
              team_takeover uneven_workers waiting_jobs watches worker_loss worker_speeds writes)
     add_executable(cell_${unit}_test test/cell/${unit}_test.cpp)
     target_include_directories(cell_${unit}_test PRIVATE ${CMAKE_SOURCE_DIR} ${CMAKE_SOURCE_DIR}/test/cell)
@@ -138,6 +138,7 @@
 
 # A scheduler that was paused and may have been replaced meanwhile.
 add_executable(cell_confirmation_test test/cell/confirmation_test.cpp)
+target_include_directories(cell_confirmation_test PRIVATE ${CMAKE_SOURCE_DIR})
 target_link_libraries(cell_confirmation_test PRIVATE bramleygrade_entry Boost::unit_test_framework)
 foreach(failure twice_orders_of_a_scheduler_that_was_paused
                 twice_answers_to_questions_from_before_a_pause
@@ -147,7 +148,8 @@
                 twice_successor_with_a_minority_takes_its_predecessor_for_ended
                 predecessors_are_over_when_the_entries_that_may_follow_them_are_forgotten
                 replies_of_all_entries_or_a_write_prove_that_there_is_no_successor
-                twice_orders_after_a_worker_has_seen_a_newer_token)
+                twice_orders_after_a_worker_has_seen_a_newer_token
+                twice_held_start_that_is_sent_for_a_former_life)
     add_test(NAME ${failure} COMMAND cell_confirmation_test --run_test=${failure})
 endforeach()
 
@@ -297,7 +299,10 @@
 # Workers that start again under their ids and are cut off soon after, as in issue 56.
 add_test(NAME cell_histories_of_recuts COMMAND cell_histories 1 100 recuts)
 add_test(NAME cell_histories_of_late_recuts COMMAND cell_histories 1 100 late-recuts)
-set_tests_properties(cell_histories_of_recuts cell_histories_of_late_recuts PROPERTIES COST 500)
+# The same where nothing shows that the workers have started again, as in issue 59.
+add_test(NAME cell_histories_of_hidden_recuts COMMAND cell_histories 1 100 hidden-recuts)
+set_tests_properties(cell_histories_of_recuts cell_histories_of_late_recuts
+                     cell_histories_of_hidden_recuts PROPERTIES COST 500)
 
 # Jobs whose tasks crash the workers that start them.
 add_test(NAME cell_histories_of_crashing_tasks COMMAND cell_histories 1 400 deadly)
