--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -74,7 +74,7 @@
 
 # Unit tests of the cell scheduler and its formats, and randomised histories in virtual time.
 foreach(unit admission advice_dispatch caller_keys changing_capacity claim_order entry handover http_client ip_endpoint job_sizes life_without_fence lives_that_nothing_shows membership observation
-             placement_round restarted_worker_cut_off run_times scheduler scheduler_admission storing rows takeover team_caps team_shares
+             placement_round restarted_worker_cut_off review_of_unseen_lives run_times scheduler scheduler_admission storing rows takeover team_caps team_shares
              team_takeover uneven_workers waiting_jobs watches worker_loss worker_speeds writes)
     add_executable(cell_${unit}_test test/cell/${unit}_test.cpp)
     target_include_directories(cell_${unit}_test PRIVATE ${CMAKE_SOURCE_DIR} ${CMAKE_SOURCE_DIR}/test/cell)
