--- a/src/cell/ends/order_outcomes.cpp
+++ b/src/cell/ends/order_outcomes.cpp
@@ -135,6 +135,9 @@
         }
         task->confirmedAt = now;
         task->progressAt = now;
+        if (!mayCarryOutFormerOrders(worker->second.life)) {
+            task->strayStartAt = distantPast; // the known life has the run
+        }
         recordAlive(cell, worker->second, task->startedAt);
         noteRunConfirmed(cell, worker->second, order.task);
         return;
--- a/src/cell/workers/scheduler_workers.cpp
+++ b/src/cell/workers/scheduler_workers.cpp
@@ -145,7 +145,8 @@
     case run_phase::running:
         return task.confirmedAt != distantPast && task.confirmedAt < sentAt;
     case run_phase::stopping:
-        return (task.confirmedAt != distantPast && task.confirmedAt < sentAt)
+        return (task.confirmedAt != distantPast && task.strayStartAt == distantPast
+                && task.confirmedAt < sentAt)
             || order.fencingToken > task.token;
     case run_phase::unconfirmed:
         return order.fencingToken > task.token;
