A held start is not sent once the registry shows another life

A start that was held back over a pause went to the address that the registry shows when it is sent, also if that entry names another life than the one for which the order was built. It counts as not sent now, which releases its run.

twice_held_start_reaches_the_new_address_of_a_worker_that_has_restarted failed and passes.

--- a/src/cell/ends/order_outcomes.cpp
+++ b/src/cell/ends/order_outcomes.cpp
@@ -89,7 +89,8 @@
     const auto worker = cell.workers.find(order.worker);
     return task != nullptr && worker != cell.workers.end() && task->worker == order.worker
         && task->attempt == order.attempt && task->phase == run_phase::starting
-        && order.life == worker->second.life.number;
+        && order.life == worker->second.life.number && !mayCarryOutFormerOrders(worker->second.life)
+        && !describesOtherLife(worker->second.entry, worker->second.life);
 }
 
 void onStartOutcome(scheduler &cell, const start_order &order, order_outcome outcome, timestamp now,
--- a/src/cell/scheduler.h
+++ b/src/cell/scheduler.h
@@ -366,8 +366,8 @@
 /// microseconds; 0 if it is not known.
 void onStartOutcome(scheduler &cell, const start_order &order, order_outcome outcome, timestamp now,
                     orders &out, std::int64_t workerClock = 0);
-/// Whether the outcome of the start order is still awaited: the run has not been released, and the
-/// worker has not begun another life.
+/// Whether the outcome of the start order is still awaited: the run has not been released, and
+/// nothing shows that the worker has begun another life.
 bool isAwaited(scheduler &cell, const start_order &order);
 /// Handles the outcome of a stop order; the run is released when its end is reported.
 void onStopOutcome(scheduler &cell, const stop_order &order, order_outcome outcome, timestamp now);
