Own interface: a start asks a worker for its full report

A worker that had started again under its name and reached the report version that its owner knew of the former process answered that nothing had changed; the owner kept the former tasks as running and did not place them again.

--- a/src/core/task_reconciliation.cpp
+++ b/src/core/task_reconciliation.cpp
@@ -149,6 +149,8 @@
     const task_order &order = *result.order;
     const std::string key = taskKeyOf(order.job, order.task, order.incarnation);
     if (result.kind == worker_call_kind::start) {
+        // A worker that has restarted may reach the known version with this start.
+        worker.reportVersion = 0;
         handleStartResult(state, worker, key, result, context);
     } else if (result.accepted && result.kind == worker_call_kind::forget) {
         worker.endedTaskKeys.erase(key);
