--- a/src/cell/workers/leases.cpp
+++ b/src/cell/workers/leases.cpp
@@ -60,19 +60,23 @@
     return std::max(expiry, strayLeaseExpiry(limits, lastOrderAt + delay));
 }
 
+/// Returns how long ago something was, in milliseconds; "-": never.
+std::string formatAge(timestamp at, timestamp now)
+{
+    return at == distantPast ? "-" : std::to_string((now - at) / millisecond);
+}
+
 /// Logs a run that can no longer exist, and what was known of its start.
 void logRunLost(const worker_state &worker, const task_id &id, const task_state &task,
                 timestamp now, orders &out)
 {
-    const auto ageOf = [&](timestamp at) {
-        return at == distantPast ? std::string("-") : std::to_string((now - at) / millisecond);
-    };
-    out.events.push_back(
-        {"run_lost", id.job,
-         "task=" + formatTaskNumber(id) + " worker=" + worker.entry.id + " attempt="
-             + std::to_string(task.attempt) + " born=" + std::to_string(worker.life.born)
-             + " started_ms_ago=" + ageOf(task.startedAt) + " confirmed_ms_ago="
-             + ageOf(task.confirmedAt) + " unanswered_ms_ago=" + ageOf(task.strayStartAt)});
+    out.events.push_back({"run_lost", id.job,
+                          "task=" + formatTaskNumber(id) + " worker=" + worker.entry.id
+                              + " attempt=" + std::to_string(task.attempt)
+                              + " born=" + std::to_string(worker.life.born)
+                              + " started_ms_ago=" + formatAge(task.startedAt, now)
+                              + " confirmed_ms_ago=" + formatAge(task.confirmedAt, now)
+                              + " unanswered_ms_ago=" + formatAge(task.strayStartAt, now)});
 }
 
 /// Releases runs that can no longer exist on the silent worker.
@@ -94,8 +98,8 @@
     cell.needsPlacement = true;
     out.events.push_back({"worker_runs_lost", "",
                           "worker=" + worker.entry.id + " runs=" + std::to_string(runs.size())
-                              + " held=" + std::to_string(worker.life.runs.size()) + " silent_ms="
-                              + std::to_string((now - worker.life.answeredAt) / millisecond)});
+                              + " held=" + std::to_string(worker.life.runs.size())
+                              + " silent_ms=" + formatAge(worker.life.answeredAt, now)});
 }
 
 } // namespace
