--- a/src/cell/jobs/job_state.h
+++ b/src/cell/jobs/job_state.h
@@ -41,8 +41,9 @@
     timestamp startedAt = distantPast;
     /// Time at which the worker confirmed that it has the run; `distantPast`: not confirmed.
     timestamp confirmedAt = distantPast;
-    /// Time at which the start order got no answer, or one of another life of the worker, so that a
-    /// life that is not known may carry it out; `distantPast`: there is no such order.
+    /// Time since which a life that is not known may carry the start order out, or have the run:
+    /// the order got no answer, or one of another life; its stop was accepted first; or a life that
+    /// is not fenced lists the run. `distantPast`: there is no such doubt.
     timestamp strayStartAt = distantPast;
     int percent = 0;
     /// Time at which `percent` last changed.
--- a/src/cell/scheduler.h
+++ b/src/cell/scheduler.h
@@ -400,7 +400,8 @@
 /// Returns the current fencing token for the worker: epoch and number of the worker's fence.
 std::int64_t fencingToken(const scheduler &cell, const worker_state &worker);
 /// Returns the time after which every lease that an earlier scheduler granted to a worker that has
-/// not been fenced has expired; `distantFuture` if that is not known.
+/// not been fenced has expired, on the lives for which it built its orders; `distantFuture` if that
+/// is not known.
 timestamp predecessorLeaseExpiry(const scheduler &cell);
 /// As `predecessorLeaseExpiry`, for a worker that may have carried out an order that was built for
 /// an earlier life.
--- a/src/cell/workers/leases.cpp
+++ b/src/cell/workers/leases.cpp
@@ -33,7 +33,7 @@
 }
 
 /// Returns the local time after which every lease on the worker has expired, but those of lives
-/// that are not known.
+/// that nothing has shown.
 timestamp leaseExpiry(const scheduler &cell, const worker_life &life)
 {
     return life.fenced ? life.leasesExpiredAt
--- a/test/cell/rows_test.cpp
+++ b/test/cell/rows_test.cpp
@@ -458,6 +458,30 @@
     }
 }
 
+// A successor that misreads what orders for a former life may still do starts tasks too early.
+BOOST_AUTO_TEST_CASE(twice_stored_effect_of_former_orders_that_is_misread)
+{
+    struct test_case
+    {
+        const char *row;
+        cell::former_order_effect effect;
+    };
+    const test_case testCases[] = {
+        {R"(["a","h:1","s",5,1,1,0])", cell::former_order_effect::none}, // of an earlier version
+        {R"(["a","h:1","s",5,1,1,0,0])", cell::former_order_effect::none},
+        {R"(["a","h:1","s",5,1,1,0,1])", cell::former_order_effect::possible},
+        {R"(["a","h:1","s",5,1,1,0,2])", cell::former_order_effect::leases},
+        {R"(["a","h:1","s",5,1,1,0,9])", cell::former_order_effect::possible},
+        {R"(["a","h:1","s",5,1,1,0,-1])", cell::former_order_effect::possible},
+    };
+    for (const test_case &given : testCases) {
+        const auto workerList =
+            entry::decodeWorkers(R"({"workers":[)" + std::string(given.row) + "]}");
+        BOOST_REQUIRE(workerList.size() == 1U);
+        BOOST_TEST((workerList[0].formerOrders == given.effect), given.row);
+    }
+}
+
 namespace {
 
 /// A scheduler whose workers are listed by the registry and have answered.
